--- /dev/null
+++ b/rattanweir/base/cancel/cancel_test.cc
@@ -0,0 +1,65 @@
+#include "rattanweir/base/cancel/cancel.h"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+namespace rattanweir {
+namespace {
+
+TEST_CASE("the first reason stays and each function runs once")
+{
+  CancelSource cancel;
+  int calls = 0;
+  const auto registration = cancel.OnCancel([&] { ++calls; });
+  cancel.Cancel(ResultCode::KeyWithdrawn);
+  cancel.Cancel(ResultCode::CallerGone);
+  REQUIRE(cancel.Reason() == ResultCode::KeyWithdrawn);
+  REQUIRE(calls == 1);
+}
+
+TEST_CASE("a function taken back does not run")
+{
+  CancelSource cancel;
+  int calls = 0;
+  {
+    const auto registration = cancel.OnCancel([&] { ++calls; });
+  }
+  cancel.Cancel(ResultCode::CallerGone);
+  REQUIRE(calls == 0);
+}
+
+TEST_CASE("a registration after the end runs at once")
+{
+  CancelSource cancel;
+  cancel.Cancel(ResultCode::CallerGone);
+  int calls = 0;
+  const auto registration = cancel.OnCancel([&] { ++calls; });
+  REQUIRE(calls == 1);
+}
+
+TEST_CASE("a moved or assigned registration takes back only its own function")
+{
+  CancelSource cancel;
+  int first = 0;
+  int second = 0;
+  auto registration = cancel.OnCancel([&] { ++first; });
+  registration = cancel.OnCancel([&] { ++second; });
+  auto moved = std::move(registration);
+  cancel.Cancel(ResultCode::CallerGone);
+  REQUIRE(first == 0);
+  REQUIRE(second == 1);
+}
+
+TEST_CASE("a registration may outlive its source")
+{
+  std::optional<CancelSource::Registration> registration;
+  {
+    CancelSource cancel;
+    registration = cancel.OnCancel([] {});
+  }
+  registration.reset();
+}
+
+} // namespace
+} // namespace rattanweir
