--- /dev/null
+++ b/rattanweir/base/endpoint/endpoint.h
@@ -0,0 +1,41 @@
+// The address of a TCP listener: an IPv4 number and a port.
+//
+//   const Endpoint endpoint = ParseEndpoint("127.0.0.1:8080");
+//   std::string text = endpoint.ToString();
+//
+// Names are not resolved: instances and backend servers are known by number.
+
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace rattanweir {
+
+// A text that is no endpoint.
+class EndpointError : public std::invalid_argument
+{
+public:
+  using std::invalid_argument::invalid_argument;
+};
+
+struct Endpoint
+{
+  std::string m_address;
+  std::uint16_t m_port = 0;
+
+  // `address:port`.
+  std::string ToString() const;
+
+  friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
+};
+
+// Parses `address:port`. Port 0 is taken: a listener then picks a free one.
+// Throws EndpointError.
+Endpoint
+ParseEndpoint(std::string_view aText);
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/process/settings/settings.h
@@ -0,0 +1,103 @@
+// The settings of one process: who it is, where it listens, what it bounds.
+//
+//   const Settings settings = LoadSettings("/etc/rattanweir/settings.yaml");
+//
+// Settings are read once when the process starts. LoadSettings throws
+// SettingsError with every fault, each with file, line and field.
+
+#pragma once
+
+#include "rattanweir/base/endpoint/endpoint.h"
+#include "rattanweir/base/ids/ids.h"
+#include "rattanweir/base/units/units.h"
+#include "rattanweir/version/section/section.h"
+
+#include <chrono>
+#include <stdexcept>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace rattanweir {
+
+// Configuration and instance list are files of one directory.
+struct DirectoryPlatform
+{
+  std::string m_directory;
+};
+
+// Configuration service and instance list are read over HTTP.
+struct ServicePlatform
+{
+  Endpoint m_configurationService;
+  Endpoint m_instanceList;
+};
+
+using PlatformSource = std::variant<DirectoryPlatform, ServicePlatform>;
+
+// Bounds on what a caller may use up.
+struct CallerLimits
+{
+  ByteCount m_headerBytes{ 16 * 1024 };
+  ByteCount m_bodyBytes{ 8 * 1024 * 1024 };
+  std::uint32_t m_connections = 4096;
+  std::uint32_t m_requests = 2048;
+  // A connection without a request.
+  std::chrono::nanoseconds m_idleTimeout{ std::chrono::seconds(60) };
+  // From the first byte of a request to its last.
+  std::chrono::nanoseconds m_readTimeout{ std::chrono::seconds(20) };
+  // A caller that takes no byte of its answer.
+  std::chrono::nanoseconds m_writeTimeout{ std::chrono::seconds(30) };
+};
+
+enum class LogFormat
+{
+  KeyValue,
+  Json,
+};
+
+enum class LogLevel
+{
+  Debug,
+  Info,
+  Warning,
+  Error,
+};
+
+struct LogSettings
+{
+  LogLevel m_level = LogLevel::Info;
+  LogFormat m_format = LogFormat::KeyValue;
+};
+
+struct Settings
+{
+  InstanceId m_instance;
+  RegionId m_region;
+  AvailabilityZoneId m_zone;
+  Endpoint m_callerAddress;
+  Endpoint m_peerAddress;
+  Endpoint m_adminAddress;
+  PlatformSource m_platform;
+  CallerLimits m_callerLimits;
+  LogSettings m_log;
+  std::chrono::nanoseconds m_heartbeatInterval{ std::chrono::seconds(1) };
+  std::chrono::nanoseconds m_shutdownTimeout{ std::chrono::seconds(60) };
+};
+
+// Faulty settings, with all their faults.
+class SettingsError : public SectionError
+{
+public:
+  using SectionError::SectionError;
+};
+
+// Reads and checks a settings file. Throws SettingsError.
+Settings
+LoadSettings(const std::string& aPath);
+
+// As LoadSettings, from a text.
+Settings
+ParseSettings(const SectionText& aText);
+
+} // namespace rattanweir
