Send requests upstream over pooled HTTP connections

The request side needs an Upstream that streams answers and says exactly how far a failed attempt got. HttpUpstream does it over Beast; refusals get one form, shared by all sides.

--- /dev/null
+++ b/rattanweir/connection/http_client/http_client.cc
@@ -0,0 +1,228 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/connection/http_client/http_client.h"
+#include "rattanweir/connection/http_client/internal/client_stream.h"
+#include "rattanweir/connection/http_client/internal/connection_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::nanoseconds;
+
+class HttpExchange final : public UpstreamExchange
+{
+public:
+  HttpExchange(const HttpUpstreamOptions& aOptions,
+               std::weak_ptr<ConnectionPool> aPool,
+               Endpoint aEndpoint,
+               OutboundRequest aRequest,
+               CancelSource& aCancel)
+    : m_options(aOptions)
+    , m_pool(std::move(aPool))
+    , m_endpoint(std::move(aEndpoint))
+    , m_request(std::move(aRequest))
+    , m_cancel(aCancel)
+    , m_registration(aCancel.OnCancel([this] { Wake(); }))
+  {
+  }
+
+  Task<void> Send();
+  Task<AnswerHead> ReadHead() override;
+  Task<std::optional<std::string>> ReadChunk() override;
+
+private:
+  void Wake()
+  {
+    if (m_stream) {
+      m_stream->Socket().Interrupt();
+    }
+  }
+  nanoseconds Left() const
+  {
+    return m_request.m_deadline - m_options.m_clock.SteadyNow();
+  }
+  std::string Peer() const { return m_endpoint.ToString(); }
+
+  Task<void> Connect();
+  Task<bool> Write();
+  // Throws if the exchange is cancelled or its deadline has passed.
+  void CheckEnded() const;
+  // Before each wait: an end that came between two waits counts as well.
+  void StartWait();
+  [[noreturn]] void Fail(ResultCode aCode, const std::string& aWhat) const;
+
+  HttpUpstreamOptions m_options;
+  std::weak_ptr<ConnectionPool> m_pool;
+  Endpoint m_endpoint;
+  OutboundRequest m_request;
+  std::unique_ptr<ClientStream> m_stream;
+  bool m_isReused = false;
+  bool m_hasSent = false;
+  // Came with the last piece of the body; thrown by the next call.
+  ErrorCode m_heldError;
+  CancelSource& m_cancel;
+  // Last, so that it is taken back first.
+  CancelSource::Registration m_registration;
+};
+
+void
+HttpExchange::Fail(ResultCode aCode, const std::string& aWhat) const
+{
+  const std::string text = aWhat + " (" + Peer() + ")";
+  if (!m_hasSent) {
+    throw RequestError(aCode, text, Ran::No);
+  }
+  throw RequestError(aCode, text);
+}
+
+void
+HttpExchange::CheckEnded() const
+{
+  if (const auto reason = m_cancel.Reason()) {
+    Fail(*reason, "the request was ended");
+  }
+  if (Left() <= nanoseconds::zero()) {
+    Fail(ResultCode::DeadlineExceeded, "the deadline has passed");
+  }
+}
+
+void
+HttpExchange::StartWait()
+{
+  CheckEnded();
+  m_stream->Socket().ExpireAfter(Left());
+}
+
+Task<void>
+HttpExchange::Connect()
+{
+  CheckEnded();
+  m_isReused = false;
+  m_stream = std::make_unique<ClientStream>(m_options.m_executor,
+                                            m_options.m_headerBytes);
+  m_stream->Socket().ExpireAfter(std::min(Left(), m_options.m_connectTimeout));
+  const ErrorCode error = co_await m_stream->Connect(m_endpoint);
+  if (error) {
+    CheckEnded();
+    Fail(ResultCode::BackendConnectFailed,
+         m_stream->Socket().HasExpired() ? "the connect timed out"
+                                         : error.message());
+  }
+}
+
+// False if the connection broke before it took a byte.
+Task<bool>
+HttpExchange::Write()
+{
+  StartWait();
+  const WriteOutcome outcome =
+    co_await m_stream->WriteRequest(m_endpoint, m_request);
+  m_hasSent = outcome.m_bytesSent > 0;
+  if (!outcome.m_error) {
+    co_return true;
+  }
+  CheckEnded();
+  // A server may answer and close before it has read the whole body: then
+  // ReadHead finds the answer, or throws BackendReset.
+  co_return m_hasSent;
+}
+
+Task<void>
+HttpExchange::Send()
+{
+  if (const auto pool = m_pool.lock();
+      pool && !m_request.m_needsFreshConnection) {
+    m_stream = pool->Take(m_endpoint);
+    m_isReused = m_stream != nullptr;
+  }
+  if (!m_isReused) {
+    co_await Connect();
+  }
+  bool isSent = co_await Write();
+  if (!isSent && m_isReused) {
+    co_await Connect();
+    isSent = co_await Write();
+  }
+  if (!isSent) {
+    Fail(ResultCode::BackendConnectFailed, "the connection took no byte");
+  }
+}
+
+Task<AnswerHead>
+HttpExchange::ReadHead()
+{
+  StartWait();
+  HeadOutcome outcome = co_await m_stream->ReadHead();
+  if (outcome.m_isUnusable) {
+    Fail(ResultCode::AnswerIncomplete,
+         outcome.m_error ? "no usable answer: " + outcome.m_error.message()
+                         : "the answer has neither a length nor chunks");
+  }
+  if (outcome.m_error) {
+    CheckEnded();
+    Fail(ResultCode::BackendReset,
+         "closed before an answer: " + outcome.m_error.message());
+  }
+  m_request.m_body.reset();
+  co_return std::move(outcome.m_head);
+}
+
+Task<std::optional<std::string>>
+HttpExchange::ReadChunk()
+{
+  if (!m_stream) {
+    co_return std::nullopt;
+  }
+  ChunkOutcome outcome;
+  outcome.m_error = std::exchange(m_heldError, {});
+  if (!outcome.m_error) {
+    StartWait();
+    outcome = co_await m_stream->ReadChunk();
+  }
+  if (!outcome.m_chunk.empty()) {
+    m_heldError = outcome.m_error;
+    co_return std::move(outcome.m_chunk);
+  }
+  if (!m_stream->IsWhole()) {
+    CheckEnded();
+    Fail(ResultCode::AnswerIncomplete,
+         "the answer broke off: " + outcome.m_error.message());
+  }
+  std::unique_ptr<ClientStream> stream = std::move(m_stream);
+  if (const auto pool = m_pool.lock(); pool && stream->IsReusable()) {
+    pool->Keep(m_endpoint, std::move(stream));
+  }
+  co_return std::nullopt;
+}
+
+} // namespace
+
+HttpUpstream::HttpUpstream(const HttpUpstreamOptions& aOptions)
+  : m_options(aOptions)
+  , m_pool(std::make_shared<ConnectionPool>(aOptions))
+{
+}
+
+HttpUpstream::~HttpUpstream() = default;
+
+Task<std::unique_ptr<UpstreamExchange>>
+HttpUpstream::Send(Endpoint aEndpoint,
+                   OutboundRequest aRequest,
+                   CancelSource& aCancel)
+{
+  auto exchange = std::make_unique<HttpExchange>(
+    m_options, m_pool, std::move(aEndpoint), std::move(aRequest), aCancel);
+  co_await exchange->Send();
+  co_return exchange;
+}
+
+std::size_t
+HttpUpstream::IdleConnections() const
+{
+  return m_pool->Size();
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/connection/http_client/http_client.h
@@ -0,0 +1,71 @@
+// Sends requests to backend servers, peers and the platform over HTTP/1.1.
+//
+//   HttpUpstream upstream({ .m_executor = context.get_executor() });
+//   auto exchange = co_await upstream.Send(endpoint, request, cancel);
+//
+// Connections are kept open between requests, a bounded number for each
+// endpoint. One that has become readable while idle is closed before it is
+// used: what it holds, an answer that came late or twice, belongs to no later
+// request. Such an answer that arrives only after the next request was sent
+// can't be told apart here; attempt ids do that.
+//
+// Errors are as exchange.h lists them, all RequestError:
+// - BackendConnectFailed: no byte was sent.
+// - BackendReset: the connection broke after a byte was sent and before a head.
+// - AnswerIncomplete: the answer is no HTTP, its header is over the limit, its
+//   body broke off, or it has neither a length nor chunks, so that its end
+//   can't be told from a broken connection.
+// - DeadlineExceeded and the reason of the cancel source.
+// HasRun() is Ran::No until the first byte was sent, and speaks of this
+// exchange alone: who sends a request twice joins the two.
+//
+// For one thread. The upstream may be destroyed before its exchanges.
+
+#pragma once
+
+#include "rattanweir/base/asio/asio.h"
+#include "rattanweir/base/units/units.h"
+#include "rattanweir/request/exchange/exchange.h"
+
+#include <chrono>
+#include <memory>
+
+namespace rattanweir {
+
+struct HttpUpstreamOptions
+{
+  Executor m_executor;
+  const Clock& m_clock = SystemClock();
+  std::chrono::nanoseconds m_connectTimeout{ std::chrono::seconds(1) };
+  // Of an answer.
+  ByteCount m_headerBytes{ 32 * 1024 };
+  // The most connections without a request, for one endpoint and in all.
+  std::size_t m_idlePerEndpoint = 32;
+  std::size_t m_idleInAll = 512;
+  // Below the idle timeout of the servers, which then rarely close first.
+  std::chrono::nanoseconds m_idleTimeout{ std::chrono::seconds(15) };
+};
+
+class ConnectionPool;
+
+class HttpUpstream final : public Upstream
+{
+public:
+  explicit HttpUpstream(const HttpUpstreamOptions& aOptions);
+  ~HttpUpstream() override;
+  HttpUpstream(const HttpUpstream&) = delete;
+  HttpUpstream& operator=(const HttpUpstream&) = delete;
+
+  Task<std::unique_ptr<UpstreamExchange>> Send(Endpoint aEndpoint,
+                                               OutboundRequest aRequest,
+                                               CancelSource& aCancel) override;
+
+  // Connections kept without a request.
+  std::size_t IdleConnections() const;
+
+private:
+  HttpUpstreamOptions m_options;
+  std::shared_ptr<ConnectionPool> m_pool;
+};
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/connection/http_client/internal/client_stream.cc
@@ -0,0 +1,252 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/connection/http_client/internal/client_stream.h"
+#include "rattanweir/connection/http_fields/http_fields.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using ResponseParser = http::response_parser<http::buffer_body>;
+
+// The read buffer starts small, as most streams bring little at a time, and
+// doubles while it is filled.
+constexpr std::size_t kFirstReadBytes = 4 * 1024;
+constexpr std::size_t kMostReadBytes = 64 * 1024;
+
+// Methods whose requests carry a length even without a body.
+bool
+HasBody(const OutboundRequest& aRequest)
+{
+  if (aRequest.m_body && !aRequest.m_body->empty()) {
+    return true;
+  }
+  return aRequest.m_method == "POST" || aRequest.m_method == "PUT" ||
+         aRequest.m_method == "PATCH";
+}
+
+std::string
+RequestHeader(const Endpoint& aEndpoint, const OutboundRequest& aRequest)
+{
+  http::request<http::empty_body> message;
+  message.version(11);
+  message.method_string(aRequest.m_method);
+  message.target(aRequest.m_target);
+  message.set(http::field::host, aEndpoint.ToString());
+  for (const HeaderField& field : aRequest.m_headers) {
+    message.insert(field.m_name, field.m_value);
+  }
+  if (HasBody(aRequest)) {
+    const std::size_t size = aRequest.m_body ? aRequest.m_body->size() : 0;
+    message.set(http::field::content_length, std::to_string(size));
+  }
+  const http::fields::writer writer(
+    message, message.version(), message.method());
+  return beast::buffers_to_string(writer.get());
+}
+
+bool
+IsBrokenConnection(const ErrorCode& aError)
+{
+  return aError.category() == asio::error::get_system_category() ||
+         aError == asio::error::eof || aError == http::error::end_of_stream ||
+         aError == http::error::partial_message;
+}
+
+HeaderFields
+FieldsOf(const ResponseParser& aParser)
+{
+  HeaderFields fields;
+  for (const auto& field : aParser.get()) {
+    fields.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  DropConnectionFields(fields);
+  return fields;
+}
+
+} // namespace
+
+struct ClientStream::State
+{
+  State(const Executor& aExecutor, ByteCount aHeaderBytes)
+    : m_socket(tcp::socket(aExecutor))
+    , m_headerBytes(static_cast<std::uint32_t>(aHeaderBytes.Value()))
+    , m_buffer(std::max(kMostReadBytes, std::size_t(m_headerBytes)))
+  {
+  }
+
+  void StartParser()
+  {
+    m_parser.emplace();
+    m_parser->header_limit(m_headerBytes);
+    m_parser->body_limit(boost::none);
+    m_parser->skip(m_isHead);
+  }
+
+  TimedSocket m_socket;
+  std::uint32_t m_headerBytes;
+  beast::flat_buffer m_buffer;
+  std::optional<ResponseParser> m_parser;
+  std::size_t m_readBytes = kFirstReadBytes;
+  bool m_isHead = false;
+};
+
+ClientStream::ClientStream(const Executor& aExecutor, ByteCount aHeaderBytes)
+  : m_state(std::make_unique<State>(aExecutor, aHeaderBytes))
+{
+}
+
+ClientStream::~ClientStream() = default;
+
+TimedSocket&
+ClientStream::Socket()
+{
+  return m_state->m_socket;
+}
+
+Task<ErrorCode>
+ClientStream::Connect(Endpoint aEndpoint)
+{
+  ErrorCode error;
+  tcp::socket& socket = m_state->m_socket.Get();
+  const tcp::endpoint endpoint = ToAsioEndpoint(aEndpoint);
+  co_await socket.async_connect(
+    endpoint, asio::redirect_error(asio::use_awaitable, error));
+  if (!error) {
+    ErrorCode ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+  }
+  co_return error;
+}
+
+Task<WriteOutcome>
+ClientStream::WriteRequest(Endpoint aEndpoint, const OutboundRequest& aRequest)
+{
+  WriteOutcome outcome;
+  m_state->m_isHead = aRequest.m_method == "HEAD";
+  const std::string header = RequestHeader(aEndpoint, aRequest);
+  const auto body = aRequest.m_body;
+  std::array<asio::const_buffer, 2> rest = { asio::buffer(header),
+                                             body ? asio::buffer(*body)
+                                                  : asio::const_buffer() };
+  while (!outcome.m_error && rest[0].size() + rest[1].size() > 0) {
+    std::size_t taken = co_await m_state->m_socket.Get().async_write_some(
+      rest, asio::redirect_error(asio::use_awaitable, outcome.m_error));
+    outcome.m_bytesSent += taken;
+    for (asio::const_buffer& buffer : rest) {
+      const std::size_t here = std::min(taken, buffer.size());
+      buffer += here;
+      taken -= here;
+    }
+  }
+  co_return outcome;
+}
+
+Task<HeadOutcome>
+ClientStream::ReadHead()
+{
+  HeadOutcome outcome;
+  State& state = *m_state;
+  state.m_buffer.reserve(kFirstReadBytes);
+  state.StartParser();
+  do {
+    if (state.m_parser->is_header_done()) {
+      // An informational answer goes before the real one.
+      state.StartParser();
+    }
+    co_await http::async_read_header(
+      state.m_socket.Get(),
+      state.m_buffer,
+      *state.m_parser,
+      asio::redirect_error(asio::use_awaitable, outcome.m_error));
+  } while (!outcome.m_error &&
+           http::to_status_class(state.m_parser->get().result()) ==
+             http::status_class::informational);
+  if (outcome.m_error) {
+    outcome.m_isUnusable = !IsBrokenConnection(outcome.m_error);
+    co_return outcome;
+  }
+  const ResponseParser& parser = *state.m_parser;
+  outcome.m_isUnusable = !parser.is_done() && parser.need_eof();
+  outcome.m_head.m_status = parser.get().result_int();
+  outcome.m_head.m_headers = FieldsOf(parser);
+  if (const auto length = parser.content_length()) {
+    outcome.m_head.m_contentLength = *length;
+  }
+  co_return outcome;
+}
+
+Task<ChunkOutcome>
+ClientStream::ReadChunk()
+{
+  ChunkOutcome outcome;
+  State& state = *m_state;
+  while (!state.m_parser->is_done()) {
+    state.m_buffer.reserve(state.m_readBytes);
+    outcome.m_chunk.resize(state.m_readBytes);
+    auto& body = state.m_parser->get().body();
+    body.data = outcome.m_chunk.data();
+    body.size = outcome.m_chunk.size();
+    body.more = true;
+    co_await http::async_read_some(
+      state.m_socket.Get(),
+      state.m_buffer,
+      *state.m_parser,
+      asio::redirect_error(asio::use_awaitable, outcome.m_error));
+    if (outcome.m_error == http::error::need_buffer) {
+      outcome.m_error = {};
+    }
+    const std::size_t count = state.m_readBytes - body.size;
+    body.data = nullptr;
+    if (count == state.m_readBytes) {
+      state.m_readBytes = std::min(kMostReadBytes, 2 * state.m_readBytes);
+    }
+    outcome.m_chunk.resize(count);
+    if (count > 0 || outcome.m_error) {
+      break;
+    }
+  }
+  outcome.m_chunk.shrink_to_fit();
+  co_return outcome;
+}
+
+bool
+ClientStream::IsWhole() const
+{
+  return m_state->m_parser && m_state->m_parser->is_done();
+}
+
+bool
+ClientStream::IsReusable() const
+{
+  return IsWhole() && m_state->m_parser->keep_alive() &&
+         m_state->m_buffer.size() == 0;
+}
+
+void
+ClientStream::Reset()
+{
+  m_state->m_parser.reset();
+  m_state->m_buffer.clear();
+  m_state->m_buffer.shrink_to_fit();
+  m_state->m_readBytes = kFirstReadBytes;
+}
+
+} // namespace rattanweir
