--- a/cmake/RattanweirDependencies.cmake
+++ b/cmake/RattanweirDependencies.cmake
@@ -18,6 +18,9 @@
 target_compile_definitions(
   rattanweir_boost_asio INTERFACE BOOST_ASIO_NO_DEPRECATED
                                   BOOST_ASIO_DISABLE_CONCEPTS)
+# g++ 12 warns wrongly about the allocator of some of Asio's coroutine frames.
+target_compile_options(rattanweir_boost_asio
+                       INTERFACE -Wno-mismatched-new-delete)
 
 add_library(rattanweir_jsoncpp INTERFACE)
 target_include_directories(rattanweir_jsoncpp SYSTEM
--- /dev/null
+++ b/rattanweir/connection/http_server/http_server.cc
@@ -0,0 +1,163 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/connection/http_server/http_server.h"
+#include "rattanweir/connection/http_server/internal/server_connection.h"
+#include "rattanweir/connection/http_server/internal/server_state.h"
+
+#include <boost/asio/redirect_error.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace rattanweir {
+namespace {
+
+using asio::ip::tcp;
+using State = std::shared_ptr<ServerState>;
+
+// Connections over the bound that are told so at one time; further ones are
+// closed without a word.
+constexpr std::uint32_t kMostRefusing = 256;
+// After an accept that failed, such as for want of file descriptors.
+constexpr auto kAcceptPause = std::chrono::milliseconds(50);
+
+Task<void>
+Serve(State aState, tcp::socket aSocket)
+{
+  ServerConnection connection(aState, std::move(aSocket));
+  co_await connection.Run();
+}
+
+Task<void>
+Refuse(State aState, tcp::socket aSocket)
+{
+  co_await RefuseConnection(aState, std::move(aSocket));
+  aState->m_changed.cancel();
+}
+
+void
+Take(const State& aState, tcp::socket aSocket)
+{
+  const Executor executor = aState->m_options.m_executor;
+  if (aState->m_connections.size() < aState->m_options.m_limits.m_connections) {
+    co_spawn(executor, Serve(aState, std::move(aSocket)), asio::detached);
+  } else if (aState->m_refusing < kMostRefusing) {
+    co_spawn(executor, Refuse(aState, std::move(aSocket)), asio::detached);
+  }
+}
+
+Task<void>
+Accept(State aState)
+{
+  while (aState->m_acceptor.is_open()) {
+    ErrorCode error;
+    tcp::socket socket = co_await aState->m_acceptor.async_accept(
+      asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+      Take(aState, std::move(socket));
+      continue;
+    }
+    asio::steady_timer pause(aState->m_options.m_executor, kAcceptPause);
+    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+  }
+}
+
+// Those that the system has accepted already would be reset by the close.
+void
+TakeWaiting(const State& aState)
+{
+  ErrorCode error;
+  aState->m_acceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(aState->m_options.m_executor);
+    aState->m_acceptor.accept(socket, error);
+    if (!error) {
+      Take(aState, std::move(socket));
+    }
+  }
+}
+
+} // namespace
+
+HttpServer::HttpServer(const HttpServerOptions& aOptions)
+  : m_state(std::make_shared<ServerState>(aOptions))
+{
+  const tcp::endpoint endpoint = ToAsioEndpoint(aOptions.m_address);
+  tcp::acceptor& acceptor = m_state->m_acceptor;
+  acceptor.open(endpoint.protocol());
+  acceptor.set_option(tcp::acceptor::reuse_address(true));
+  acceptor.bind(endpoint);
+  acceptor.listen();
+  m_state->m_localEndpoint = FromAsioEndpoint(acceptor.local_endpoint());
+}
+
+HttpServer::~HttpServer()
+{
+  Abort();
+}
+
+Endpoint
+HttpServer::LocalEndpoint() const
+{
+  return m_state->m_localEndpoint;
+}
+
+void
+HttpServer::Start()
+{
+  co_spawn(m_state->m_options.m_executor, Accept(m_state), asio::detached);
+}
+
+void
+HttpServer::Drain()
+{
+  if (std::exchange(m_state->m_isDraining, true)) {
+    return;
+  }
+  for (ServerConnection* connection : m_state->m_connections) {
+    connection->CloseIfIdle();
+  }
+  TakeWaiting(m_state);
+  ErrorCode ignored;
+  m_state->m_acceptor.close(ignored);
+  m_state->m_changed.cancel();
+}
+
+void
+HttpServer::Abort()
+{
+  Drain();
+  // A cancelled request may close its connection.
+  const std::vector<ServerConnection*> connections(
+    m_state->m_connections.begin(), m_state->m_connections.end());
+  for (ServerConnection* connection : connections) {
+    if (m_state->m_connections.contains(connection)) {
+      connection->Abort();
+    }
+  }
+}
+
+Task<void>
+HttpServer::WaitUntilDone()
+{
+  const State state = m_state;
+  while (!state->IsDone()) {
+    ErrorCode ignored;
+    co_await state->m_changed.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
+std::uint32_t
+HttpServer::Connections() const
+{
+  return static_cast<std::uint32_t>(m_state->m_connections.size());
+}
+
+std::uint32_t
+HttpServer::RequestsInFlight() const
+{
+  return m_state->m_requests;
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/connection/http_server/internal/answer_writer.cc
@@ -0,0 +1,144 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/connection/http_fields/http_fields.h"
+#include "rattanweir/connection/http_server/internal/answer_writer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+constexpr std::string_view kRequestField = "rattanweir-request";
+constexpr std::string_view kEventEnd = "\n\n";
+
+bool
+IsEventStream(const AnswerHead& aHead)
+{
+  const auto type = FindField(aHead.m_headers, "content-type");
+  return type && type->starts_with("text/event-stream");
+}
+
+Framing
+FramingOf(const AnswerHead& aHead, bool aIsHead)
+{
+  constexpr unsigned kNoContent = 204;
+  constexpr unsigned kNotModified = 304;
+  if (aIsHead || aHead.m_status == kNoContent ||
+      aHead.m_status == kNotModified) {
+    return Framing::None;
+  }
+  return aHead.m_contentLength ? Framing::Length : Framing::Chunked;
+}
+
+} // namespace
+
+AnswerWriter::AnswerWriter(const AnswerWriterOptions& aOptions)
+  : m_options(aOptions)
+{
+}
+
+Task<void>
+AnswerWriter::Write(Buffers aBuffers)
+{
+  if (m_isBroken || m_options.m_cancel.Reason() == ResultCode::CallerGone) {
+    m_isBroken = true;
+    throw RequestError(ResultCode::CallerGone, "the caller left");
+  }
+  const ErrorCode error =
+    co_await m_options.m_stream.Write(std::move(aBuffers));
+  if (!error) {
+    co_return;
+  }
+  m_isBroken = true;
+  if (m_options.m_stream.Socket().HasExpired() &&
+      !m_options.m_cancel.Reason()) {
+    throw RequestError(ResultCode::CallerTooSlow, "the caller takes no bytes");
+  }
+  throw RequestError(ResultCode::CallerGone, error.message());
+}
+
+Task<void>
+AnswerWriter::WriteHead(AnswerHead aHead)
+{
+  if (std::exchange(m_hasHead, true)) {
+    throw std::logic_error("an answer has one head");
+  }
+  DropConnectionFields(aHead.m_headers);
+  if (!FindField(aHead.m_headers, kRequestField)) {
+    aHead.m_headers.push_back(
+      { std::string(kRequestField), m_options.m_request.Value() });
+  }
+  m_framing = FramingOf(aHead, m_options.m_isHead);
+  m_bytesLeft = aHead.m_contentLength.value_or(0);
+  m_isEventStream = IsEventStream(aHead);
+  m_keepsAlive = m_options.m_keepsAlive();
+  const std::string text = FormatAnswerHead(aHead, m_framing, m_keepsAlive);
+  const Buffers buffers = { asio::buffer(text) };
+  co_await Write(buffers);
+}
+
+void
+AnswerWriter::NoteTail(const std::string& aChunk)
+{
+  const std::size_t most = kEventEnd.size();
+  m_tail += aChunk.substr(aChunk.size() - std::min(aChunk.size(), most));
+  m_tail.erase(0, m_tail.size() - std::min(m_tail.size(), most));
+}
+
+Task<void>
+AnswerWriter::WriteChunk(std::string aChunk)
+{
+  if (aChunk.empty() || m_framing == Framing::None) {
+    co_return;
+  }
+  NoteTail(aChunk);
+  if (m_framing == Framing::Chunked) {
+    const std::string start = ChunkStart(aChunk.size());
+    const std::string end = ChunkEnd();
+    const Buffers buffers = { asio::buffer(start),
+                              asio::buffer(aChunk),
+                              asio::buffer(end) };
+    co_await Write(buffers);
+    co_return;
+  }
+  if (aChunk.size() > m_bytesLeft) {
+    throw std::logic_error("an answer longer than its length");
+  }
+  m_bytesLeft -= aChunk.size();
+  const Buffers buffers = { asio::buffer(aChunk) };
+  co_await Write(buffers);
+}
+
+Task<void>
+AnswerWriter::Finish()
+{
+  if (m_framing == Framing::Chunked) {
+    const std::string last = LastChunk();
+    const Buffers buffers = { asio::buffer(last) };
+    co_await Write(buffers);
+  }
+  if (m_framing == Framing::Length && m_bytesLeft > 0) {
+    throw std::logic_error("an answer shorter than its length");
+  }
+  m_isWhole = true;
+}
+
+Task<void>
+AnswerWriter::WriteRefusal(Refusal aRefusal)
+{
+  co_await WriteHead(std::move(aRefusal.m_head));
+  co_await WriteChunk(std::move(aRefusal.m_body));
+  co_await Finish();
+}
+
+Task<void>
+AnswerWriter::WriteErrorEvent(std::string aEvent)
+{
+  const bool isBetweenEvents = m_tail.empty() || m_tail == kEventEnd;
+  if (m_isEventStream && m_framing == Framing::Chunked && isBetweenEvents) {
+    co_await WriteChunk(std::move(aEvent));
+  }
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/connection/http_server/internal/server_connection.cc
@@ -0,0 +1,333 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/base/random/random.h"
+#include "rattanweir/connection/http_fields/http_fields.h"
+#include "rattanweir/connection/http_server/internal/caller_watch.h"
+#include "rattanweir/connection/http_server/internal/server_connection.h"
+#include "rattanweir/request/refusal/refusal.h"
+
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+constexpr std::size_t kRequestIdBytes = 12;
+// A connection accepted while draining may have sent its request already.
+constexpr auto kDrainingFirstRequest = std::chrono::seconds(1);
+
+RequestId
+NewRequestId()
+{
+  return RequestId(RandomHex(kRequestIdBytes));
+}
+
+RequestId
+RequestIdOf(const HeaderFields& aFields, bool aIsTrusted)
+{
+  const auto named = FindField(aFields, "rattanweir-request");
+  return aIsTrusted && named && !named->empty() ? RequestId(*named)
+                                                : NewRequestId();
+}
+
+// Adds to a count of the server for as long as it lives.
+class Counted
+{
+public:
+  explicit Counted(std::uint32_t& aCount)
+    : m_count(aCount)
+  {
+    ++m_count;
+  }
+  ~Counted() { --m_count; }
+  Counted(const Counted&) = delete;
+  Counted& operator=(const Counted&) = delete;
+
+private:
+  std::uint32_t& m_count;
+};
+
+// Bytes taken from the bound on all bodies, for as long as it lives.
+class BodyReservation
+{
+public:
+  BodyReservation(ServerState& aState, std::uint64_t aBytes)
+    : m_state(aState)
+    , m_bytes(aState.Reserve(aBytes) ? aBytes : 0)
+    , m_isGranted(m_bytes == aBytes)
+  {
+  }
+  ~BodyReservation() { m_state.Release(m_bytes); }
+  BodyReservation(const BodyReservation&) = delete;
+  BodyReservation& operator=(const BodyReservation&) = delete;
+
+  bool IsGranted() const { return m_isGranted; }
+
+  void ShrinkTo(std::uint64_t aBytes)
+  {
+    m_state.Release(m_bytes - aBytes);
+    m_bytes = aBytes;
+  }
+
+private:
+  ServerState& m_state;
+  std::uint64_t m_bytes;
+  bool m_isGranted;
+};
+
+// The code of a request that could not be read, while its header or its body
+// was being read.
+ResultCode
+CodeOf(ReadResult aResult, ResultCode aTooLarge)
+{
+  switch (aResult) {
+    case ReadResult::TooSlow:
+      return ResultCode::RequestTooSlow;
+    case ReadResult::TooLarge:
+      return aTooLarge;
+    default:
+      return ResultCode::MalformedRequest;
+  }
+}
+
+} // namespace
+
+ServerConnection::ServerConnection(std::shared_ptr<ServerState> aState,
+                                   asio::ip::tcp::socket aSocket)
+  : m_server(std::move(aState))
+  , m_stream(std::move(aSocket), m_server->m_options.m_limits)
+{
+  m_server->m_connections.insert(this);
+}
+
+ServerConnection::~ServerConnection()
+{
+  m_server->m_connections.erase(this);
+  m_server->m_changed.cancel();
+}
+
+void
+ServerConnection::CloseIfIdle()
+{
+  if (m_isIdle) {
+    m_stream.Socket().Interrupt();
+  }
+}
+
+void
+ServerConnection::Abort()
+{
+  if (m_cancel) {
+    m_cancel->Cancel(ResultCode::InstanceDraining);
+  }
+  m_stream.Socket().Interrupt();
+}
+
+void
+ServerConnection::Report(const RequestError& aError) const
+{
+  if (m_server->m_options.m_onError) {
+    m_server->m_options.m_onError(aError);
+  }
+}
+
+Task<void>
+ServerConnection::Run()
+{
+  Next next = Next::Request;
+  while (next == Next::Request) {
+    const bool hasRequest = co_await WaitForRequest();
+    next = Next::Close;
+    if (hasRequest) {
+      next = co_await ServeRequest();
+    }
+  }
+  if (next == Next::Linger) {
+    co_await m_stream.Linger();
+  }
+}
+
+Task<bool>
+ServerConnection::WaitForRequest()
+{
+  const bool isFirst = std::exchange(m_isFirst, false);
+  const CallerLimits& limits = m_server->m_options.m_limits;
+  std::chrono::nanoseconds timeout = limits.m_idleTimeout;
+  if (m_server->m_isDraining) {
+    timeout = std::chrono::nanoseconds::zero();
+    if (isFirst) {
+      timeout = kDrainingFirstRequest;
+    }
+  }
+  m_isIdle = true;
+  bool hasRequest = co_await m_stream.WaitForRequest(timeout);
+  m_isIdle = false;
+  if (!hasRequest && m_stream.Socket().IsReadable() &&
+      !m_stream.Socket().IsClosedByPeer()) {
+    // It came in the moment that the wait was ended.
+    hasRequest = co_await m_stream.WaitForRequest(limits.m_idleTimeout);
+  }
+  co_return hasRequest;
+}
+
+Task<ServerConnection::Next>
+ServerConnection::ServeRequest()
+{
+  m_request = NewRequestId();
+  RequestFrame frame;
+  const ReadResult result = co_await m_stream.ReadHeader(frame);
+  if (result == ReadResult::CallerLeft) {
+    co_return Next::Close;
+  }
+  if (result != ReadResult::Complete) {
+    const ResultCode code = CodeOf(result, ResultCode::HeaderTooLarge);
+    co_return co_await Refuse(code, "the header can't be taken");
+  }
+  m_request =
+    RequestIdOf(frame.m_headers, m_server->m_options.m_trustsRequestId);
+  co_return co_await ReadAndAnswer(std::move(frame));
+}
+
+Task<ServerConnection::Next>
+ServerConnection::ReadAndAnswer(RequestFrame aFrame)
+{
+  const CallerLimits& limits = m_server->m_options.m_limits;
+  if (aFrame.m_expectsOther) {
+    co_return co_await Refuse(ResultCode::MalformedRequest,
+                              "an expectation that can't be met");
+  }
+  if (aFrame.m_bodyBytes > limits.m_bodyBytes.Value()) {
+    co_return co_await Refuse(ResultCode::BodyTooLarge, "the body is too long");
+  }
+  BodyReservation reservation(*m_server, aFrame.m_bodyBytes);
+  if (!reservation.IsGranted()) {
+    co_return co_await Refuse(ResultCode::TooManyRequests,
+                              "no room for the body");
+  }
+  if (aFrame.m_expectsContinue) {
+    const AnswerHead head{ .m_status = 100 };
+    const std::string text = FormatAnswerHead(head, Framing::None, true);
+    const Buffers buffers = { asio::buffer(text) };
+    co_await m_stream.Write(buffers);
+  }
+  InboundRequest request{ .m_method = std::move(aFrame.m_method),
+                          .m_target = std::move(aFrame.m_target),
+                          .m_headers = std::move(aFrame.m_headers) };
+  const ReadResult result = co_await m_stream.ReadBody(request.m_body);
+  if (result == ReadResult::CallerLeft) {
+    co_return Next::Close;
+  }
+  if (result != ReadResult::Complete) {
+    const ResultCode code = CodeOf(result, ResultCode::BodyTooLarge);
+    co_return co_await Refuse(code, "the body can't be taken");
+  }
+  reservation.ShrinkTo(request.m_body.size());
+  request.m_receivedAt = m_server->m_options.m_clock.SteadyNow();
+  request.m_id = m_request;
+  co_return co_await Answer(std::move(request), aFrame.m_keepsAlive);
+}
+
+Task<ServerConnection::Next>
+ServerConnection::Answer(InboundRequest aRequest, bool aKeepsAlive)
+{
+  m_cancel.emplace();
+  const AnswerWriterOptions options{
+    .m_stream = m_stream,
+    .m_cancel = *m_cancel,
+    .m_request = m_request,
+    .m_isHead = aRequest.m_method == "HEAD",
+    .m_keepsAlive =
+      [this, aKeepsAlive] { return aKeepsAlive && !m_server->m_isDraining; },
+  };
+  AnswerWriter writer(options);
+  std::optional<RequestError> error;
+  if (m_server->m_requests >= m_server->m_options.m_limits.m_requests) {
+    error.emplace(ResultCode::TooManyRequests, "too many requests in flight");
+  } else {
+    const Counted counted(m_server->m_requests);
+    const CallerWatch watch(m_stream.Socket(), *m_cancel);
+    error = co_await RunHandler(std::move(aRequest), writer);
+  }
+  const Next next = co_await FinishAnswer(writer, std::move(error));
+  m_cancel.reset();
+  co_return next;
+}
+
+Task<std::optional<RequestError>>
+ServerConnection::RunHandler(InboundRequest aRequest, AnswerWriter& aWriter)
+{
+  try {
+    co_await m_server->m_options.m_handler.Handle(
+      std::move(aRequest), aWriter, *m_cancel);
+  } catch (const RequestError& error) {
+    co_return error;
+  } catch (const std::exception& error) {
+    co_return RequestError(ResultCode::InternalError, error.what());
+  }
+  if (!aWriter.IsWhole()) {
+    co_return RequestError(ResultCode::InternalError, "no whole answer");
+  }
+  co_return std::nullopt;
+}
+
+Task<ServerConnection::Next>
+ServerConnection::FinishAnswer(AnswerWriter& aWriter,
+                               std::optional<RequestError> aError)
+{
+  if (aError) {
+    Report(*aError);
+    try {
+      if (!aWriter.HasHead()) {
+        co_await aWriter.WriteRefusal(RefusalAnswer(*aError, m_request));
+      } else if (!aWriter.IsWhole()) {
+        co_await aWriter.WriteErrorEvent(RefusalEvent(*aError));
+      }
+    } catch (const RequestError&) {
+      // The caller is gone, which is no news after the first error.
+    }
+  }
+  if (aWriter.IsBroken()) {
+    co_return Next::Close;
+  }
+  co_return aWriter.KeepsAlive() ? Next::Request : Next::Linger;
+}
+
+Task<ServerConnection::Next>
+ServerConnection::Refuse(ResultCode aCode, std::string aDetail)
+{
+  const RequestError error(aCode, aDetail);
+  Report(error);
+  const CancelSource cancel;
+  const AnswerWriterOptions options{ .m_stream = m_stream,
+                                     .m_cancel = cancel,
+                                     .m_request = m_request,
+                                     .m_keepsAlive = [] { return false; } };
+  AnswerWriter writer(options);
+  Refusal refusal = RefusalAnswer(error, m_request);
+  try {
+    co_await writer.WriteRefusal(std::move(refusal));
+  } catch (const RequestError&) {
+    co_return Next::Close;
+  }
+  co_return Next::Linger;
+}
+
+Task<void>
+RefuseConnection(std::shared_ptr<ServerState> aState,
+                 asio::ip::tcp::socket aSocket)
+{
+  const Counted counted(aState->m_refusing);
+  ServerStream stream(std::move(aSocket), aState->m_options.m_limits);
+  const RequestError error(ResultCode::TooManyConnections,
+                           "too many connections");
+  if (aState->m_options.m_onError) {
+    aState->m_options.m_onError(error);
+  }
+  const Refusal refusal = RefusalAnswer(error, NewRequestId());
+  const std::string head =
+    FormatAnswerHead(refusal.m_head, Framing::Length, false);
+  const Buffers buffers = { asio::buffer(head), asio::buffer(refusal.m_body) };
+  co_await stream.Write(buffers);
+  co_await stream.Linger();
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/connection/http_server/internal/server_connection.h
@@ -0,0 +1,68 @@
+// Serves one accepted connection from its first request to its close.
+
+#pragma once
+
+#include "rattanweir/base/asio/asio.h"
+#include "rattanweir/connection/http_server/internal/answer_writer.h"
+#include "rattanweir/connection/http_server/internal/server_state.h"
+#include "rattanweir/connection/http_server/internal/server_stream.h"
+
+#include <memory>
+#include <optional>
+
+namespace rattanweir {
+
+class ServerConnection
+{
+public:
+  ServerConnection(std::shared_ptr<ServerState> aState,
+                   asio::ip::tcp::socket aSocket);
+  ~ServerConnection();
+  ServerConnection(const ServerConnection&) = delete;
+  ServerConnection& operator=(const ServerConnection&) = delete;
+
+  Task<void> Run();
+
+  // Ends the wait for a next request; a request in flight goes on.
+  void CloseIfIdle();
+  // Ends a request in flight as well.
+  void Abort();
+
+private:
+  enum class Next
+  {
+    // Another request may follow.
+    Request,
+    // Close, once the last answer has reached the caller.
+    Linger,
+    Close,
+  };
+
+  Task<bool> WaitForRequest();
+  Task<Next> ServeRequest();
+  Task<Next> ReadAndAnswer(RequestFrame aFrame);
+  Task<Next> Answer(InboundRequest aRequest, bool aKeepsAlive);
+  // The error that ended the handler, or nothing.
+  Task<std::optional<RequestError>> RunHandler(InboundRequest aRequest,
+                                               AnswerWriter& aWriter);
+  Task<Next> FinishAnswer(AnswerWriter& aWriter,
+                          std::optional<RequestError> aError);
+  // Refuses a request that was not read to its end.
+  Task<Next> Refuse(ResultCode aCode, std::string aDetail);
+  void Report(const RequestError& aError) const;
+
+  std::shared_ptr<ServerState> m_server;
+  ServerStream m_stream;
+  bool m_isIdle = false;
+  bool m_isFirst = true;
+  RequestId m_request;
+  // Of the request in flight.
+  std::optional<CancelSource> m_cancel;
+};
+
+// Tells a connection over the bound so, and closes it.
+Task<void>
+RefuseConnection(std::shared_ptr<ServerState> aState,
+                 asio::ip::tcp::socket aSocket);
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/connection/http_server/internal/server_state.h
@@ -0,0 +1,56 @@
+// What the connections of one HttpServer share.
+
+#pragma once
+
+#include "rattanweir/base/asio/asio.h"
+#include "rattanweir/connection/http_server/http_server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <set>
+
+namespace rattanweir {
+
+class ServerConnection;
+
+struct ServerState
+{
+  explicit ServerState(const HttpServerOptions& aOptions)
+    : m_options(aOptions)
+    , m_acceptor(aOptions.m_executor)
+    , m_changed(aOptions.m_executor, asio::steady_timer::time_point::max())
+  {
+  }
+
+  // Takes bytes from the bound on all bodies; false if there are too few left.
+  bool Reserve(std::uint64_t aBytes)
+  {
+    const std::uint64_t bound = m_options.m_bodyBytesInAll.Value();
+    if (aBytes > bound - m_bodyBytes) {
+      return false;
+    }
+    m_bodyBytes += aBytes;
+    return true;
+  }
+  void Release(std::uint64_t aBytes) { m_bodyBytes -= aBytes; }
+
+  bool IsDone() const
+  {
+    return !m_acceptor.is_open() && m_connections.empty() && m_refusing == 0;
+  }
+
+  HttpServerOptions m_options;
+  asio::ip::tcp::acceptor m_acceptor;
+  Endpoint m_localEndpoint;
+  // Wakes WaitUntilDone when a connection has ended.
+  asio::steady_timer m_changed;
+  std::set<ServerConnection*> m_connections;
+  // Connections over the bound that are being told so.
+  std::uint32_t m_refusing = 0;
+  std::uint32_t m_requests = 0;
+  std::uint64_t m_bodyBytes = 0;
+  bool m_isDraining = false;
+};
+
+} // namespace rattanweir
