Parse, check and hold the four configuration sections

Every instance has to judge a section alike from its text alone, and the operators need all faults of a text at once with their places. yaml-cpp gives the line of each node but takes doubled fields and further documents silently, so a small located reader collects fields once, refuses both, and gathers every fault. The catalog indexes each accepted section by hash maps and never takes a version that is not newer.

Paths with more than one reading (dot segments, odd escapes) find no route: a backend server that decodes them could serve the path of a route which the caller has no right to.

--- a/rattanweir/version/catalog/catalog.h
+++ b/rattanweir/version/catalog/catalog.h
@@ -13,8 +13,8 @@
 
 #include "rattanweir/version/section/section.h"
 
+#include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -50,7 +50,11 @@
   std::optional<SectionVersion> m_rejected;
   std::vector<SectionFault> m_faults;
   std::uint64_t m_acceptedCount = 0;
+  // The same faulty text offered again is not counted again.
   std::uint64_t m_rejectedCount = 0;
+  // Offers of the version in force with another text: two texts were
+  // published under one number, and instances may differ.
+  std::uint64_t m_conflictCount = 0;
 };
 
 class Catalog
@@ -76,7 +80,10 @@
   // is none.
   std::optional<SectionOffer> InForce(SectionKind aKind) const;
 
-  // The route for a path (without its query) and model, or null.
+  // The route for a path (without its query) and model, or null. No route
+  // takes a path that a backend server might read as another one: with an
+  // empty, `.` or `..` segment, a backslash, a `;`, or an escape that is
+  // malformed or that stands for a character that needs none.
   const Route* FindRoute(const std::string& aPath,
                          const std::optional<ModelId>& aModel) const;
   const Route* FindRoute(const RouteId& aId) const;
--- /dev/null
+++ b/rattanweir/version/catalog/route_index.cc
@@ -0,0 +1,134 @@
+#include "rattanweir/version/catalog/internal/route_index.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace rattanweir::internal {
+namespace {
+
+constexpr int kHexadecimal = 16;
+
+// Whether an escape stands for a character that needs none, or for a `/`, `;`
+// or
+// `\`: a backend server may decode it into the path of another route.
+bool
+IsOddEscape(std::string_view aDigits)
+{
+  unsigned char code = 0;
+  const char* end = aDigits.data() + aDigits.size();
+  const auto parsed = std::from_chars(aDigits.data(), end, code, kHexadecimal);
+  if (aDigits.size() != 2 || parsed.ec != std::errc() || parsed.ptr != end) {
+    return true;
+  }
+  constexpr std::string_view kOdd = "-._~/\\%;";
+  const bool isLetter =
+    (code >= 'a' && code <= 'z') || (code >= 'A' && code <= 'Z');
+  const bool isDigit = code >= '0' && code <= '9';
+  return isLetter || isDigit || code == 0 ||
+         kOdd.find(static_cast<char>(code)) != std::string_view::npos;
+}
+
+bool
+HasOddEscape(std::string_view aPath)
+{
+  for (std::size_t at = aPath.find('%'); at != std::string_view::npos;
+       at = aPath.find('%', at + 1)) {
+    if (IsOddEscape(aPath.substr(at + 1, 2))) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Whether the path has only one reading, so that a backend server cannot take
+// it for the path of another route. Some drop what follows a `;`.
+bool
+HasOneReading(std::string_view aPath)
+{
+  if (!aPath.starts_with('/') || HasOddEscape(aPath) ||
+      aPath.find_first_of("\\;") != std::string_view::npos) {
+    return false;
+  }
+  for (std::string_view rest = aPath.substr(1); !rest.empty();) {
+    const std::size_t end = std::min(rest.find('/'), rest.size());
+    const std::string_view segment = rest.substr(0, end);
+    if (segment.empty() || segment == "." || segment == "..") {
+      return false;
+    }
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+  }
+  return true;
+}
+
+// The next shorter prefix that ends at a `/`; empty after the root.
+std::string_view
+ParentOf(std::string_view aPath)
+{
+  const std::size_t slash = aPath.rfind('/');
+  if (slash == 0 && aPath.size() > 1) {
+    return "/";
+  }
+  return aPath.substr(0, slash);
+}
+
+} // namespace
+
+const Route*
+RouteIndex::Place::Find(const std::optional<ModelId>& aModel) const
+{
+  if (!aModel) {
+    return m_general;
+  }
+  const auto found = m_byModel.find(*aModel);
+  return found == m_byModel.end() ? m_general : found->second;
+}
+
+RouteIndex::RouteIndex(RoutesSection aSection)
+  : m_section(std::move(aSection))
+{
+  for (const Route& route : m_section.m_routes) {
+    m_byId.emplace(route.m_id, &route);
+    m_longestPrefix = std::max(m_longestPrefix, route.m_pathPrefix.size());
+    Place& place = m_byPrefix[route.m_pathPrefix];
+    if (route.m_model) {
+      place.m_byModel.emplace(*route.m_model, &route);
+    } else {
+      place.m_general = &route;
+    }
+  }
+}
+
+const Route*
+RouteIndex::Find(const RouteId& aId) const
+{
+  const auto found = m_byId.find(aId);
+  return found == m_byId.end() ? nullptr : found->second;
+}
+
+const Route*
+RouteIndex::Find(std::string_view aPath,
+                 const std::optional<ModelId>& aModel) const
+{
+  if (!HasOneReading(aPath)) {
+    return nullptr;
+  }
+  std::string_view prefix = aPath;
+  if (prefix.size() > m_longestPrefix) {
+    // One more character tells whether the cut lies at a `/`; without the
+    // cut a long path would be hashed once for each of its segments.
+    prefix = prefix.substr(0, m_longestPrefix + 1);
+    prefix = ParentOf(prefix);
+  }
+  for (; !prefix.empty(); prefix = ParentOf(prefix)) {
+    const auto place = m_byPrefix.find(prefix);
+    if (place == m_byPrefix.end()) {
+      continue;
+    }
+    if (const Route* route = place->second.Find(aModel)) {
+      return route;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace rattanweir::internal
--- /dev/null
+++ b/rattanweir/version/fault/fault_collector.cc
@@ -0,0 +1,48 @@
+#include "rattanweir/version/fault/fault_collector.h"
+
+#include <utility>
+
+namespace rattanweir {
+
+FaultCollector::FaultCollector(std::string aFile, std::string aSection)
+  : m_file(std::move(aFile))
+  , m_section(std::move(aSection))
+{
+}
+
+void
+FaultCollector::Add(int aLine, std::string aField, std::string aMessage)
+{
+  if (m_faults.size() == kMaximumFaults) {
+    ++m_leftOut;
+    return;
+  }
+  m_faults.push_back({ .m_file = m_file,
+                       .m_line = aLine,
+                       .m_section = m_section,
+                       .m_field = std::move(aField),
+                       .m_message = std::move(aMessage) });
+}
+
+std::vector<SectionFault>
+FaultCollector::Faults() const
+{
+  std::vector<SectionFault> faults = m_faults;
+  if (m_leftOut > 0) {
+    faults.push_back(
+      { .m_file = m_file,
+        .m_section = m_section,
+        .m_message = std::to_string(m_leftOut) + " more faults" });
+  }
+  return faults;
+}
+
+void
+FaultCollector::ThrowIfAny() const
+{
+  if (!IsEmpty()) {
+    throw SectionError(Faults());
+  }
+}
+
+} // namespace rattanweir
--- a/rattanweir/version/section/section.h
+++ b/rattanweir/version/section/section.h
@@ -17,11 +17,11 @@
 #include "rattanweir/base/endpoint/endpoint.h"
 #include "rattanweir/base/ids/ids.h"
 #include "rattanweir/base/units/units.h"
+#include "rattanweir/version/fault/fault.h"
 
 #include <chrono>
 #include <optional>
 #include <set>
-#include <stdexcept>
 #include <string>
 #include <variant>
 #include <vector>
@@ -170,37 +170,6 @@
   std::vector<BackendServer> m_backendServers;
 };
 
-// The text of one section and the name to call it by in messages.
-struct SectionText
-{
-  std::string m_file;
-  std::string m_text;
-};
-
-// One fault and its place. `m_line` counts from 1; 0 if there is no line.
-struct SectionFault
-{
-  std::string m_file;
-  int m_line = 0;
-  std::string m_section;
-  std::string m_field;
-  std::string m_message;
-
-  // `file:line: section.field: message`.
-  std::string ToString() const;
-};
-
-// A section that cannot be accepted, with all its faults; never empty.
-class SectionError : public std::runtime_error
-{
-public:
-  explicit SectionError(std::vector<SectionFault> aFaults);
-  const std::vector<SectionFault>& Faults() const { return m_faults; }
-
-private:
-  std::vector<SectionFault> m_faults;
-};
-
 // Each parses and checks one section. Throws SectionError.
 ClientAccountsSection
 ParseClientAccounts(const SectionText& aText);
@@ -211,4 +180,13 @@
 BackendServersSection
 ParseBackendServers(const SectionText& aText);
 
+// Parses and checks a section of any kind; empty if it has no fault.
+std::vector<SectionFault>
+FaultsOf(SectionKind aKind, const SectionText& aText);
+
+// The `version` field of a section's text, whatever its other fields hold.
+// Throws SectionError if there is none.
+SectionVersion
+ReadSectionVersion(SectionKind aKind, const SectionText& aText);
+
 } // namespace rattanweir
--- /dev/null
+++ b/rattanweir/version/section/section_test.cc
@@ -0,0 +1,272 @@
+#include "rattanweir/version/section/section.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+namespace rattanweir {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char* kAccounts = R"(version: 3
+maximum_instances: 8
+client_accounts:
+  - { id: parents, rate_tokens_per_second: 500, burst_tokens: 4000, home_region: ostland }
+  - { id: teachers, rate_tokens_per_second: 0.5, burst_tokens: 90 }
+)";
+constexpr const char* kKeys = R"(version: 1
+keys:
+  - id: parents-1
+    client_account: parents
+    sha256: 000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f
+)";
+constexpr const char* kRoutes = R"(version: 1
+routes:
+  - id: chat
+    path: /v1/chat
+    model: guide
+    idempotent: true
+    residency: any
+    cost: { default_max_tokens: 256 }
+    deadline: 30s
+    pool: answers
+  - id: book
+    path: /v1/book
+    open_to_all: true
+    idempotent: false
+    residency: [ostland, vestland]
+    cost: { fixed_tokens: 5 }
+    deadline: 5s
+    pool: booking
+)";
+constexpr const char* kServers = R"(version: 1
+backend_servers:
+  - id: engine-1
+    pool: answers
+    kind: model_engine
+    region: ostland
+    availability_zone: ostland-a
+    address: 10.0.0.1:9000
+    echoes_attempt_id: true
+    resumes_streams: true
+  - { id: s1, pool: booking, kind: plain_service, region: ostland, availability_zone: ostland-a, address: "10.0.0.2:9000", leaving: true, maximum_in_flight: 4 }
+)";
+
+const char*
+GoodText(SectionKind aKind)
+{
+  switch (aKind) {
+    case SectionKind::ClientAccounts:
+      return kAccounts;
+    case SectionKind::Keys:
+      return kKeys;
+    case SectionKind::Routes:
+      return kRoutes;
+    case SectionKind::BackendServers:
+      return kServers;
+  }
+  return "";
+}
+
+std::string
+Replaced(std::string aText, const std::string& aOld, const std::string& aNew)
+{
+  const std::size_t place = aText.find(aOld);
+  REQUIRE(place != std::string::npos);
+  return aText.replace(place, aOld.size(), aNew);
+}
+
+std::vector<std::string>
+FaultTexts(SectionKind aKind, const std::string& aText)
+{
+  std::vector<std::string> texts;
+  for (const auto& fault :
+       FaultsOf(aKind, { .m_file = "f", .m_text = aText })) {
+    texts.push_back(fault.ToString());
+  }
+  return texts;
+}
+
+TEST_CASE("each section is read with all its fields")
+{
+  const auto accounts = ParseClientAccounts({ "f", kAccounts });
+  REQUIRE(accounts.m_maximumInstances == 8);
+  REQUIRE(accounts.m_clientAccounts.size() == 2);
+  REQUIRE(accounts.m_clientAccounts[0].m_homeRegion == RegionId("ostland"));
+  REQUIRE(accounts.m_clientAccounts[0].m_burst == Tokens(4000));
+  REQUIRE(accounts.m_clientAccounts[1].m_rate == TokenRate(0.5));
+  REQUIRE(!accounts.m_clientAccounts[1].m_homeRegion);
+
+  const auto keys = ParseKeys({ "f", kKeys });
+  REQUIRE(keys.m_keys.at(0).m_clientAccount == ClientAccountId("parents"));
+  REQUIRE(keys.m_keys.at(0).m_hash.m_hex.starts_with("0001"));
+
+  const auto routes = ParseRoutes({ "f", kRoutes }).m_routes;
+  REQUIRE(routes.at(0).m_model == ModelId("guide"));
+  REQUIRE(routes.at(0).m_isIdempotent);
+  REQUIRE(!routes.at(0).m_isOpenToAll);
+  REQUIRE(std::get<ModelCost>(routes.at(0).m_cost).m_defaultMaxTokens ==
+          Tokens(256));
+  REQUIRE(routes.at(0).m_deadline == 30s);
+  REQUIRE(std::holds_alternative<AnyRegion>(routes.at(0).m_residency));
+  REQUIRE(routes.at(1).m_isOpenToAll);
+  REQUIRE(!routes.at(1).m_isIdempotent);
+  REQUIRE(std::get<ListedRegions>(routes.at(1).m_residency).m_regions.size() ==
+          2);
+  REQUIRE(std::get<FixedCost>(routes.at(1).m_cost).m_tokens == Tokens(5));
+
+  const auto servers = ParseBackendServers({ "f", kServers }).m_backendServers;
+  REQUIRE(servers.at(0).m_kind == BackendServerKind::ModelEngine);
+  REQUIRE(servers.at(0).m_echoesAttemptId);
+  REQUIRE(servers.at(0).m_resumesStreams);
+  REQUIRE(servers.at(0).m_maximumInFlight == 64);
+  REQUIRE(servers.at(1).m_isLeaving);
+  REQUIRE(servers.at(1).m_maximumInFlight == 4);
+  REQUIRE(servers.at(1).m_endpoint == Endpoint{ "10.0.0.2", 9000 });
+}
+
+struct FaultCase
+{
+  SectionKind m_kind;
+  // What is replaced in the good text, and by what.
+  const char* m_old;
+  const char* m_new;
+  // Where the only fault must be, and a part of its message.
+  const char* m_place;
+  const char* m_message;
+};
+
+constexpr SectionKind kA = SectionKind::ClientAccounts;
+constexpr SectionKind kK = SectionKind::Keys;
+constexpr SectionKind kR = SectionKind::Routes;
+constexpr SectionKind kB = SectionKind::BackendServers;
+
+// clang-format off
+const FaultCase kFaultCases[] = {
+  { kA, "version: 3", "version: 0", "f:1: client_accounts.version", "within" },
+  { kA, "version: 3", "version: x", "f:1: client_accounts.version", "whole" },
+  { kA, "maximum_instances: 8", "x: 8", "f:1: client_accounts.maximum_instances", "missing" },
+  { kA, "maximum_instances: 8", "maximum_instances: 0", "f:2: client_accounts.maximum_instances", "0 is not within 1 to 10000" },
+  { kA, "maximum_instances: 8", "maximum_instances: 8.5", "f:2: client_accounts.maximum_instances", "whole number" },
+  { kA, "maximum_instances: 8", "maximum_instances: [8]", "f:2: client_accounts.maximum_instances", "not a single value" },
+  { kA, "maximum_instances: 8", "maximum_instances: 8\nother: 1", "f:3: client_accounts.other", "not a known field" },
+  { kA, "maximum_instances: 8", "maximum_instances: 8\nversion: 4", "f:3: client_accounts.version", "twice" },
+  { kA, "id: teachers", "id: parents", "f:5: client_accounts[1].id", "line 4" },
+  { kA, "id: teachers", "id: 'a b'", "f:5: client_accounts[1].id", "not an id" },
+  { kA, "id: teachers, ", "", "f:5: client_accounts[1].id", "missing" },
+  { kA, "rate_tokens_per_second: 500", "rate_tokens_per_second: fast", "f:4: client_accounts[0].rate_tokens_per_second", "not a number" },
+  { kA, "rate_tokens_per_second: 500", "rate_tokens_per_second: nan", "f:4: client_accounts[0].rate_tokens_per_second", "within" },
+  { kA, "rate_tokens_per_second: 500", "rate_tokens_per_second: -1", "f:4: client_accounts[0].rate_tokens_per_second", "within" },
+  { kA, "burst_tokens: 4000", "burst_tokens: 0", "f:4: client_accounts[0].burst_tokens", "within" },
+  { kA, "burst_tokens: 4000", "burst_tokens: 4k", "f:4: client_accounts[0].burst_tokens", "whole number" },
+  { kA, "home_region", "home", "f:4: client_accounts[0].home", "not a known field" },
+  { kA, "client_accounts:", "client_accounts: {a: 1}\nrest:", "f:3: client_accounts.client_accounts", "not a list" },
+  { kA, "id: parents,", "id: 'parents,", "f:6: client_accounts", "not YAML" },
+  { kK, "id: parents-1", "id: parents-1\n    key: secret", "f:4: keys[0].key", "not a known field" },
+  { kK, "sha256: 00", "sha256: ", "f:5: keys[0].sha256", "64 lower-case" },
+  { kK, "sha256: 00", "sha256: AA", "f:5: keys[0].sha256", "64 lower-case" },
+  { kK, "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f", "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855", "f:5: keys[0].sha256", "empty text" },
+  { kK, "parents-1\n    client_account: parents\n    sha256: 0", "a\n    client_account: b\n    sha256: &h 0001020304050607080900000000000000000000000000000000000000000000\n  - id: b\n    client_account: b\n    sha256: *h\n  - id: c\n    client_account: c\n    sha256: 0", "f:8: keys[1].sha256", "stands on line 5 already" },
+  { kK, "client_account: parents", "client_account: ''", "f:4: keys[0].client_account", "not an id" },
+  { kR, "id: book", "id: chat", "f:11: routes[1].id", "line 3" },
+  { kR, "path: /v1/book", "path: /v1/chat\n    model: guide", "f:12: routes[1].path", "line 4" },
+  { kR, "/v1/book", "v1", "f:12: routes[1].path", "not a path prefix" },
+  { kR, "/v1/book", "/v1/", "f:12: routes[1].path", "not a path prefix" },
+  { kR, "/v1/book", "/v1/../x", "f:12: routes[1].path", "not a path prefix" },
+  { kR, "/v1/book", "/v1/%62ook", "f:12: routes[1].path", "not a path prefix" },
+  { kR, "idempotent: false", "idempotent: maybe", "f:14: routes[1].idempotent", "false, true" },
+  { kR, "    idempotent: false\n", "", "f:11: routes[1].idempotent", "missing" },
+  { kR, "residency: any", "residency: nowhere", "f:7: routes[0].residency", "any, home" },
+  { kR, "[ostland, vestland]", "[]", "f:15: routes[1].residency", "at least one" },
+  { kR, "[ostland, vestland]", "[ostland, ostland]", "f:15: routes[1].residency", "twice" },
+  { kR, "[ostland, vestland]", "home", "f:15: routes[1].residency", "open to all" },
+  { kR, "fixed_tokens: 5", "fixed_tokens: 5, default_max_tokens: 5", "f:16: routes[1].cost", "either" },
+  { kR, "{ fixed_tokens: 5 }", "{}", "f:16: routes[1].cost", "either" },
+  { kR, "{ fixed_tokens: 5 }", "5", "f:16: routes[1].cost", "not a mapping" },
+  { kR, "fixed_tokens: 5", "fixed_tokens: -5", "f:16: routes[1].cost.fixed_tokens", "within" },
+  { kR, "deadline: 30s", "deadline: 30", "f:9: routes[0].deadline", "not a duration" },
+  { kR, "deadline: 30s", "deadline: 30KiB", "f:9: routes[0].deadline", "not a duration" },
+  { kR, "deadline: 30s", "deadline: 1ms", "f:9: routes[0].deadline", "10ms to 24h" },
+  { kR, "    pool: booking\n", "", "f:11: routes[1].pool", "missing" },
+  { kB, "id: s1", "id: engine-1", "f:11: backend_servers[1].id", "line 3" },
+  { kB, "10.0.0.2:9000", "10.0.0.1:9000", "f:11: backend_servers[1].address", "line 8" },
+  { kB, "10.0.0.2:9000", "host:9000", "f:11: backend_servers[1].address", "not an address" },
+  { kB, "10.0.0.2:9000", "10.0.0.2:0", "f:11: backend_servers[1].address", "port 0" },
+  { kB, "kind: plain_service", "kind: engine", "f:11: backend_servers[1].kind", "model_engine, plain_service" },
+  { kB, "leaving: true", "leaving: 1", "f:11: backend_servers[1].leaving", "false, true" },
+  { kB, "maximum_in_flight: 4", "maximum_in_flight: 0", "f:11: backend_servers[1].maximum_in_flight", "within" },
+  { kB, "region: ostland\n", "region:\n", "f:6: backend_servers[0].region", "not a single value" },
+  { kB, "  - { id: s1", "  - s1\n  - { id: s1", "f:11: backend_servers[1]", "not a mapping" },
+  { kB, "version: 1", "version: 1\n---", "f: backend_servers", "more than one" },
+};
+// clang-format on
+
+TEST_CASE("a faulty section is refused with the place of its fault")
+{
+  for (const FaultCase& c : kFaultCases) {
+    const std::string text = Replaced(GoodText(c.m_kind), c.m_old, c.m_new);
+    const std::vector<std::string> faults = FaultTexts(c.m_kind, text);
+    CAPTURE(text, faults, c.m_place, c.m_message);
+    const auto isExpected = [&](const std::string& aFault) {
+      return aFault.starts_with(std::string(c.m_place) + ": ") &&
+             aFault.find(c.m_message) != std::string::npos;
+    };
+    CHECK(std::count_if(faults.begin(), faults.end(), isExpected) == 1);
+  }
+}
+
+TEST_CASE("every fault of a section is reported, in one go")
+{
+  const std::string text =
+    Replaced(Replaced(Replaced(kRoutes, "deadline: 30s", "deadline: soon"),
+                      "idempotent: false",
+                      "idempotent: no"),
+             "pool: booking",
+             "pools: booking");
+  REQUIRE(FaultTexts(kR, text).size() == 4);
+}
+
+TEST_CASE("a text that is empty, too large or no mapping is refused")
+{
+  const SectionKind kind = GENERATE(kA, kK, kR, kB);
+  REQUIRE(FaultTexts(kind, GoodText(kind)).empty());
+  REQUIRE(FaultTexts(kind, "").size() == 1);
+  REQUIRE(FaultTexts(kind, "[1, 2]").size() == 1);
+  REQUIRE(FaultTexts(kind, "{").size() == 1);
+  std::string large = std::string(GoodText(kind)) + "#";
+  large.append(1'000'000 - large.size(), 'x');
+  REQUIRE(FaultTexts(kind, large).empty());
+  large += "x";
+  REQUIRE(FaultTexts(kind, large).at(0).find("1000001 bytes") !=
+          std::string::npos);
+}
+
+TEST_CASE("no fault repeats what stands in the place of a key's hash")
+{
+  const auto faults = FaultTexts(kK, Replaced(kKeys, "sha256: 0", "sha256: s"));
+  REQUIRE(faults.size() == 1);
+  REQUIRE(faults[0].find("s00102") == std::string::npos);
+}
+
+TEST_CASE("only the first of very many faults are kept, and the rest counted")
+{
+  std::string text = "keys:\n";
+  for (int i = 0; i < 500; ++i) {
+    text += "  - 1\n";
+  }
+  const auto faults = FaultTexts(kK, text);
+  REQUIRE(faults.size() == 201);
+  REQUIRE(faults.back() == "f: keys: 300 more faults");
+}
+
+TEST_CASE("the version field is read though other fields are faulty")
+{
+  REQUIRE(ReadSectionVersion(kA, { "f", "version: 12\nother: 1" }) ==
+          SectionVersion(12));
+  const char* text = GENERATE("other: 1", "version: -1", "version: {", "");
+  REQUIRE_THROWS_AS(ReadSectionVersion(kA, { "f", text }), SectionError);
+}
+
+} // namespace
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/version/yaml/reader.cc
@@ -0,0 +1,395 @@
+#include "rattanweir/version/yaml/reader.h"
+
+#include "rattanweir/version/yaml/load.h"
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+
+namespace rattanweir {
+namespace {
+
+constexpr std::size_t kMaximumIdBytes = 128;
+
+bool
+IsIdCharacter(char aCharacter)
+{
+  constexpr std::string_view kPunctuation = "._:/-";
+  const bool isLetter = (aCharacter >= 'a' && aCharacter <= 'z') ||
+                        (aCharacter >= 'A' && aCharacter <= 'Z');
+  const bool isDigit = aCharacter >= '0' && aCharacter <= '9';
+  return isLetter || isDigit ||
+         kPunctuation.find(aCharacter) != std::string_view::npos;
+}
+
+bool
+IsId(const std::string& aText)
+{
+  return !aText.empty() && aText.size() <= kMaximumIdBytes &&
+         std::all_of(aText.begin(), aText.end(), IsIdCharacter);
+}
+
+std::string
+IdFault(const std::string& aText)
+{
+  return "'" + aText.substr(0, kMaximumIdBytes) +
+         "' is not an id: 1 to 128 letters, digits, '.', '_', ':', '/', '-'";
+}
+
+// The whole text as a number, or nothing.
+template<class T>
+std::optional<T>
+ParseNumber(const std::string& aText)
+{
+  T number{};
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::string
+FormatNumber(double aValue)
+{
+  char text[32];
+  const auto written = std::to_chars(text, text + sizeof(text), aValue);
+  return { text, written.ptr };
+}
+
+// False for a decimal that is not a number, too.
+template<class T>
+bool
+IsWithin(const T& aValue, const Range<T>& aRange)
+{
+  return aValue >= aRange.m_least && aValue <= aRange.m_largest;
+}
+
+std::string
+RangeFault(const std::string& aValue,
+           const std::string& aLeast,
+           const std::string& aLargest)
+{
+  return aValue + " is not within " + aLeast + " to " + aLargest;
+}
+
+} // namespace
+
+MappingReader::MappingReader(const YAML::Node& aNode,
+                             std::string aPath,
+                             FaultCollector& aFaults)
+  : m_path(std::move(aPath))
+  , m_line(LineOf(aNode))
+  , m_isMapping(aNode.IsMap())
+  , m_faults(aFaults)
+{
+  if (!m_isMapping) {
+    m_faults.Add(m_line, m_path, "is not a mapping");
+    return;
+  }
+  m_fields.reserve(aNode.size());
+  for (const auto& entry : aNode) {
+    const int line = LineOf(entry.first);
+    if (!entry.first.IsScalar()) {
+      m_faults.Add(line, m_path, "has a field whose name is not a text");
+      continue;
+    }
+    const std::string& name = entry.first.Scalar();
+    if (Find(name) != nullptr) {
+      m_faults.Add(line, PathOf(name), "stands twice");
+      continue;
+    }
+    m_fields.push_back(
+      { .m_name = name, .m_value = entry.second, .m_line = line });
+  }
+}
+
+const MappingReader::Field*
+MappingReader::Find(std::string_view aField) const
+{
+  for (const Field& field : m_fields) {
+    if (field.m_name == aField) {
+      return &field;
+    }
+  }
+  return nullptr;
+}
+
+const MappingReader::Field*
+MappingReader::Take(std::string_view aField, bool aIsWanted)
+{
+  for (Field& field : m_fields) {
+    if (field.m_name != aField) {
+      continue;
+    }
+    field.m_isKnown = true;
+    return &field;
+  }
+  if (aIsWanted && m_isMapping) {
+    m_faults.Add(m_line, PathOf(aField), "is missing");
+  }
+  return nullptr;
+}
+
+std::optional<std::string>
+MappingReader::TakeScalar(std::string_view aField, bool aIsWanted)
+{
+  const Field* field = Take(aField, aIsWanted);
+  if (field == nullptr) {
+    return std::nullopt;
+  }
+  if (!field->m_value.IsScalar()) {
+    AddFault(aField, "is not a single value");
+    return std::nullopt;
+  }
+  return field->m_value.Scalar();
+}
+
+std::string
+MappingReader::PathOf(std::string_view aField) const
+{
+  return m_path.empty() ? std::string(aField)
+                        : m_path + "." + std::string(aField);
+}
+
+bool
+MappingReader::Has(std::string_view aField) const
+{
+  return Find(aField) != nullptr;
+}
+
+bool
+MappingReader::IsList(std::string_view aField) const
+{
+  const Field* field = Find(aField);
+  return field != nullptr && field->m_value.IsSequence();
+}
+
+int
+MappingReader::LineOfField(std::string_view aField) const
+{
+  const Field* field = Find(aField);
+  return field == nullptr ? m_line : field->m_line;
+}
+
+void
+MappingReader::AddFault(std::string_view aField, std::string aMessage)
+{
+  m_faults.Add(LineOfField(aField), PathOf(aField), std::move(aMessage));
+}
+
+void
+MappingReader::RefuseUnknownFields()
+{
+  for (const Field& field : m_fields) {
+    if (!field.m_isKnown) {
+      AddFault(field.m_name, "is not a known field");
+    }
+  }
+}
+
+std::string
+MappingReader::ReadText(std::string_view aField)
+{
+  const std::optional<std::string> text = TakeScalar(aField, true);
+  if (text && text->empty()) {
+    AddFault(aField, "is empty");
+  }
+  return text.value_or("");
+}
+
+std::string
+MappingReader::ReadIdText(std::string_view aField)
+{
+  const std::optional<std::string> text = TakeScalar(aField, true);
+  if (text && !IsId(*text)) {
+    AddFault(aField, IdFault(*text));
+  }
+  return text.value_or("");
+}
+
+std::vector<std::string>
+MappingReader::ReadIdList(std::string_view aField)
+{
+  const Field* field = Take(aField, true);
+  std::vector<std::string> ids;
+  if (field == nullptr) {
+    return ids;
+  }
+  if (!field->m_value.IsSequence() || field->m_value.size() == 0) {
+    AddFault(aField, "is not a list with at least one id");
+    return ids;
+  }
+  std::set<std::string> seen;
+  for (const YAML::Node& node : field->m_value) {
+    const std::string text = node.IsScalar() ? node.Scalar() : "";
+    if (!IsId(text)) {
+      m_faults.Add(LineOf(node), PathOf(aField), IdFault(text));
+      continue;
+    }
+    if (!seen.insert(text).second) {
+      m_faults.Add(LineOf(node), PathOf(aField), "has '" + text + "' twice");
+      continue;
+    }
+    ids.push_back(text);
+  }
+  return ids;
+}
+
+std::int64_t
+MappingReader::ReadInteger(std::string_view aField,
+                           const Range<std::int64_t>& aRange,
+                           std::optional<std::int64_t> aDefault)
+{
+  const std::int64_t fallback = aDefault.value_or(aRange.m_least);
+  const std::optional<std::string> text = ScalarOf(aField, aDefault);
+  if (!text) {
+    return fallback;
+  }
+  const auto number = ParseNumber<std::int64_t>(*text);
+  if (!number) {
+    AddFault(aField, "'" + *text + "' is not a whole number");
+    return fallback;
+  }
+  if (!IsWithin(*number, aRange)) {
+    AddFault(aField,
+             RangeFault(*text,
+                        std::to_string(aRange.m_least),
+                        std::to_string(aRange.m_largest)));
+    return fallback;
+  }
+  return *number;
+}
+
+double
+MappingReader::ReadDecimal(std::string_view aField, const Range<double>& aRange)
+{
+  const std::optional<std::string> text = TakeScalar(aField, true);
+  if (!text) {
+    return aRange.m_least;
+  }
+  const auto number = ParseNumber<double>(*text);
+  if (!number) {
+    AddFault(aField, "'" + *text + "' is not a number");
+    return aRange.m_least;
+  }
+  if (!IsWithin(*number, aRange)) {
+    AddFault(aField,
+             RangeFault(*text,
+                        FormatNumber(aRange.m_least),
+                        FormatNumber(aRange.m_largest)));
+    return aRange.m_least;
+  }
+  return *number;
+}
+
+bool
+MappingReader::ReadBoolean(std::string_view aField,
+                           std::optional<bool> aDefault)
+{
+  return ReadChoice<bool>(
+    aField, { { "false", false }, { "true", true } }, aDefault);
+}
+
+std::chrono::nanoseconds
+MappingReader::ReadDuration(std::string_view aField,
+                            const Range<std::chrono::nanoseconds>& aRange,
+                            std::optional<std::chrono::nanoseconds> aDefault)
+{
+  const auto fallback = aDefault.value_or(aRange.m_least);
+  const std::optional<std::string> text = ScalarOf(aField, aDefault);
+  if (!text) {
+    return fallback;
+  }
+  try {
+    const auto duration = ParseDuration(*text);
+    if (IsWithin(duration, aRange)) {
+      return duration;
+    }
+    AddFault(aField,
+             RangeFault(*text,
+                        FormatDuration(aRange.m_least),
+                        FormatDuration(aRange.m_largest)));
+  } catch (const UnitError& error) {
+    AddFault(aField, error.what());
+  }
+  return fallback;
+}
+
+ByteCount
+MappingReader::ReadByteCount(std::string_view aField,
+                             const Range<ByteCount>& aRange,
+                             std::optional<ByteCount> aDefault)
+{
+  const ByteCount fallback = aDefault.value_or(aRange.m_least);
+  const std::optional<std::string> text = ScalarOf(aField, aDefault);
+  if (!text) {
+    return fallback;
+  }
+  try {
+    const ByteCount bytes = ParseByteCount(*text);
+    if (IsWithin(bytes, aRange)) {
+      return bytes;
+    }
+    AddFault(aField,
+             RangeFault(*text,
+                        std::to_string(aRange.m_least.Value()) + "B",
+                        std::to_string(aRange.m_largest.Value()) + "B"));
+  } catch (const UnitError& error) {
+    AddFault(aField, error.what());
+  }
+  return fallback;
+}
+
+Endpoint
+MappingReader::ReadEndpoint(std::string_view aField)
+{
+  const std::optional<std::string> text = TakeScalar(aField, true);
+  if (!text) {
+    return {};
+  }
+  try {
+    return ParseEndpoint(*text);
+  } catch (const EndpointError& error) {
+    AddFault(aField, error.what());
+  }
+  return {};
+}
+
+MappingReader
+MappingReader::ReadMapping(std::string_view aField)
+{
+  const Field* field = Take(aField, true);
+  if (field == nullptr) {
+    // Its faults would only repeat that it is missing.
+    MappingReader none(
+      YAML::Node(YAML::NodeType::Map), PathOf(aField), m_faults);
+    none.m_isMapping = false;
+    return none;
+  }
+  return { field->m_value, PathOf(aField), m_faults };
+}
+
+void
+MappingReader::ReadRows(std::string_view aField,
+                        const std::function<void(MappingReader&)>& aFunction)
+{
+  const Field* field = Take(aField, true);
+  if (field == nullptr) {
+    return;
+  }
+  if (!field->m_value.IsSequence()) {
+    AddFault(aField, "is not a list");
+    return;
+  }
+  std::size_t index = 0;
+  for (const YAML::Node& node : field->m_value) {
+    MappingReader row(node, "[" + std::to_string(index) + "]", m_faults);
+    ++index;
+    aFunction(row);
+    row.RefuseUnknownFields();
+  }
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/version/yaml/unique_values.h
@@ -0,0 +1,33 @@
+// Finds values that may stand only once in a list.
+//
+//   UniqueValues ids;
+//   section.ReadRows("routes", [&](MappingReader& aRow) {
+//     ids.Check(aRow, "id", aRow.ReadText("id"), "id");
+//   });
+
+#pragma once
+
+#include "rattanweir/version/yaml/reader.h"
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace rattanweir {
+
+// The values of one field, over all rows of a list.
+class UniqueValues
+{
+public:
+  // Adds a fault to the field if the value came before. `aWhat` names the
+  // kind of value in the message.
+  void Check(MappingReader& aRow,
+             std::string_view aField,
+             const std::string& aValue,
+             std::string_view aWhat);
+
+private:
+  std::unordered_map<std::string, int> m_lines;
+};
+
+} // namespace rattanweir
