Read the settings of a process

LoadSettings shares the located reader of the sections, so that a faulty settings file is refused with all its faults, each with line and field.

--- /dev/null
+++ b/rattanweir/process/settings/settings.cc
@@ -0,0 +1,202 @@
+#include "rattanweir/process/settings/settings.h"
+
+#include "rattanweir/version/text_file/text_file.h"
+#include "rattanweir/version/yaml/load.h"
+#include "rattanweir/version/yaml/reader.h"
+#include "rattanweir/version/yaml/unique_values.h"
+
+#include <filesystem>
+
+namespace rattanweir {
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::nanoseconds;
+
+constexpr Range<ByteCount> kHeaderBytes{ ByteCount(1024),
+                                         ByteCount(1ULL << 20U) };
+constexpr Range<ByteCount> kBodyBytes{ ByteCount(1024),
+                                       ByteCount(1ULL << 30U) };
+constexpr Range<std::int64_t> kConnections{ 1, 1'000'000 };
+constexpr Range<std::int64_t> kRequests{ 1, 1'000'000 };
+constexpr Range<nanoseconds> kTimeouts{ 10ms, 1h };
+constexpr Range<nanoseconds> kHeartbeatIntervals{ 50ms, 30s };
+constexpr Range<nanoseconds> kShutdownTimeouts{ 100ms, 1h };
+
+// Adds a fault where two listeners would take the same port.
+void
+CheckPort(MappingReader& aAddresses,
+          UniqueValues& aTaken,
+          std::string_view aField,
+          const Endpoint& aEndpoint)
+{
+  if (aEndpoint.m_port != 0) {
+    aTaken.Check(aAddresses, aField, aEndpoint.ToString(), "address");
+  }
+}
+
+void
+ReadAddresses(MappingReader& aRoot, Settings& aSettings)
+{
+  MappingReader addresses = aRoot.ReadMapping("addresses");
+  aSettings.m_callerAddress = addresses.ReadEndpoint("caller");
+  aSettings.m_peerAddress = addresses.ReadEndpoint("peer");
+  aSettings.m_adminAddress = addresses.ReadEndpoint("admin");
+  addresses.RefuseUnknownFields();
+  UniqueValues taken;
+  CheckPort(addresses, taken, "caller", aSettings.m_callerAddress);
+  CheckPort(addresses, taken, "peer", aSettings.m_peerAddress);
+  CheckPort(addresses, taken, "admin", aSettings.m_adminAddress);
+}
+
+// A relative directory counts from the folder of the settings file.
+std::string
+ResolveDirectory(const std::string& aDirectory, const std::string& aFile)
+{
+  const auto folder = std::filesystem::path(aFile).parent_path();
+  return (folder / aDirectory).lexically_normal().string();
+}
+
+Endpoint
+ReadServiceAddress(MappingReader& aPlatform, std::string_view aField)
+{
+  Endpoint endpoint = aPlatform.ReadEndpoint(aField);
+  if (!endpoint.m_address.empty() && endpoint.m_port == 0) {
+    aPlatform.AddFault(aField, "has port 0");
+  }
+  return endpoint;
+}
+
+PlatformSource
+ReadPlatform(MappingReader& aRoot, const std::string& aFile)
+{
+  MappingReader platform = aRoot.ReadMapping("platform");
+  PlatformSource source;
+  if (platform.Has("directory")) {
+    source = DirectoryPlatform{ ResolveDirectory(platform.ReadText("directory"),
+                                                 aFile) };
+  } else if (platform.Has("configuration_service") ||
+             platform.Has("instance_list")) {
+    source = ServicePlatform{
+      .m_configurationService =
+        ReadServiceAddress(platform, "configuration_service"),
+      .m_instanceList = ReadServiceAddress(platform, "instance_list"),
+    };
+  } else if (platform.IsMapping()) {
+    aRoot.AddFault("platform",
+                   "needs either directory, or configuration_service and "
+                   "instance_list");
+  }
+  platform.RefuseUnknownFields();
+  return source;
+}
+
+std::uint32_t
+ReadCount(MappingReader& aReader,
+          std::string_view aField,
+          const Range<std::int64_t>& aRange,
+          std::uint32_t aDefault)
+{
+  return static_cast<std::uint32_t>(
+    aReader.ReadInteger(aField, aRange, aDefault));
+}
+
+CallerLimits
+ReadLimits(MappingReader& aRoot)
+{
+  CallerLimits limits;
+  if (!aRoot.Has("limits")) {
+    return limits;
+  }
+  MappingReader reader = aRoot.ReadMapping("limits");
+  limits = {
+    .m_headerBytes =
+      reader.ReadByteCount("header_bytes", kHeaderBytes, limits.m_headerBytes),
+    .m_bodyBytes =
+      reader.ReadByteCount("body_bytes", kBodyBytes, limits.m_bodyBytes),
+    .m_connections =
+      ReadCount(reader, "connections", kConnections, limits.m_connections),
+    .m_requests = ReadCount(reader, "requests", kRequests, limits.m_requests),
+    .m_idleTimeout =
+      reader.ReadDuration("idle_timeout", kTimeouts, limits.m_idleTimeout),
+    .m_readTimeout =
+      reader.ReadDuration("read_timeout", kTimeouts, limits.m_readTimeout),
+    .m_writeTimeout =
+      reader.ReadDuration("write_timeout", kTimeouts, limits.m_writeTimeout),
+  };
+  reader.RefuseUnknownFields();
+  return limits;
+}
+
+LogSettings
+ReadLog(MappingReader& aRoot)
+{
+  LogSettings log;
+  if (!aRoot.Has("log")) {
+    return log;
+  }
+  MappingReader reader = aRoot.ReadMapping("log");
+  log.m_level = reader.ReadChoice<LogLevel>("level",
+                                            { { "debug", LogLevel::Debug },
+                                              { "info", LogLevel::Info },
+                                              { "warning", LogLevel::Warning },
+                                              { "error", LogLevel::Error } },
+                                            log.m_level);
+  log.m_format = reader.ReadChoice<LogFormat>(
+    "format",
+    { { "key_value", LogFormat::KeyValue }, { "json", LogFormat::Json } },
+    log.m_format);
+  reader.RefuseUnknownFields();
+  return log;
+}
+
+Settings
+ReadSettings(MappingReader& aRoot, const std::string& aFile)
+{
+  Settings settings{
+    .m_instance = aRoot.ReadId<InstanceId>("instance"),
+    .m_region = aRoot.ReadId<RegionId>("region"),
+    .m_zone = aRoot.ReadId<AvailabilityZoneId>("availability_zone"),
+  };
+  ReadAddresses(aRoot, settings);
+  settings.m_platform = ReadPlatform(aRoot, aFile);
+  settings.m_callerLimits = ReadLimits(aRoot);
+  settings.m_log = ReadLog(aRoot);
+  settings.m_heartbeatInterval = aRoot.ReadDuration(
+    "heartbeat_interval", kHeartbeatIntervals, settings.m_heartbeatInterval);
+  settings.m_shutdownTimeout = aRoot.ReadDuration(
+    "shutdown_timeout", kShutdownTimeouts, settings.m_shutdownTimeout);
+  aRoot.RefuseUnknownFields();
+  return settings;
+}
+
+} // namespace
+
+Settings
+LoadSettings(const std::string& aPath)
+{
+  try {
+    return ParseSettings(ReadTextFile(aPath));
+  } catch (const TextFileError& error) {
+    throw SettingsError({ { .m_file = aPath,
+                            .m_section = "settings",
+                            .m_message = error.what() } });
+  }
+}
+
+Settings
+ParseSettings(const SectionText& aText)
+{
+  FaultCollector faults(aText.m_file, "settings");
+  Settings settings;
+  if (const auto root = LoadYaml(aText, faults)) {
+    MappingReader reader(*root, "", faults);
+    settings = ReadSettings(reader, aText.m_file);
+  }
+  if (!faults.IsEmpty()) {
+    throw SettingsError(faults.Faults());
+  }
+  return settings;
+}
+
+} // namespace rattanweir
--- a/rattanweir/process/settings/settings.h
+++ b/rattanweir/process/settings/settings.h
@@ -23,6 +23,7 @@
 // Configuration and instance list are files of one directory.
 struct DirectoryPlatform
 {
+  // A relative one in the file counts from the file's own folder.
   std::string m_directory;
 };
 
@@ -38,8 +39,8 @@
 // Bounds on what a caller may use up.
 struct CallerLimits
 {
-  ByteCount m_headerBytes{ 16 * 1024 };
-  ByteCount m_bodyBytes{ 8 * 1024 * 1024 };
+  ByteCount m_headerBytes{ 16ULL * 1024 };
+  ByteCount m_bodyBytes{ 8ULL * 1024 * 1024 };
   std::uint32_t m_connections = 4096;
   std::uint32_t m_requests = 2048;
   // A connection without a request.
@@ -96,7 +97,7 @@
 Settings
 LoadSettings(const std::string& aPath);
 
-// As LoadSettings, from a text.
+// As LoadSettings, from a text that is named by its path.
 Settings
 ParseSettings(const SectionText& aText);
 
