--- a/rattanweir/process/idempotency/idempotency_ledger.h
+++ b/rattanweir/process/idempotency/idempotency_ledger.h
@@ -109,8 +109,8 @@
   Incarnation m_incarnation;
   std::chrono::nanoseconds m_expiry{ std::chrono::minutes(10) };
   std::size_t m_maximumKeys = 100'000;
-  ByteCount m_answerBytes{ 32 * 1024 * 1024 };
-  ByteCount m_largestAnswer{ 256 * 1024 };
+  ByteCount m_answerBytes{ 32ULL * 1024 * 1024 };
+  ByteCount m_largestAnswer{ 256ULL * 1024 };
 };
 
 class IdempotencyLedger
--- a/rattanweir/process/settings/settings.h
+++ b/rattanweir/process/settings/settings.h
@@ -38,8 +38,8 @@
 // Bounds on what a caller may use up.
 struct CallerLimits
 {
-  ByteCount m_headerBytes{ 16 * 1024 };
-  ByteCount m_bodyBytes{ 8 * 1024 * 1024 };
+  ByteCount m_headerBytes{ 16ULL * 1024 };
+  ByteCount m_bodyBytes{ 8ULL * 1024 * 1024 };
   std::uint32_t m_connections = 4096;
   std::uint32_t m_requests = 2048;
   // A connection without a request.
