--- /dev/null
+++ b/rattanweir/connection/rpc/rpc_test.cc
@@ -0,0 +1,68 @@
+#include "rattanweir/connection/rpc/rpc.h"
+
+#include <catch2/catch.hpp>
+
+namespace rattanweir {
+namespace {
+
+void
+RegisterDouble(RpcDispatcher& aDispatcher)
+{
+  aDispatcher.Register("double", [](const Json::Value& aParameters) {
+    if (!aParameters["value"].isInt()) {
+      throw RpcError("value: not a number");
+    }
+    Json::Value result(Json::objectValue);
+    result["value"] = 2 * aParameters["value"].asInt();
+    return result;
+  });
+}
+
+TEST_CASE("a call comes back with its result")
+{
+  RpcDispatcher dispatcher;
+  RegisterDouble(dispatcher);
+  Json::Value parameters(Json::objectValue);
+  parameters["value"] = 21;
+  const std::string request = EncodeRpcRequest("double", parameters);
+  REQUIRE(DecodeRpcResponse(dispatcher.Handle(request))["value"] == 42);
+}
+
+TEST_CASE("a refused call tells the caller why")
+{
+  RpcDispatcher dispatcher;
+  RegisterDouble(dispatcher);
+  Json::Value parameters(Json::objectValue);
+  parameters["value"] = "many";
+  const std::string request = EncodeRpcRequest("double", parameters);
+  REQUIRE_THROWS_WITH(DecodeRpcResponse(dispatcher.Handle(request)),
+                      Catch::Contains("value: not a number"));
+}
+
+TEST_CASE("what is no call gets an error response and no call is made")
+{
+  RpcDispatcher dispatcher;
+  RegisterDouble(dispatcher);
+  const char* request =
+    GENERATE("",
+             "{",
+             "[]",
+             "7",
+             "\"double\"",
+             R"({"jsonrpc":"2.0","id":1,"method":"absent","params":{}})",
+             R"({"jsonrpc":"2.0","id":1,"method":7,"params":{}})",
+             R"({"jsonrpc":"2.0","id":1,"method":"double","params":[1]})",
+             R"({"jsonrpc":"2.0","id":1,"method":"double"})");
+  CAPTURE(request);
+  REQUIRE_THROWS_AS(DecodeRpcResponse(dispatcher.Handle(request)), RpcError);
+}
+
+TEST_CASE("what is no response is told")
+{
+  const char* response = GENERATE("", "{", "[]", "7", R"({"result":1})");
+  CAPTURE(response);
+  REQUIRE_THROWS_AS(DecodeRpcResponse(response), RpcError);
+}
+
+} // namespace
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/process/membership/membership.cc
@@ -0,0 +1,119 @@
+#include "rattanweir/process/membership/membership.h"
+
+#include <utility>
+
+namespace rattanweir {
+
+Membership::Membership(const MembershipOptions& aOptions)
+  : m_options(aOptions)
+{
+}
+
+void
+Membership::ApplyList(const std::vector<InstanceRecord>& aList)
+{
+  std::map<InstanceId, Entry> previous = std::exchange(m_peers, {});
+  m_self.reset();
+  for (const InstanceRecord& record : aList) {
+    if (record.m_id == m_options.m_self) {
+      m_self = record;
+      continue;
+    }
+    Entry& entry = m_peers[record.m_id];
+    const auto known = previous.find(record.m_id);
+    if (known != previous.end()) {
+      entry = std::move(known->second);
+    }
+    entry.m_view.m_record = record;
+  }
+}
+
+bool
+Membership::ApplyHeartbeat(const Heartbeat& aHeartbeat)
+{
+  const auto found = m_peers.find(aHeartbeat.m_from);
+  if (found == m_peers.end()) {
+    return false;
+  }
+  Entry& entry = found->second;
+  const std::optional<Heartbeat>& newest = entry.m_view.m_heartbeat;
+  const bool isOlder = newest &&
+                       newest->m_incarnation == aHeartbeat.m_incarnation &&
+                       newest->m_sequence >= aHeartbeat.m_sequence;
+  if (isOlder) {
+    return false;
+  }
+  entry.m_view.m_heartbeat = aHeartbeat;
+  entry.m_view.m_heardAt = m_options.m_clock.SteadyNow();
+  entry.m_isUnreachable = false;
+  return true;
+}
+
+void
+Membership::MarkUnreachable(const InstanceId& aId)
+{
+  const auto found = m_peers.find(aId);
+  if (found != m_peers.end()) {
+    found->second.m_isUnreachable = true;
+  }
+}
+
+std::vector<PeerView>
+Membership::Peers() const
+{
+  std::vector<PeerView> peers;
+  peers.reserve(m_peers.size());
+  for (const auto& [id, entry] : m_peers) {
+    peers.push_back(entry.m_view);
+  }
+  return peers;
+}
+
+bool
+Membership::IsUsable(const PeerView& aPeer) const
+{
+  const auto found = m_peers.find(aPeer.m_record.m_id);
+  if (found == m_peers.end() || found->second.m_isUnreachable) {
+    return false;
+  }
+  if (aPeer.m_record.m_isLeaving || !aPeer.m_heartbeat) {
+    return false;
+  }
+  if (aPeer.m_heartbeat->m_isDraining || !aPeer.m_heartbeat->m_isReady) {
+    return false;
+  }
+  const auto silence = m_options.m_clock.SteadyNow() - aPeer.m_heardAt;
+  return silence <=
+         m_options.m_missedHeartbeats * aPeer.m_heartbeat->m_interval;
+}
+
+std::vector<PeerView>
+Membership::UsablePeersIn(const RegionId& aRegion) const
+{
+  std::vector<PeerView> peers;
+  for (const auto& [id, entry] : m_peers) {
+    if (entry.m_view.m_record.m_region != aRegion || !IsUsable(entry.m_view)) {
+      continue;
+    }
+    peers.push_back(entry.m_view);
+  }
+  return peers;
+}
+
+std::optional<PeerView>
+Membership::Find(const InstanceId& aId) const
+{
+  const auto found = m_peers.find(aId);
+  if (found == m_peers.end()) {
+    return std::nullopt;
+  }
+  return found->second.m_view;
+}
+
+std::optional<InstanceRecord>
+Membership::Self() const
+{
+  return m_self;
+}
+
+} // namespace rattanweir
--- a/rattanweir/process/membership/membership.h
+++ b/rattanweir/process/membership/membership.h
@@ -45,6 +45,8 @@
   std::uint64_t m_sequence = 0;
   bool m_isDraining = false;
   bool m_isReady = false;
+  // The longest time until its next one.
+  std::chrono::nanoseconds m_interval{ std::chrono::seconds(1) };
   std::uint32_t m_requestsInFlight = 0;
   std::map<SectionKind, SectionVersion> m_versions;
   // Backend servers that it saw leave.
@@ -64,8 +66,8 @@
 {
   const Clock& m_clock;
   InstanceId m_self;
-  // A peer not heard from for this long is not used.
-  std::chrono::nanoseconds m_silenceTimeout{ std::chrono::seconds(4) };
+  // A peer that has missed this many of its heartbeats is not used.
+  unsigned m_missedHeartbeats = 4;
 };
 
 class Membership
