--- /dev/null
+++ b/testing/stand_in/engine.cc
@@ -0,0 +1,269 @@
+// Takes the place of a model engine: streams tokens that are a pure function
+// of prompt and offset.
+//
+//   stand_in_engine --port 0 --token-interval 5ms
+//
+// Switches: break_after N, wrong_attempt_id, refuse_not_run, reset_before_run,
+// draining, stall_after N, duplicate_bytes, short_end N (a marked end after
+// N tokens, without [DONE]).
+
+#include "rattanweir/base/units/units.h"
+#include "testing/stand_in/stand_in.h"
+
+#include <gflags/gflags.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <chrono>
+#include <deque>
+#include <list>
+
+DEFINE_int32(port, 0, "TCP port; 0 picks a free one");
+DEFINE_string(token_interval, "5ms", "time from one token to the next");
+DEFINE_string(prefill_per_token, "10us", "time for a prompt token not cached");
+DEFINE_string(load_lag, "100ms", "how late x-load reports the load");
+DEFINE_int32(cached_blocks, 4096, "64-byte prompt prefixes that are cached");
+DEFINE_string(switches, "[]", "faults that are on from the start");
+
+namespace rattanweir::testing {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::size_t kBlockBytes = 64;
+constexpr std::uint64_t kBytesPerToken = 4;
+
+// The hashes of the prompt prefixes used last.
+class PrefixCache
+{
+public:
+  // The bytes at the start of the prompt that were cached; caches the rest.
+  std::size_t Use(std::string_view aPrompt)
+  {
+    const std::lock_guard lock(m_mutex);
+    std::size_t cached = 0;
+    for (std::size_t end = kBlockBytes; end <= aPrompt.size();
+         end += kBlockBytes) {
+      const std::uint64_t hash = XXH64(aPrompt.data(), end, 0);
+      const auto found = std::find(m_blocks.begin(), m_blocks.end(), hash);
+      if (found != m_blocks.end()) {
+        cached = end;
+        m_blocks.erase(found);
+      }
+      m_blocks.push_front(hash);
+    }
+    const auto most = static_cast<std::size_t>(FLAGS_cached_blocks);
+    m_blocks.resize(std::min(m_blocks.size(), most));
+    return cached;
+  }
+
+private:
+  std::mutex m_mutex;
+  std::list<std::uint64_t> m_blocks;
+};
+
+// The tokens queued and running, reported late.
+class LoadReport
+{
+public:
+  void Add(std::int64_t aTokens)
+  {
+    const std::lock_guard lock(m_mutex);
+    m_load += aTokens;
+    m_samples.push_back({ .m_at = Clock::now(), .m_load = m_load });
+  }
+
+  std::int64_t Late()
+  {
+    const std::lock_guard lock(m_mutex);
+    const auto before = Clock::now() - ParseDuration(FLAGS_load_lag);
+    while (!m_samples.empty() && m_samples.front().m_at <= before) {
+      m_reported = m_samples.front().m_load;
+      m_samples.pop_front();
+    }
+    return m_reported;
+  }
+
+private:
+  struct Sample
+  {
+    Clock::time_point m_at;
+    std::int64_t m_load = 0;
+  };
+
+  std::mutex m_mutex;
+  std::deque<Sample> m_samples;
+  std::int64_t m_load = 0;
+  std::int64_t m_reported = 0;
+};
+
+// One request being answered.
+class Generation
+{
+public:
+  Generation(const HttpRequest& aRequest,
+             HttpResponder& aResponder,
+             Switches& aSwitches,
+             LoadReport& aLoad)
+    : m_responder(aResponder)
+    , m_switches(aSwitches)
+    , m_load(aLoad)
+    , m_request(FieldOf(aRequest.m_headers, "x-request-id"))
+    , m_attempt(FieldOf(aRequest.m_headers, "x-attempt-id"))
+  {
+    const Json::Value body = ParseJson(aRequest.m_body);
+    m_prompt = body["prompt"].asString();
+    m_count = body.get("max_tokens", 16).asUInt64();
+    m_isStream = body["stream"].asBool();
+    const std::string offset = FieldOf(aRequest.m_headers, "x-resume-offset");
+    m_offset = offset.empty() ? 0 : std::stoull(offset);
+    m_load.Add(static_cast<std::int64_t>(m_count));
+  }
+  ~Generation() { m_load.Add(-static_cast<std::int64_t>(m_count)); }
+  Generation(const Generation&) = delete;
+  Generation& operator=(const Generation&) = delete;
+
+  void Run(PrefixCache& aCache)
+  {
+    Print("run");
+    const std::size_t cold = m_prompt.size() - aCache.Use(m_prompt);
+    const auto prefill = ParseDuration(FLAGS_prefill_per_token) *
+                         static_cast<long>(cold / kBytesPerToken);
+    if (m_responder.PeerLeftWithin(prefill)) {
+      Print("cancelled");
+      m_responder.Break();
+      return;
+    }
+    const bool isWhole = m_isStream ? Stream() : AnswerAtOnce();
+    Print(isWhole ? "finished" : "cancelled");
+    if (!isWhole) {
+      m_responder.Break();
+    }
+  }
+
+  HttpFields Head(const std::string& aType)
+  {
+    const bool isWrong = m_switches.Take("wrong_attempt_id").has_value();
+    HttpFields fields = {
+      { .m_name = "content-type", .m_value = aType },
+      { .m_name = "x-attempt-id",
+        .m_value = isWrong ? "another-attempt" : m_attempt },
+      { .m_name = "x-load", .m_value = std::to_string(m_load.Late()) },
+    };
+    if (m_switches.Take("draining")) {
+      fields.push_back({ .m_name = "x-draining", .m_value = "1" });
+    }
+    return fields;
+  }
+
+private:
+  void Print(std::string_view aEvent) const
+  {
+    Json::Value record;
+    record["request"] = m_request;
+    record["attempt"] = m_attempt;
+    record["offset"] = Json::UInt64(m_offset);
+    PrintRecord(aEvent, record);
+  }
+
+  bool AnswerAtOnce()
+  {
+    const auto wait =
+      ParseDuration(FLAGS_token_interval) * static_cast<long>(m_count);
+    if (m_responder.PeerLeftWithin(wait)) {
+      return false;
+    }
+    Json::Value body;
+    body["text"] = TokensOf(m_prompt, m_count);
+    body["tokens"] = Json::UInt64(m_count);
+    m_responder.Answer(200, Head("application/json"), WriteJson(body));
+    return true;
+  }
+
+  bool Stream()
+  {
+    const auto breakAfter = m_switches.Take("break_after");
+    const auto stallAfter = m_switches.Take("stall_after");
+    const auto shortEnd = m_switches.Take("short_end");
+    const bool isTwice = m_switches.Take("duplicate_bytes").has_value();
+    m_responder.StartStream(200, Head("text/event-stream"));
+    for (std::int64_t sent = 0; m_offset < m_count; ++m_offset, ++sent) {
+      if (breakAfter == sent) {
+        return false;
+      }
+      if (shortEnd == sent) {
+        m_responder.FinishStream();
+        return true;
+      }
+      if (m_responder.PeerLeftWithin(stallAfter == sent
+                                       ? std::chrono::hours(1)
+                                       : ParseDuration(FLAGS_token_interval))) {
+        return false;
+      }
+      WriteEvent();
+      if (isTwice) {
+        WriteEvent();
+      }
+    }
+    m_responder.WriteChunk("data: [DONE]\n\n");
+    m_responder.FinishStream();
+    return true;
+  }
+
+  void WriteEvent()
+  {
+    Json::Value data;
+    data["offset"] = Json::UInt64(m_offset);
+    data["token"] = TokenOf(m_prompt, m_offset);
+    const std::string event =
+      "id: " + std::to_string(m_offset) + "\ndata: " + WriteJson(data) + "\n\n";
+    m_responder.WriteChunk(event);
+  }
+
+  HttpResponder& m_responder;
+  Switches& m_switches;
+  LoadReport& m_load;
+  std::string m_request;
+  std::string m_attempt;
+  std::string m_prompt;
+  std::uint64_t m_count = 0;
+  std::uint64_t m_offset = 0;
+  bool m_isStream = false;
+};
+
+[[noreturn]] void
+RunEngine()
+{
+  static Switches switches;
+  static LoadReport load;
+  static PrefixCache cache;
+  switches.Set(FLAGS_switches);
+  RunStandIn(static_cast<std::uint16_t>(FLAGS_port),
+             switches,
+             [](const HttpRequest& aRequest, HttpResponder& aResponder) {
+               if (switches.Take("reset_before_run")) {
+                 aResponder.Break();
+                 return;
+               }
+               Generation generation(aRequest, aResponder, switches, load);
+               if (switches.Take("refuse_not_run")) {
+                 HttpFields head = generation.Head("text/plain");
+                 head.push_back({ .m_name = "x-not-run", .m_value = "1" });
+                 aResponder.Answer(503, head, "not run");
+                 return;
+               }
+               generation.Run(cache);
+             });
+}
+
+} // namespace
+
+} // namespace rattanweir::testing
+
+int
+main(int argc, char** argv)
+{
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  rattanweir::testing::RunEngine();
+}
--- /dev/null
+++ b/testing/stand_in/platform.cc
@@ -0,0 +1,203 @@
+// Takes the place of the platform: the configuration service and the instance
+// list, both read from a directory of YAML files.
+//
+//   stand_in_platform --port 0 --directory configuration
+//
+// A section's number is the `version` field of its file; the instance list's
+// revision is a hash of its file. Switches: down, slow MS, stale VERSION
+// (serves the newest section not above that version that it ever read, and
+// 404 if it read none).
+
+#include "rattanweir/base/units/units.h"
+#include "testing/stand_in/stand_in.h"
+
+#include <gflags/gflags.h>
+#include <xxhash.h>
+
+#include <chrono>
+#include <fstream>
+#include <limits>
+#include <sstream>
+#include <thread>
+
+DEFINE_int32(port, 0, "TCP port; 0 picks a free one");
+DEFINE_string(directory, ".", "the folder of the YAML files");
+DEFINE_string(switches, "[]", "faults that are on from the start");
+
+namespace rattanweir::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kPollInterval = 20ms;
+constexpr std::string_view kSectionPath = "/v1/sections/";
+constexpr std::string_view kInstancesPath = "/v1/instances";
+
+Switches&
+TheSwitches()
+{
+  static Switches switches;
+  return switches;
+}
+
+std::string
+ReadFile(const std::string& aName)
+{
+  std::ifstream file(FLAGS_directory + "/" + aName + ".yaml");
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+// The value of one query parameter, or empty.
+std::string
+QueryOf(const std::string& aTarget, const std::string& aName)
+{
+  std::istringstream query(aTarget.substr(aTarget.find('?') + 1));
+  for (std::string part; std::getline(query, part, '&');) {
+    if (part.starts_with(aName + "=")) {
+      return part.substr(aName.size() + 1);
+    }
+  }
+  return {};
+}
+
+std::uint64_t
+VersionOf(const std::string& aText)
+{
+  const std::string field = "version:";
+  const std::size_t at = aText.find(field);
+  return at == std::string::npos ? 0
+                                 : std::stoull(aText.substr(at + field.size()));
+}
+
+// One published text and its number.
+struct Published
+{
+  std::uint64_t m_number = 0;
+  std::string m_text;
+};
+
+// Every version of each section that was ever read.
+class Sections
+{
+public:
+  Published Newest(const std::string& aName)
+  {
+    const std::string text = ReadFile(aName);
+    const auto limit = TheSwitches().Take("stale").value_or(
+      std::numeric_limits<std::int64_t>::max());
+    const std::lock_guard lock(m_mutex);
+    auto& versions = m_versions[aName];
+    if (!text.empty()) {
+      versions[VersionOf(text)] = text;
+    }
+    const auto above = versions.upper_bound(static_cast<std::uint64_t>(limit));
+    if (above == versions.begin()) {
+      return {};
+    }
+    const auto found = std::prev(above);
+    return { .m_number = found->first, .m_text = found->second };
+  }
+
+private:
+  std::mutex m_mutex;
+  std::map<std::string, std::map<std::uint64_t, std::string>> m_versions;
+};
+
+Published
+Instances()
+{
+  const std::string text = ReadFile("instances");
+  return { .m_number = XXH64(text.data(), text.size(), 0), .m_text = text };
+}
+
+// Waits as the query says until `aIsWanted` takes what `aRead` gives.
+template<class Read, class IsWanted>
+Published
+Watch(const std::string& aTarget, Read aRead, IsWanted aIsWanted)
+{
+  const std::string wait = QueryOf(aTarget, "wait");
+  const auto end = std::chrono::steady_clock::now() +
+                   (wait.empty() ? 0ns : ParseDuration(wait));
+  Published published = aRead();
+  while (!aIsWanted(published) && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(kPollInterval);
+    published = aRead();
+  }
+  return published;
+}
+
+void
+AnswerPublished(HttpResponder& aResponder,
+                const Published& aPublished,
+                bool aIsNew,
+                const std::string& aNumberHeader)
+{
+  if (TheSwitches().Take("down")) {
+    aResponder.Break();
+    return;
+  }
+  if (aPublished.m_text.empty()) {
+    aResponder.Answer(404, {}, "");
+    return;
+  }
+  const HttpFields head = {
+    { .m_name = aNumberHeader, .m_value = std::to_string(aPublished.m_number) }
+  };
+  if (aIsNew) {
+    aResponder.Answer(200, head, aPublished.m_text);
+    return;
+  }
+  aResponder.WriteRaw("HTTP/1.1 304 Not Modified\r\n\r\n");
+}
+
+void
+Publish(const HttpRequest& aRequest, HttpResponder& aResponder)
+{
+  static Sections sections;
+  if (TheSwitches().Take("down")) {
+    aResponder.Break();
+    return;
+  }
+  if (const auto wait = TheSwitches().Take("slow")) {
+    aResponder.PeerLeftWithin(std::chrono::milliseconds(*wait));
+  }
+  const std::string path =
+    aRequest.m_target.substr(0, aRequest.m_target.find('?'));
+  if (path == kInstancesPath) {
+    const std::string from = QueryOf(aRequest.m_target, "changed_from");
+    const auto isNew = [&](const Published& aPublished) {
+      return std::to_string(aPublished.m_number) != from;
+    };
+    const Published list = Watch(aRequest.m_target, Instances, isNew);
+    AnswerPublished(aResponder, list, isNew(list), "list-revision");
+    return;
+  }
+  if (!path.starts_with(kSectionPath)) {
+    aResponder.Answer(404, {}, "");
+    return;
+  }
+  const std::string name = path.substr(kSectionPath.size());
+  const std::string newerThan = QueryOf(aRequest.m_target, "newer_than");
+  const auto isNew = [&](const Published& aPublished) {
+    return newerThan.empty() || aPublished.m_number > std::stoull(newerThan);
+  };
+  const Published section = Watch(
+    aRequest.m_target, [&] { return sections.Newest(name); }, isNew);
+  AnswerPublished(aResponder, section, isNew(section), "section-version");
+}
+
+} // namespace
+
+} // namespace rattanweir::testing
+
+int
+main(int argc, char** argv)
+{
+  using namespace rattanweir::testing;
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  TheSwitches().Set(FLAGS_switches);
+  RunStandIn(static_cast<std::uint16_t>(FLAGS_port), TheSwitches(), Publish);
+}
