--- /dev/null
+++ b/testing/history/history.cc
@@ -0,0 +1,400 @@
+#include "testing/history/history.h"
+
+#include "testing/stand_in/stand_in.h"
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+#include <sstream>
+
+namespace rattanweir::testing {
+
+namespace {
+
+constexpr double kMicrosecondsPerSecond = 1e6;
+constexpr unsigned kOkStatus = 200;
+// A request goes from its entry to at most one other instance.
+constexpr std::size_t kMostHops = 1;
+// Rounding of token counts.
+constexpr double kTokenTolerance = 1e-6;
+
+using Violations = std::vector<Violation>;
+
+void
+Add(Violations& aOut, Promise aPromise, const std::string& aDetail)
+{
+  aOut.push_back({ .m_promise = aPromise, .m_detail = aDetail });
+}
+
+// The first run of each marker.
+std::map<std::string, const RunRecord*>
+FirstRuns(const History& aHistory)
+{
+  std::map<std::string, const RunRecord*> first;
+  for (const RunRecord& run : aHistory.m_runs) {
+    const RunRecord*& entry = first[run.m_marker];
+    if (entry == nullptr || run.m_at < entry->m_at) {
+      entry = &run;
+    }
+  }
+  return first;
+}
+
+void
+CheckRunsAtMostOnce(const History& aHistory, Violations& aOut)
+{
+  std::set<std::string> bookings;
+  for (const CallerRecord& call : aHistory.m_calls) {
+    if (call.m_kind == CallKind::Booking) {
+      bookings.insert(call.m_marker);
+    }
+  }
+  std::map<std::string, int> runs;
+  for (const RunRecord& run : aHistory.m_runs) {
+    if (bookings.contains(run.m_marker) && ++runs[run.m_marker] == 2) {
+      Add(aOut, Promise::RunsAtMostOnce, run.m_marker + " ran twice");
+    }
+  }
+}
+
+void
+CheckNotRunIsTrue(const History& aHistory, Violations& aOut)
+{
+  std::map<std::string, bool> isSaidNotRun;
+  for (const CallerRecord& call : aHistory.m_calls) {
+    const bool isNo = call.m_ran == "no";
+    const auto [entry, isNew] = isSaidNotRun.emplace(call.m_marker, isNo);
+    entry->second = entry->second && isNo;
+  }
+  for (const RunRecord& run : aHistory.m_runs) {
+    const auto found = isSaidNotRun.find(run.m_marker);
+    if (found != isSaidNotRun.end() && found->second) {
+      Add(aOut,
+          Promise::NotRunIsTrue,
+          run.m_marker + " was refused as not run and ran at " + run.m_server);
+    }
+  }
+}
+
+void
+CheckAnswers(const History& aHistory, Violations& aOut)
+{
+  for (const CallerRecord& call : aHistory.m_calls) {
+    if (call.m_status == kOkStatus && call.m_isWhole &&
+        !IsOwnWholeAnswer(call)) {
+      Add(aOut,
+          Promise::OwnWholeAnswer,
+          call.m_marker + " got as whole: " + call.m_answer);
+    }
+  }
+}
+
+// What ran against what its caller may do.
+void
+CheckPlaceAndAccount(const History& aHistory, Violations& aOut)
+{
+  std::map<std::string, const CallerRecord*> calls;
+  for (const CallerRecord& call : aHistory.m_calls) {
+    calls[call.m_marker] = &call;
+  }
+  for (const RunRecord& run : aHistory.m_runs) {
+    const auto found = calls.find(run.m_marker);
+    if (found == calls.end()) {
+      continue;
+    }
+    const CallerRecord& call = *found->second;
+    if (run.m_clientAccount != call.m_clientAccount) {
+      Add(aOut,
+          Promise::OwnClientAccountOnly,
+          run.m_marker + " ran for " + run.m_clientAccount);
+    }
+    const auto& regions = call.m_permittedRegions;
+    if (!regions.empty() && !regions.contains(run.m_region)) {
+      Add(
+        aOut, Promise::StaysInRegion, run.m_marker + " ran in " + run.m_region);
+    }
+  }
+}
+
+void
+CheckKeysStayInside(const History& aHistory, Violations& aOut)
+{
+  for (const std::string& line : aHistory.m_standInLines) {
+    for (const std::string& key : aHistory.m_keys) {
+      if (line.find(key) != std::string::npos) {
+        Add(aOut, Promise::KeysStayInside, line);
+      }
+    }
+  }
+}
+
+void
+CheckNeverLoops(const History& aHistory, Violations& aOut)
+{
+  for (const ForwardRecord& forward : aHistory.m_forwards) {
+    const auto& visited = forward.m_visited;
+    const bool isBack =
+      std::find(visited.begin(), visited.end(), forward.m_to) != visited.end();
+    if (visited.empty() || visited.size() > kMostHops || isBack) {
+      Add(aOut,
+          Promise::NeverLoops,
+          "a request went to " + forward.m_to + " after " +
+            std::to_string(visited.size()) + " instances");
+    }
+  }
+}
+
+std::optional<std::int64_t>
+EndOfBound(const std::vector<PublishedChange>& aChanges,
+           const std::string& aId,
+           std::chrono::microseconds aBound)
+{
+  for (const PublishedChange& change : aChanges) {
+    if (change.m_id == aId) {
+      return change.m_at + aBound.count();
+    }
+  }
+  return std::nullopt;
+}
+
+// A call that already ran may be answered late; only a booking may be, since
+// a stream is ended.
+void
+CheckWithdrawnKeys(const History& aHistory, Violations& aOut)
+{
+  for (const CallerRecord& call : aHistory.m_calls) {
+    const auto end = EndOfBound(
+      aHistory.m_withdrawnKeys, call.m_keyId, aHistory.m_changeBound);
+    if (!end || call.m_status != kOkStatus) {
+      continue;
+    }
+    const bool isBooking = call.m_kind == CallKind::Booking;
+    if ((isBooking ? call.m_sentAt : call.m_endedAt) > *end) {
+      Add(aOut,
+          Promise::WithdrawnKeyStops,
+          call.m_marker + " was served under " + call.m_keyId);
+    }
+  }
+}
+
+void
+CheckLeavingServers(const History& aHistory, Violations& aOut)
+{
+  for (const RunRecord& run : aHistory.m_runs) {
+    const auto end = EndOfBound(
+      aHistory.m_leavingServers, run.m_server, aHistory.m_changeBound);
+    if (end && run.m_at > *end) {
+      Add(aOut,
+          Promise::LeavingGetsNoWork,
+          run.m_marker + " ran at " + run.m_server);
+    }
+  }
+}
+
+// One admitted request: granted at some time from m_from to m_until.
+struct Admitted
+{
+  std::int64_t m_from = 0;
+  std::int64_t m_until = 0;
+  std::int64_t m_cost = 0;
+};
+
+// Sums what was surely admitted inside an interval, for each interval that
+// begins with a request sent and ends with a run.
+void
+CheckAccount(const std::string& aAccount,
+             const AccountRights& aRights,
+             std::vector<Admitted> aAdmitted,
+             Violations& aOut)
+{
+  std::sort(aAdmitted.begin(),
+            aAdmitted.end(),
+            [](const Admitted& aLeft, const Admitted& aRight) {
+              return aLeft.m_until < aRight.m_until;
+            });
+  for (const Admitted& first : aAdmitted) {
+    double sum = 0;
+    for (const Admitted& each : aAdmitted) {
+      if (each.m_from < first.m_from) {
+        continue;
+      }
+      sum += static_cast<double>(each.m_cost);
+      const double seconds = static_cast<double>(each.m_until - first.m_from) /
+                             kMicrosecondsPerSecond;
+      const double most =
+        aRights.m_tokensPerSecond * seconds + aRights.m_burstTokens;
+      if (sum > most + kTokenTolerance) {
+        Add(aOut,
+            Promise::RateAndBurst,
+            aAccount + " got " + std::to_string(sum) + " tokens in " +
+              std::to_string(seconds) + " s");
+        return;
+      }
+    }
+  }
+}
+
+void
+CheckRateAndBurst(const History& aHistory, Violations& aOut)
+{
+  const auto runs = FirstRuns(aHistory);
+  std::map<std::string, std::map<std::string, Admitted>> admitted;
+  for (const CallerRecord& call : aHistory.m_calls) {
+    const auto run = runs.find(call.m_marker);
+    if (run == runs.end()) {
+      continue;
+    }
+    const Admitted entry{ .m_from = call.m_sentAt,
+                          .m_until = run->second->m_at,
+                          .m_cost = call.m_cost };
+    const auto [place, isNew] =
+      admitted[call.m_clientAccount].emplace(call.m_marker, entry);
+    place->second.m_from = std::min(place->second.m_from, call.m_sentAt);
+  }
+  for (const auto& [account, rights] : aHistory.m_accounts) {
+    std::vector<Admitted> list;
+    for (const auto& [marker, entry] : admitted[account]) {
+      list.push_back(entry);
+    }
+    CheckAccount(account, rights, std::move(list), aOut);
+  }
+}
+
+void
+CheckVersions(const History& aHistory, Violations& aOut)
+{
+  std::map<std::string, std::uint64_t> newest;
+  for (const VersionRecord& record : aHistory.m_versions) {
+    std::uint64_t& version = newest[record.m_instance + " " + record.m_section];
+    if (record.m_version < version) {
+      Add(aOut,
+          Promise::VersionNeverReverts,
+          record.m_instance + " " + record.m_section + " went back to " +
+            std::to_string(record.m_version));
+    }
+    version = std::max(version, record.m_version);
+  }
+}
+
+void
+CheckShutdowns(const History& aHistory, Violations& aOut)
+{
+  for (const CallerRecord& call : aHistory.m_calls) {
+    const bool isCut =
+      call.m_status == 0 || (call.m_status == kOkStatus && !call.m_isWhole);
+    if (isCut && aHistory.m_drainedInstances.contains(call.m_instance)) {
+      Add(aOut,
+          Promise::ShutdownCutsNothing,
+          call.m_marker + " was cut at " + call.m_instance);
+    }
+  }
+}
+
+bool
+IsWholeStream(const CallerRecord& aCall)
+{
+  std::string expected;
+  for (std::uint64_t i = 0; i < aCall.m_maxTokens; ++i) {
+    Json::Value data;
+    data["offset"] = Json::UInt64(i);
+    data["token"] = TokenOf(aCall.m_prompt, i);
+    expected +=
+      "id: " + std::to_string(i) + "\ndata: " + WriteJson(data) + "\n\n";
+  }
+  return aCall.m_answer == expected + "data: [DONE]\n\n";
+}
+
+} // namespace
+
+bool
+IsOwnWholeAnswer(const CallerRecord& aCall)
+{
+  if (aCall.m_kind == CallKind::Stream) {
+    return IsWholeStream(aCall);
+  }
+  try {
+    const Json::Value answer = ParseJson(aCall.m_answer);
+    return aCall.m_kind == CallKind::Text
+             ? answer["text"].asString() ==
+                 TokensOf(aCall.m_prompt, aCall.m_maxTokens)
+             : answer["echo"].asString() == aCall.m_body;
+  } catch (const HttpError&) {
+    return false;
+  }
+}
+
+std::vector<Violation>
+CheckHistory(const History& aHistory)
+{
+  Violations violations;
+  for (const auto check : { CheckRunsAtMostOnce,
+                            CheckNotRunIsTrue,
+                            CheckAnswers,
+                            CheckPlaceAndAccount,
+                            CheckKeysStayInside,
+                            CheckNeverLoops,
+                            CheckWithdrawnKeys,
+                            CheckLeavingServers,
+                            CheckRateAndBurst,
+                            CheckVersions,
+                            CheckShutdowns }) {
+    check(aHistory, violations);
+  }
+  return violations;
+}
+
+void
+AddStandInLine(History& aHistory,
+               const std::string& aServer,
+               const std::string& aRegion,
+               const std::string& aLine)
+{
+  aHistory.m_standInLines.push_back(aLine);
+  const Json::Value record = ParseJson(aLine);
+  if (record["event"] != "run") {
+    return;
+  }
+  const std::string text = record["body"].asString();
+  const Json::Value body = text.empty() ? Json::Value() : ParseJson(text);
+  aHistory.m_runs.push_back(
+    { .m_server = aServer,
+      .m_region = aRegion,
+      .m_marker = body["marker"].asString(),
+      .m_request = record["request"].asString(),
+      .m_clientAccount = record["client_account"].asString(),
+      .m_at = record["at_us"].asInt64() });
+}
+
+std::string_view
+PromiseName(Promise aPromise)
+{
+  switch (aPromise) {
+    case Promise::RunsAtMostOnce:
+      return "runs_at_most_once";
+    case Promise::NotRunIsTrue:
+      return "not_run_is_true";
+    case Promise::OwnWholeAnswer:
+      return "own_whole_answer";
+    case Promise::OwnClientAccountOnly:
+      return "own_client_account_only";
+    case Promise::KeysStayInside:
+      return "keys_stay_inside";
+    case Promise::StaysInRegion:
+      return "stays_in_region";
+    case Promise::NeverLoops:
+      return "never_loops";
+    case Promise::WithdrawnKeyStops:
+      return "withdrawn_key_stops";
+    case Promise::RateAndBurst:
+      return "rate_and_burst";
+    case Promise::LeavingGetsNoWork:
+      return "leaving_gets_no_work";
+    case Promise::VersionNeverReverts:
+      return "version_never_reverts";
+    case Promise::ShutdownCutsNothing:
+      return "shutdown_cuts_nothing";
+  }
+  return "unknown";
+}
+
+} // namespace rattanweir::testing
--- /dev/null
+++ b/testing/history/history_test.cc
@@ -0,0 +1,205 @@
+#include "testing/history/history.h"
+
+#include "testing/stand_in/stand_in.h"
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+
+namespace rattanweir::testing {
+
+namespace {
+
+constexpr std::int64_t kSecond = 1'000'000;
+
+std::string
+StreamOf(const std::string& aPrompt, int aCount)
+{
+  std::string text;
+  for (int i = 0; i < aCount; ++i) {
+    text += "id: " + std::to_string(i) +
+            "\ndata: {\"offset\":" + std::to_string(i) + ",\"token\":\"" +
+            TokenOf(aPrompt, i) + "\"}\n\n";
+  }
+  return text + "data: [DONE]\n\n";
+}
+
+// A run that keeps every promise: a stream and a booking repeated once.
+History
+GoodHistory()
+{
+  const CallerRecord stream{ .m_marker = "s1",
+                             .m_kind = CallKind::Stream,
+                             .m_clientAccount = "parents",
+                             .m_keyId = "k1",
+                             .m_instance = "ostland-1",
+                             .m_prompt = "guide",
+                             .m_maxTokens = 3,
+                             .m_cost = 5,
+                             .m_permittedRegions = { "ostland" },
+                             .m_sentAt = kSecond,
+                             .m_endedAt = 2 * kSecond,
+                             .m_status = 200,
+                             .m_answer = StreamOf("guide", 3),
+                             .m_isWhole = true };
+  const CallerRecord booking{ .m_marker = "b1",
+                              .m_kind = CallKind::Booking,
+                              .m_clientAccount = "parents",
+                              .m_keyId = "k1",
+                              .m_instance = "ostland-1",
+                              .m_body = "{}",
+                              .m_cost = 5,
+                              .m_sentAt = kSecond,
+                              .m_endedAt = 2 * kSecond,
+                              .m_status = 200,
+                              .m_answer = R"({"echo":"{}","run":1})",
+                              .m_isWhole = true };
+  const RunRecord run{ .m_server = "engine-1",
+                       .m_region = "ostland",
+                       .m_marker = "s1",
+                       .m_clientAccount = "parents",
+                       .m_at = kSecond + 1 };
+  RunRecord bookingRun = run;
+  bookingRun.m_marker = "b1";
+  return { .m_calls = { stream, booking, booking },
+           .m_runs = { run, bookingRun },
+           .m_forwards = { { .m_to = "vestland-1",
+                             .m_visited = { "ostland-1" } } },
+           .m_versions = { { .m_instance = "ostland-1",
+                             .m_section = "keys",
+                             .m_version = 2 } },
+           .m_standInLines = { "{\"event\":\"received\"}" },
+           .m_keys = { "secret-key" },
+           .m_drainedInstances = { "ostland-1" },
+           .m_accounts = {
+             { "parents", { .m_tokensPerSecond = 1, .m_burstTokens = 10 } } } };
+}
+
+struct BrokenCase
+{
+  Promise m_promise;
+  std::string m_name;
+  std::function<void(History&)> m_break;
+};
+
+const std::vector<BrokenCase>&
+BrokenCases()
+{
+  static const std::vector<BrokenCase> cases = {
+    { Promise::RunsAtMostOnce,
+      "a booking ran twice",
+      [](History& h) { h.m_runs.push_back(h.m_runs[1]); } },
+    { Promise::NotRunIsTrue,
+      "a refused stream ran",
+      [](History& h) {
+        h.m_calls[0].m_status = 503;
+        h.m_calls[0].m_ran = "no";
+      } },
+    { Promise::OwnWholeAnswer,
+      "a token is missing",
+      [](History& h) { h.m_calls[0].m_answer = StreamOf("guide", 2); } },
+    { Promise::OwnWholeAnswer,
+      "the end is missing",
+      [](History& h) {
+        auto& answer = h.m_calls[0].m_answer;
+        answer.resize(answer.find("data: [DONE]"));
+      } },
+    { Promise::OwnWholeAnswer,
+      "the answer to another prompt",
+      [](History& h) { h.m_calls[0].m_answer = StreamOf("other", 3); } },
+    { Promise::OwnWholeAnswer,
+      "another booking's answer",
+      [](History& h) { h.m_calls[1].m_answer = R"({"echo":"{1}"})"; } },
+    { Promise::OwnWholeAnswer,
+      "half an answer of a booking",
+      [](History& h) { h.m_calls[1].m_answer = R"({"echo":)"; } },
+    { Promise::OwnClientAccountOnly,
+      "ran for another account",
+      [](History& h) { h.m_runs[0].m_clientAccount = "teachers"; } },
+    { Promise::KeysStayInside,
+      "a key in a header",
+      [](History& h) {
+        h.m_standInLines.push_back("[\"x\",\"secret-key\"]");
+      } },
+    { Promise::StaysInRegion,
+      "ran in another region",
+      [](History& h) { h.m_runs[0].m_region = "vestland"; } },
+    { Promise::NeverLoops,
+      "back to its entry",
+      [](History& h) { h.m_forwards[0].m_to = "ostland-1"; } },
+    { Promise::NeverLoops,
+      "a second hop",
+      [](History& h) { h.m_forwards[0].m_visited.push_back("nordland-1"); } },
+    { Promise::WithdrawnKeyStops,
+      "a stream goes on",
+      [](History& h) {
+        h.m_withdrawnKeys = { { .m_id = "k1", .m_at = kSecond } };
+        h.m_calls[0].m_endedAt = 7 * kSecond;
+      } },
+    { Promise::WithdrawnKeyStops,
+      "a booking is taken",
+      [](History& h) {
+        h.m_withdrawnKeys = { { .m_id = "k1", .m_at = -6 * kSecond } };
+      } },
+    { Promise::RateAndBurst,
+      "one token over",
+      [](History& h) { h.m_calls[0].m_cost = 6; } },
+    { Promise::LeavingGetsNoWork,
+      "a run after the bound",
+      [](History& h) {
+        h.m_leavingServers = { { .m_id = "engine-1", .m_at = -6 * kSecond } };
+      } },
+    { Promise::VersionNeverReverts,
+      "an older version again",
+      [](History& h) {
+        h.m_versions.push_back(h.m_versions[0]);
+        h.m_versions.back().m_version = 1;
+      } },
+    { Promise::ShutdownCutsNothing,
+      "a stream broke off",
+      [](History& h) { h.m_calls[0].m_isWhole = false; } },
+    { Promise::ShutdownCutsNothing,
+      "a connection was reset",
+      [](History& h) { h.m_calls[0].m_status = 0; } },
+  };
+  return cases;
+}
+
+} // namespace
+
+TEST_CASE("A history that keeps every promise has no violation")
+{
+  CHECK(CheckHistory(GoodHistory()).empty());
+}
+
+TEST_CASE("Each broken promise is found")
+{
+  for (const BrokenCase& each : BrokenCases()) {
+    CAPTURE(each.m_name);
+    History history = GoodHistory();
+    each.m_break(history);
+    const std::vector<Violation> violations = CheckHistory(history);
+    REQUIRE_FALSE(violations.empty());
+    for (const Violation& violation : violations) {
+      CHECK(PromiseName(violation.m_promise) == PromiseName(each.m_promise));
+    }
+  }
+}
+
+TEST_CASE("Runs are read from a stand-in's lines")
+{
+  History history;
+  AddStandInLine(history, "e1", "ostland", R"({"event":"received"})");
+  AddStandInLine(history,
+                 "e1",
+                 "ostland",
+                 R"({"event":"run","at_us":7,"request":"r",)"
+                 R"("client_account":"a","body":"{\"marker\":\"m\"}"})");
+  CHECK(history.m_standInLines.size() == 2);
+  REQUIRE(history.m_runs.size() == 1);
+  CHECK(history.m_runs[0].m_marker == "m");
+  CHECK(history.m_runs[0].m_clientAccount == "a");
+  CHECK(history.m_runs[0].m_at == 7);
+}
+
+} // namespace rattanweir::testing
--- a/testing/stand_in/engine.cc
+++ b/testing/stand_in/engine.cc
@@ -111,6 +111,8 @@
     , m_load(aLoad)
     , m_request(FieldOf(aRequest.m_headers, "x-request-id"))
     , m_attempt(FieldOf(aRequest.m_headers, "x-attempt-id"))
+    , m_clientAccount(FieldOf(aRequest.m_headers, "x-client-account"))
+    , m_body(aRequest.m_body)
   {
     const Json::Value body = ParseJson(aRequest.m_body);
     m_prompt = body["prompt"].asString();
@@ -163,6 +165,8 @@
     Json::Value record;
     record["request"] = m_request;
     record["attempt"] = m_attempt;
+    record["client_account"] = m_clientAccount;
+    record["body"] = m_body;
     record["offset"] = Json::UInt64(m_offset);
     PrintRecord(aEvent, record);
   }
@@ -226,6 +230,8 @@
   LoadReport& m_load;
   std::string m_request;
   std::string m_attempt;
+  std::string m_clientAccount;
+  std::string m_body;
   std::string m_prompt;
   std::uint64_t m_count = 0;
   std::uint64_t m_offset = 0;
--- a/testing/stand_in/service.cc
+++ b/testing/stand_in/service.cc
@@ -93,6 +93,8 @@
   Json::Value record;
   record["request"] = request;
   record["attempt"] = FieldOf(aRequest.m_headers, "x-attempt-id");
+  record["client_account"] = FieldOf(aRequest.m_headers, "x-client-account");
+  record["body"] = aRequest.m_body;
   record["runs"] = Json::Int64(runs.Add(request));
   PrintRecord("run", record);
   WaitIfOn("answer_late", aResponder);
