--- a/testing/history/history_test.cc
+++ b/testing/history/history_test.cc
@@ -82,88 +82,94 @@
   std::function<void(History&)> m_break;
 };
 
-const std::vector<BrokenCase>&
-BrokenCases()
-{
-  static const std::vector<BrokenCase> cases = {
-    { Promise::RunsAtMostOnce,
-      "a booking ran twice",
-      [](History& h) { h.m_runs.push_back(h.m_runs[1]); } },
-    { Promise::NotRunIsTrue,
-      "a refused stream ran",
-      [](History& h) {
-        h.m_calls[0].m_status = 503;
-        h.m_calls[0].m_ran = "no";
-      } },
-    { Promise::OwnWholeAnswer,
-      "a token is missing",
-      [](History& h) { h.m_calls[0].m_answer = StreamOf("guide", 2); } },
-    { Promise::OwnWholeAnswer,
-      "the end is missing",
-      [](History& h) {
-        auto& answer = h.m_calls[0].m_answer;
-        answer.resize(answer.find("data: [DONE]"));
-      } },
-    { Promise::OwnWholeAnswer,
-      "the answer to another prompt",
-      [](History& h) { h.m_calls[0].m_answer = StreamOf("other", 3); } },
-    { Promise::OwnWholeAnswer,
-      "another booking's answer",
-      [](History& h) { h.m_calls[1].m_answer = R"({"echo":"{1}"})"; } },
-    { Promise::OwnWholeAnswer,
-      "half an answer of a booking",
-      [](History& h) { h.m_calls[1].m_answer = R"({"echo":)"; } },
-    { Promise::OwnClientAccountOnly,
-      "ran for another account",
-      [](History& h) { h.m_runs[0].m_clientAccount = "teachers"; } },
-    { Promise::KeysStayInside,
-      "a key in a header",
-      [](History& h) {
-        h.m_standInLines.push_back("[\"x\",\"secret-key\"]");
-      } },
-    { Promise::StaysInRegion,
-      "ran in another region",
-      [](History& h) { h.m_runs[0].m_region = "vestland"; } },
-    { Promise::NeverLoops,
-      "back to its entry",
-      [](History& h) { h.m_forwards[0].m_to = "ostland-1"; } },
-    { Promise::NeverLoops,
-      "a second hop",
-      [](History& h) { h.m_forwards[0].m_visited.push_back("nordland-1"); } },
-    { Promise::WithdrawnKeyStops,
-      "a stream goes on",
-      [](History& h) {
-        h.m_withdrawnKeys = { { .m_id = "k1", .m_at = kSecond } };
-        h.m_calls[0].m_endedAt = 7 * kSecond;
-      } },
-    { Promise::WithdrawnKeyStops,
-      "a booking is taken",
-      [](History& h) {
-        h.m_withdrawnKeys = { { .m_id = "k1", .m_at = -6 * kSecond } };
-      } },
-    { Promise::RateAndBurst,
-      "one token over",
-      [](History& h) { h.m_calls[0].m_cost = 6; } },
-    { Promise::LeavingGetsNoWork,
-      "a run after the bound",
-      [](History& h) {
-        h.m_leavingServers = { { .m_id = "engine-1", .m_at = -6 * kSecond } };
-      } },
-    { Promise::VersionNeverReverts,
-      "an older version again",
-      [](History& h) {
-        h.m_versions.push_back(h.m_versions[0]);
-        h.m_versions.back().m_version = 1;
-      } },
-    { Promise::ShutdownCutsNothing,
-      "a stream broke off",
-      [](History& h) { h.m_calls[0].m_isWhole = false; } },
-    { Promise::ShutdownCutsNothing,
-      "a connection was reset",
-      [](History& h) { h.m_calls[0].m_status = 0; } },
-  };
-  return cases;
-}
+const std::vector<BrokenCase> kBrokenCases = {
+  { Promise::RunsAtMostOnce,
+    "a booking ran twice",
+    [](History& aHistory) { aHistory.m_runs.push_back(aHistory.m_runs[1]); } },
+  { Promise::NotRunIsTrue,
+    "a refused stream ran",
+    [](History& aHistory) {
+      aHistory.m_calls[0].m_status = 503;
+      aHistory.m_calls[0].m_ran = "no";
+    } },
+  { Promise::OwnWholeAnswer,
+    "a token is missing",
+    [](History& aHistory) {
+      aHistory.m_calls[0].m_answer = StreamOf("guide", 2);
+    } },
+  { Promise::OwnWholeAnswer,
+    "the end is missing",
+    [](History& aHistory) {
+      auto& answer = aHistory.m_calls[0].m_answer;
+      answer.resize(answer.find("data: [DONE]"));
+    } },
+  { Promise::OwnWholeAnswer,
+    "the answer to another prompt",
+    [](History& aHistory) {
+      aHistory.m_calls[0].m_answer = StreamOf("other", 3);
+    } },
+  { Promise::OwnWholeAnswer,
+    "another booking's answer",
+    [](History& aHistory) {
+      aHistory.m_calls[1].m_answer = R"({"echo":"{1}"})";
+    } },
+  { Promise::OwnWholeAnswer,
+    "half an answer of a booking",
+    [](History& aHistory) { aHistory.m_calls[1].m_answer = R"({"echo":)"; } },
+  { Promise::OwnClientAccountOnly,
+    "ran for another account",
+    [](History& aHistory) {
+      aHistory.m_runs[0].m_clientAccount = "teachers";
+    } },
+  { Promise::KeysStayInside,
+    "a key in a header",
+    [](History& aHistory) {
+      aHistory.m_standInLines.push_back("[\"x\",\"secret-key\"]");
+    } },
+  { Promise::StaysInRegion,
+    "ran in another region",
+    [](History& aHistory) { aHistory.m_runs[0].m_region = "vestland"; } },
+  { Promise::NeverLoops,
+    "back to its entry",
+    [](History& aHistory) { aHistory.m_forwards[0].m_to = "ostland-1"; } },
+  { Promise::NeverLoops,
+    "a second hop",
+    [](History& aHistory) {
+      aHistory.m_forwards[0].m_visited.push_back("nordland-1");
+    } },
+  { Promise::WithdrawnKeyStops,
+    "a stream goes on",
+    [](History& aHistory) {
+      aHistory.m_withdrawnKeys = { { .m_id = "k1", .m_at = kSecond } };
+      aHistory.m_calls[0].m_endedAt = 7 * kSecond;
+    } },
+  { Promise::WithdrawnKeyStops,
+    "a booking is taken",
+    [](History& aHistory) {
+      aHistory.m_withdrawnKeys = { { .m_id = "k1", .m_at = -6 * kSecond } };
+    } },
+  { Promise::RateAndBurst,
+    "one token over",
+    [](History& aHistory) { aHistory.m_calls[0].m_cost = 6; } },
+  { Promise::LeavingGetsNoWork,
+    "a run after the bound",
+    [](History& aHistory) {
+      aHistory.m_leavingServers = { { .m_id = "engine-1",
+                                      .m_at = -6 * kSecond } };
+    } },
+  { Promise::VersionNeverReverts,
+    "an older version again",
+    [](History& aHistory) {
+      aHistory.m_versions.push_back(aHistory.m_versions[0]);
+      aHistory.m_versions.back().m_version = 1;
+    } },
+  { Promise::ShutdownCutsNothing,
+    "a stream broke off",
+    [](History& aHistory) { aHistory.m_calls[0].m_isWhole = false; } },
+  { Promise::ShutdownCutsNothing,
+    "a connection was reset",
+    [](History& aHistory) { aHistory.m_calls[0].m_status = 0; } },
+};
 
 } // namespace
 
@@ -174,7 +180,7 @@
 
 TEST_CASE("Each broken promise is found")
 {
-  for (const BrokenCase& each : BrokenCases()) {
+  for (const BrokenCase& each : kBrokenCases) {
     CAPTURE(each.m_name);
     History history = GoodHistory();
     each.m_break(history);
