--- a/rattanweir/base/result/result_code.cc
+++ b/rattanweir/base/result/result_code.cc
@@ -233,4 +233,15 @@
   m_ran = aRan;
 }
 
+RequestError::RequestError(ResultCode aCode,
+                           const std::string& aDetail,
+                           Ran aRan,
+                           std::optional<milliseconds> aComeBackAfter)
+  : RequestError(aCode, aDetail, aRan)
+{
+  if (aComeBackAfter) {
+    m_comeBackAfter = aComeBackAfter;
+  }
+}
+
 } // namespace rattanweir
--- a/rattanweir/base/result/result_code.h
+++ b/rattanweir/base/result/result_code.h
@@ -130,6 +130,13 @@
   // For a site that knows more about whether the request ran.
   RequestError(ResultCode aCode, const std::string& aDetail, Ran aRan);
 
+  // For an error passed on from elsewhere; nothing there keeps the table's
+  // time to come back.
+  RequestError(ResultCode aCode,
+               const std::string& aDetail,
+               Ran aRan,
+               std::optional<std::chrono::milliseconds> aComeBackAfter);
+
   ResultCode Code() const { return m_code; }
   Ran HasRun() const { return m_ran; }
   std::optional<std::chrono::milliseconds> ComeBackAfter() const
--- /dev/null
+++ b/rattanweir/process/backend_view/backend_view.h
@@ -0,0 +1,106 @@
+// What this instance knows of each backend server from its own traffic.
+//
+//   BackendView view({ .m_clock = clock });
+//   view.AddDispatch(id);
+//   view.ReportLoad(id, 12);
+//   view.EndDispatch(id, AttemptVerdict::Answered);
+//   const BackendState state = view.StateOf(id);
+//
+// Load reports come with answers and age; dispatches made since the newest
+// report are counted beside it. Consecutive failures eject a server for a
+// back-off that doubles. A server known to leave gets no new work: by the
+// published list, by its own signal, or by a peer's word. For one thread.
+
+#pragma once
+
+#include "rattanweir/base/clock/clock.h"
+#include "rattanweir/base/ids/ids.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace rattanweir {
+
+// How an attempt at a backend server ended, as far as its health goes.
+enum class AttemptVerdict
+{
+  Answered,
+  Failed,
+  // Ended by us or the caller; says nothing about the server.
+  Neutral,
+};
+
+// The load that a backend server reported of itself.
+struct ReportedLoad
+{
+  std::uint64_t m_load = 0;
+  SteadyTime m_at;
+};
+
+struct BackendState
+{
+  // Requests of this instance that it holds now.
+  std::uint32_t m_inFlight = 0;
+  std::optional<ReportedLoad> m_load;
+  // Dispatches of this instance since that report.
+  std::uint32_t m_dispatchedSince = 0;
+  bool m_isLeaving = false;
+  // Gets no work before this, unless too much of its pool is ejected.
+  std::optional<SteadyTime> m_ejectedUntil;
+};
+
+struct BackendViewOptions
+{
+  const Clock& m_clock;
+  std::uint32_t m_failuresToEject = 3;
+  std::chrono::nanoseconds m_firstEjection{ std::chrono::seconds(1) };
+  std::chrono::nanoseconds m_longestEjection{ std::chrono::seconds(30) };
+  // A signal of leaving holds this long after it was last heard. The server
+  // may come back under the same id after that.
+  std::chrono::nanoseconds m_leavingHold{ std::chrono::minutes(10) };
+};
+
+class BackendView
+{
+public:
+  explicit BackendView(const BackendViewOptions& aOptions);
+
+  void AddDispatch(const BackendServerId& aId);
+  void EndDispatch(const BackendServerId& aId, AttemptVerdict aVerdict);
+
+  void ReportLoad(const BackendServerId& aId, std::uint64_t aLoad);
+
+  // The server's own signal; told to peers.
+  void MarkLeaving(const BackendServerId& aId);
+  // A peer's word; not told on, so that it cannot circulate.
+  void MarkLeavingByPeer(const BackendServerId& aId);
+
+  BackendState StateOf(const BackendServerId& aId) const;
+
+  // Servers whose own signal of leaving still holds.
+  std::vector<BackendServerId> LeavingByOwnSignal() const;
+
+  // Forgets the servers that are not listed any more and hold no request.
+  void KeepOnly(const std::set<BackendServerId>& aListed);
+
+private:
+  struct Entry
+  {
+    BackendState m_state;
+    std::uint32_t m_failures = 0;
+    std::optional<SteadyTime> m_leavingByOwnSignal;
+    std::optional<SteadyTime> m_leavingByPeer;
+  };
+
+  bool IsHeld(const std::optional<SteadyTime>& aHeardAt) const;
+  void AddFailure(Entry& aEntry) const;
+
+  BackendViewOptions m_options;
+  std::map<BackendServerId, Entry> m_entries;
+};
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/process/backend_view/backend_view_test.cc
@@ -0,0 +1,89 @@
+#include "rattanweir/process/backend_view/backend_view.h"
+
+#include "rattanweir/base/clock/manual_clock.h"
+
+#include <catch2/catch.hpp>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const BackendServerId kServer("s");
+
+TEST_CASE("dispatches count in flight and since the newest report")
+{
+  ManualClock clock;
+  BackendView view({ .m_clock = clock });
+  view.AddDispatch(kServer);
+  view.AddDispatch(kServer);
+  view.ReportLoad(kServer, 9);
+  view.AddDispatch(kServer);
+  view.EndDispatch(kServer, AttemptVerdict::Answered);
+  const BackendState state = view.StateOf(kServer);
+  REQUIRE(state.m_inFlight == 2);
+  REQUIRE(state.m_dispatchedSince == 1);
+  REQUIRE(state.m_load->m_load == 9);
+  REQUIRE(state.m_load->m_at == clock.SteadyNow());
+}
+
+TEST_CASE("consecutive failures eject for a back-off that doubles")
+{
+  ManualClock clock;
+  BackendView view({ .m_clock = clock });
+  const auto end = [&](AttemptVerdict aVerdict) {
+    view.AddDispatch(kServer);
+    view.EndDispatch(kServer, aVerdict);
+    return view.StateOf(kServer).m_ejectedUntil;
+  };
+  REQUIRE_FALSE(end(AttemptVerdict::Failed));
+  REQUIRE_FALSE(end(AttemptVerdict::Failed));
+  REQUIRE_FALSE(end(AttemptVerdict::Answered));
+  REQUIRE_FALSE(end(AttemptVerdict::Failed));
+  REQUIRE_FALSE(end(AttemptVerdict::Failed));
+  REQUIRE_FALSE(end(AttemptVerdict::Neutral));
+  REQUIRE(end(AttemptVerdict::Failed) == clock.SteadyNow() + seconds(1));
+  clock.Advance(seconds(1));
+  REQUIRE_FALSE(view.StateOf(kServer).m_ejectedUntil);
+  REQUIRE(end(AttemptVerdict::Failed) == clock.SteadyNow() + seconds(2));
+  for (int failure = 0; failure < 40; ++failure) {
+    REQUIRE(end(AttemptVerdict::Failed) <= clock.SteadyNow() + seconds(30));
+  }
+  REQUIRE_FALSE(end(AttemptVerdict::Answered));
+}
+
+TEST_CASE("a server leaves by its own signal or a peer's word, for a time")
+{
+  ManualClock clock;
+  BackendView view({ .m_clock = clock });
+  REQUIRE_FALSE(view.StateOf(kServer).m_isLeaving);
+  view.MarkLeavingByPeer(kServer);
+  REQUIRE(view.StateOf(kServer).m_isLeaving);
+  REQUIRE(view.LeavingByOwnSignal().empty());
+  clock.Advance(minutes(9));
+  view.MarkLeaving(kServer);
+  clock.Advance(minutes(9));
+  REQUIRE(view.StateOf(kServer).m_isLeaving);
+  REQUIRE(view.LeavingByOwnSignal() == std::vector{ kServer });
+  clock.Advance(minutes(1));
+  REQUIRE_FALSE(view.StateOf(kServer).m_isLeaving);
+}
+
+TEST_CASE("servers that are not listed are forgotten once idle")
+{
+  ManualClock clock;
+  BackendView view({ .m_clock = clock });
+  view.AddDispatch(kServer);
+  view.ReportLoad(kServer, 3);
+  view.KeepOnly({});
+  REQUIRE(view.StateOf(kServer).m_load);
+  view.EndDispatch(kServer, AttemptVerdict::Answered);
+  view.KeepOnly({ kServer });
+  REQUIRE(view.StateOf(kServer).m_load);
+  view.KeepOnly({});
+  REQUIRE_FALSE(view.StateOf(kServer).m_load);
+}
+
+} // namespace
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/process/in_flight/in_flight_test.cc
@@ -0,0 +1,56 @@
+#include "rattanweir/process/in_flight/in_flight.h"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+namespace rattanweir {
+namespace {
+
+TEST_CASE("a withdrawn key ends requests that may be ended")
+{
+  struct Row
+  {
+    const char* m_key;
+    bool m_isIdempotent;
+    bool m_isDispatched;
+    bool m_isCancelled;
+  };
+  const Row rows[] = {
+    { "withdrawn", true, false, true },  { "withdrawn", true, true, true },
+    { "withdrawn", false, false, true }, { "withdrawn", false, true, false },
+    { "granted", true, true, false },
+  };
+  for (const Row& row : rows) {
+    InFlight inFlight;
+    CancelSource cancel;
+    const RunningRequest request{ .m_key = KeyId(row.m_key),
+                                  .m_isIdempotent = row.m_isIdempotent };
+    auto entry = inFlight.Add(request, cancel);
+    if (row.m_isDispatched) {
+      entry.MarkDispatched();
+    }
+    inFlight.CancelWithdrawn([](const RunningRequest& aRequest) {
+      return aRequest.m_key == KeyId("granted");
+    });
+    REQUIRE((cancel.Reason() == ResultCode::KeyWithdrawn) == row.m_isCancelled);
+    REQUIRE(inFlight.Count() == 1);
+  }
+}
+
+TEST_CASE("cancelling may end other requests of the registry")
+{
+  InFlight inFlight;
+  CancelSource first;
+  CancelSource second;
+  auto firstEntry = inFlight.Add({}, first);
+  std::optional<InFlight::Registration> secondEntry = inFlight.Add({}, second);
+  const auto registration = first.OnCancel([&] { secondEntry.reset(); });
+  inFlight.CancelAll(ResultCode::InstanceDraining);
+  REQUIRE(first.Reason() == ResultCode::InstanceDraining);
+  REQUIRE_FALSE(second.Reason().has_value());
+  REQUIRE(inFlight.Count() == 1);
+}
+
+} // namespace
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/body/request_body.cc
@@ -0,0 +1,187 @@
+#include "rattanweir/request/body/request_body.h"
+
+#include "rattanweir/request/exchange/header_fields.h"
+
+#include <json/json.h>
+
+#include <array>
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+constexpr std::array<const char*, 2> kKeyFields = { "api_key", "access_token" };
+constexpr std::array<const char*, 3> kKeyParameters = { "key",
+                                                        "api_key",
+                                                        "access_token" };
+// Deeper documents are refused, so that no text exhausts the stack.
+constexpr int kMaximumDepth = 200;
+
+[[noreturn]] void
+ThrowMalformed(const std::string& aDetail)
+{
+  throw RequestError(ResultCode::MalformedRequest, aDetail);
+}
+
+bool
+ClaimsJson(const HeaderFields& aHeaders, const std::string& aText)
+{
+  if (HasMediaType(aHeaders, "application/json")) {
+    return !aText.empty();
+  }
+  const std::size_t first = aText.find_first_not_of(" \t\r\n\xEF\xBB\xBF");
+  return first != std::string::npos && aText[first] == '{';
+}
+
+Json::Value
+ParseJson(const std::string& aText)
+{
+  Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
+  builder["strictRoot"] = false;
+  builder["stackLimit"] = kMaximumDepth;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value value;
+  std::string errors;
+  try {
+    const char* const begin = aText.data();
+    if (reader->parse(begin, begin + aText.size(), &value, &errors)) {
+      return value;
+    }
+  } catch (const Json::Exception&) {
+    ThrowMalformed("the body is nested too deeply");
+  }
+  ThrowMalformed("the body is not valid JSON");
+}
+
+std::string
+WriteJson(const Json::Value& aValue)
+{
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, aValue);
+}
+
+bool
+RemoveKeyFields(Json::Value& aObject)
+{
+  bool hasRemoved = false;
+  for (const char* const field : kKeyFields) {
+    hasRemoved = aObject.removeMember(field, nullptr) || hasRemoved;
+  }
+  return hasRemoved;
+}
+
+void
+ReadFields(const Json::Value& aObject, RequestBody& aBody)
+{
+  const Json::Value& model = aObject["model"];
+  if (!model.isNull()) {
+    if (!model.isString()) {
+      ThrowMalformed("model is not a text");
+    }
+    aBody.m_model = ModelId(model.asString());
+  }
+  const Json::Value& prompt = aObject["prompt"];
+  if (prompt.isString()) {
+    aBody.m_promptBytes = prompt.asString().size();
+  }
+  const Json::Value& maxTokens = aObject["max_tokens"];
+  if (!maxTokens.isNull()) {
+    if (!maxTokens.isInt64() || maxTokens.asInt64() < 0) {
+      ThrowMalformed("max_tokens is not a whole number of tokens");
+    }
+    aBody.m_maxTokens = maxTokens.asInt64();
+  }
+}
+
+int
+HexDigit(char aCharacter)
+{
+  if (aCharacter >= '0' && aCharacter <= '9') {
+    return aCharacter - '0';
+  }
+  if (aCharacter >= 'a' && aCharacter <= 'f') {
+    return aCharacter - 'a' + 10;
+  }
+  if (aCharacter >= 'A' && aCharacter <= 'F') {
+    return aCharacter - 'A' + 10;
+  }
+  return -1;
+}
+
+std::string
+PercentDecode(std::string_view aText)
+{
+  std::string decoded;
+  for (std::size_t at = 0; at < aText.size(); ++at) {
+    const bool hasDigits = aText[at] == '%' && at + 2 < aText.size();
+    const int high = hasDigits ? HexDigit(aText[at + 1]) : -1;
+    const int low = hasDigits ? HexDigit(aText[at + 2]) : -1;
+    if (high < 0 || low < 0) {
+      decoded.push_back(aText[at]);
+      continue;
+    }
+    decoded.push_back(static_cast<char>(high * 16 + low));
+    at += 2;
+  }
+  return decoded;
+}
+
+bool
+IsKeyParameter(std::string_view aParameter)
+{
+  const std::string name =
+    PercentDecode(aParameter.substr(0, aParameter.find('=')));
+  for (const char* const parameter : kKeyParameters) {
+    if (IsSameHeaderName(name, parameter)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+RequestBody
+ReadRequestBody(const HeaderFields& aHeaders, std::string aText)
+{
+  RequestBody body;
+  if (HasMediaType(aHeaders, "application/x-www-form-urlencoded")) {
+    aText = WithoutKeyParameters(aText);
+  }
+  body.m_promptBytes = aText.size();
+  if (ClaimsJson(aHeaders, aText)) {
+    Json::Value value = ParseJson(aText);
+    if (value.isObject()) {
+      ReadFields(value, body);
+      if (RemoveKeyFields(value)) {
+        aText = WriteJson(value);
+      }
+    }
+  }
+  body.m_text = std::make_shared<const std::string>(std::move(aText));
+  return body;
+}
+
+std::string
+WithoutKeyParameters(const std::string& aQuery)
+{
+  std::string kept;
+  std::size_t begin = 0;
+  while (begin <= aQuery.size()) {
+    const std::size_t end = std::min(aQuery.find('&', begin), aQuery.size());
+    const std::string_view parameter(aQuery.data() + begin, end - begin);
+    begin = end + 1;
+    if (IsKeyParameter(parameter)) {
+      continue;
+    }
+    if (!kept.empty()) {
+      kept.push_back('&');
+    }
+    kept.append(parameter);
+  }
+  return kept;
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/cost/cost.cc
@@ -0,0 +1,42 @@
+#include "rattanweir/request/cost/cost.h"
+
+#include <algorithm>
+#include <variant>
+
+namespace rattanweir {
+namespace {
+
+constexpr std::uint64_t kBytesPerToken = 4;
+// Far above every burst, and far below where a sum could overflow.
+constexpr std::int64_t kMostTokens = std::int64_t{ 1 } << 50;
+
+struct CostOf
+{
+  const RequestBody& m_body;
+
+  Tokens operator()(const FixedCost& aCost) const { return aCost.m_tokens; }
+  Tokens operator()(const ModelCost& aCost) const
+  {
+    const std::int64_t generated =
+      m_body.m_maxTokens.value_or(aCost.m_defaultMaxTokens.Value());
+    return PromptTokens(m_body) + Tokens(std::min(generated, kMostTokens));
+  }
+};
+
+} // namespace
+
+Tokens
+PromptTokens(const RequestBody& aBody)
+{
+  const std::uint64_t tokens =
+    (aBody.m_promptBytes + kBytesPerToken - 1) / kBytesPerToken;
+  return Tokens(static_cast<std::int64_t>(tokens));
+}
+
+Tokens
+TokensToReserve(const RouteCost& aCost, const RequestBody& aBody)
+{
+  return std::visit(CostOf{ aBody }, aCost);
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/relay/answer_relay.cc
@@ -0,0 +1,308 @@
+#include "rattanweir/request/relay/answer_relay.h"
+
+#include "rattanweir/request/exchange/header_fields.h"
+#include "rattanweir/request/relay/event_splitter.h"
+#include "rattanweir/request/relay/refusal.h"
+
+#include <json/json.h>
+
+#include <array>
+#include <memory>
+#include <string_view>
+
+namespace rattanweir {
+namespace {
+
+constexpr std::string_view kEventStream = "text/event-stream";
+constexpr std::string_view kLastEventData = "[DONE]";
+constexpr unsigned kServiceUnavailable = 503;
+// An answer up to this length is passed on only once it is whole, so that a
+// broken one can still be asked for elsewhere.
+constexpr std::uint64_t kHeldBackBytes = std::uint64_t{ 64 } * 1024;
+// A refusal longer than this is not read on.
+constexpr std::size_t kRefusalBytes = std::size_t{ 16 } * 1024;
+
+constexpr std::array<std::string_view, 8> kHiddenFields = {
+  "connection", "keep-alive",   "transfer-encoding", "content-length",
+  "x-load",     "x-attempt-id", "x-draining",        "x-not-run",
+};
+
+bool
+IsHidden(const std::string& aName)
+{
+  if (HeaderNameStartsWith(aName, "rattanweir-")) {
+    return true;
+  }
+  for (const std::string_view hidden : kHiddenFields) {
+    if (IsSameHeaderName(aName, hidden)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+AnswerHead
+PassedHead(const AnswerHead& aHead, const RelayOptions& aOptions)
+{
+  AnswerHead passed{ .m_status = aHead.m_status,
+                     .m_headers = aOptions.m_addedFields,
+                     .m_contentLength = aHead.m_contentLength };
+  for (const HeaderField& field : aHead.m_headers) {
+    if (!IsHidden(field.m_name)) {
+      passed.m_headers.push_back(field);
+    }
+  }
+  return passed;
+}
+
+struct IsCrossedFrom
+{
+  const HeaderFields& m_headers;
+
+  bool operator()(const FromBackendServer& aOrigin) const
+  {
+    const std::string* attempt = FindHeader(m_headers, "x-attempt-id");
+    return attempt == nullptr ? aOrigin.m_echoesAttemptId
+                              : *attempt != aOrigin.m_attempt.Value();
+  }
+  bool operator()(const FromPeer& aOrigin) const
+  {
+    const std::string* request = FindHeader(m_headers, kRequestField);
+    return request == nullptr ? FindHeader(m_headers, kResultField) == nullptr
+                              : *request != aOrigin.m_request.Value();
+  }
+};
+
+struct HasOffsets
+{
+  const HeaderFields& m_headers;
+
+  bool operator()(const FromBackendServer& aOrigin) const
+  {
+    return aOrigin.m_kind == BackendServerKind::ModelEngine;
+  }
+  bool operator()(const FromPeer&) const
+  {
+    return FindHeader(m_headers, kOffsetsField) != nullptr;
+  }
+};
+
+bool
+IsCountedStream(const AnswerHead& aHead, const AnswerOrigin& aOrigin)
+{
+  const bool isSuccess = aHead.m_status >= 200 && aHead.m_status < 300;
+  return isSuccess && HasMediaType(aHead.m_headers, kEventStream) &&
+         std::visit(HasOffsets{ aHead.m_headers }, aOrigin);
+}
+
+std::optional<std::int64_t>
+TokensIn(const std::string& aBody)
+{
+  Json::CharReaderBuilder builder;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value value;
+  std::string errors;
+  const char* const begin = aBody.data();
+  if (!reader->parse(begin, begin + aBody.size(), &value, &errors) ||
+      !value.isObject() || !value["tokens"].isInt64()) {
+    return std::nullopt;
+  }
+  return value["tokens"].asInt64();
+}
+
+[[noreturn]] void
+ThrowMismatch(const char* aDetail)
+{
+  throw RequestError(ResultCode::AnswerMismatch, aDetail);
+}
+
+// Checks that the event is the next one, and counts it.
+void
+CountEvent(const StreamEvent& aEvent, AnswerProgress& aProgress)
+{
+  if (!aEvent.m_id) {
+    if (aProgress.m_nextOffset > 0 && aProgress.m_hasOffsets) {
+      ThrowMismatch("an event has no offset");
+    }
+    aProgress.m_hasOffsets = false;
+    return;
+  }
+  if (*aEvent.m_id != aProgress.m_nextOffset) {
+    ThrowMismatch("the answer went on at another offset");
+  }
+  ++aProgress.m_nextOffset;
+}
+
+Task<void>
+RelayCountedStream(UpstreamExchange& aExchange,
+                   AnswerHead aHead,
+                   AnswerSink& aSink,
+                   AnswerProgress& aProgress)
+{
+  const bool isFirstAttempt = !aProgress.m_hasHead;
+  if (isFirstAttempt) {
+    aProgress.m_hasOffsets = true;
+  }
+  EventSplitter splitter;
+  bool isDone = false;
+  while (!isDone) {
+    const auto piece = co_await aExchange.ReadChunk();
+    if (!piece) {
+      break;
+    }
+    for (const StreamEvent& event : splitter.Add(*piece)) {
+      if (event.m_type == "error") {
+        throw ParseRefusal(event.m_data, ResultCode::AnswerIncomplete);
+      }
+      isDone = event.m_data == kLastEventData;
+      if (!isDone) {
+        CountEvent(event, aProgress);
+      }
+      if (!aProgress.m_hasHead) {
+        aProgress.m_hasHead = true;
+        co_await aSink.WriteHead(aHead);
+      }
+      co_await aSink.WriteChunk(event.m_text);
+      if (isDone) {
+        break;
+      }
+    }
+  }
+  if (!isDone) {
+    throw RequestError(ResultCode::AnswerIncomplete,
+                       "the stream ended before its last event");
+  }
+  if (aProgress.m_hasOffsets) {
+    aProgress.m_generatedTokens =
+      static_cast<std::int64_t>(aProgress.m_nextOffset);
+  }
+  co_await aSink.Finish();
+}
+
+void
+CheckLength(const std::optional<std::uint64_t>& aExpected,
+            std::uint64_t aReceived)
+{
+  if (aExpected && *aExpected != aReceived) {
+    throw RequestError(ResultCode::AnswerIncomplete,
+                       "the answer is shorter than its length");
+  }
+}
+
+Task<void>
+RelayHeldBack(UpstreamExchange& aExchange,
+              AnswerHead aHead,
+              AnswerSink& aSink,
+              AnswerProgress& aProgress)
+{
+  std::string body;
+  while (const auto piece = co_await aExchange.ReadChunk()) {
+    body += *piece;
+  }
+  CheckLength(aHead.m_contentLength, body.size());
+  aProgress.m_generatedTokens = TokensIn(body);
+  aProgress.m_hasHead = true;
+  co_await aSink.WriteHead(std::move(aHead));
+  if (!body.empty()) {
+    co_await aSink.WriteChunk(std::move(body));
+  }
+  co_await aSink.Finish();
+}
+
+Task<void>
+RelayPlain(UpstreamExchange& aExchange,
+           AnswerHead aHead,
+           AnswerSink& aSink,
+           AnswerProgress& aProgress)
+{
+  const auto length = aHead.m_contentLength;
+  aProgress.m_hasHead = true;
+  co_await aSink.WriteHead(std::move(aHead));
+  std::uint64_t received = 0;
+  while (auto piece = co_await aExchange.ReadChunk()) {
+    received += piece->size();
+    co_await aSink.WriteChunk(std::move(*piece));
+  }
+  CheckLength(length, received);
+  co_await aSink.Finish();
+}
+
+} // namespace
+
+BackendSignals
+SignalsOf(const AnswerHead& aHead)
+{
+  BackendSignals signals;
+  if (const std::string* load = FindHeader(aHead.m_headers, "x-load")) {
+    signals.m_load = ParseDecimal(*load);
+  }
+  const std::string* draining = FindHeader(aHead.m_headers, "x-draining");
+  signals.m_isDraining = draining != nullptr && *draining == "1";
+  return signals;
+}
+
+bool
+IsCrossed(const AnswerHead& aHead, const AnswerOrigin& aOrigin)
+{
+  return std::visit(IsCrossedFrom{ aHead.m_headers }, aOrigin);
+}
+
+Task<void>
+CheckHead(UpstreamExchange& aExchange,
+          const AnswerHead& aHead,
+          const AnswerOrigin& aOrigin)
+{
+  if (IsCrossed(aHead, aOrigin)) {
+    ThrowMismatch("the answer is to another attempt");
+  }
+  if (std::holds_alternative<FromBackendServer>(aOrigin)) {
+    const std::string* notRun = FindHeader(aHead.m_headers, "x-not-run");
+    if (aHead.m_status == kServiceUnavailable && notRun != nullptr &&
+        *notRun == "1") {
+      throw RequestError(ResultCode::BackendRefused,
+                         "the backend server did not run the request");
+    }
+    co_return;
+  }
+  if (FindHeader(aHead.m_headers, kResultField) == nullptr) {
+    co_return;
+  }
+  std::string refusal;
+  while (const auto piece = co_await aExchange.ReadChunk()) {
+    refusal += *piece;
+    if (refusal.size() > kRefusalBytes) {
+      break;
+    }
+  }
+  throw ParseRefusal(refusal, ResultCode::PeerLost);
+}
+
+Task<void>
+RelayAnswer(UpstreamExchange& aExchange,
+            AnswerHead aHead,
+            RelayOptions aOptions,
+            AnswerSink& aSink,
+            AnswerProgress& aProgress)
+{
+  const bool isCounted = IsCountedStream(aHead, aOptions.m_origin);
+  if (isCounted && aOptions.m_marksOffsets) {
+    aOptions.m_addedFields.push_back({ kOffsetsField, "1" });
+  }
+  AnswerHead passed = PassedHead(aHead, aOptions);
+  if (isCounted) {
+    passed.m_contentLength.reset();
+    co_await RelayCountedStream(aExchange, std::move(passed), aSink, aProgress);
+    co_return;
+  }
+  if (aProgress.m_hasHead) {
+    ThrowMismatch("the answer does not go on with the stream");
+  }
+  const auto length = passed.m_contentLength;
+  if (length && *length <= kHeldBackBytes) {
+    co_await RelayHeldBack(aExchange, std::move(passed), aSink, aProgress);
+    co_return;
+  }
+  co_await RelayPlain(aExchange, std::move(passed), aSink, aProgress);
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/relay/event_splitter.cc
@@ -0,0 +1,89 @@
+#include "rattanweir/request/relay/event_splitter.h"
+
+#include "rattanweir/base/result/result_code.h"
+#include "rattanweir/request/exchange/header_fields.h"
+
+namespace rattanweir {
+namespace {
+
+// The length up to and including the first blank line, or nothing.
+std::optional<std::size_t>
+EventLength(const std::string& aText, std::size_t aFrom)
+{
+  for (std::size_t at = aText.find('\n', aFrom); at != std::string::npos;
+       at = aText.find('\n', at + 1)) {
+    if (aText.compare(at + 1, 1, "\n") == 0) {
+      return at + 2;
+    }
+    if (aText.compare(at + 1, 2, "\r\n") == 0) {
+      return at + 3;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+ReadField(std::string_view aLine, StreamEvent& aEvent)
+{
+  const std::size_t colon = aLine.find(':');
+  if (colon == std::string_view::npos) {
+    return;
+  }
+  const std::string_view name = aLine.substr(0, colon);
+  std::string_view value = aLine.substr(colon + 1);
+  if (value.starts_with(' ')) {
+    value.remove_prefix(1);
+  }
+  if (name == "id") {
+    aEvent.m_id = ParseDecimal(value);
+  } else if (name == "event") {
+    aEvent.m_type = value;
+  } else if (name == "data") {
+    aEvent.m_data += aEvent.m_data.empty() ? "" : "\n";
+    aEvent.m_data += value;
+  }
+}
+
+StreamEvent
+ParseEvent(std::string aText)
+{
+  StreamEvent event;
+  std::string_view rest = aText;
+  while (!rest.empty()) {
+    const std::size_t end = rest.find('\n');
+    std::string_view line = rest.substr(0, end);
+    rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    ReadField(line, event);
+  }
+  event.m_text = std::move(aText);
+  return event;
+}
+
+} // namespace
+
+std::vector<StreamEvent>
+EventSplitter::Add(std::string_view aPiece)
+{
+  // A boundary may begin up to two bytes before the new piece.
+  const std::size_t known = m_pending.size();
+  std::size_t from = known < 2 ? 0 : known - 2;
+  m_pending.append(aPiece);
+  std::vector<StreamEvent> events;
+  std::size_t begin = 0;
+  while (const auto length = EventLength(m_pending, std::max(from, begin))) {
+    events.push_back(ParseEvent(m_pending.substr(begin, *length - begin)));
+    begin = *length;
+    from = begin;
+  }
+  m_pending.erase(0, begin);
+  if (m_pending.size() > kMaximumEventBytes) {
+    throw RequestError(ResultCode::AnswerIncomplete,
+                       "an event of the answer is too long");
+  }
+  return events;
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/relay/refusal.cc
@@ -0,0 +1,51 @@
+#include "rattanweir/request/relay/refusal.h"
+
+#include <json/json.h>
+
+#include <memory>
+
+namespace rattanweir {
+namespace {
+
+std::optional<Json::Value>
+ParseObject(const std::string& aJson)
+{
+  Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value value;
+  std::string errors;
+  const char* const begin = aJson.data();
+  if (!reader->parse(begin, begin + aJson.size(), &value, &errors) ||
+      !value.isObject()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+} // namespace
+
+RequestError
+ParseRefusal(const std::string& aJson, ResultCode aOtherwise)
+{
+  RequestError otherwise(aOtherwise, "the refusal could not be read");
+  const auto object = ParseObject(aJson);
+  if (!object || !(*object)["code"].isUInt() || !(*object)["ran"].isString()) {
+    return otherwise;
+  }
+  const auto code = ResultCodeFromNumber((*object)["code"].asUInt());
+  const auto ran = RanFromText((*object)["ran"].asString());
+  if (!code || *code == ResultCode::Ok || !ran) {
+    return otherwise;
+  }
+  std::optional<std::chrono::milliseconds> comeBackAfter;
+  if ((*object)["retry_after_ms"].isUInt()) {
+    comeBackAfter =
+      std::chrono::milliseconds((*object)["retry_after_ms"].asUInt());
+  }
+  const Json::Value& detail = (*object)["detail"];
+  return RequestError(
+    *code, detail.isString() ? detail.asString() : "", *ran, comeBackAfter);
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/relay/relay_test.cc
@@ -0,0 +1,346 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/request/exchange/header_fields.h"
+#include "rattanweir/request/relay/answer_relay.h"
+#include "rattanweir/request/relay/event_splitter.h"
+#include "rattanweir/request/relay/refusal.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <exception>
+
+namespace rattanweir {
+namespace {
+
+// An answer that comes in given pieces and then ends, whole or not.
+class PiecewiseExchange final : public UpstreamExchange
+{
+public:
+  PiecewiseExchange(std::deque<std::string> aPieces, bool aIsWhole)
+    : m_pieces(std::move(aPieces))
+    , m_isWhole(aIsWhole)
+  {
+  }
+
+  Task<AnswerHead> ReadHead() override { co_return AnswerHead{}; }
+  Task<std::optional<std::string>> ReadChunk() override
+  {
+    if (m_pieces.empty()) {
+      if (!m_isWhole) {
+        throw RequestError(ResultCode::AnswerIncomplete, "broke off");
+      }
+      co_return std::nullopt;
+    }
+    std::optional<std::string> piece = std::move(m_pieces.front());
+    m_pieces.pop_front();
+    co_return piece;
+  }
+
+private:
+  std::deque<std::string> m_pieces;
+  bool m_isWhole;
+};
+
+class KeepingSink final : public AnswerSink
+{
+public:
+  Task<void> WriteHead(AnswerHead aHead) override
+  {
+    REQUIRE_FALSE(m_head);
+    m_head = std::move(aHead);
+    co_return;
+  }
+  Task<void> WriteChunk(std::string aChunk) override
+  {
+    m_body += aChunk;
+    co_return;
+  }
+  Task<void> Finish() override
+  {
+    m_isFinished = true;
+    co_return;
+  }
+  bool HasHead() const override { return m_head.has_value(); }
+
+  std::optional<AnswerHead> m_head;
+  std::string m_body;
+  bool m_isFinished = false;
+};
+
+// Runs the task to its end; the code it failed with, or Ok.
+ResultCode
+CodeOf(Task<void> aTask)
+{
+  asio::io_context context;
+  ResultCode code = ResultCode::Ok;
+  asio::co_spawn(
+    context, std::move(aTask), [&](const std::exception_ptr& aError) {
+      try {
+        if (aError) {
+          std::rethrow_exception(aError);
+        }
+      } catch (const RequestError& error) {
+        code = error.Code();
+      }
+    });
+  context.run();
+  return code;
+}
+
+std::string
+Event(int aOffset)
+{
+  const std::string offset = std::to_string(aOffset);
+  return "id: " + offset + "\ndata: {\"offset\":" + offset + "}\n\n";
+}
+
+constexpr const char* kDone = "data: [DONE]\n\n";
+
+AnswerHead
+StreamHead()
+{
+  return { .m_status = 200,
+           .m_headers = { { "Content-Type", "text/event-stream" } } };
+}
+
+RelayOptions
+FromEngine()
+{
+  return { .m_origin =
+             FromBackendServer{ .m_kind = BackendServerKind::ModelEngine } };
+}
+
+ResultCode
+Relay(std::deque<std::string> aPieces,
+      bool aIsWhole,
+      const AnswerHead& aHead,
+      KeepingSink& aSink,
+      AnswerProgress& aProgress)
+{
+  PiecewiseExchange exchange(std::move(aPieces), aIsWhole);
+  return CodeOf(RelayAnswer(exchange, aHead, FromEngine(), aSink, aProgress));
+}
+
+TEST_CASE("events come out whole however the stream is cut")
+{
+  const std::string text = "id: 0\ndata: a\n\nevent: x\r\ndata: b\r\ndata: c"
+                           "\r\n\r\ndata: rest";
+  for (std::size_t size = 1; size <= text.size(); ++size) {
+    EventSplitter splitter;
+    std::vector<StreamEvent> events;
+    for (std::size_t at = 0; at < text.size(); at += size) {
+      for (auto& event : splitter.Add(text.substr(at, size))) {
+        events.push_back(std::move(event));
+      }
+    }
+    REQUIRE(events.size() == 2);
+    REQUIRE(events[0].m_text == "id: 0\ndata: a\n\n");
+    REQUIRE(events[0].m_id == 0);
+    REQUIRE(events[0].m_data == "a");
+    REQUIRE(events[1].m_type == "x");
+    REQUIRE(events[1].m_data == "b\nc");
+    REQUIRE_FALSE(events[1].m_id);
+  }
+  EventSplitter splitter;
+  REQUIRE_THROWS_AS(splitter.Add(std::string(kMaximumEventBytes + 1, 'x')),
+                    RequestError);
+}
+
+TEST_CASE("a stream passes whole events only and is whole only with its end")
+{
+  const std::string two = Event(0) + Event(1);
+  struct Row
+  {
+    std::deque<std::string> m_pieces;
+    bool m_isWhole;
+    ResultCode m_code;
+    std::string m_body;
+    std::uint64_t m_nextOffset;
+  };
+  const Row rows[] = {
+    { { two, kDone }, true, ResultCode::Ok, two + kDone, 2 },
+    // The last event makes it whole, whatever the connection does then.
+    { { two + kDone }, false, ResultCode::Ok, two + kDone, 2 },
+    { { two + kDone + Event(2) }, true, ResultCode::Ok, two + kDone, 2 },
+    { { two }, true, ResultCode::AnswerIncomplete, two, 2 },
+    { { two, "id: 2\nda" }, false, ResultCode::AnswerIncomplete, two, 2 },
+    { { two, "data: [DONE]\n" }, true, ResultCode::AnswerIncomplete, two, 2 },
+    { {}, true, ResultCode::AnswerIncomplete, "", 0 },
+    { { Event(0) + Event(2) }, true, ResultCode::AnswerMismatch, Event(0), 1 },
+    { { Event(1), kDone }, true, ResultCode::AnswerMismatch, "", 0 },
+    { { Event(0), R"(event: error
+data: {"code":407,"ran":"maybe"}
+
+)" },
+      false,
+      ResultCode::KeyWithdrawn,
+      Event(0),
+      1 },
+  };
+  for (const Row& row : rows) {
+    KeepingSink sink;
+    AnswerProgress progress;
+    const auto code =
+      Relay(row.m_pieces, row.m_isWhole, StreamHead(), sink, progress);
+    REQUIRE(code == row.m_code);
+    REQUIRE(sink.m_body == row.m_body);
+    REQUIRE(sink.HasHead() == !row.m_body.empty());
+    REQUIRE(sink.m_isFinished == (code == ResultCode::Ok));
+    REQUIRE(progress.m_nextOffset == row.m_nextOffset);
+  }
+}
+
+TEST_CASE("a broken stream goes on at its offset, and at no other")
+{
+  struct Row
+  {
+    AnswerHead m_head;
+    std::string m_rest;
+    ResultCode m_code;
+  };
+  const AnswerHead plain{ .m_status = 200 };
+  const Row rows[] = {
+    { StreamHead(), Event(2) + kDone, ResultCode::Ok },
+    { StreamHead(), Event(0) + Event(1) + kDone, ResultCode::AnswerMismatch },
+    { StreamHead(), "data: {}\n\n", ResultCode::AnswerMismatch },
+    { plain, "{}", ResultCode::AnswerMismatch },
+  };
+  const std::string begun = Event(0) + Event(1);
+  for (const Row& row : rows) {
+    KeepingSink sink;
+    AnswerProgress progress;
+    REQUIRE(Relay({ begun }, false, StreamHead(), sink, progress) ==
+            ResultCode::AnswerIncomplete);
+    REQUIRE(progress.m_hasOffsets);
+    REQUIRE(Relay({ row.m_rest }, true, row.m_head, sink, progress) ==
+            row.m_code);
+    const bool isWhole = row.m_code == ResultCode::Ok;
+    REQUIRE(sink.m_isFinished == isWhole);
+    REQUIRE(sink.m_body == begun + (isWhole ? row.m_rest : ""));
+  }
+}
+
+TEST_CASE("a short plain answer is never finished, and unseen if it is small")
+{
+  struct Row
+  {
+    std::optional<std::uint64_t> m_length;
+    bool m_isWhole;
+    ResultCode m_code;
+    bool m_hasHead;
+  };
+  const Row rows[] = {
+    { 10, true, ResultCode::Ok, true },
+    { 11, true, ResultCode::AnswerIncomplete, false },
+    { 10, false, ResultCode::AnswerIncomplete, false },
+    { {}, true, ResultCode::Ok, true },
+    { {}, false, ResultCode::AnswerIncomplete, true },
+    { 1 << 20, true, ResultCode::AnswerIncomplete, true },
+  };
+  for (const Row& row : rows) {
+    const AnswerHead head{ .m_status = 200, .m_contentLength = row.m_length };
+    KeepingSink sink;
+    AnswerProgress progress;
+    REQUIRE(
+      Relay({ R"({"toke)", R"(n":})" }, row.m_isWhole, head, sink, progress) ==
+      row.m_code);
+    REQUIRE(sink.HasHead() == row.m_hasHead);
+    REQUIRE(sink.m_isFinished == (row.m_code == ResultCode::Ok));
+    REQUIRE_FALSE(progress.m_hasOffsets);
+  }
+}
+
+TEST_CASE("tokens come from an engine's whole answer")
+{
+  const std::string body = R"({"text":"a","tokens":12})";
+  const AnswerHead head{ .m_status = 200, .m_contentLength = body.size() };
+  KeepingSink sink;
+  AnswerProgress progress;
+  REQUIRE(Relay({ body }, true, head, sink, progress) == ResultCode::Ok);
+  REQUIRE(progress.m_generatedTokens == 12);
+}
+
+TEST_CASE("fields between instances and servers do not reach the caller")
+{
+  AnswerHead head = StreamHead();
+  for (const char* const name : { "x-attempt-id",
+                                  "X-Load",
+                                  "x-draining",
+                                  "Rattanweir-Ran",
+                                  "Connection",
+                                  "Content-Length" }) {
+    head.m_headers.push_back({ name, "1" });
+  }
+  PiecewiseExchange exchange({ kDone }, true);
+  KeepingSink sink;
+  AnswerProgress progress;
+  RelayOptions options = FromEngine();
+  options.m_addedFields = { { kRequestField, "r" } };
+  options.m_marksOffsets = true;
+  REQUIRE(CodeOf(RelayAnswer(exchange, head, options, sink, progress)) ==
+          ResultCode::Ok);
+  REQUIRE(sink.m_head->m_headers.size() == 3);
+  REQUIRE(*FindHeader(sink.m_head->m_headers, kRequestField) == "r");
+  REQUIRE(*FindHeader(sink.m_head->m_headers, kOffsetsField) == "1");
+}
+
+TEST_CASE("a head that is no answer to this attempt is told from one that is")
+{
+  const AnswerOrigin echoing =
+    FromBackendServer{ .m_attempt = AttemptId("a"), .m_echoesAttemptId = true };
+  const AnswerOrigin silent = FromBackendServer{ .m_attempt = AttemptId("a") };
+  const AnswerOrigin peer = FromPeer{ .m_request = RequestId("r") };
+  struct Row
+  {
+    AnswerOrigin m_origin;
+    unsigned m_status;
+    HeaderFields m_headers;
+    ResultCode m_code;
+  };
+  const Row rows[] = {
+    { echoing, 200, { { "X-Attempt-Id", "a" } }, ResultCode::Ok },
+    { echoing, 200, { { "X-Attempt-Id", "b" } }, ResultCode::AnswerMismatch },
+    { echoing, 200, {}, ResultCode::AnswerMismatch },
+    { silent, 200, {}, ResultCode::Ok },
+    { silent, 200, { { "x-attempt-id", "b" } }, ResultCode::AnswerMismatch },
+    { silent, 503, { { "x-not-run", "1" } }, ResultCode::BackendRefused },
+    // A claim under another status is not believed.
+    { silent, 500, { { "x-not-run", "1" } }, ResultCode::Ok },
+    { silent, 503, {}, ResultCode::Ok },
+    { peer, 200, { { kRequestField, "r" } }, ResultCode::Ok },
+    { peer, 200, { { kRequestField, "s" } }, ResultCode::AnswerMismatch },
+    { peer, 200, {}, ResultCode::AnswerMismatch },
+    { peer, 503, { { kResultField, "302" } }, ResultCode::NoBackendServer },
+  };
+  for (const Row& row : rows) {
+    PiecewiseExchange exchange({ R"({"code":302,"ran":"no"})" }, true);
+    const AnswerHead head{ .m_status = row.m_status,
+                           .m_headers = row.m_headers };
+    REQUIRE(CodeOf(CheckHead(exchange, head, row.m_origin)) == row.m_code);
+  }
+}
+
+TEST_CASE("a refusal is read back as it was meant")
+{
+  const RequestError error = ParseRefusal(
+    R"({"code":302,"name":"x","ran":"yes","retry_after_ms":70,"detail":"d"})",
+    ResultCode::PeerLost);
+  REQUIRE(error.Code() == ResultCode::NoBackendServer);
+  REQUIRE(error.HasRun() == Ran::Yes);
+  REQUIRE(error.ComeBackAfter() == std::chrono::milliseconds(70));
+  REQUIRE(error.what() == std::string("d"));
+  for (const char* const text : { "",
+                                  "{}",
+                                  "[]",
+                                  R"({"code":1,"ran":"no"})",
+                                  R"({"code":0,"ran":"no"})",
+                                  R"({"code":302,"ran":"perhaps"})" }) {
+    REQUIRE(ParseRefusal(text, ResultCode::PeerLost).Code() ==
+            ResultCode::PeerLost);
+  }
+}
+
+} // namespace
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/residency/residency.cc
@@ -0,0 +1,65 @@
+#include "rattanweir/request/residency/residency.h"
+
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+struct RegionsOfResidency
+{
+  const ClientAccount* m_account;
+
+  PermittedRegions operator()(const AnyRegion&) const
+  {
+    return PermittedRegions::All();
+  }
+  PermittedRegions operator()(const HomeRegionOfClientAccount&) const
+  {
+    if (m_account == nullptr || !m_account->m_homeRegion) {
+      return PermittedRegions::Only({});
+    }
+    return PermittedRegions::Only({ *m_account->m_homeRegion });
+  }
+  PermittedRegions operator()(const ListedRegions& aListed) const
+  {
+    return PermittedRegions::Only(aListed.m_regions);
+  }
+};
+
+} // namespace
+
+PermittedRegions
+PermittedRegions::All()
+{
+  PermittedRegions regions;
+  regions.m_isUnbound = true;
+  return regions;
+}
+
+PermittedRegions
+PermittedRegions::Only(std::set<RegionId> aRegions)
+{
+  PermittedRegions regions;
+  regions.m_regions = std::move(aRegions);
+  return regions;
+}
+
+bool
+PermittedRegions::Permits(const RegionId& aRegion) const
+{
+  return m_isUnbound || m_regions.contains(aRegion);
+}
+
+bool
+PermittedRegions::IsEmpty() const
+{
+  return !m_isUnbound && m_regions.empty();
+}
+
+PermittedRegions
+PermittedRegionsOf(const Residency& aResidency, const ClientAccount* aAccount)
+{
+  return std::visit(RegionsOfResidency{ aAccount }, aResidency);
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/retry/retry.cc
@@ -0,0 +1,91 @@
+#include "rattanweir/request/retry/retry.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace rattanweir {
+namespace {
+
+bool
+CanAnotherAttemptHelp(ResultCode aCode)
+{
+  switch (aCode) {
+    case ResultCode::BackendConnectFailed:
+    case ResultCode::BackendRefused:
+    case ResultCode::BackendReset:
+    case ResultCode::AnswerIncomplete:
+    case ResultCode::AnswerMismatch:
+    case ResultCode::PeerUnreachable:
+    case ResultCode::PeerLost:
+    // What a peer can refuse and another place may take.
+    case ResultCode::InstanceDraining:
+    case ResultCode::InstanceNotReady:
+    case ResultCode::InstancePaused:
+    case ResultCode::NoBackendServer:
+    case ResultCode::ResidencyRefused:
+    case ResultCode::TooManyRequests:
+    case ResultCode::TooManyConnections:
+      return true;
+    default:
+      return false;
+  }
+}
+
+std::optional<NoRetryReason>
+ReasonAgainst(const FailedAttempt& aFailure)
+{
+  if (!CanAnotherAttemptHelp(aFailure.m_code)) {
+    return NoRetryReason::Final;
+  }
+  if (aFailure.m_ran != Ran::No && !aFailure.m_isIdempotent) {
+    return NoRetryReason::MayHaveRun;
+  }
+  if (aFailure.m_hasAnswerBegun && !aFailure.m_canResume) {
+    return NoRetryReason::AnswerHasBegun;
+  }
+  if (aFailure.m_timeLeft <= std::chrono::nanoseconds::zero()) {
+    return NoRetryReason::NoTimeLeft;
+  }
+  if (aFailure.m_attempts >= kMaximumAttempts) {
+    return NoRetryReason::TooManyAttempts;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+RetryBudget::RetryBudget(const RetryBudgetOptions& aOptions)
+  : m_options(aOptions)
+  , m_available(aOptions.m_maximum)
+{
+}
+
+void
+RetryBudget::AddFirstAttempt()
+{
+  m_available = std::min(m_available + m_options.m_share, m_options.m_maximum);
+}
+
+bool
+RetryBudget::Take()
+{
+  if (m_available < 1) {
+    return false;
+  }
+  m_available -= 1;
+  return true;
+}
+
+RetryDecision
+DecideRetry(const FailedAttempt& aFailure, RetryBudget& aBudget)
+{
+  if (const auto reason = ReasonAgainst(aFailure)) {
+    return NoRetry{ *reason };
+  }
+  if (!aBudget.Take()) {
+    return NoRetry{ NoRetryReason::BudgetSpent };
+  }
+  return RetryElsewhere{};
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/routing/backend_choice.h
@@ -0,0 +1,77 @@
+// Chooses a backend server of a pool in this instance's region.
+//
+//   BackendChoice choice({ .m_clock = clock, .m_random = engine });
+//   const BackendChoiceResult result = choice.Choose(candidates);
+//   if (const auto* chosen = std::get_if<ChosenBackend>(&result)) ...
+//
+// Two candidates are drawn at random and the cheaper one is taken. The cost is
+// the load that a server reported, which counts for less the older it is, and
+// the dispatches made since. No I/O; for one thread.
+
+#pragma once
+
+#include "rattanweir/base/clock/clock.h"
+#include "rattanweir/base/ids/ids.h"
+#include "rattanweir/base/random/random.h"
+#include "rattanweir/process/backend_view/backend_view.h"
+
+#include <chrono>
+#include <cstdint>
+#include <span>
+#include <variant>
+#include <vector>
+
+namespace rattanweir {
+
+struct BackendCandidate
+{
+  BackendServerId m_id;
+  std::uint32_t m_maximumInFlight = 0;
+  // Published as leaving.
+  bool m_isLeaving = false;
+  BackendState m_state;
+};
+
+// The candidate at this index.
+struct ChosenBackend
+{
+  std::size_t m_index = 0;
+};
+
+// Some could take work, but each holds its most requests.
+struct AllBackendsFull
+{};
+
+// None of them takes work.
+struct NoBackendTakesWork
+{};
+
+using BackendChoiceResult =
+  std::variant<ChosenBackend, AllBackendsFull, NoBackendTakesWork>;
+
+struct BackendChoiceOptions
+{
+  const Clock& m_clock;
+  RandomEngine& m_random;
+  // A report of this age counts for half.
+  std::chrono::nanoseconds m_loadHalfLife{ std::chrono::seconds(2) };
+};
+
+class BackendChoice
+{
+public:
+  explicit BackendChoice(const BackendChoiceOptions& aOptions);
+
+  BackendChoiceResult Choose(std::span<const BackendCandidate> aCandidates);
+
+  // What sending one more request there costs, in requests.
+  double CostOf(const BackendState& aState) const;
+
+private:
+  std::vector<std::size_t> TakingWork(
+    std::span<const BackendCandidate> aCandidates) const;
+
+  BackendChoiceOptions m_options;
+};
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/routing/place_choice.cc
@@ -0,0 +1,71 @@
+#include "rattanweir/request/routing/place_choice.h"
+
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+std::uint32_t
+RequestsInFlight(const PeerView& aPeer)
+{
+  return aPeer.m_heartbeat ? aPeer.m_heartbeat->m_requestsInFlight : 0;
+}
+
+Nowhere
+WhyNowhere(const PlaceQuestion& aQuestion, const BackendChoiceResult& aLocal)
+{
+  if (std::holds_alternative<AllBackendsFull>(aLocal)) {
+    return { ResultCode::TooManyRequests,
+             "every backend server of the pool holds its most requests" };
+  }
+  if (!aQuestion.m_regions.IsUnbound()) {
+    return { ResultCode::ResidencyUnavailable,
+             "no permitted region can be reached that has a backend server" };
+  }
+  return { ResultCode::NoBackendServer, "no region has a backend server" };
+}
+
+} // namespace
+
+PlaceChoice::PlaceChoice(const PlaceChoiceOptions& aOptions)
+  : m_options(aOptions)
+{
+}
+
+Place
+PlaceChoice::Choose(const PlaceQuestion& aQuestion)
+{
+  BackendChoiceResult local = NoBackendTakesWork{};
+  if (aQuestion.m_regions.Permits(aQuestion.m_ownRegion)) {
+    local = m_options.m_backends.Choose(aQuestion.m_candidates);
+  }
+  if (const auto* chosen = std::get_if<ChosenBackend>(&local)) {
+    return ServeHere{ chosen->m_index };
+  }
+  std::vector<const PeerView*> peers;
+  for (const PeerView& peer : aQuestion.m_peers) {
+    const RegionId& region = peer.m_record.m_region;
+    if (region == aQuestion.m_ownRegion ||
+        !aQuestion.m_regions.Permits(region)) {
+      continue;
+    }
+    peers.push_back(&peer);
+  }
+  if (peers.empty()) {
+    return WhyNowhere(aQuestion, local);
+  }
+  return ForwardTo{ ChoosePeer(peers) };
+}
+
+const PeerView&
+PlaceChoice::ChoosePeer(const std::vector<const PeerView*>& aPeers)
+{
+  const PeerView* first =
+    aPeers[UniformIndex(m_options.m_random, aPeers.size())];
+  const PeerView* second =
+    aPeers[UniformIndex(m_options.m_random, aPeers.size())];
+  return RequestsInFlight(*second) < RequestsInFlight(*first) ? *second
+                                                              : *first;
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/routing/routing_test.cc
@@ -0,0 +1,201 @@
+#include "rattanweir/base/clock/manual_clock.h"
+#include "rattanweir/request/routing/entry_order.h"
+#include "rattanweir/request/routing/place_choice.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr std::uint64_t kSeed = 7;
+
+struct Choosing
+{
+  ManualClock m_clock;
+  RandomEngine m_random{ kSeed };
+  BackendChoice m_backends{ { .m_clock = m_clock, .m_random = m_random } };
+  PlaceChoice m_places{ { .m_backends = m_backends, .m_random = m_random } };
+
+  BackendCandidate Candidate(std::uint32_t aInFlight) const
+  {
+    return { .m_id = BackendServerId(std::to_string(aInFlight)),
+             .m_maximumInFlight = 4,
+             .m_state = { .m_inFlight = aInFlight } };
+  }
+
+  // How often each index is chosen.
+  std::map<std::size_t, int> Draw(
+    const std::vector<BackendCandidate>& aCandidates)
+  {
+    std::map<std::size_t, int> counts;
+    for (int draw = 0; draw < 1000; ++draw) {
+      const auto result = m_backends.Choose(aCandidates);
+      ++counts[std::get<ChosenBackend>(result).m_index];
+    }
+    return counts;
+  }
+};
+
+TEST_CASE("the costliest of the pool is never chosen, the others are")
+{
+  Choosing choosing;
+  const auto counts = choosing.Draw(
+    { choosing.Candidate(1), choosing.Candidate(3), choosing.Candidate(0) });
+  REQUIRE_FALSE(counts.contains(1));
+  REQUIRE(counts.at(0) > 200);
+  REQUIRE(counts.at(2) > 500);
+}
+
+TEST_CASE("reported load counts for less with age, own requests do not")
+{
+  Choosing choosing;
+  BackendState state{ .m_inFlight = 2, .m_dispatchedSince = 1 };
+  REQUIRE(choosing.m_backends.CostOf(state) == 2);
+  state.m_load = { .m_load = 8, .m_at = choosing.m_clock.SteadyNow() };
+  REQUIRE(choosing.m_backends.CostOf(state) == 9);
+  choosing.m_clock.Advance(seconds(2));
+  REQUIRE(choosing.m_backends.CostOf(state) == 5);
+  choosing.m_clock.Advance(seconds(60));
+  REQUIRE(choosing.m_backends.CostOf(state) == 2);
+}
+
+TEST_CASE("leaving, full and ejected servers get no work")
+{
+  Choosing choosing;
+  const auto until = choosing.m_clock.SteadyNow() + seconds(1);
+  BackendCandidate listed = choosing.Candidate(0);
+  listed.m_isLeaving = true;
+  BackendCandidate signalled = choosing.Candidate(0);
+  signalled.m_state.m_isLeaving = true;
+  BackendCandidate ejected = choosing.Candidate(0);
+  ejected.m_state.m_ejectedUntil = until;
+  BackendCandidate longer = choosing.Candidate(0);
+  longer.m_state.m_ejectedUntil = until + seconds(1);
+  const BackendCandidate full = choosing.Candidate(4);
+  const BackendCandidate idle = choosing.Candidate(0);
+
+  const auto choose = [&](std::vector<BackendCandidate> aCandidates) {
+    return choosing.m_backends.Choose(aCandidates);
+  };
+  REQUIRE(std::holds_alternative<NoBackendTakesWork>(choose({})));
+  REQUIRE(
+    std::holds_alternative<NoBackendTakesWork>(choose({ listed, signalled })));
+  REQUIRE(std::holds_alternative<AllBackendsFull>(choose({ full, listed })));
+  REQUIRE(choosing.Draw({ listed, ejected, idle, idle, full }).count(1) == 0);
+  // Half of the pool stays in use, those back soonest first.
+  const auto counts = choosing.Draw({ longer, ejected, longer, ejected });
+  REQUIRE(counts.size() == 2);
+  REQUIRE(counts.contains(1));
+  REQUIRE(counts.contains(3));
+  REQUIRE(choosing.Draw({ ejected }).size() == 1);
+}
+
+PeerView
+Peer(const char* aId, const char* aRegion, std::uint32_t aInFlight)
+{
+  PeerView peer;
+  peer.m_record.m_id = InstanceId(aId);
+  peer.m_record.m_region = RegionId(aRegion);
+  peer.m_heartbeat = Heartbeat{ .m_requestsInFlight = aInFlight };
+  return peer;
+}
+
+TEST_CASE("a request is served here, elsewhere or nowhere")
+{
+  Choosing choosing;
+  const auto all = PermittedRegions::All();
+  const auto east = PermittedRegions::Only({ RegionId("east") });
+  const auto west = PermittedRegions::Only({ RegionId("west") });
+  const auto idle = choosing.Candidate(0);
+  const auto full = choosing.Candidate(4);
+  const PeerView peer = Peer("w", "west", 0);
+  struct Row
+  {
+    PermittedRegions m_regions;
+    std::vector<BackendCandidate> m_candidates;
+    std::vector<PeerView> m_peers;
+    std::variant<bool, ResultCode> m_isHere;
+  };
+  const Row rows[] = {
+    { all, { idle }, { peer }, true },
+    { all, { full }, { peer }, false },
+    { all, {}, { peer }, false },
+    { west, { idle }, { peer }, false },
+    { west, { idle }, {}, ResultCode::ResidencyUnavailable },
+    { east, { idle }, { peer }, true },
+    { east, {}, { peer }, ResultCode::ResidencyUnavailable },
+    { east, { full }, { peer }, ResultCode::TooManyRequests },
+    { all, { full }, {}, ResultCode::TooManyRequests },
+    { all, {}, {}, ResultCode::NoBackendServer },
+    // Never to a peer of the own region: it has the same backend servers.
+    { all, {}, { Peer("e", "east", 0) }, ResultCode::NoBackendServer },
+  };
+  for (const Row& row : rows) {
+    const Place place =
+      choosing.m_places.Choose({ .m_regions = row.m_regions,
+                                 .m_ownRegion = RegionId("east"),
+                                 .m_candidates = row.m_candidates,
+                                 .m_peers = row.m_peers });
+    if (const auto* code = std::get_if<ResultCode>(&row.m_isHere)) {
+      REQUIRE(std::get<Nowhere>(place).m_code == *code);
+      continue;
+    }
+    REQUIRE(std::holds_alternative<ServeHere>(place) ==
+            std::get<bool>(row.m_isHere));
+    REQUIRE(std::holds_alternative<ForwardTo>(place) !=
+            std::get<bool>(row.m_isHere));
+  }
+}
+
+TEST_CASE("the peer with fewer requests is drawn more often")
+{
+  Choosing choosing;
+  int idleOnes = 0;
+  for (int draw = 0; draw < 1000; ++draw) {
+    const Place place = choosing.m_places.Choose(
+      { .m_ownRegion = RegionId("east"),
+        .m_peers = { Peer("busy", "west", 50), Peer("idle", "west", 1) } });
+    const auto& peer = std::get<ForwardTo>(place).m_peer;
+    idleOnes += peer.m_record.m_id == InstanceId("idle") ? 1 : 0;
+  }
+  REQUIRE(idleOnes > 650);
+  REQUIRE(idleOnes < 850);
+}
+
+TEST_CASE("entries of the own region go first, stable for an account")
+{
+  std::vector<InstanceRecord> instances;
+  instances.reserve(8);
+  for (int index = 0; index < 8; ++index) {
+    instances.push_back({ .m_id = InstanceId("i" + std::to_string(index)),
+                          .m_region = RegionId(index < 3 ? "east" : "west") });
+  }
+  std::map<InstanceId, int> firsts;
+  for (int account = 0; account < 300; ++account) {
+    const std::string name = "account-" + std::to_string(account);
+    const auto order = OrderEntries(instances, RegionId("east"), name);
+    REQUIRE(order.size() == 8);
+    for (std::size_t index = 0; index < order.size(); ++index) {
+      REQUIRE((order[index].m_region == RegionId("east")) == (index < 3));
+    }
+    ++firsts[order.front().m_id];
+    // Without its first instance an account moves to its second.
+    auto fewer = instances;
+    std::erase_if(fewer, [&](const InstanceRecord& aRecord) {
+      return aRecord.m_id == order.front().m_id;
+    });
+    REQUIRE(OrderEntries(fewer, RegionId("east"), name).front().m_id ==
+            order[1].m_id);
+  }
+  REQUIRE(firsts.size() == 3);
+  for (const auto& [id, count] : firsts) {
+    REQUIRE(count > 50);
+  }
+}
+
+} // namespace
+} // namespace rattanweir
