--- a/rattanweir/process/settings/settings_test.cc
+++ b/rattanweir/process/settings/settings_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <filesystem>
 
 namespace rattanweir {
 namespace {
@@ -149,6 +150,16 @@
   }
 }
 
+TEST_CASE("the example settings name a folder that holds their sections")
+{
+  const std::string example = GENERATE("quickstart", "skogstund", "venture");
+  const std::string folder = std::string(RATTANWEIR_EXAMPLES "/") + example;
+  const Settings settings = LoadSettings(folder + "/settings.yaml");
+  const auto& platform = std::get<DirectoryPlatform>(settings.m_platform);
+  REQUIRE(platform.m_directory == folder + "/configuration");
+  REQUIRE(std::filesystem::exists(platform.m_directory + "/instances.yaml"));
+}
+
 TEST_CASE("a file that cannot be read is refused by its name")
 {
   const char* path = GENERATE("/nowhere/settings.yaml", "/tmp");
--- a/rattanweir/version/section/internal/section_reader.h
+++ b/rattanweir/version/section/internal/section_reader.h
@@ -7,8 +7,16 @@
 #include "rattanweir/version/yaml/reader.h"
 #include "rattanweir/version/yaml/unique_values.h"
 
+#include <cstdint>
+#include <limits>
+
 namespace rattanweir::internal {
 
+inline constexpr Range<std::int64_t> kVersionRange{
+  1,
+  std::numeric_limits<std::int64_t>::max()
+};
+
 // Each reads one section from its mapping and adds its faults to the mapping's
 // collector. The value is good only if no fault was added.
 ClientAccountsSection
@@ -20,4 +28,20 @@
 BackendServersSection
 ReadBackendServers(MappingReader& aSection);
 
+// Reads a section's whole mapping, its optional `version` included.
+template<class Section>
+Section
+ReadWhole(const YAML::Node& aRoot,
+          FaultCollector& aFaults,
+          Section (*aRead)(MappingReader&))
+{
+  MappingReader reader(aRoot, "", aFaults);
+  if (reader.Has("version")) {
+    reader.ReadInteger("version", kVersionRange);
+  }
+  Section section = aRead(reader);
+  reader.RefuseUnknownFields();
+  return section;
+}
+
 } // namespace rattanweir::internal
--- a/rattanweir/version/section/section.cc
+++ b/rattanweir/version/section/section.cc
@@ -4,16 +4,9 @@
 #include "rattanweir/version/yaml/load.h"
 #include "rattanweir/version/yaml/reader.h"
 
-#include <limits>
-
 namespace rattanweir {
 namespace {
 
-constexpr Range<std::int64_t> kVersions{
-  1,
-  std::numeric_limits<std::int64_t>::max()
-};
-
 template<class Section>
 Section
 Parse(SectionKind aKind,
@@ -23,12 +16,7 @@
   FaultCollector faults(aText.m_file, SectionName(aKind));
   Section section;
   if (const auto root = LoadYaml(aText, faults)) {
-    MappingReader reader(*root, "", faults);
-    if (reader.Has("version")) {
-      reader.ReadInteger("version", kVersions);
-    }
-    section = aRead(reader);
-    reader.RefuseUnknownFields();
+    section = internal::ReadWhole(*root, faults, aRead);
   }
   faults.ThrowIfAny();
   return section;
@@ -126,7 +114,7 @@
   std::int64_t version = 0;
   if (const auto root = LoadYaml(aText, faults)) {
     MappingReader reader(*root, "", faults);
-    version = reader.ReadInteger("version", kVersions);
+    version = reader.ReadInteger("version", internal::kVersionRange);
   }
   faults.ThrowIfAny();
   return SectionVersion(static_cast<std::uint64_t>(version));
--- a/rattanweir/version/yaml/load.cc
+++ b/rattanweir/version/yaml/load.cc
@@ -12,13 +12,15 @@
 }
 
 std::optional<YAML::Node>
-LoadYaml(const SectionText& aText, FaultCollector& aFaults)
+LoadYaml(const SectionText& aText,
+         FaultCollector& aFaults,
+         std::size_t aMaximumBytes)
 {
-  if (aText.m_text.size() > kMaximumTextBytes) {
+  if (aText.m_text.size() > aMaximumBytes) {
     aFaults.Add(0,
                 "",
                 "has " + std::to_string(aText.m_text.size()) +
-                  " bytes, the most is " + std::to_string(kMaximumTextBytes));
+                  " bytes, the most is " + std::to_string(aMaximumBytes));
     return std::nullopt;
   }
   try {
--- a/rattanweir/version/yaml/load.h
+++ b/rattanweir/version/yaml/load.h
@@ -21,10 +21,12 @@
 // values up to this size.
 inline constexpr std::size_t kMaximumTextBytes = 1'000'000;
 
-// The root of the text's only document, or nothing with a fault added: too
-// large, not YAML, empty, or several documents.
+// The root of the text's only document, or nothing with a fault added: more
+// than `aMaximumBytes`, not YAML, empty, or several documents.
 std::optional<YAML::Node>
-LoadYaml(const SectionText& aText, FaultCollector& aFaults);
+LoadYaml(const SectionText& aText,
+         FaultCollector& aFaults,
+         std::size_t aMaximumBytes = kMaximumTextBytes);
 
 // The line of a node, counted from 1.
 int
--- a/rattanweir/version/yaml/reader.cc
+++ b/rattanweir/version/yaml/reader.cc
@@ -3,7 +3,6 @@
 #include "rattanweir/version/yaml/load.h"
 
 #include <algorithm>
-#include <charconv>
 #include <set>
 
 namespace rattanweir {
@@ -36,44 +35,6 @@
          "' is not an id: 1 to 128 letters, digits, '.', '_', ':', '/', '-'";
 }
 
-// The whole text as a number, or nothing.
-template<class T>
-std::optional<T>
-ParseNumber(const std::string& aText)
-{
-  T number{};
-  const char* end = aText.data() + aText.size();
-  const auto parsed = std::from_chars(aText.data(), end, number);
-  if (parsed.ec != std::errc() || parsed.ptr != end) {
-    return std::nullopt;
-  }
-  return number;
-}
-
-std::string
-FormatNumber(double aValue)
-{
-  char text[32];
-  const auto written = std::to_chars(text, text + sizeof(text), aValue);
-  return { text, written.ptr };
-}
-
-// False for a decimal that is not a number, too.
-template<class T>
-bool
-IsWithin(const T& aValue, const Range<T>& aRange)
-{
-  return aValue >= aRange.m_least && aValue <= aRange.m_largest;
-}
-
-std::string
-RangeFault(const std::string& aValue,
-           const std::string& aLeast,
-           const std::string& aLargest)
-{
-  return aValue + " is not within " + aLeast + " to " + aLargest;
-}
-
 } // namespace
 
 MappingReader::MappingReader(const YAML::Node& aNode,
@@ -237,126 +198,6 @@
   return ids;
 }
 
-std::int64_t
-MappingReader::ReadInteger(std::string_view aField,
-                           const Range<std::int64_t>& aRange,
-                           std::optional<std::int64_t> aDefault)
-{
-  const std::int64_t fallback = aDefault.value_or(aRange.m_least);
-  const std::optional<std::string> text = ScalarOf(aField, aDefault);
-  if (!text) {
-    return fallback;
-  }
-  const auto number = ParseNumber<std::int64_t>(*text);
-  if (!number) {
-    AddFault(aField, "'" + *text + "' is not a whole number");
-    return fallback;
-  }
-  if (!IsWithin(*number, aRange)) {
-    AddFault(aField,
-             RangeFault(*text,
-                        std::to_string(aRange.m_least),
-                        std::to_string(aRange.m_largest)));
-    return fallback;
-  }
-  return *number;
-}
-
-double
-MappingReader::ReadDecimal(std::string_view aField, const Range<double>& aRange)
-{
-  const std::optional<std::string> text = TakeScalar(aField, true);
-  if (!text) {
-    return aRange.m_least;
-  }
-  const auto number = ParseNumber<double>(*text);
-  if (!number) {
-    AddFault(aField, "'" + *text + "' is not a number");
-    return aRange.m_least;
-  }
-  if (!IsWithin(*number, aRange)) {
-    AddFault(aField,
-             RangeFault(*text,
-                        FormatNumber(aRange.m_least),
-                        FormatNumber(aRange.m_largest)));
-    return aRange.m_least;
-  }
-  return *number;
-}
-
-bool
-MappingReader::ReadBoolean(std::string_view aField,
-                           std::optional<bool> aDefault)
-{
-  return ReadChoice<bool>(
-    aField, { { "false", false }, { "true", true } }, aDefault);
-}
-
-std::chrono::nanoseconds
-MappingReader::ReadDuration(std::string_view aField,
-                            const Range<std::chrono::nanoseconds>& aRange,
-                            std::optional<std::chrono::nanoseconds> aDefault)
-{
-  const auto fallback = aDefault.value_or(aRange.m_least);
-  const std::optional<std::string> text = ScalarOf(aField, aDefault);
-  if (!text) {
-    return fallback;
-  }
-  try {
-    const auto duration = ParseDuration(*text);
-    if (IsWithin(duration, aRange)) {
-      return duration;
-    }
-    AddFault(aField,
-             RangeFault(*text,
-                        FormatDuration(aRange.m_least),
-                        FormatDuration(aRange.m_largest)));
-  } catch (const UnitError& error) {
-    AddFault(aField, error.what());
-  }
-  return fallback;
-}
-
-ByteCount
-MappingReader::ReadByteCount(std::string_view aField,
-                             const Range<ByteCount>& aRange,
-                             std::optional<ByteCount> aDefault)
-{
-  const ByteCount fallback = aDefault.value_or(aRange.m_least);
-  const std::optional<std::string> text = ScalarOf(aField, aDefault);
-  if (!text) {
-    return fallback;
-  }
-  try {
-    const ByteCount bytes = ParseByteCount(*text);
-    if (IsWithin(bytes, aRange)) {
-      return bytes;
-    }
-    AddFault(aField,
-             RangeFault(*text,
-                        std::to_string(aRange.m_least.Value()) + "B",
-                        std::to_string(aRange.m_largest.Value()) + "B"));
-  } catch (const UnitError& error) {
-    AddFault(aField, error.what());
-  }
-  return fallback;
-}
-
-Endpoint
-MappingReader::ReadEndpoint(std::string_view aField)
-{
-  const std::optional<std::string> text = TakeScalar(aField, true);
-  if (!text) {
-    return {};
-  }
-  try {
-    return ParseEndpoint(*text);
-  } catch (const EndpointError& error) {
-    AddFault(aField, error.what());
-  }
-  return {};
-}
-
 MappingReader
 MappingReader::ReadMapping(std::string_view aField)
 {
@@ -371,6 +212,13 @@
   return { field->m_value, PathOf(aField), m_faults };
 }
 
+std::optional<YAML::Node>
+MappingReader::ReadNode(std::string_view aField)
+{
+  const Field* field = Take(aField, true);
+  return field == nullptr ? std::nullopt : std::optional(field->m_value);
+}
+
 void
 MappingReader::ReadRows(std::string_view aField,
                         const std::function<void(MappingReader&)>& aFunction)
--- a/rattanweir/version/yaml/reader.h
+++ b/rattanweir/version/yaml/reader.h
@@ -110,6 +110,9 @@
   // A mapping below this one.
   MappingReader ReadMapping(std::string_view aField);
 
+  // The field's value as it stands.
+  std::optional<YAML::Node> ReadNode(std::string_view aField);
+
   // Calls the function with a reader for each row of a list of mappings.
   void ReadRows(std::string_view aField,
                 const std::function<void(MappingReader&)>& aFunction);
