Add the pipeline of one request

Admission for callers and peers, attempts, rate reservation and settlement, keyed runs, entry answers and key issue, over the narrow interfaces of exchange and the process's ledgers.

--- a/rattanweir/request/exchange/exchange.h
+++ b/rattanweir/request/exchange/exchange.h
@@ -20,6 +20,7 @@
 #include "rattanweir/base/cancel/cancel.h"
 #include "rattanweir/base/clock/clock.h"
 #include "rattanweir/base/endpoint/endpoint.h"
+#include "rattanweir/base/ids/ids.h"
 
 #include <memory>
 #include <optional>
@@ -46,6 +47,8 @@
   HeaderFields m_headers;
   std::string m_body;
   SteadyTime m_receivedAt;
+  // Given by the server that took it; named in the answer.
+  RequestId m_id;
 };
 
 // The status and header of an answer. Fields that belong to one connection
--- /dev/null
+++ b/rattanweir/request/pipeline/attempts.cc
@@ -0,0 +1,424 @@
+#include "rattanweir/request/pipeline/attempts.h"
+
+#include "rattanweir/base/random/random.h"
+#include "rattanweir/request/pipeline/admission.h"
+#include "rattanweir/request/wait/wait.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+constexpr std::size_t kAttemptIdBytes = 8;
+// Before a place is tried again: doubled for each attempt, with as much again
+// at random.
+constexpr milliseconds kFirstRetryDelay(10);
+// A server that gave no whole answer in this time counts as hung.
+constexpr std::chrono::seconds kHungAfter(20);
+
+std::optional<BackendServer>
+FindLocalServer(const Serving& aServing,
+                const PoolId& aPool,
+                const BackendServerId& aId)
+{
+  for (const BackendServer* server :
+       aServing.m_catalog.BackendServersOf(aPool, aServing.m_region)) {
+    if (server->m_id == aId) {
+      return *server;
+    }
+  }
+  return std::nullopt;
+}
+
+// Holds a dispatch at a backend server in the view until its end is known.
+class Dispatch
+{
+public:
+  Dispatch(BackendView& aView, BackendServerId aId)
+    : m_view(aView)
+    , m_id(std::move(aId))
+  {
+    m_view.AddDispatch(m_id);
+  }
+  ~Dispatch() { m_view.EndDispatch(m_id, m_verdict); }
+  Dispatch(const Dispatch&) = delete;
+  Dispatch& operator=(const Dispatch&) = delete;
+
+  void SetVerdict(AttemptVerdict aVerdict) { m_verdict = aVerdict; }
+
+  void TakeSignals(const AnswerHead& aHead)
+  {
+    const BackendSignals signals = SignalsOf(aHead);
+    if (signals.m_load) {
+      m_view.ReportLoad(m_id, *signals.m_load);
+    }
+    if (signals.m_isDraining) {
+      m_view.MarkLeaving(m_id);
+    }
+  }
+
+private:
+  BackendView& m_view;
+  BackendServerId m_id;
+  AttemptVerdict m_verdict = AttemptVerdict::Neutral;
+};
+
+AttemptVerdict
+VerdictOf(ResultCode aCode, nanoseconds aLasted)
+{
+  switch (aCode) {
+    // A deadline tells of the server only if it had time enough.
+    case ResultCode::DeadlineExceeded:
+      return aLasted >= kHungAfter ? AttemptVerdict::Failed
+                                   : AttemptVerdict::Neutral;
+    case ResultCode::BackendConnectFailed:
+    case ResultCode::BackendReset:
+    case ResultCode::AnswerIncomplete:
+    case ResultCode::AnswerMismatch:
+      return AttemptVerdict::Failed;
+    default:
+      return AttemptVerdict::Neutral;
+  }
+}
+
+// The error of an exchange with a peer in the words for peers.
+RequestError
+AsPeerError(const RequestError& aError)
+{
+  switch (aError.Code()) {
+    case ResultCode::BackendConnectFailed:
+      return RequestError(
+        ResultCode::PeerUnreachable, aError.what(), aError.HasRun());
+    case ResultCode::BackendReset:
+      return RequestError(ResultCode::PeerLost, aError.what(), aError.HasRun());
+    default:
+      return aError;
+  }
+}
+
+BackendCandidate
+CandidateOf(const Serving& aServing, const BackendServer& aServer)
+{
+  return { .m_id = aServer.m_id,
+           .m_maximumInFlight = aServer.m_maximumInFlight,
+           .m_isLeaving = aServer.m_isLeaving,
+           .m_state = aServing.m_backends.StateOf(aServer.m_id) };
+}
+
+} // namespace
+
+PlaceQuestion
+AskForPlace(const Serving& aServing,
+            const RequestPlan& aPlan,
+            const TriedPlaces& aTried,
+            bool aResumesStream)
+{
+  const Catalog& catalog = aServing.m_catalog;
+  const PoolId& pool = aPlan.m_route.m_pool;
+  PlaceQuestion question{
+    .m_regions = RegionsInForce(catalog, aPlan.m_route, aPlan.m_clientAccount),
+    .m_ownRegion = aServing.m_region,
+  };
+  for (const BackendServer* server :
+       catalog.BackendServersOf(pool, aServing.m_region)) {
+    const bool isUnfit = aResumesStream && !server->m_resumesStreams;
+    if (isUnfit || aTried.m_backendServers.contains(server->m_id)) {
+      continue;
+    }
+    question.m_candidates.push_back(CandidateOf(aServing, *server));
+  }
+  // A forwarded request goes no further.
+  if (aPlan.m_forwardedBy) {
+    return question;
+  }
+  for (const RegionId& region : catalog.RegionsOf(pool)) {
+    for (PeerView& peer : aServing.m_membership.UsablePeersIn(region)) {
+      if (!aTried.m_peers.contains(peer.m_record.m_id)) {
+        question.m_peers.push_back(std::move(peer));
+      }
+    }
+  }
+  return question;
+}
+
+Attempts::Attempts(const AttemptsOptions& aOptions)
+  : m_options(aOptions)
+  , m_serving(aOptions.m_serving)
+  , m_plan(aOptions.m_plan)
+  , m_backendChoice(
+      { .m_clock = m_serving.m_clock, .m_random = m_serving.m_random })
+  , m_placeChoice(
+      { .m_backends = m_backendChoice, .m_random = m_serving.m_random })
+{
+  m_progress.m_nextOffset = m_plan.m_resumeOffset;
+}
+
+Task<void>
+Attempts::Run()
+{
+  m_serving.m_retries.AddFirstAttempt();
+  for (;;) {
+    CheckBeforeDispatch();
+    Place place = co_await ChoosePlace();
+    if (const auto* nowhere = std::get_if<Nowhere>(&place)) {
+      if (m_lastFailure) {
+        throw WithRan(*m_lastFailure);
+      }
+      throw RequestError(nowhere->m_code, nowhere->m_detail, Ran::No);
+    }
+    // The wait before a repeated place may have changed things.
+    CheckBeforeDispatch();
+    Failure failure = co_await Attempt(std::move(place));
+    if (!failure) {
+      co_return;
+    }
+    ThrowUnlessRetried(*failure);
+  }
+}
+
+Task<void>
+Attempts::RunAtPeer(PeerView aPeer)
+{
+  CheckBeforeDispatch();
+  Place place = ForwardTo{ std::move(aPeer) };
+  const Failure failure = co_await Attempt(std::move(place));
+  if (failure) {
+    throw WithRan(*failure);
+  }
+}
+
+AttemptsReport
+Attempts::Report() const
+{
+  AttemptsReport report = m_report;
+  report.m_generatedTokens = m_progress.m_generatedTokens;
+  return report;
+}
+
+void
+Attempts::CheckBeforeDispatch() const
+{
+  const Ran ran = m_report.m_ran;
+  if (const auto reason = m_options.m_cancel.Reason()) {
+    throw RequestError(*reason, "the request was cancelled", ran);
+  }
+  if (m_serving.m_rates.IsPaused()) {
+    throw RequestError(
+      ResultCode::InstancePaused, "the process was paused", ran);
+  }
+  if (!IsStillEntitled(m_serving.m_catalog, RunningRequestOf(m_plan))) {
+    throw RequestError(ResultCode::KeyWithdrawn, "the key was withdrawn", ran);
+  }
+  if (TimeLeft() < milliseconds(1)) {
+    const ResultCode code = ran == Ran::No ? ResultCode::DeadlineTooShort
+                                           : ResultCode::DeadlineExceeded;
+    throw RequestError(code, "no time is left before the deadline", ran);
+  }
+}
+
+Task<Place>
+Attempts::ChoosePlace()
+{
+  const bool isResumed = m_progress.m_nextOffset > 0;
+  Place place =
+    m_placeChoice.Choose(AskForPlace(m_serving, m_plan, m_tried, isResumed));
+  if (!std::holds_alternative<Nowhere>(place) || !m_lastFailure) {
+    co_return place;
+  }
+  // All were tried once: after a while they may be tried again.
+  m_tried = {};
+  const auto delay = kFirstRetryDelay * (1U << m_report.m_attempts);
+  const auto jitter = milliseconds(
+    UniformIndex(m_serving.m_random, static_cast<std::size_t>(delay.count())));
+  const nanoseconds bounded = std::min<nanoseconds>(delay + jitter, TimeLeft());
+  co_await WaitFor(m_serving.m_executor, bounded, m_options.m_cancel);
+  co_return m_placeChoice.Choose(
+    AskForPlace(m_serving, m_plan, m_tried, isResumed));
+}
+
+Task<Attempts::Failure>
+Attempts::Attempt(Place aPlace)
+{
+  ++m_report.m_attempts;
+  m_options.m_registration.MarkDispatched();
+  try {
+    if (auto* forward = std::get_if<ForwardTo>(&aPlace)) {
+      m_tried.m_peers.insert(forward->m_peer.m_record.m_id);
+      co_await AttemptAtPeer(std::move(forward->m_peer));
+    } else {
+      BackendServerId id =
+        std::move(std::get<ServeHere>(aPlace).m_backendServer);
+      m_tried.m_backendServers.insert(id);
+      co_await AttemptHere(std::move(id));
+    }
+  } catch (const RequestError& error) {
+    m_report.m_ran = std::max(m_report.m_ran, error.HasRun());
+    co_return error;
+  }
+  m_report.m_ran = Ran::Yes;
+  co_return std::nullopt;
+}
+
+Task<void>
+Attempts::AttemptHere(BackendServerId aId)
+{
+  const auto server = FindLocalServer(m_serving, m_plan.m_route.m_pool, aId);
+  if (!server) {
+    throw RequestError(ResultCode::NoBackendServer, "it is gone", Ran::No);
+  }
+  const AttemptId attempt(RandomHex(kAttemptIdBytes));
+  HeaderFields fields = {
+    { "x-request-id", m_plan.m_idempotencyKey.value_or(m_plan.m_id.Value()) },
+    { "x-attempt-id", attempt.Value() },
+    { "x-deadline-ms", MillisecondsLeft() },
+  };
+  if (!m_plan.m_clientAccount.IsEmpty()) {
+    fields.push_back({ "x-client-account", m_plan.m_clientAccount.Value() });
+  }
+  if (m_progress.m_nextOffset > 0) {
+    fields.push_back(
+      { "x-resume-offset", std::to_string(m_progress.m_nextOffset) });
+  }
+  const AnswerOrigin origin =
+    FromBackendServer{ .m_attempt = attempt,
+                       .m_kind = server->m_kind,
+                       .m_echoesAttemptId = server->m_echoesAttemptId };
+  const SteadyTime begin = m_serving.m_clock.SteadyNow();
+  Dispatch dispatch(m_serving.m_backends, aId);
+  try {
+    const auto exchange = co_await Send(server->m_endpoint, std::move(fields));
+    const AnswerHead head = co_await exchange->ReadHead();
+    if (!IsCrossed(head, origin)) {
+      dispatch.TakeSignals(head);
+    }
+    co_await Relay(*exchange, head, origin);
+    dispatch.SetVerdict(AttemptVerdict::Answered);
+  } catch (const RequestError& error) {
+    const auto lasted = m_serving.m_clock.SteadyNow() - begin;
+    dispatch.SetVerdict(VerdictOf(error.Code(), lasted));
+    throw;
+  }
+}
+
+Task<void>
+Attempts::AttemptAtPeer(PeerView aPeer)
+{
+  HeaderFields fields = {
+    { kHopField, m_serving.m_self.Value() },
+    { kRequestField, m_plan.m_id.Value() },
+    { kRouteField, m_plan.m_route.m_id.Value() },
+    { kDeadlineField, MillisecondsLeft() },
+  };
+  if (m_plan.m_key) {
+    fields.push_back({ kKeyField, m_plan.m_key->Value() });
+    fields.push_back({ kClientAccountField, m_plan.m_clientAccount.Value() });
+  }
+  if (m_plan.m_idempotencyKey) {
+    fields.push_back({ kIdempotencyKeyField, *m_plan.m_idempotencyKey });
+  }
+  if (m_progress.m_nextOffset > 0) {
+    fields.push_back(
+      { kResumeOffsetField, std::to_string(m_progress.m_nextOffset) });
+  }
+  m_serving.m_metrics.Count("rattanweir_forwarded_total");
+  const InstanceRecord& record = aPeer.m_record;
+  const AnswerOrigin origin = FromPeer{ .m_request = m_plan.m_id };
+  try {
+    const auto exchange =
+      co_await Send(record.m_peerAddress, std::move(fields));
+    const AnswerHead head = co_await exchange->ReadHead();
+    co_await Relay(*exchange, head, origin);
+  } catch (const RequestError& error) {
+    if (error.Code() == ResultCode::BackendConnectFailed) {
+      m_serving.m_membership.MarkUnreachable(record.m_id);
+    }
+    throw AsPeerError(error);
+  }
+}
+
+Task<std::unique_ptr<UpstreamExchange>>
+Attempts::Send(Endpoint aEndpoint, HeaderFields aFields)
+{
+  m_serving.m_metrics.Count("rattanweir_attempts_total");
+  OutboundRequest outbound{
+    .m_method = m_plan.m_method,
+    .m_target = m_plan.m_target,
+    .m_headers = m_plan.m_headers,
+    .m_body = m_plan.m_body,
+    .m_deadline = m_plan.m_deadline,
+    .m_needsFreshConnection = !m_plan.m_route.m_isIdempotent,
+  };
+  std::move(
+    aFields.begin(), aFields.end(), std::back_inserter(outbound.m_headers));
+  co_return co_await m_serving.m_upstream.Send(
+    std::move(aEndpoint), std::move(outbound), m_options.m_cancel);
+}
+
+Task<void>
+Attempts::Relay(UpstreamExchange& aExchange,
+                AnswerHead aHead,
+                AnswerOrigin aOrigin)
+{
+  co_await CheckHead(aExchange, aHead, aOrigin);
+  RelayOptions options{
+    .m_origin = std::move(aOrigin),
+    .m_addedFields = { { kRequestField, m_plan.m_id.Value() } },
+    .m_marksOffsets = m_plan.m_forwardedBy.has_value(),
+  };
+  co_await RelayAnswer(aExchange,
+                       std::move(aHead),
+                       std::move(options),
+                       m_options.m_sink,
+                       m_progress);
+}
+
+void
+Attempts::ThrowUnlessRetried(const RequestError& aFailure)
+{
+  if (aFailure.Code() == ResultCode::AnswerMismatch) {
+    m_serving.m_metrics.Count("rattanweir_answers_dropped_total");
+  }
+  const FailedAttempt failed{
+    .m_code = aFailure.Code(),
+    .m_ran = aFailure.HasRun(),
+    .m_isIdempotent = m_plan.m_route.m_isIdempotent,
+    .m_hasAnswerBegun = m_progress.m_hasHead,
+    .m_canResume = m_progress.m_hasOffsets,
+    .m_timeLeft = TimeLeft(),
+    .m_attempts = m_report.m_attempts,
+  };
+  const RetryDecision decision = DecideRetry(failed, m_serving.m_retries);
+  if (std::holds_alternative<NoRetry>(decision)) {
+    throw WithRan(aFailure);
+  }
+  m_lastFailure = aFailure;
+  m_serving.m_metrics.CountRetry(aFailure.Code());
+}
+
+RequestError
+Attempts::WithRan(const RequestError& aError) const
+{
+  return { aError.Code(),
+           aError.what(),
+           std::max(aError.HasRun(), m_report.m_ran),
+           aError.ComeBackAfter() };
+}
+
+std::chrono::nanoseconds
+Attempts::TimeLeft() const
+{
+  return m_plan.m_deadline - m_serving.m_clock.SteadyNow();
+}
+
+std::string
+Attempts::MillisecondsLeft() const
+{
+  return std::to_string(duration_cast<milliseconds>(TimeLeft()).count());
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/pipeline/attempts.h
@@ -0,0 +1,98 @@
+// Makes the attempts at one admitted request until one gives a whole answer.
+//
+//   Attempts attempts(options);
+//   co_await attempts.Run();
+//
+// Each attempt has its own id and is looked at afresh: cancelled, paused, key
+// still granted, time left, region still permitted. Whether a failed one is
+// followed by another: request/retry. The error thrown in the end says whether
+// any of the attempts may have run.
+
+#pragma once
+
+#include "rattanweir/request/pipeline/request_plan.h"
+#include "rattanweir/request/pipeline/serving.h"
+#include "rattanweir/request/relay/answer_relay.h"
+#include "rattanweir/request/routing/place_choice.h"
+
+#include <optional>
+#include <set>
+
+namespace rattanweir {
+
+// The places that were tried without success.
+struct TriedPlaces
+{
+  std::set<BackendServerId> m_backendServers;
+  std::set<InstanceId> m_peers;
+};
+
+// What the choice of a place is made from. With `aResumesStream` only backend
+// servers that resume streams count.
+PlaceQuestion
+AskForPlace(const Serving& aServing,
+            const RequestPlan& aPlan,
+            const TriedPlaces& aTried,
+            bool aResumesStream);
+
+struct AttemptsOptions
+{
+  Serving& m_serving;
+  const RequestPlan& m_plan;
+  AnswerSink& m_sink;
+  CancelSource& m_cancel;
+  InFlight::Registration& m_registration;
+};
+
+// What became of a request, for its log record.
+struct AttemptsReport
+{
+  unsigned m_attempts = 0;
+  // Whether any attempt may have run.
+  Ran m_ran = Ran::No;
+  std::optional<std::int64_t> m_generatedTokens;
+};
+
+class Attempts
+{
+public:
+  explicit Attempts(const AttemptsOptions& aOptions);
+
+  // Throws RequestError.
+  Task<void> Run();
+
+  // One attempt at this peer and no other, whatever it ends with.
+  Task<void> RunAtPeer(PeerView aPeer);
+
+  AttemptsReport Report() const;
+
+private:
+  using Failure = std::optional<RequestError>;
+
+  void CheckBeforeDispatch() const;
+  Task<Place> ChoosePlace();
+  Task<Failure> Attempt(Place aPlace);
+  Task<void> AttemptHere(BackendServerId aId);
+  Task<void> AttemptAtPeer(PeerView aPeer);
+  Task<std::unique_ptr<UpstreamExchange>> Send(Endpoint aEndpoint,
+                                               HeaderFields aFields);
+  Task<void> Relay(UpstreamExchange& aExchange,
+                   AnswerHead aHead,
+                   AnswerOrigin aOrigin);
+  void ThrowUnlessRetried(const RequestError& aFailure);
+  RequestError WithRan(const RequestError& aError) const;
+  std::chrono::nanoseconds TimeLeft() const;
+  std::string MillisecondsLeft() const;
+
+  AttemptsOptions m_options;
+  Serving& m_serving;
+  const RequestPlan& m_plan;
+  BackendChoice m_backendChoice;
+  PlaceChoice m_placeChoice;
+  TriedPlaces m_tried;
+  AnswerProgress m_progress;
+  AttemptsReport m_report;
+  Failure m_lastFailure;
+};
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/pipeline/entry_answers.cc
@@ -0,0 +1,82 @@
+#include "rattanweir/request/pipeline/entry_answers.h"
+
+#include "rattanweir/request/pipeline/json_answer.h"
+#include "rattanweir/request/routing/entry_order.h"
+
+#include <json/json.h>
+
+#include <chrono>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Callers ask again well before what they know expires.
+constexpr milliseconds kExpiresAfter(30'000);
+constexpr milliseconds kComeBackAfter(10'000);
+
+void
+AddSelf(const Serving& aServing, std::vector<InstanceRecord>& aInstances)
+{
+  const auto self = aServing.m_membership.Self();
+  const bool isLeaving = self && self->m_isLeaving;
+  if (!aServing.m_isReady || aServing.m_isDraining || isLeaving ||
+      aServing.m_rates.IsPaused()) {
+    return;
+  }
+  // While the list has it not yet, it is known to itself all the same.
+  InstanceRecord record = self.value_or(InstanceRecord{});
+  record.m_id = aServing.m_self;
+  record.m_region = aServing.m_region;
+  record.m_callerAddress = aServing.m_callerAddress;
+  aInstances.push_back(std::move(record));
+}
+
+// Callers of one account get one order; those without spread at random.
+std::string
+SpreadBy(const Serving& aServing,
+         const std::optional<std::string>& aPresentedKey)
+{
+  const KeyGrant* grant =
+    aPresentedKey ? aServing.m_catalog.FindKey(*aPresentedKey) : nullptr;
+  return grant == nullptr ? std::to_string(aServing.m_random())
+                          : grant->m_clientAccount.Value();
+}
+
+} // namespace
+
+std::vector<InstanceRecord>
+EntriesFor(const Serving& aServing,
+           const std::optional<std::string>& aPresentedKey)
+{
+  std::vector<InstanceRecord> instances;
+  AddSelf(aServing, instances);
+  for (const PeerView& peer : aServing.m_membership.Peers()) {
+    if (aServing.m_membership.IsUsable(peer)) {
+      instances.push_back(peer.m_record);
+    }
+  }
+  const std::string spread = SpreadBy(aServing, aPresentedKey);
+  return OrderEntries(std::move(instances), aServing.m_region, spread);
+}
+
+std::string
+EntriesJson(const Serving& aServing,
+            const std::optional<std::string>& aPresentedKey)
+{
+  Json::Value answer(Json::objectValue);
+  Json::Value& entries = answer["entries"] = Json::arrayValue;
+  for (const InstanceRecord& record : EntriesFor(aServing, aPresentedKey)) {
+    Json::Value entry(Json::objectValue);
+    entry["instance"] = record.m_id.Value();
+    entry["region"] = record.m_region.Value();
+    entry["address"] = record.m_callerAddress.ToString();
+    entries.append(std::move(entry));
+  }
+  answer["expires_in_ms"] = Json::Int64(kExpiresAfter.count());
+  answer["come_back_after_ms"] = Json::Int64(kComeBackAfter.count());
+  return JsonText(answer);
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/pipeline/entry_handler.cc
@@ -0,0 +1,141 @@
+#include "rattanweir/request/pipeline/entry_handler.h"
+
+#include "rattanweir/request/credentials/credentials.h"
+#include "rattanweir/request/pipeline/admission.h"
+#include "rattanweir/request/pipeline/entry_answers.h"
+#include "rattanweir/request/pipeline/json_answer.h"
+#include "rattanweir/request/pipeline/key_issue.h"
+
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+constexpr const char* kEntriesPath = "/v1/entries";
+constexpr const char* kKeysPath = "/v1/idempotency-keys";
+
+// The key's owner could not be asked, so an earlier use may have run.
+RequestError
+OwnerNotAsked(const RequestError& aError)
+{
+  if (aError.Code() != ResultCode::PeerUnreachable) {
+    return aError;
+  }
+  return { ResultCode::PeerLost, aError.what(), Ran::Maybe };
+}
+
+} // namespace
+
+EntryHandler::EntryHandler(Serving& aServing, KeyedRuns& aKeyedRuns)
+  : m_serving(aServing)
+  , m_keyedRuns(aKeyedRuns)
+{
+}
+
+Task<void>
+EntryHandler::Handle(InboundRequest aRequest,
+                     AnswerSink& aSink,
+                     CancelSource& aCancel)
+{
+  RequestRecord record{ .m_request = aRequest.m_id,
+                        .m_receivedAt = aRequest.m_receivedAt };
+  std::optional<RequestError> failure;
+  try {
+    co_await Serve(std::move(aRequest), aSink, aCancel, record);
+  } catch (const RequestError& error) {
+    failure = error;
+  } catch (const std::exception& error) {
+    failure = RequestError(ResultCode::InternalError, error.what());
+  }
+  RecordDone(m_serving, record, failure);
+  if (failure) {
+    throw RequestError(*failure);
+  }
+}
+
+Task<void>
+EntryHandler::Serve(InboundRequest aRequest,
+                    AnswerSink& aSink,
+                    CancelSource& aCancel,
+                    RequestRecord& aRecord)
+{
+  const std::string path = PathOf(aRequest.m_target);
+  if (path == kEntriesPath && aRequest.m_method == "GET") {
+    const auto key = PresentedKey(aRequest.m_headers);
+    std::string json = EntriesJson(m_serving, key);
+    co_await WriteJsonAnswer(std::move(json), aSink);
+    co_return;
+  }
+  if (path == kKeysPath && aRequest.m_method == "POST") {
+    std::string json =
+      co_await IssueForCaller(m_serving, std::move(aRequest), aCancel);
+    co_await WriteJsonAnswer(std::move(json), aSink);
+    co_return;
+  }
+  co_await ServeRoute(std::move(aRequest), aSink, aCancel, aRecord);
+}
+
+Task<void>
+EntryHandler::ServeRoute(InboundRequest aRequest,
+                         AnswerSink& aSink,
+                         CancelSource& aCancel,
+                         RequestRecord& aRecord)
+{
+  RequestPlan plan = AdmitFromCaller(m_serving, std::move(aRequest));
+  aRecord.m_route = plan.m_route.m_id;
+  aRecord.m_clientAccount = plan.m_clientAccount;
+  if (plan.m_idempotencyKey) {
+    co_await ServeKeyed(std::move(plan), aSink, aCancel, aRecord.m_report);
+    co_return;
+  }
+  const RunOptions options{};
+  co_await RunRequest(
+    m_serving, plan, options, aSink, aCancel, aRecord.m_report);
+}
+
+Task<void>
+EntryHandler::ServeKeyed(RequestPlan aPlan,
+                         AnswerSink& aSink,
+                         CancelSource& aCancel,
+                         AttemptsReport& aReport)
+{
+  IdempotencyKey key = ParseIdempotencyKey(*aPlan.m_idempotencyKey);
+  if (key.m_owner == m_serving.m_self) {
+    co_await m_keyedRuns.Serve(
+      std::move(aPlan), std::move(key), aSink, aCancel, aReport);
+    co_return;
+  }
+  // The owner reserves the rate, once for all uses of the key.
+  const RunOptions options{ .m_reservesRate = false,
+                            .m_onlyPeer = OwnerOf(key, aPlan) };
+  try {
+    co_await RunRequest(m_serving, aPlan, options, aSink, aCancel, aReport);
+  } catch (const RequestError& error) {
+    throw OwnerNotAsked(error);
+  }
+}
+
+PeerView
+EntryHandler::OwnerOf(const IdempotencyKey& aKey,
+                      const RequestPlan& aPlan) const
+{
+  const auto owner = m_serving.m_membership.Find(aKey.m_owner);
+  const bool isReplaced =
+    owner && owner->m_heartbeat &&
+    owner->m_heartbeat->m_incarnation != aKey.m_incarnation;
+  if (!owner || isReplaced) {
+    throw RequestError(ResultCode::IdempotencyOutcomeUnknown,
+                       "the instance that issued the key is gone",
+                       Ran::Maybe);
+  }
+  const auto regions =
+    RegionsInForce(m_serving.m_catalog, aPlan.m_route, aPlan.m_clientAccount);
+  if (!regions.Permits(owner->m_record.m_region)) {
+    throw RequestError(ResultCode::ResidencyRefused,
+                       "the key's owner is in a region that is not permitted",
+                       Ran::No);
+  }
+  return *owner;
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/pipeline/key_issue.cc
@@ -0,0 +1,184 @@
+#include "rattanweir/request/pipeline/key_issue.h"
+
+#include "rattanweir/request/credentials/credentials.h"
+#include "rattanweir/request/pipeline/admission.h"
+#include "rattanweir/request/pipeline/json_answer.h"
+#include "rattanweir/request/relay/answer_relay.h"
+
+#include <json/json.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr std::chrono::seconds kIssueDeadline(5);
+constexpr std::size_t kMaximumAnswerBytes = std::size_t{ 16 } * 1024;
+// Peers asked for one key, one after the other.
+constexpr std::size_t kMaximumPeers = 3;
+
+struct KeyRequest
+{
+  Route m_route;
+  ClientAccountId m_clientAccount;
+};
+
+Route
+RequireRoute(const Catalog& aCatalog, const std::string& aId)
+{
+  const Route* route = aCatalog.FindRoute(RouteId(aId));
+  if (route == nullptr) {
+    throw RequestError(ResultCode::UnknownRoute, "no route has this id");
+  }
+  return *route;
+}
+
+bool
+CanIssueHere(const Serving& aServing, const KeyRequest& aRequest)
+{
+  const Catalog& catalog = aServing.m_catalog;
+  const auto regions =
+    RegionsInForce(catalog, aRequest.m_route, aRequest.m_clientAccount);
+  if (aServing.m_isDraining || !regions.Permits(aServing.m_region)) {
+    return false;
+  }
+  const auto serving = catalog.RegionsOf(aRequest.m_route.m_pool);
+  return std::find(serving.begin(), serving.end(), aServing.m_region) !=
+         serving.end();
+}
+
+std::string
+IssueHere(Serving& aServing, const KeyRequest& aRequest)
+{
+  const IssuedKey issued =
+    aServing.m_keys.Issue({ .m_route = aRequest.m_route.m_id,
+                            .m_clientAccount = aRequest.m_clientAccount });
+  Json::Value answer(Json::objectValue);
+  answer["idempotency_key"] = issued.m_key.ToString();
+  answer["expires_in_ms"] =
+    Json::Int64(duration_cast<milliseconds>(issued.m_expiresAfter).count());
+  answer["instance"] = aServing.m_self.Value();
+  answer["address"] = aServing.m_callerAddress.ToString();
+  return JsonText(answer);
+}
+
+std::vector<PeerView>
+PeersThatCanIssue(const Serving& aServing, const KeyRequest& aRequest)
+{
+  const auto regions = RegionsInForce(
+    aServing.m_catalog, aRequest.m_route, aRequest.m_clientAccount);
+  std::vector<PeerView> peers;
+  for (const RegionId& region :
+       aServing.m_catalog.RegionsOf(aRequest.m_route.m_pool)) {
+    if (!regions.Permits(region)) {
+      continue;
+    }
+    for (PeerView& peer : aServing.m_membership.UsablePeersIn(region)) {
+      peers.push_back(std::move(peer));
+    }
+  }
+  std::shuffle(peers.begin(), peers.end(), aServing.m_random);
+  peers.resize(std::min(peers.size(), kMaximumPeers));
+  return peers;
+}
+
+Task<std::string>
+IssueAtPeer(Serving& aServing,
+            const KeyRequest& aRequest,
+            PeerView aPeer,
+            RequestId aId,
+            CancelSource& aCancel)
+{
+  Json::Value body(Json::objectValue);
+  body["route"] = aRequest.m_route.m_id.Value();
+  body["client_account"] = aRequest.m_clientAccount.Value();
+  OutboundRequest outbound{
+    .m_method = "POST",
+    .m_target = kPeerKeysPath,
+    .m_headers = { { "content-type", "application/json" },
+                   { kHopField, aServing.m_self.Value() },
+                   { kRequestField, aId.Value() } },
+    .m_body = std::make_shared<const std::string>(JsonText(body)),
+    .m_deadline = aServing.m_clock.SteadyNow() + kIssueDeadline,
+  };
+  const auto exchange = co_await aServing.m_upstream.Send(
+    aPeer.m_record.m_peerAddress, std::move(outbound), aCancel);
+  const AnswerHead head = co_await exchange->ReadHead();
+  const AnswerOrigin origin = FromPeer{ .m_request = aId };
+  co_await CheckHead(*exchange, head, origin);
+  std::string answer;
+  while (const auto piece = co_await exchange->ReadChunk()) {
+    answer += *piece;
+    if (answer.size() > kMaximumAnswerBytes) {
+      throw RequestError(ResultCode::PeerLost, "the answer is too long");
+    }
+  }
+  co_return answer;
+}
+
+} // namespace
+
+Task<std::string>
+IssueForCaller(Serving& aServing,
+               InboundRequest aRequest,
+               CancelSource& aCancel)
+{
+  CheckTakesRequests(aServing);
+  const Json::Value body = RequireJsonObject(aRequest.m_body);
+  KeyRequest request{ .m_route = RequireRoute(aServing.m_catalog,
+                                              RequireText(body, "route")) };
+  if (!request.m_route.m_isOpenToAll) {
+    const auto key = PresentedKey(aRequest.m_headers);
+    request.m_clientAccount =
+      RequireGrant(aServing.m_catalog, key).m_clientAccount;
+  }
+  if (CanIssueHere(aServing, request)) {
+    co_return IssueHere(aServing, request);
+  }
+  for (PeerView& peer : PeersThatCanIssue(aServing, request)) {
+    const InstanceId id = peer.m_record.m_id;
+    try {
+      co_return co_await IssueAtPeer(
+        aServing, request, std::move(peer), aRequest.m_id, aCancel);
+    } catch (const RequestError& error) {
+      if (aCancel.Reason()) {
+        throw;
+      }
+      if (error.Code() == ResultCode::BackendConnectFailed) {
+        aServing.m_membership.MarkUnreachable(id);
+      }
+    }
+  }
+  throw RequestError(ResultCode::ResidencyUnavailable,
+                     "no instance that can own the key is reachable",
+                     Ran::No);
+}
+
+std::string
+IssueForPeer(Serving& aServing, const InboundRequest& aRequest)
+{
+  CheckTakesRequests(aServing);
+  CheckHop(aServing, aRequest.m_headers);
+  const Json::Value body = RequireJsonObject(aRequest.m_body);
+  const KeyRequest request{
+    .m_route = RequireRoute(aServing.m_catalog, RequireText(body, "route")),
+    .m_clientAccount =
+      ClientAccountId(body.get("client_account", "").asString()),
+  };
+  if (request.m_route.m_isOpenToAll != request.m_clientAccount.IsEmpty()) {
+    throw RequestError(ResultCode::KeyNotGranted,
+                       "the route and the client account do not fit");
+  }
+  if (!CanIssueHere(aServing, request)) {
+    throw RequestError(ResultCode::ResidencyRefused,
+                       "the request can not be dispatched from here");
+  }
+  return IssueHere(aServing, request);
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/pipeline/keyed_runs.cc
@@ -0,0 +1,198 @@
+#include "rattanweir/request/pipeline/keyed_runs.h"
+
+#include "rattanweir/request/wait/wait.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <xxhash.h>
+
+#include <utility>
+
+namespace rattanweir {
+
+// The outcome of one run, for the one task that waits for it.
+class OutcomeWait
+{
+public:
+  explicit OutcomeWait(const Executor& aExecutor)
+    : m_wakeUp(aExecutor)
+  {
+  }
+
+  void Set(KeptOutcome aOutcome)
+  {
+    m_outcome = std::move(aOutcome);
+    m_wakeUp.Wake();
+  }
+
+  std::optional<KeptOutcome> m_outcome;
+  WakeUp m_wakeUp;
+  AttemptsReport m_report;
+};
+
+namespace {
+
+// Keeps a whole answer instead of passing it on.
+class KeepingSink final : public AnswerSink
+{
+public:
+  Task<void> WriteHead(AnswerHead aHead) override
+  {
+    m_hasHead = true;
+    m_answer.m_status = aHead.m_status;
+    for (HeaderField& field : aHead.m_headers) {
+      // The answer to a repeat carries its own request id.
+      if (field.m_name != kRequestField) {
+        m_answer.m_headers.emplace_back(std::move(field.m_name),
+                                        std::move(field.m_value));
+      }
+    }
+    co_return;
+  }
+
+  Task<void> WriteChunk(std::string aChunk) override
+  {
+    m_answer.m_body += aChunk;
+    co_return;
+  }
+
+  Task<void> Finish() override { co_return; }
+
+  bool HasHead() const override { return m_hasHead; }
+
+  KeptAnswer TakeAnswer() { return std::move(m_answer); }
+
+private:
+  bool m_hasHead = false;
+  KeptAnswer m_answer;
+};
+
+std::uint64_t
+FingerprintOf(const RequestPlan& aPlan)
+{
+  std::string text = aPlan.m_method + '\n' + aPlan.m_target + '\n';
+  text += *aPlan.m_body;
+  return XXH64(text.data(), text.size(), 0);
+}
+
+Task<void>
+WriteKept(KeptAnswer aAnswer, const RequestPlan& aPlan, AnswerSink& aSink)
+{
+  AnswerHead head{ .m_status = aAnswer.m_status,
+                   .m_headers = { { kRequestField, aPlan.m_id.Value() } },
+                   .m_contentLength = aAnswer.m_body.size() };
+  for (auto& [name, value] : aAnswer.m_headers) {
+    head.m_headers.push_back({ std::move(name), std::move(value) });
+  }
+  co_await aSink.WriteHead(std::move(head));
+  if (!aAnswer.m_body.empty()) {
+    co_await aSink.WriteChunk(std::move(aAnswer.m_body));
+  }
+  co_await aSink.Finish();
+}
+
+Ran
+RanOf(const KeptOutcome& aOutcome)
+{
+  const auto* failure = std::get_if<KeptFailure>(&aOutcome);
+  return failure == nullptr ? Ran::Yes : failure->m_ran;
+}
+
+} // namespace
+
+KeyedRuns::KeyedRuns(Serving& aServing)
+  : m_serving(aServing)
+{
+}
+
+Task<void>
+KeyedRuns::Serve(RequestPlan aPlan,
+                 IdempotencyKey aKey,
+                 AnswerSink& aSink,
+                 CancelSource& aCancel,
+                 AttemptsReport& aReport)
+{
+  auto wait = std::make_shared<OutcomeWait>(m_serving.m_executor);
+  KeyUse use{
+    .m_binding = { .m_route = aPlan.m_route.m_id,
+                   .m_clientAccount = aPlan.m_clientAccount },
+    .m_fingerprint = FingerprintOf(aPlan),
+    .m_waiter = [wait](const KeptOutcome& aOutcome) { wait->Set(aOutcome); },
+  };
+  const ClaimResult claim = m_serving.m_keys.Claim(aKey, std::move(use));
+  if (const auto* refused = std::get_if<ClaimRefused>(&claim)) {
+    throw RequestError(refused->m_code, refused->m_detail, refused->m_ran);
+  }
+  if (const auto* finished = std::get_if<Finished>(&claim)) {
+    wait->m_outcome = finished->m_outcome;
+  }
+  if (std::holds_alternative<FirstUse>(claim)) {
+    ++m_running;
+    asio::co_spawn(
+      m_serving.m_executor, Run(aPlan, aKey, wait), asio::detached);
+  }
+  KeptOutcome outcome = co_await Wait(wait, aPlan.m_deadline, aCancel);
+  aReport = wait->m_report;
+  aReport.m_ran = RanOf(outcome);
+  if (const auto* failure = std::get_if<KeptFailure>(&outcome)) {
+    throw RequestError(failure->m_code, failure->m_detail, failure->m_ran);
+  }
+  KeptAnswer answer = std::get<KeptAnswer>(std::move(outcome));
+  co_await WriteKept(std::move(answer), aPlan, aSink);
+}
+
+Task<KeptOutcome>
+KeyedRuns::Wait(std::shared_ptr<OutcomeWait> aWait,
+                SteadyTime aDeadline,
+                CancelSource& aCancel)
+{
+  const auto left = aDeadline - m_serving.m_clock.SteadyNow();
+  if (!aWait->m_outcome) {
+    co_await aWait->m_wakeUp.WaitFor(left, aCancel);
+  }
+  if (aWait->m_outcome) {
+    co_return *aWait->m_outcome;
+  }
+  // The run goes on; only this caller's wait ends.
+  const ResultCode reason =
+    aCancel.Reason().value_or(ResultCode::DeadlineExceeded);
+  throw RequestError(
+    reason, "the request still runs under its key", Ran::Maybe);
+}
+
+Task<void>
+KeyedRuns::Run(RequestPlan aPlan,
+               IdempotencyKey aKey,
+               std::shared_ptr<OutcomeWait> aWait)
+{
+  const KeptOutcome outcome = co_await RunToOutcome(aPlan, aWait->m_report);
+  --m_running;
+  const auto* failure = std::get_if<KeptFailure>(&outcome);
+  if (failure != nullptr && failure->m_ran == Ran::No) {
+    m_serving.m_keys.Release(aKey, *failure);
+  } else {
+    m_serving.m_keys.Complete(aKey, outcome);
+  }
+  aWait->Set(outcome);
+}
+
+Task<KeptOutcome>
+KeyedRuns::RunToOutcome(const RequestPlan& aPlan, AttemptsReport& aReport)
+{
+  CancelSource cancel;
+  KeepingSink sink;
+  const RunOptions options{ .m_reservesRate = true };
+  try {
+    co_await RunRequest(m_serving, aPlan, options, sink, cancel, aReport);
+  } catch (const RequestError& error) {
+    co_return KeptFailure{ .m_code = error.Code(),
+                           .m_ran = error.HasRun(),
+                           .m_detail = error.what() };
+  } catch (const std::exception&) {
+    co_return KeptFailure{ .m_code = ResultCode::InternalError,
+                           .m_ran = Ran::Maybe,
+                           .m_detail = "the request met a fault" };
+  }
+  co_return sink.TakeAnswer();
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/pipeline/peer_handler.cc
@@ -0,0 +1,95 @@
+#include "rattanweir/request/pipeline/peer_handler.h"
+
+#include "rattanweir/request/credentials/credentials.h"
+#include "rattanweir/request/pipeline/admission.h"
+#include "rattanweir/request/pipeline/json_answer.h"
+#include "rattanweir/request/pipeline/key_issue.h"
+
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+constexpr const char* kControlPath = "/rattanweir/control";
+
+} // namespace
+
+PeerHandler::PeerHandler(PeerHandlerOptions aOptions)
+  : m_options(std::move(aOptions))
+  , m_serving(m_options.m_serving)
+{
+}
+
+Task<void>
+PeerHandler::Handle(InboundRequest aRequest,
+                    AnswerSink& aSink,
+                    CancelSource& aCancel)
+{
+  const std::string path = PathOf(aRequest.m_target);
+  const bool isPost = aRequest.m_method == "POST";
+  if (isPost && path == kControlPath) {
+    std::string answer = m_options.m_control(std::move(aRequest.m_body));
+    co_await WriteJsonAnswer(std::move(answer), aSink);
+    co_return;
+  }
+  if (isPost && path == kPeerKeysPath) {
+    std::string answer = IssueForPeer(m_serving, aRequest);
+    co_await WriteJsonAnswer(std::move(answer), aSink);
+    co_return;
+  }
+  RequestRecord record{ .m_request = aRequest.m_id,
+                        .m_receivedAt = aRequest.m_receivedAt };
+  std::optional<RequestError> failure;
+  try {
+    co_await ServeForwarded(std::move(aRequest), aSink, aCancel, record);
+  } catch (const RequestError& error) {
+    failure = error;
+  } catch (const std::exception& error) {
+    failure = RequestError(ResultCode::InternalError, error.what());
+  }
+  RecordDone(m_serving, record, failure);
+  if (failure) {
+    throw RequestError(*failure);
+  }
+}
+
+Task<void>
+PeerHandler::ServeForwarded(InboundRequest aRequest,
+                            AnswerSink& aSink,
+                            CancelSource& aCancel,
+                            RequestRecord& aRecord)
+{
+  RequestPlan plan = AdmitFromPeer(m_serving, std::move(aRequest));
+  aRecord.m_route = plan.m_route.m_id;
+  aRecord.m_clientAccount = plan.m_clientAccount;
+  co_await Run(std::move(plan), aSink, aCancel, aRecord.m_report);
+}
+
+Task<void>
+PeerHandler::Run(RequestPlan aPlan,
+                 AnswerSink& aSink,
+                 CancelSource& aCancel,
+                 AttemptsReport& aReport)
+{
+  // The sender has reserved the rate.
+  const RunOptions options{ .m_reservesRate = false };
+  if (!aPlan.m_idempotencyKey) {
+    co_await RunRequest(m_serving, aPlan, options, aSink, aCancel, aReport);
+    co_return;
+  }
+  IdempotencyKey key = ParseIdempotencyKey(*aPlan.m_idempotencyKey);
+  if (key.m_owner == m_serving.m_self) {
+    co_await m_options.m_keyedRuns.Serve(
+      std::move(aPlan), std::move(key), aSink, aCancel, aReport);
+    co_return;
+  }
+  if (key.m_owner != aPlan.m_forwardedBy) {
+    throw RequestError(ResultCode::IdempotencyOutcomeUnknown,
+                       "the key is owned by neither sender nor receiver",
+                       Ran::Maybe);
+  }
+  // The owner claimed the key and dispatches it here, once.
+  co_await RunRequest(m_serving, aPlan, options, aSink, aCancel, aReport);
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/pipeline/serving.cc
@@ -0,0 +1,27 @@
+#include "rattanweir/request/pipeline/serving.h"
+
+namespace rattanweir {
+
+void
+CheckTakesRequests(const Serving& aServing)
+{
+  if (!aServing.m_isReady) {
+    throw RequestError(ResultCode::InstanceNotReady,
+                       "the configuration is not complete yet");
+  }
+  if (aServing.m_rates.IsPaused()) {
+    throw RequestError(ResultCode::InstancePaused, "the process was paused");
+  }
+}
+
+bool
+IsStillEntitled(const Catalog& aCatalog, const RunningRequest& aRequest)
+{
+  if (!aRequest.m_key) {
+    return true;
+  }
+  return aCatalog.IsGranted(*aRequest.m_key, aRequest.m_clientAccount) &&
+         aCatalog.FindClientAccount(aRequest.m_clientAccount) != nullptr;
+}
+
+} // namespace rattanweir
--- a/rattanweir/request/residency/residency.cc
+++ b/rattanweir/request/residency/residency.cc
@@ -50,6 +50,19 @@
   return m_isUnbound || m_regions.contains(aRegion);
 }
 
+PermittedRegions
+PermittedRegions::And(const PermittedRegions& aOther) const
+{
+  if (m_isUnbound) {
+    return aOther;
+  }
+  PermittedRegions both = *this;
+  std::erase_if(both.m_regions, [&](const RegionId& aRegion) {
+    return !aOther.Permits(aRegion);
+  });
+  return both;
+}
+
 bool
 PermittedRegions::IsEmpty() const
 {
--- a/rattanweir/request/residency/residency.h
+++ b/rattanweir/request/residency/residency.h
@@ -27,6 +27,9 @@
 
   bool Permits(const RegionId& aRegion) const;
 
+  // The regions that both permit.
+  PermittedRegions And(const PermittedRegions& aOther) const;
+
   // Whether no region at all is permitted.
   bool IsEmpty() const;
 
--- a/rattanweir/request/residency/residency_test.cc
+++ b/rattanweir/request/residency/residency_test.cc
@@ -34,5 +34,19 @@
   }
 }
 
+TEST_CASE("the strictest of two answers wins")
+{
+  const RegionId east("east");
+  const RegionId west("west");
+  const auto all = PermittedRegions::All();
+  const auto onlyEast = PermittedRegions::Only({ east });
+  const auto either = PermittedRegions::Only({ east, west });
+  REQUIRE(all.And(all).IsUnbound());
+  REQUIRE(all.And(onlyEast).Permits(east));
+  REQUIRE_FALSE(onlyEast.And(all).Permits(west));
+  REQUIRE_FALSE(either.And(onlyEast).Permits(west));
+  REQUIRE(onlyEast.And(PermittedRegions::Only({ west })).IsEmpty());
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/request/routing/place_choice.cc
+++ b/rattanweir/request/routing/place_choice.cc
@@ -40,7 +40,7 @@
     local = m_options.m_backends.Choose(aQuestion.m_candidates);
   }
   if (const auto* chosen = std::get_if<ChosenBackend>(&local)) {
-    return ServeHere{ chosen->m_index };
+    return ServeHere{ aQuestion.m_candidates[chosen->m_index].m_id };
   }
   std::vector<const PeerView*> peers;
   for (const PeerView& peer : aQuestion.m_peers) {
--- a/rattanweir/request/routing/place_choice.h
+++ b/rattanweir/request/routing/place_choice.h
@@ -35,10 +35,9 @@
   std::vector<PeerView> m_peers;
 };
 
-// By this candidate.
 struct ServeHere
 {
-  std::size_t m_candidate = 0;
+  BackendServerId m_backendServer;
 };
 
 struct ForwardTo
--- /dev/null
+++ b/rattanweir/request/wait/wait.cc
@@ -0,0 +1,39 @@
+#include "rattanweir/request/wait/wait.h"
+
+#include <boost/asio/redirect_error.hpp>
+
+namespace rattanweir {
+
+Task<void>
+WaitFor(Executor aExecutor,
+        std::chrono::nanoseconds aDuration,
+        CancelSource& aCancel)
+{
+  WakeUp wakeUp(aExecutor);
+  co_await wakeUp.WaitFor(aDuration, aCancel);
+}
+
+WakeUp::WakeUp(const Executor& aExecutor)
+  : m_timer(aExecutor)
+{
+}
+
+void
+WakeUp::Wake()
+{
+  m_timer.cancel();
+}
+
+Task<void>
+WakeUp::WaitFor(std::chrono::nanoseconds aDuration, CancelSource& aCancel)
+{
+  if (aCancel.Reason()) {
+    co_return;
+  }
+  m_timer.expires_after(aDuration);
+  const auto registration = aCancel.OnCancel([this] { m_timer.cancel(); });
+  boost::system::error_code error;
+  co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+}
+
+} // namespace rattanweir
