--- a/rattanweir/request/exchange/exchange.h
+++ b/rattanweir/request/exchange/exchange.h
@@ -47,7 +47,8 @@
   HeaderFields m_headers;
   std::string m_body;
   SteadyTime m_receivedAt;
-  // Given by the server that took it; named in the answer.
+  // Given by the connection, which names it in every answer. On the side that
+  // peers use it is the id that the entry instance gave.
   RequestId m_id;
 };
 
