--- /dev/null
+++ b/testing/pipeline_world/pipeline_world.cc
@@ -0,0 +1,415 @@
+#include "testing/pipeline_world/pipeline_world.h"
+
+#include "rattanweir/request/exchange/header_fields.h"
+#include "rattanweir/request/wait/wait.h"
+
+#include <catch2/catch.hpp>
+
+#include <exception>
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick(400);
+constexpr std::chrono::seconds kHeldAtMost(30);
+
+constexpr const char* kAccounts = R"(version: 1
+maximum_instances: 1
+client_accounts:
+  - { id: a, rate_tokens_per_second: 100000, burst_tokens: 100000, home_region: east }
+  - { id: b, rate_tokens_per_second: 100000, burst_tokens: 100000 }
+  - { id: tiny, rate_tokens_per_second: 1, burst_tokens: 20, home_region: west }
+)";
+constexpr const char* kRoutes = R"(version: 1
+routes:
+  - { id: ask, path: /ask, idempotent: true, residency: any, cost: { default_max_tokens: 10 }, deadline: 30s, pool: engines }
+  - { id: home, path: /home, idempotent: true, residency: home, cost: { fixed_tokens: 1 }, deadline: 30s, pool: engines }
+  - { id: west, path: /west, idempotent: true, residency: [west], cost: { fixed_tokens: 1 }, deadline: 30s, pool: engines }
+  - { id: none, path: /none, idempotent: true, residency: any, cost: { fixed_tokens: 1 }, deadline: 30s, pool: nobody }
+  - { id: open, path: /open, open_to_all: true, idempotent: true, residency: any, cost: { fixed_tokens: 1 }, deadline: 30s, pool: engines }
+  - { id: book, path: /book, idempotent: false, residency: any, cost: { fixed_tokens: 2 }, deadline: 30s, pool: desk }
+  - { id: book-west, path: /book-west, idempotent: false, residency: [west], cost: { fixed_tokens: 2 }, deadline: 30s, pool: engines }
+)";
+constexpr const char* kServers = R"(version: 1
+backend_servers:
+  - { id: e1, pool: engines, kind: model_engine, region: east, availability_zone: east-a, address: "10.0.0.1:1", echoes_attempt_id: true, resumes_streams: true }
+  - { id: e2, pool: engines, kind: model_engine, region: east, availability_zone: east-a, address: "10.0.0.1:2", echoes_attempt_id: true, resumes_streams: true }
+  - { id: w1, pool: engines, kind: model_engine, region: west, availability_zone: west-a, address: "10.0.9.1:1" }
+  - { id: d1, pool: desk, kind: plain_service, region: east, availability_zone: east-a, address: "10.0.0.1:3" }
+)";
+// The keys `key-NAME`, with their hashes.
+const std::map<std::string, std::string> kHashes = {
+  { "a", "f10f781241e2246678b6b45c857069208152a53863e47fac33f607ab405006f4" },
+  { "b", "a30534a53b23547377ddccbd1ac85a8a84c13db43493c16e55a6abc7b0eba634" },
+  { "tiny",
+    "b8f154e2d7f548b6f154668b5574c10997785cd84c2ed41d48fe391d3fb0a066" },
+  { "lost",
+    "3aceb06bccaa9bc95e6cf37a7f1213a8bb5a2bdf0e0867fa68c33337297bb855" },
+};
+
+InstanceRecord
+Instance(const char* aId, const char* aRegion, const char* aPeerAddress)
+{
+  return { .m_id = InstanceId(aId),
+           .m_region = RegionId(aRegion),
+           .m_callerAddress = ParseEndpoint("10.0.8.1:1"),
+           .m_peerAddress = ParseEndpoint(aPeerAddress) };
+}
+
+class OutcomeSink final : public AnswerSink
+{
+public:
+  explicit OutcomeSink(Outcome& aOutcome)
+    : m_outcome(aOutcome)
+  {
+  }
+  Task<void> WriteHead(AnswerHead aHead) override
+  {
+    REQUIRE_FALSE(m_outcome.m_head);
+    m_outcome.m_head = std::move(aHead);
+    co_return;
+  }
+  Task<void> WriteChunk(std::string aChunk) override
+  {
+    REQUIRE(m_outcome.m_head);
+    m_outcome.m_body += aChunk;
+    co_return;
+  }
+  Task<void> Finish() override
+  {
+    m_outcome.m_isWhole = true;
+    co_return;
+  }
+  bool HasHead() const override { return m_outcome.m_head.has_value(); }
+
+private:
+  Outcome& m_outcome;
+};
+
+Task<void>
+HandleInto(RequestHandler& aHandler, InboundRequest aRequest, Outcome& aOutcome)
+{
+  OutcomeSink sink(aOutcome);
+  try {
+    co_await aHandler.Handle(std::move(aRequest), sink, aOutcome.m_cancel);
+  } catch (const RequestError& error) {
+    aOutcome.m_code = error.Code();
+    aOutcome.m_ran = error.HasRun();
+    aOutcome.m_comeBackAfter = error.ComeBackAfter();
+  }
+  aOutcome.m_isDone = true;
+}
+
+} // namespace
+
+std::string
+StreamEventText(int aOffset)
+{
+  const std::string offset = std::to_string(aOffset);
+  return "id: " + offset + "\ndata: {\"offset\":" + offset + "}\n\n";
+}
+
+ScriptedAnswer
+ScriptedStream(int aFirst, int aCount, bool aHasEnd)
+{
+  ScriptedAnswer answer{ .m_headers = { { "content-type",
+                                          "text/event-stream" } },
+                         .m_pieces = {} };
+  for (int offset = aFirst; offset < aFirst + aCount; ++offset) {
+    answer.m_pieces.push_back(StreamEventText(offset));
+  }
+  if (aHasEnd) {
+    answer.m_pieces.emplace_back(kStreamEnd);
+  }
+  return answer;
+}
+
+class ScriptedUpstream::Exchange final : public UpstreamExchange
+{
+public:
+  Exchange(ScriptedAnswer aAnswer,
+           std::string aAttemptId,
+           std::shared_ptr<WakeUp> aHold,
+           CancelSource& aCancel)
+    : m_answer(std::move(aAnswer))
+    , m_attemptId(std::move(aAttemptId))
+    , m_hold(std::move(aHold))
+    , m_cancel(aCancel)
+  {
+  }
+
+  Task<AnswerHead> ReadHead() override
+  {
+    if (m_answer.m_kind == AnswerKind::Holds) {
+      co_await Hold();
+    }
+    if (m_answer.m_kind == AnswerKind::Resets) {
+      throw RequestError(ResultCode::BackendReset, "reset");
+    }
+    if (m_answer.m_kind == AnswerKind::DeadlinePasses) {
+      throw RequestError(ResultCode::DeadlineExceeded, "deadline");
+    }
+    AnswerHead head{ .m_status = m_answer.m_status,
+                     .m_headers = m_answer.m_headers };
+    if (!m_attemptId.empty()) {
+      head.m_headers.push_back({ "x-attempt-id", m_attemptId });
+    }
+    if (m_answer.m_isWhole && !m_answer.m_holdsAfterPieces &&
+        !HasMediaType(head.m_headers, "text/event-stream")) {
+      head.m_contentLength = 0;
+      for (const std::string& piece : m_answer.m_pieces) {
+        *head.m_contentLength += piece.size();
+      }
+    }
+    co_return head;
+  }
+
+  Task<std::optional<std::string>> ReadChunk() override
+  {
+    ThrowIfCancelled();
+    if (m_next < m_answer.m_pieces.size()) {
+      co_return m_answer.m_pieces[m_next++];
+    }
+    if (std::exchange(m_answer.m_holdsAfterPieces, false)) {
+      co_await Hold();
+    }
+    if (!m_answer.m_isWhole) {
+      throw RequestError(ResultCode::AnswerIncomplete, "broke off");
+    }
+    co_return std::nullopt;
+  }
+
+private:
+  Task<void> Hold()
+  {
+    co_await m_hold->WaitFor(kHeldAtMost, m_cancel);
+    ThrowIfCancelled();
+  }
+  void ThrowIfCancelled()
+  {
+    if (const auto reason = m_cancel.Reason()) {
+      throw RequestError(*reason, "cancelled");
+    }
+  }
+
+  ScriptedAnswer m_answer;
+  std::string m_attemptId;
+  std::shared_ptr<WakeUp> m_hold;
+  CancelSource& m_cancel;
+  std::size_t m_next = 0;
+};
+
+ScriptedUpstream::ScriptedUpstream(asio::io_context& aContext)
+  : m_context(aContext)
+{
+}
+
+Task<std::unique_ptr<UpstreamExchange>>
+ScriptedUpstream::Send(Endpoint aEndpoint,
+                       OutboundRequest aRequest,
+                       CancelSource& aCancel)
+{
+  ++m_connects;
+  const std::string endpoint = aEndpoint.ToString();
+  ScriptedAnswer answer;
+  auto& script = m_scripts[endpoint];
+  if (!script.empty()) {
+    answer = std::move(script.front());
+    script.pop_front();
+  }
+  if (answer.m_kind == AnswerKind::ConnectFails) {
+    throw RequestError(
+      ResultCode::BackendConnectFailed, "no connection", Ran::No);
+  }
+  std::string attemptId = answer.m_attemptId;
+  const std::string* sent = FindHeader(aRequest.m_headers, "x-attempt-id");
+  if (attemptId.empty() && sent != nullptr) {
+    attemptId = *sent;
+  }
+  const std::string* request =
+    FindHeader(aRequest.m_headers, "rattanweir-request");
+  if (request != nullptr) {
+    answer.m_headers.push_back({ "rattanweir-request", *request });
+  }
+  m_sent.push_back({ endpoint, std::move(aRequest) });
+  auto hold = std::make_shared<WakeUp>(m_context.get_executor());
+  m_held.push_back(hold);
+  co_return std::make_unique<Exchange>(
+    std::move(answer), std::move(attemptId), std::move(hold), aCancel);
+}
+
+void
+ScriptedUpstream::ReleaseHeld()
+{
+  for (const auto& held : std::exchange(m_held, {})) {
+    if (const auto hold = held.lock()) {
+      hold->Wake();
+    }
+  }
+}
+
+Task<bool>
+ScriptedBorrower::Borrow(ClientAccountId,
+                         Tokens,
+                         SteadyTime,
+                         CancelSource&)
+{
+  ++m_asked;
+  if (m_onAsked) {
+    m_onAsked();
+  }
+  co_return false;
+}
+
+PipelineWorld::PipelineWorld()
+  : m_rates({ .m_clock = m_clock,
+              .m_self = InstanceId("east-1"),
+              .m_incarnation = Incarnation(1) })
+  , m_keys({ .m_clock = m_clock,
+             .m_self = InstanceId("east-1"),
+             .m_incarnation = Incarnation(1) })
+  , m_serving{ .m_executor = m_context.get_executor(),
+               .m_clock = m_clock,
+               .m_random = m_random,
+               .m_self = InstanceId("east-1"),
+               .m_region = RegionId("east"),
+               .m_catalog = m_catalog,
+               .m_membership = m_membership,
+               .m_rates = m_rates,
+               .m_keys = m_keys,
+               .m_backends = m_backends,
+               .m_inFlight = m_inFlight,
+               .m_retries = m_retries,
+               .m_metrics = m_metrics,
+               .m_upstream = m_upstream,
+               .m_borrower = m_borrower,
+               .m_callerAddress = ParseEndpoint("10.0.8.1:1"),
+               .m_isReady = true }
+  , m_peer({ .m_serving = m_serving,
+             .m_keyedRuns = m_keyedRuns,
+             .m_control = [](const std::string& aBody) { return aBody; } })
+{
+  m_catalog.OnAccepted([this](SectionKind) {
+    m_inFlight.CancelWithdrawn([this](const RunningRequest& aRequest) {
+      return IsStillEntitled(m_catalog, aRequest);
+    });
+  });
+  Offer(SectionKind::ClientAccounts, kAccounts);
+  Offer(SectionKind::Routes, kRoutes);
+  Offer(SectionKind::BackendServers, kServers);
+  OfferKeys({ "a", "b", "tiny", "lost" });
+  m_membership.ApplyList({ Instance("east-1", "east", "10.0.1.1:2"),
+                           Instance("east-2", "east", kEastPeer),
+                           Instance("west-1", "west", kWestPeer) });
+  HearPeer("east-2", Incarnation(2));
+  HearPeer("west-1", Incarnation(3));
+  m_rates.Configure(m_catalog.ClientAccounts());
+  FillBuckets();
+}
+
+void
+PipelineWorld::FillBuckets()
+{
+  m_rates.Tick();
+  for (int tick = 0; tick < 4; ++tick) {
+    m_clock.Advance(kTick);
+    m_rates.Tick();
+  }
+  REQUIRE_FALSE(m_rates.IsPaused());
+}
+
+void
+PipelineWorld::Script(const std::string& aEndpoint, ScriptedAnswer aAnswer)
+{
+  m_upstream.m_scripts[aEndpoint].push_back(std::move(aAnswer));
+}
+
+Outcome&
+PipelineWorld::Ask(const Question& aQuestion)
+{
+  Outcome& outcome = Start(m_entry, aQuestion);
+  RunUntil([&] { return outcome.m_isDone; });
+  return outcome;
+}
+
+Outcome&
+PipelineWorld::AskAsPeer(const Question& aQuestion)
+{
+  Outcome& outcome = Start(m_peer, aQuestion);
+  RunUntil([&] { return outcome.m_isDone; });
+  return outcome;
+}
+
+Outcome&
+PipelineWorld::Start(RequestHandler& aHandler, const Question& aQuestion)
+{
+  InboundRequest request{
+    .m_method = aQuestion.m_method,
+    .m_target = aQuestion.m_target,
+    .m_headers = aQuestion.m_headers,
+    .m_body = aQuestion.m_body,
+    .m_receivedAt = m_clock.SteadyNow(),
+    .m_id = RequestId("r" + std::to_string(m_nextRequest++)),
+  };
+  Outcome& outcome = m_outcomes.emplace_back();
+  asio::co_spawn(m_context,
+                 HandleInto(aHandler, std::move(request), outcome),
+                 asio::detached);
+  m_context.restart();
+  m_context.poll();
+  return outcome;
+}
+
+void
+PipelineWorld::RunUntil(const std::function<bool()>& aCondition)
+{
+  m_context.restart();
+  while (!aCondition()) {
+    REQUIRE(m_context.run_one() > 0);
+  }
+}
+
+void
+PipelineWorld::Offer(SectionKind aKind, const std::string& aText)
+{
+  const SectionOffer offer{ .m_kind = aKind,
+                            .m_version = SectionVersion(++m_nextVersion),
+                            .m_text = { .m_file = "test", .m_text = aText } };
+  REQUIRE(m_catalog.Offer(offer) == OfferOutcome::Accepted);
+}
+
+void
+PipelineWorld::OfferKeys(const std::vector<std::string>& aNames)
+{
+  std::string text = "version: 1\nkeys:\n";
+  for (const std::string& name : aNames) {
+    text += "  - { id: " + name + ", client_account: " + name +
+            ", sha256: " + kHashes.at(name) + " }\n";
+  }
+  Offer(SectionKind::Keys, aNames.empty() ? "version: 1\nkeys: []\n" : text);
+}
+
+void
+PipelineWorld::HearPeer(const std::string& aId, Incarnation aIncarnation)
+{
+  REQUIRE(m_membership.ApplyHeartbeat({ .m_from = InstanceId(aId),
+                                        .m_incarnation = aIncarnation,
+                                        .m_sequence = ++m_nextVersion,
+                                        .m_isReady = true,
+                                        .m_interval =
+                                          std::chrono::hours(1) }));
+}
+
+std::string
+PipelineWorld::IssueKey()
+{
+  return m_keys
+    .Issue({ .m_route = RouteId("book"),
+             .m_clientAccount = ClientAccountId("a") })
+    .m_key.ToString();
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/testing/pipeline_world/pipeline_world.h
@@ -0,0 +1,185 @@
+// One instance's request pipeline between a scripted upstream and a recording
+// caller, on one io_context and a clock moved by hand.
+//
+//   PipelineWorld world;
+//   world.Script("10.0.0.1:1", { .m_kind = AnswerKind::ConnectFails });
+//   const Outcome outcome = world.Ask({ .m_target = "/ask" });
+//   REQUIRE(outcome.m_code == ResultCode::Ok);
+//
+// The instance is east-1 of region east. Its peers are east-2 and west-1.
+
+#pragma once
+
+#include "rattanweir/base/clock/manual_clock.h"
+#include "rattanweir/request/pipeline/entry_handler.h"
+#include "rattanweir/request/pipeline/peer_handler.h"
+#include "rattanweir/request/wait/wait.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace rattanweir {
+
+inline constexpr const char* kEngineOne = "10.0.0.1:1";
+inline constexpr const char* kEngineTwo = "10.0.0.1:2";
+inline constexpr const char* kDesk = "10.0.0.1:3";
+inline constexpr const char* kEastPeer = "10.0.1.2:2";
+inline constexpr const char* kWestPeer = "10.0.2.1:2";
+
+enum class AnswerKind
+{
+  Answers,
+  // No byte is sent.
+  ConnectFails,
+  // After the request was sent, before a head.
+  Resets,
+  DeadlinePasses,
+  // Waits for its cancellation or for ReleaseHeld.
+  Holds,
+};
+
+// What an endpoint does with one request.
+struct ScriptedAnswer
+{
+  AnswerKind m_kind = AnswerKind::Answers;
+  unsigned m_status = 200;
+  HeaderFields m_headers;
+  std::vector<std::string> m_pieces = { "{}" };
+  // Without it the body breaks off after its pieces.
+  bool m_isWhole = true;
+  // Waits after the pieces as Holds does before them.
+  bool m_holdsAfterPieces = false;
+  // In place of the attempt id that was sent.
+  std::string m_attemptId;
+};
+
+// The events of an engine's stream, and its end.
+std::string
+StreamEventText(int aOffset);
+inline constexpr const char* kStreamEnd = "data: [DONE]\n\n";
+
+// A stream that carries these events.
+ScriptedAnswer
+ScriptedStream(int aFirst, int aCount, bool aHasEnd);
+
+// Answers as scripted and records what was sent.
+class ScriptedUpstream final : public Upstream
+{
+public:
+  struct Sent
+  {
+    std::string m_endpoint;
+    OutboundRequest m_request;
+  };
+
+  explicit ScriptedUpstream(asio::io_context& aContext);
+
+  Task<std::unique_ptr<UpstreamExchange>> Send(Endpoint aEndpoint,
+                                               OutboundRequest aRequest,
+                                               CancelSource& aCancel) override;
+
+  // Lets everything that is held go on.
+  void ReleaseHeld();
+
+  std::map<std::string, std::deque<ScriptedAnswer>> m_scripts;
+  // Requests of which a byte was sent, in their order.
+  std::vector<Sent> m_sent;
+  unsigned m_connects = 0;
+
+private:
+  class Exchange;
+
+  asio::io_context& m_context;
+  std::vector<std::weak_ptr<WakeUp>> m_held;
+};
+
+// What a caller sees of one request.
+struct Outcome
+{
+  bool m_isDone = false;
+  ResultCode m_code = ResultCode::Ok;
+  Ran m_ran = Ran::Yes;
+  std::optional<std::chrono::milliseconds> m_comeBackAfter;
+  std::optional<AnswerHead> m_head;
+  std::string m_body;
+  bool m_isWhole = false;
+  CancelSource m_cancel;
+};
+
+struct Question
+{
+  std::string m_method = "POST";
+  std::string m_target = "/ask";
+  HeaderFields m_headers = { { "authorization", "Bearer key-a" } };
+  std::string m_body = R"({"prompt":"12345678","max_tokens":10})";
+};
+
+class ScriptedBorrower final : public ShareBorrower
+{
+public:
+  Task<bool> Borrow(ClientAccountId aAccount,
+                    Tokens aTokens,
+                    SteadyTime aDeadline,
+                    CancelSource& aCancel) override;
+
+  unsigned m_asked = 0;
+  // Runs before the answer false.
+  std::function<void()> m_onAsked;
+};
+
+class PipelineWorld
+{
+public:
+  PipelineWorld();
+
+  void Script(const std::string& aEndpoint, ScriptedAnswer aAnswer);
+
+  // Handles one request to its end.
+  Outcome& Ask(const Question& aQuestion);
+  Outcome& AskAsPeer(const Question& aQuestion);
+
+  // Starts one request; ends once nothing can go on without help.
+  Outcome& Start(RequestHandler& aHandler, const Question& aQuestion);
+
+  // Runs until the condition holds. Fails the test if it never can.
+  void RunUntil(const std::function<bool()>& aCondition);
+
+  void Offer(SectionKind aKind, const std::string& aText);
+  void OfferKeys(const std::vector<std::string>& aNames);
+  // As the peer's heartbeat tells it.
+  void HearPeer(const std::string& aId, Incarnation aIncarnation);
+  // Issues an idempotency key for the route `book`.
+  std::string IssueKey();
+
+  asio::io_context m_context;
+  ManualClock m_clock;
+  RandomEngine m_random{ 11 };
+  Catalog m_catalog;
+  Membership m_membership{ { .m_clock = m_clock,
+                             .m_self = InstanceId("east-1") } };
+  RateLedger m_rates;
+  IdempotencyLedger m_keys;
+  BackendView m_backends{ { .m_clock = m_clock } };
+  InFlight m_inFlight;
+  RetryBudget m_retries{ {} };
+  Metrics m_metrics;
+  ScriptedUpstream m_upstream{ m_context };
+  ScriptedBorrower m_borrower;
+  Serving m_serving;
+  KeyedRuns m_keyedRuns{ m_serving };
+  EntryHandler m_entry{ m_serving, m_keyedRuns };
+  PeerHandler m_peer;
+
+private:
+  void FillBuckets();
+
+  std::uint64_t m_nextVersion = 1;
+  std::uint64_t m_nextRequest = 1;
+  std::deque<Outcome> m_outcomes;
+};
+
+} // namespace rattanweir
