Rename the in-flight registry's class and refuse instances' own paths

A route that takes every path would have carried a caller's request to what peers answer themselves; the row 'an instance's own path' shows it. The registry's class shared its name with a claim result of the ledger.

--- a/rattanweir/process/in_flight/in_flight.cc
+++ b/rattanweir/process/in_flight/in_flight.cc
@@ -5,19 +5,20 @@
 
 namespace rattanweir {
 
-InFlight::Registration::Registration(InFlight& aOwner, std::uint64_t aId)
+RunningRequests::Registration::Registration(RunningRequests& aOwner,
+                                            std::uint64_t aId)
   : m_owner(&aOwner)
   , m_id(aId)
 {
 }
 
-InFlight::Registration::Registration(Registration&& aOther) noexcept
+RunningRequests::Registration::Registration(Registration&& aOther) noexcept
   : m_owner(std::exchange(aOther.m_owner, nullptr))
   , m_id(aOther.m_id)
 {
 }
 
-InFlight::Registration::~Registration()
+RunningRequests::Registration::~Registration()
 {
   if (m_owner != nullptr) {
     m_owner->m_running.erase(m_id);
@@ -25,13 +26,13 @@
 }
 
 void
-InFlight::Registration::MarkDispatched()
+RunningRequests::Registration::MarkDispatched()
 {
   m_owner->m_running.at(m_id).m_isDispatched = true;
 }
 
-InFlight::Registration
-InFlight::Add(RunningRequest aRequest, CancelSource& aCancel)
+RunningRequests::Registration
+RunningRequests::Add(RunningRequest aRequest, CancelSource& aCancel)
 {
   const std::uint64_t id = m_nextId++;
   m_running.emplace(
@@ -40,7 +41,7 @@
 }
 
 void
-InFlight::CancelWithdrawn(
+RunningRequests::CancelWithdrawn(
   const std::function<bool(const RunningRequest&)>& aIsGranted)
 {
   // Cancelling can end requests, which changes the map.
@@ -62,7 +63,7 @@
 }
 
 void
-InFlight::CancelAll(ResultCode aReason)
+RunningRequests::CancelAll(ResultCode aReason)
 {
   std::vector<std::uint64_t> ids;
   for (const auto& [id, entry] : m_running) {
--- a/rattanweir/process/in_flight/in_flight.h
+++ b/rattanweir/process/in_flight/in_flight.h
@@ -1,9 +1,9 @@
 // The requests that this process has in flight.
 //
-//   InFlight inFlight;
-//   auto entry = inFlight.Add({ .m_request = id, .m_key = key, ... }, cancel);
+//   RunningRequests running;
+//   auto entry = running.Add({ .m_request = id, .m_key = key, ... }, cancel);
 //   entry.MarkDispatched();
-//   inFlight.CancelWithdrawn([&](const RunningRequest& aRequest) { ... });
+//   running.CancelWithdrawn([&](const RunningRequest& aRequest) { ... });
 //
 // When keys are withdrawn, requests in flight under them end; a non-idempotent
 // one that was dispatched already is left to finish, since its caller must
@@ -32,14 +32,14 @@
   bool m_isIdempotent = false;
 };
 
-class InFlight
+class RunningRequests
 {
 public:
   // Takes the request out when destroyed. The registry must outlive it.
   class [[nodiscard]] Registration
   {
   public:
-    Registration(InFlight& aOwner, std::uint64_t aId);
+    Registration(RunningRequests& aOwner, std::uint64_t aId);
     Registration(Registration&& aOther) noexcept;
     Registration& operator=(Registration&&) = delete;
     ~Registration();
@@ -48,7 +48,7 @@
     void MarkDispatched();
 
   private:
-    InFlight* m_owner;
+    RunningRequests* m_owner;
     std::uint64_t m_id;
   };
 
--- a/rattanweir/process/in_flight/in_flight_test.cc
+++ b/rattanweir/process/in_flight/in_flight_test.cc
@@ -22,34 +22,35 @@
     { "granted", true, true, false },
   };
   for (const Row& row : rows) {
-    InFlight inFlight;
+    RunningRequests running;
     CancelSource cancel;
     const RunningRequest request{ .m_key = KeyId(row.m_key),
                                   .m_isIdempotent = row.m_isIdempotent };
-    auto entry = inFlight.Add(request, cancel);
+    auto entry = running.Add(request, cancel);
     if (row.m_isDispatched) {
       entry.MarkDispatched();
     }
-    inFlight.CancelWithdrawn([](const RunningRequest& aRequest) {
+    running.CancelWithdrawn([](const RunningRequest& aRequest) {
       return aRequest.m_key == KeyId("granted");
     });
     REQUIRE((cancel.Reason() == ResultCode::KeyWithdrawn) == row.m_isCancelled);
-    REQUIRE(inFlight.Count() == 1);
+    REQUIRE(running.Count() == 1);
   }
 }
 
 TEST_CASE("cancelling may end other requests of the registry")
 {
-  InFlight inFlight;
+  RunningRequests running;
   CancelSource first;
   CancelSource second;
-  auto firstEntry = inFlight.Add({}, first);
-  std::optional<InFlight::Registration> secondEntry = inFlight.Add({}, second);
+  auto firstEntry = running.Add({}, first);
+  std::optional<RunningRequests::Registration> secondEntry =
+    running.Add({}, second);
   const auto registration = first.OnCancel([&] { secondEntry.reset(); });
-  inFlight.CancelAll(ResultCode::InstanceDraining);
+  running.CancelAll(ResultCode::InstanceDraining);
   REQUIRE(first.Reason() == ResultCode::InstanceDraining);
   REQUIRE_FALSE(second.Reason().has_value());
-  REQUIRE(inFlight.Count() == 1);
+  REQUIRE(running.Count() == 1);
 }
 
 } // namespace
--- a/rattanweir/request/pipeline/admission.cc
+++ b/rattanweir/request/pipeline/admission.cc
@@ -128,8 +128,9 @@
   const auto presentedKey = PresentedKey(aRequest.m_headers);
   const RequestBody body =
     ReadRequestBody(aRequest.m_headers, std::move(aRequest.m_body));
-  const Route& route =
-    RequireRoute(catalog.FindRoute(PathOf(aRequest.m_target), body.m_model));
+  const std::string path = PathOf(aRequest.m_target);
+  RefuseOwnPath(path);
+  const Route& route = RequireRoute(catalog.FindRoute(path, body.m_model));
   RequestPlan plan;
   if (!route.m_isOpenToAll) {
     const KeyGrant grant = RequireGrant(catalog, presentedKey);
--- a/rattanweir/request/pipeline/attempts.h
+++ b/rattanweir/request/pipeline/attempts.h
@@ -41,7 +41,7 @@
   const RequestPlan& m_plan;
   AnswerSink& m_sink;
   CancelSource& m_cancel;
-  InFlight::Registration& m_registration;
+  RunningRequests::Registration& m_registration;
 };
 
 // What became of a request, for its log record.
--- a/rattanweir/request/pipeline/pipeline_test.cc
+++ b/rattanweir/request/pipeline/pipeline_test.cc
@@ -81,8 +81,8 @@
     if (row.m_arrange) {
       row.m_arrange(world);
     }
-    const Outcome& outcome = aIsFromPeer ? world.AskAsPeer(row.m_question)
-                                         : world.Ask(row.m_question);
+    const Outcome& outcome =
+      aIsFromPeer ? world.AskAsPeer(row.m_question) : world.Ask(row.m_question);
     CHECK(outcome.m_code == row.m_code);
     CHECK(outcome.m_ran == row.m_ran);
     CHECK(world.m_upstream.m_sent.size() == row.m_sent);
@@ -106,92 +106,132 @@
     {
       { "not ready",
         [](PipelineWorld& aWorld) { aWorld.m_serving.m_isReady = false; },
-        ask, Code::InstanceNotReady, Ran::No },
+        ask,
+        Code::InstanceNotReady,
+        Ran::No },
       { "paused", PauseProcess, ask, Code::InstancePaused, Ran::No },
       { "no such path", {}, to("/nothing"), Code::UnknownRoute, Ran::No },
-      { "an instance's own path", {}, to("/rattanweir/control"),
-        Code::UnknownRoute, Ran::No },
+      { "an instance's own path",
+        {},
+        to("/rattanweir/control"),
+        Code::UnknownRoute,
+        Ran::No },
       { "no key", {}, { .m_headers = {} }, Code::KeyMissing, Ran::No },
-      { "unknown key", {},
+      { "unknown key",
+        {},
         { .m_headers = { { "x-api-key", "key-x" } } },
-        Code::KeyNotGranted, Ran::No },
-      { "account gone", {},
+        Code::KeyNotGranted,
+        Ran::No },
+      { "account gone",
+        {},
         { .m_headers = { { "x-api-key", "key-lost" } } },
-        Code::ClientAccountUnknown, Ran::No },
-      { "two keys", {},
+        Code::ClientAccountUnknown,
+        Ran::No },
+      { "two keys",
+        {},
         { .m_headers = With(kKeyA, { { "x-api-key", "key-b" } }) },
-        Code::MalformedRequest, Ran::No },
+        Code::MalformedRequest,
+        Ran::No },
       { "bad body", {}, { .m_body = "{" }, Code::MalformedRequest, Ran::No },
-      { "bad deadline", {},
+      { "bad deadline",
+        {},
         { .m_headers = With(kKeyA, { { "rattanweir-deadline-ms", "x" } }) },
-        Code::MalformedRequest, Ran::No },
-      { "no time", {},
+        Code::MalformedRequest,
+        Ran::No },
+      { "no time",
+        {},
         { .m_headers = With(kKeyA, { { "rattanweir-deadline-ms", "0" } }) },
-        Code::DeadlineTooShort, Ran::No },
-      { "no home", {},
+        Code::DeadlineTooShort,
+        Ran::No },
+      { "no home",
+        {},
         { .m_target = "/home", .m_headers = { { "x-api-key", "key-b" } } },
-        Code::ResidencyUnavailable, Ran::No },
+        Code::ResidencyUnavailable,
+        Ran::No },
       { "home cut off",
         [](PipelineWorld& aWorld) {
           aWorld.m_membership.MarkUnreachable(InstanceId("west-1"));
         },
-        to("/west"), Code::ResidencyUnavailable, Ran::No },
+        to("/west"),
+        Code::ResidencyUnavailable,
+        Ran::No },
       { "no backend server", {}, to("/none"), Code::NoBackendServer, Ran::No },
-      { "over the burst", {},
+      { "over the burst",
+        {},
         { .m_headers = { { "x-api-key", "key-tiny" } },
           .m_body = R"({"prompt":"","max_tokens":21})" },
-        Code::RequestExceedsBurst, Ran::No },
-      { "over the rate", {},
+        Code::RequestExceedsBurst,
+        Ran::No },
+      { "over the rate",
+        {},
         { .m_headers = { { "x-api-key", "key-tiny" } },
           .m_body = R"({"prompt":"","max_tokens":20})" },
-        Code::RateExceeded, Ran::No },
+        Code::RateExceeded,
+        Ran::No },
       { "key withdrawn while short of tokens",
         [](PipelineWorld& aWorld) {
           aWorld.m_borrower.m_onAsked = [&] { aWorld.OfferKeys({ "a" }); };
         },
         { .m_headers = { { "x-api-key", "key-tiny" } },
           .m_body = R"({"prompt":"","max_tokens":20})" },
-        Code::KeyWithdrawn, Ran::No },
+        Code::KeyWithdrawn,
+        Ran::No },
       { "paused while short of tokens",
         [](PipelineWorld& aWorld) {
           aWorld.m_borrower.m_onAsked = [&] { PauseProcess(aWorld); };
         },
         { .m_headers = { { "x-api-key", "key-tiny" } },
           .m_body = R"({"prompt":"","max_tokens":20})" },
-        Code::RateExceeded, Ran::No },
+        Code::RateExceeded,
+        Ran::No },
       { "no engine and no peer connects",
         [](PipelineWorld& aWorld) {
           FailEngines(aWorld, kConnectFails, 4);
           aWorld.Script(kWestPeer, { .m_kind = kConnectFails });
         },
-        ask, Code::BackendConnectFailed, Ran::No },
+        ask,
+        Code::BackendConnectFailed,
+        Ran::No },
       { "engines reset",
         [](PipelineWorld& aWorld) {
           FailEngines(aWorld, kResets, 4);
           aWorld.Script(kWestPeer, { .m_kind = kResets });
         },
-        ask, Code::BackendReset, Ran::Maybe, 4 },
+        ask,
+        Code::BackendReset,
+        Ran::Maybe,
+        4 },
       { "deadline at the engine",
         [](PipelineWorld& aWorld) {
           FailEngines(aWorld, AnswerKind::DeadlinePasses);
         },
-        ask, Code::DeadlineExceeded, Ran::Maybe, 1 },
+        ask,
+        Code::DeadlineExceeded,
+        Ran::Maybe,
+        1 },
       { "desk does not connect",
         [](PipelineWorld& aWorld) {
           for (int time = 0; time < 4; ++time) {
             aWorld.Script(kDesk, { .m_kind = kConnectFails });
           }
         },
-        book, Code::BackendConnectFailed, Ran::No },
+        book,
+        Code::BackendConnectFailed,
+        Ran::No },
       { "desk resets",
         [](PipelineWorld& aWorld) {
           aWorld.Script(kDesk, { .m_kind = kResets });
         },
-        book, Code::BackendReset, Ran::Maybe, 1 },
-      { "malformed idempotency key", {},
+        book,
+        Code::BackendReset,
+        Ran::Maybe,
+        1 },
+      { "malformed idempotency key",
+        {},
         { .m_target = "/book",
           .m_headers = With(kKeyA, { { "idempotency-key", "x" } }) },
-        Code::IdempotencyKeyMalformed, Ran::No },
+        Code::IdempotencyKeyMalformed,
+        Ran::No },
     },
     false);
 }
@@ -208,17 +248,24 @@
   };
   CheckRefusals(
     {
-      { "itself in the hops", {}, withHop("east-1"), Code::LoopRefused,
+      { "itself in the hops",
+        {},
+        withHop("east-1"),
+        Code::LoopRefused,
         Ran::No },
       { "two hops", {}, withHop("west-1,west-2"), Code::LoopRefused, Ran::No },
       { "no hop", {}, withHop(""), Code::MalformedRequest, Ran::No },
       { "no route", {}, forwarded("x", {}), Code::UnknownRoute, Ran::No },
       { "key withdrawn here",
         [](PipelineWorld& aWorld) { aWorld.OfferKeys({ "b" }); },
-        forwarded("ask", {}), Code::KeyNotGranted, Ran::No },
-      { "another account's key", {},
+        forwarded("ask", {}),
+        Code::KeyNotGranted,
+        Ran::No },
+      { "another account's key",
+        {},
         forwarded("ask", { { "rattanweir-key", "b" } }),
-        Code::KeyNotGranted, Ran::No },
+        Code::KeyNotGranted,
+        Ran::No },
       { "home is elsewhere by this version",
         [](PipelineWorld& aWorld) {
           aWorld.Offer(SectionKind::ClientAccounts, R"(version: 1
@@ -227,25 +274,40 @@
   - { id: a, rate_tokens_per_second: 1, burst_tokens: 20, home_region: west }
 )");
         },
-        forwarded("home", {}), Code::ResidencyRefused, Ran::No },
-      { "route is bound elsewhere", {}, forwarded("west", {}),
-        Code::ResidencyRefused, Ran::No },
+        forwarded("home", {}),
+        Code::ResidencyRefused,
+        Ran::No },
+      { "route is bound elsewhere",
+        {},
+        forwarded("west", {}),
+        Code::ResidencyRefused,
+        Ran::No },
       { "not ready",
         [](PipelineWorld& aWorld) { aWorld.m_serving.m_isReady = false; },
-        forwarded("ask", {}), Code::InstanceNotReady, Ran::No },
-      { "paused", PauseProcess, forwarded("ask", {}), Code::InstancePaused,
+        forwarded("ask", {}),
+        Code::InstanceNotReady,
+        Ran::No },
+      { "paused",
+        PauseProcess,
+        forwarded("ask", {}),
+        Code::InstancePaused,
         Ran::No },
       // It is never sent on, although west-1 has backend servers.
       { "no engine connects here",
         [](PipelineWorld& aWorld) { FailEngines(aWorld, kConnectFails, 4); },
-        forwarded("ask", {}), Code::BackendConnectFailed, Ran::No },
-      { "an idempotency key of a third instance", {},
+        forwarded("ask", {}),
+        Code::BackendConnectFailed,
+        Ran::No },
+      { "an idempotency key of a third instance",
+        {},
         forwarded("book",
                   { { "idempotency-key",
-                      IdempotencyKey{ InstanceId("north-1"), Incarnation(1),
+                      IdempotencyKey{ InstanceId("north-1"),
+                                      Incarnation(1),
                                       "0123456789abcdef0123456789abcdef" }
                         .ToString() } }),
-        Code::IdempotencyOutcomeUnknown, Ran::Maybe },
+        Code::IdempotencyOutcomeUnknown,
+        Ran::Maybe },
     },
     true);
 }
@@ -253,15 +315,15 @@
 TEST_CASE("a request reaches the backend server without the caller's key")
 {
   PipelineWorld world;
-  const Outcome& outcome = world.Ask(
-    { .m_target = "/ask?key=key-a&q=1",
-      .m_headers = With(kKeyA,
-                        { { "rattanweir-hop", "east-1" },
-                          { "rattanweir-client-account", "b" },
-                          { "x-client-account", "b" },
-                          { "cookie", "key-a" },
-                          { "user-agent", "key-a" } }),
-      .m_body = R"({"prompt":"x","api_key":"key-a"})" });
+  const Outcome& outcome =
+    world.Ask({ .m_target = "/ask?key=key-a&q=1",
+                .m_headers = With(kKeyA,
+                                  { { "rattanweir-hop", "east-1" },
+                                    { "rattanweir-client-account", "b" },
+                                    { "x-client-account", "b" },
+                                    { "cookie", "key-a" },
+                                    { "user-agent", "key-a" } }),
+                .m_body = R"({"prompt":"x","api_key":"key-a"})" });
   REQUIRE(outcome.m_code == Code::Ok);
   REQUIRE(outcome.m_isWhole);
   REQUIRE(*FindHeader(outcome.m_head->m_headers, "rattanweir-request") == "r1");
@@ -306,16 +368,22 @@
         aWorld.Script(kEngineOne, { .m_kind = kResets });
         aWorld.Script(kEngineTwo, {});
       },
-      Code::Ok, 0, 0 },
+      Code::Ok,
+      0,
+      0 },
     { "both engines gone, the peer answers",
       [](PipelineWorld& aWorld) { FailEngines(aWorld, kResets); },
-      Code::Ok, 3, 2 },
+      Code::Ok,
+      3,
+      2 },
     { "answers to other attempts are dropped",
       [](PipelineWorld& aWorld) {
         aWorld.Script(kEngineOne, { .m_attemptId = "other" });
         aWorld.Script(kEngineTwo, { .m_attemptId = "other" });
       },
-      Code::Ok, 3, 2 },
+      Code::Ok,
+      3,
+      2 },
     { "servers that did not run it",
       [](PipelineWorld& aWorld) {
         const ScriptedAnswer refused{ .m_status = 503,
@@ -323,7 +391,9 @@
         aWorld.Script(kEngineOne, refused);
         aWorld.Script(kEngineTwo, refused);
       },
-      Code::Ok, 3, 2 },
+      Code::Ok,
+      3,
+      2 },
     { "short answers",
       [](PipelineWorld& aWorld) {
         const ScriptedAnswer cut{ .m_headers = { { "content-type",
@@ -332,7 +402,9 @@
         aWorld.Script(kEngineOne, cut);
         aWorld.Script(kEngineTwo, cut);
       },
-      Code::Ok, 3, 2 },
+      Code::Ok,
+      3,
+      2 },
     { "no more than four attempts",
       [](PipelineWorld& aWorld) {
         FailEngines(aWorld, kResets, 9);
@@ -340,14 +412,18 @@
           aWorld.Script(kWestPeer, { .m_kind = kResets });
         }
       },
-      Code::BackendReset, 4, 3 },
+      Code::BackendReset,
+      4,
+      3 },
     { "no retry without budget",
       [](PipelineWorld& aWorld) {
         while (aWorld.m_retries.Take()) {
         }
         FailEngines(aWorld, kResets);
       },
-      Code::BackendReset, 1, 0 },
+      Code::BackendReset,
+      1,
+      0 },
   };
   for (const Row& row : rows) {
     INFO(row.m_name);
@@ -390,8 +466,8 @@
 
 TEST_CASE("a broken stream goes on elsewhere at its offset")
 {
-  const std::string whole = StreamEventText(0) + StreamEventText(1) +
-                            StreamEventText(2) + kStreamEnd;
+  const std::string whole =
+    StreamEventText(0) + StreamEventText(1) + StreamEventText(2) + kStreamEnd;
   PipelineWorld world;
   ScriptedAnswer broken = ScriptedStream(0, 2, false);
   broken.m_pieces.emplace_back("id: 2\nda");
@@ -406,9 +482,8 @@
   REQUIRE(SentField(world, 1, "x-resume-offset") == "2");
 
   const std::size_t sent = world.m_upstream.m_sent.size();
-  const std::string next = world.m_upstream.m_scripts[kEngineOne].empty()
-                             ? kEngineTwo
-                             : kEngineOne;
+  const std::string next =
+    world.m_upstream.m_scripts[kEngineOne].empty() ? kEngineTwo : kEngineOne;
   world.m_upstream.m_scripts.clear();
   world.Offer(SectionKind::BackendServers, R"(version: 1
 backend_servers:
@@ -473,7 +548,8 @@
     CHECK(outcome.m_code == row.m_code);
     CHECK(outcome.m_ran == (row.m_code == Code::Ok ? Ran::Yes : Ran::Maybe));
     CHECK(outcome.m_isWhole == (row.m_code == Code::Ok));
-    CHECK(outcome.m_body.empty() == (!row.m_hasBegun && row.m_code != Code::Ok));
+    CHECK(outcome.m_body.empty() ==
+          (!row.m_hasBegun && row.m_code != Code::Ok));
     CHECK(world.Ask({ .m_target = row.m_target }).m_code ==
           Code::KeyNotGranted);
   }
@@ -492,9 +568,10 @@
 {
   PipelineWorld world;
   const std::string key = world.IssueKey();
-  world.Script(kDesk, { .m_kind = AnswerKind::Holds,
-                        .m_headers = { { "x-place", "1" } },
-                        .m_pieces = { "booked" } });
+  world.Script(kDesk,
+               { .m_kind = AnswerKind::Holds,
+                 .m_headers = { { "x-place", "1" } },
+                 .m_pieces = { "booked" } });
   Outcome& first = world.Start(world.m_entry, Booking(key));
   Outcome& repeat = world.Start(world.m_entry, Booking(key));
   Outcome& gone = world.Start(world.m_entry, Booking(key));
@@ -533,17 +610,36 @@
   };
   const std::vector<ScriptedAnswer> failing(4, { .m_kind = kConnectFails });
   const Row rows[] = {
-    { "reset after bytes", { .m_kind = kResets }, Code::BackendReset,
-      Ran::Maybe, Code::BackendReset, 1 },
-    { "broken answer", { .m_pieces = { "boo" }, .m_isWhole = false },
-      Code::AnswerIncomplete, Ran::Maybe, Code::AnswerIncomplete, 1 },
-    { "answer to another attempt", { .m_attemptId = "other" },
-      Code::AnswerMismatch, Ran::Maybe, Code::AnswerMismatch, 1 },
-    { "no connection", { .m_kind = kConnectFails },
-      Code::BackendConnectFailed, Ran::No, Code::Ok, 1 },
+    { "reset after bytes",
+      { .m_kind = kResets },
+      Code::BackendReset,
+      Ran::Maybe,
+      Code::BackendReset,
+      1 },
+    { "broken answer",
+      { .m_pieces = { "boo" }, .m_isWhole = false },
+      Code::AnswerIncomplete,
+      Ran::Maybe,
+      Code::AnswerIncomplete,
+      1 },
+    { "answer to another attempt",
+      { .m_attemptId = "other" },
+      Code::AnswerMismatch,
+      Ran::Maybe,
+      Code::AnswerMismatch,
+      1 },
+    { "no connection",
+      { .m_kind = kConnectFails },
+      Code::BackendConnectFailed,
+      Ran::No,
+      Code::Ok,
+      1 },
     { "not run by its own word",
       { .m_status = 503, .m_headers = { { "x-not-run", "1" } } },
-      Code::BackendRefused, Ran::No, Code::Ok, 2 },
+      Code::BackendRefused,
+      Ran::No,
+      Code::Ok,
+      2 },
   };
   for (const Row& row : rows) {
     INFO(row.m_name);
@@ -565,7 +661,8 @@
 TEST_CASE("a key of another instance goes to its owner or nowhere")
 {
   const auto keyOf = [](const char* aOwner, std::uint64_t aIncarnation) {
-    return IdempotencyKey{ InstanceId(aOwner), Incarnation(aIncarnation),
+    return IdempotencyKey{ InstanceId(aOwner),
+                           Incarnation(aIncarnation),
                            "0123456789abcdef0123456789abcdef" }
       .ToString();
   };
@@ -580,16 +677,36 @@
   };
   const Row rows[] = {
     { "owner answers", keyOf("west-1", 3), {}, Code::Ok, Ran::Yes, 1 },
-    { "owner replaced", keyOf("west-1", 4), {},
-      Code::IdempotencyOutcomeUnknown, Ran::Maybe, 0 },
-    { "owner not listed", keyOf("north-1", 1), {},
-      Code::IdempotencyOutcomeUnknown, Ran::Maybe, 0 },
-    { "own earlier incarnation", keyOf("east-1", 9), {},
-      Code::IdempotencyOutcomeUnknown, Ran::Maybe, 0 },
-    { "owner not reached", keyOf("west-1", 3), { .m_kind = kConnectFails },
-      Code::PeerLost, Ran::Maybe, 0 },
-    { "owner lost", keyOf("west-1", 3), { .m_kind = kResets }, Code::PeerLost,
-      Ran::Maybe, 1 },
+    { "owner replaced",
+      keyOf("west-1", 4),
+      {},
+      Code::IdempotencyOutcomeUnknown,
+      Ran::Maybe,
+      0 },
+    { "owner not listed",
+      keyOf("north-1", 1),
+      {},
+      Code::IdempotencyOutcomeUnknown,
+      Ran::Maybe,
+      0 },
+    { "own earlier incarnation",
+      keyOf("east-1", 9),
+      {},
+      Code::IdempotencyOutcomeUnknown,
+      Ran::Maybe,
+      0 },
+    { "owner not reached",
+      keyOf("west-1", 3),
+      { .m_kind = kConnectFails },
+      Code::PeerLost,
+      Ran::Maybe,
+      0 },
+    { "owner lost",
+      keyOf("west-1", 3),
+      { .m_kind = kResets },
+      Code::PeerLost,
+      Ran::Maybe,
+      1 },
   };
   for (const Row& row : rows) {
     INFO(row.m_name);
@@ -679,7 +796,8 @@
   const Question question{ .m_method = "GET", .m_target = "/v1/entries" };
   const auto regions = [&] {
     std::string text;
-    for (const auto& entry : JsonOf(world.Ask(question))["entries"]) {
+    const Json::Value answer = JsonOf(world.Ask(question));
+    for (const auto& entry : answer["entries"]) {
       text += entry["region"].asString() + " ";
     }
     return text;
@@ -690,15 +808,17 @@
   world.m_serving.m_isDraining = true;
   REQUIRE(regions() == "west ");
   const Json::Value answer = JsonOf(world.Ask(question));
-  REQUIRE(answer["expires_in_ms"].asInt() > answer["come_back_after_ms"].asInt());
+  REQUIRE(answer["expires_in_ms"].asInt() >
+          answer["come_back_after_ms"].asInt());
 }
 
 TEST_CASE("a key is issued where its request can be dispatched")
 {
   PipelineWorld world;
   const auto issue = [&](const char* aRoute) -> Outcome& {
-    return world.Ask({ .m_target = "/v1/idempotency-keys",
-                       .m_body = std::string(R"({"route":")") + aRoute + "\"}" });
+    return world.Ask(
+      { .m_target = "/v1/idempotency-keys",
+        .m_body = std::string(R"({"route":")") + aRoute + "\"}" });
   };
   const Json::Value own = JsonOf(issue("book"));
   REQUIRE(own["instance"] == "east-1");
@@ -712,7 +832,11 @@
   REQUIRE(issue("nothing").m_code == Code::UnknownRoute);
   world.Script(kWestPeer, { .m_kind = kConnectFails });
   REQUIRE(issue("book-west").m_code == Code::ResidencyUnavailable);
+  // While it drains, another instance of the region has to own the key.
   world.m_serving.m_isDraining = true;
+  world.Script(kEastPeer, { .m_pieces = { R"({"instance":"east-2"})" } });
+  REQUIRE(JsonOf(issue("book"))["instance"] == "east-2");
+  world.Script(kEastPeer, { .m_kind = kConnectFails });
   REQUIRE(issue("book").m_code == Code::ResidencyUnavailable);
 }
 
@@ -728,17 +852,20 @@
   const Json::Value issued = JsonOf(issue("west-1", book));
   REQUIRE(issued["instance"] == "east-1");
   // The entry forwards the keyed request to its owner: that is here.
-  HeaderFields fields = With(
-    FromWest("book"),
-    { { "idempotency-key", issued["idempotency_key"].asString() } });
-  REQUIRE(world.AskAsPeer({ .m_target = "/book", .m_headers = fields }).m_code ==
-          Code::Ok);
-  REQUIRE(world.AskAsPeer({ .m_target = "/book", .m_headers = fields }).m_code ==
-          Code::Ok);
+  HeaderFields fields =
+    With(FromWest("book"),
+         { { "idempotency-key", issued["idempotency_key"].asString() } });
+  REQUIRE(
+    world.AskAsPeer({ .m_target = "/book", .m_headers = fields }).m_code ==
+    Code::Ok);
+  REQUIRE(
+    world.AskAsPeer({ .m_target = "/book", .m_headers = fields }).m_code ==
+    Code::Ok);
   REQUIRE(world.m_upstream.m_sent.size() == 1);
   REQUIRE(issue("east-1", book).m_code == Code::LoopRefused);
-  REQUIRE(issue("west-1", R"({"route":"book-west","client_account":"a"})")
-            .m_code == Code::ResidencyRefused);
+  REQUIRE(
+    issue("west-1", R"({"route":"book-west","client_account":"a"})").m_code ==
+    Code::ResidencyRefused);
   REQUIRE(issue("west-1", R"({"route":"book"})").m_code == Code::KeyNotGranted);
 }
 
--- a/rattanweir/request/pipeline/serving.h
+++ b/rattanweir/request/pipeline/serving.h
@@ -38,7 +38,7 @@
   RateLedger& m_rates;
   IdempotencyLedger& m_keys;
   BackendView& m_backends;
-  InFlight& m_inFlight;
+  RunningRequests& m_inFlight;
   RetryBudget& m_retries;
   Metrics& m_metrics;
   Upstream& m_upstream;
@@ -57,7 +57,7 @@
 CheckTakesRequests(const Serving& aServing);
 
 // Whether a request in flight still has its rights: its key is granted and
-// its client account exists. For InFlight::CancelWithdrawn.
+// its client account exists. For RunningRequests::CancelWithdrawn.
 bool
 IsStillEntitled(const Catalog& aCatalog, const RunningRequest& aRequest);
 
--- a/testing/pipeline_world/pipeline_world.cc
+++ b/testing/pipeline_world/pipeline_world.cc
@@ -115,9 +115,9 @@
 ScriptedAnswer
 ScriptedStream(int aFirst, int aCount, bool aHasEnd)
 {
-  ScriptedAnswer answer{ .m_headers = { { "content-type",
-                                          "text/event-stream" } },
-                         .m_pieces = {} };
+  ScriptedAnswer answer{
+    .m_headers = { { "content-type", "text/event-stream" } }, .m_pieces = {}
+  };
   for (int offset = aFirst; offset < aFirst + aCount; ++offset) {
     answer.m_pieces.push_back(StreamEventText(offset));
   }
@@ -252,10 +252,7 @@
 }
 
 Task<bool>
-ScriptedBorrower::Borrow(ClientAccountId,
-                         Tokens,
-                         SteadyTime,
-                         CancelSource&)
+ScriptedBorrower::Borrow(ClientAccountId, Tokens, SteadyTime, CancelSource&)
 {
   ++m_asked;
   if (m_onAsked) {
@@ -399,16 +396,15 @@
                                         .m_incarnation = aIncarnation,
                                         .m_sequence = ++m_nextVersion,
                                         .m_isReady = true,
-                                        .m_interval =
-                                          std::chrono::hours(1) }));
+                                        .m_interval = std::chrono::hours(1) }));
 }
 
 std::string
 PipelineWorld::IssueKey()
 {
   return m_keys
-    .Issue({ .m_route = RouteId("book"),
-             .m_clientAccount = ClientAccountId("a") })
+    .Issue(
+      { .m_route = RouteId("book"), .m_clientAccount = ClientAccountId("a") })
     .m_key.ToString();
 }
 
--- a/testing/pipeline_world/pipeline_world.h
+++ b/testing/pipeline_world/pipeline_world.h
@@ -164,7 +164,7 @@
   RateLedger m_rates;
   IdempotencyLedger m_keys;
   BackendView m_backends{ { .m_clock = m_clock } };
-  InFlight m_inFlight;
+  RunningRequests m_inFlight;
   RetryBudget m_retries{ {} };
   Metrics m_metrics;
   ScriptedUpstream m_upstream{ m_context };
