Issue idempotency keys and run each at most once

Only the incarnation that issued a key decides over it; it remembers in memory what became of the key until its expiry, and a key it no longer knows is refused as expired and never taken for a first use.

- A refusal's `ran` follows what the ledger knows: an expired key that was never used has not run, an answered one has, a forgotten one may have.
- A key in flight does not expire.
The time runs anew from the end of the request, so an answer that comes late can still be repeated.
- Bounds: keys, keys of one client account, waiters of one key, bytes of kept answers.
Nothing is evicted before its expiry; a full ledger issues no key.
- Another request under a used key is refused with `maybe`: a caller may have written the same booking in another way.

--- a/rattanweir/process/idempotency/idempotency_ledger.h
+++ b/rattanweir/process/idempotency/idempotency_ledger.h
@@ -2,7 +2,8 @@
 //
 // Only this ledger ever lets a key of its own be dispatched, and at most once.
 // A repeat while the request runs waits for the same answer, one after it gets
-// the kept answer, and a key past its expiry is refused and never run.
+// the kept answer, and a key past its expiry is refused and never run, also
+// once the ledger has forgotten it.
 //
 //   const IssuedKey issued = ledger.Issue({ .m_route = route, ... });
 //   ClaimResult claim = ledger.Claim(key, use);
@@ -13,8 +14,9 @@
 //
 // Memory is bounded: at most `m_maximumKeys` keys and `m_answerBytes` bytes of
 // kept answers; beyond that no new key is issued, and an answer too large is
-// kept as "ran, answer gone". Nothing is evicted before its expiry. For one
-// thread.
+// kept as "ran, answer gone". Nothing is evicted before its expiry, and a key
+// in flight has none. For one thread. Ways weighed:
+// docs/design/at-most-once.md.
 
 #pragma once
 
@@ -25,6 +27,7 @@
 #include "rattanweir/process/idempotency/idempotency_key.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -46,6 +49,7 @@
 struct IssuedKey
 {
   IdempotencyKey m_key;
+  // The first use must come before this has passed.
   std::chrono::nanoseconds m_expiresAfter{};
 };
 
@@ -82,10 +86,13 @@
   KeptOutcome m_outcome;
 };
 
-// The key cannot be used (mismatch, expired, outcome unknown).
+// The key cannot be used (mismatch, expired, outcome unknown, too many
+// waiters).
 struct ClaimRefused
 {
   ResultCode m_code = ResultCode::IdempotencyKeyMismatch;
+  // What is known of the request that the key stands for: No only where this
+  // ledger knows that it was never sent.
   Ran m_ran = Ran::No;
   std::string m_detail;
 };
@@ -99,6 +106,7 @@
   // A hash over method, target and body; a repeat must bring the same.
   std::uint64_t m_fingerprint = 0;
   // Called with the outcome if the claim is InFlight; not called otherwise.
+  // Must not throw; may call the ledger.
   std::function<void(const KeptOutcome&)> m_waiter;
 };
 
@@ -107,10 +115,18 @@
   const Clock& m_clock;
   InstanceId m_self;
   Incarnation m_incarnation;
+  // For how long a key may be used first, and how long its outcome is kept
+  // from its end.
   std::chrono::nanoseconds m_expiry{ std::chrono::minutes(10) };
   std::size_t m_maximumKeys = 100'000;
-  ByteCount m_answerBytes{ 32 * 1024 * 1024 };
-  ByteCount m_largestAnswer{ 256 * 1024 };
+  // Of one client account, so that one cannot use up the ledger; the callers
+  // of open routes count as one.
+  std::size_t m_maximumKeysPerClientAccount = 25'000;
+  // Repeats that wait for one key.
+  std::size_t m_maximumWaiters = 64;
+  // Of all kept answers together.
+  ByteCount m_answerBytes{ 32ULL << 20U };
+  ByteCount m_largestAnswer{ 256ULL << 10U };
 };
 
 class IdempotencyLedger
@@ -121,26 +137,31 @@
   IdempotencyLedger(const IdempotencyLedger&) = delete;
   IdempotencyLedger& operator=(const IdempotencyLedger&) = delete;
 
-  // Throws RequestError with TooManyRequests when the ledger is full.
+  // Throws RequestError with TooManyRequests when the ledger or the client
+  // account's part of it is full.
   IssuedKey Issue(const KeyBinding& aBinding);
 
-  // Decides over one use. A key of another incarnation of this instance is
-  // refused with IdempotencyOutcomeUnknown and Ran::Maybe.
+  // Decides over one use. A key of another instance, or of another incarnation
+  // of this one, is refused with IdempotencyOutcomeUnknown and Ran::Maybe.
   ClaimResult Claim(const IdempotencyKey& aKey, KeyUse aUse);
 
-  // The first use ended; waiters get the outcome.
-  void Complete(const IdempotencyKey& aKey, KeptOutcome aOutcome);
+  // The first use ended; waiters get the outcome, whole also where it is too
+  // large to be kept. Throws std::logic_error if the key is not in flight.
+  void Complete(const IdempotencyKey& aKey, const KeptOutcome& aOutcome);
 
   // The first use ended with nothing sent to a backend server: the key may be
-  // used again. Waiters get the failure.
+  // used again. Waiters get the failure. Throws std::logic_error if the key is
+  // not in flight.
   void Release(const IdempotencyKey& aKey, const KeptFailure& aFailure);
 
   // Forgets what is past its expiry and not in flight.
   void Tick();
 
   std::size_t InFlightCount() const;
-  // Issued and not yet expired.
+  // Held in memory, in flight included.
   std::size_t KeyCount() const;
+  // Of all kept answers.
+  ByteCount AnswerBytes() const;
 
 private:
   struct State;
--- /dev/null
+++ b/rattanweir/process/idempotency/idempotency_ledger_test.cc
@@ -0,0 +1,279 @@
+#include "rattanweir/process/idempotency/idempotency_ledger.h"
+
+#include "rattanweir/base/clock/manual_clock.h"
+
+#include <catch2/catch.hpp>
+
+#include <stdexcept>
+
+namespace rattanweir {
+namespace {
+
+using namespace std::chrono_literals;
+
+const KeyBinding kBinding{ .m_route = RouteId("bookings"),
+                           .m_clientAccount = ClientAccountId("parents") };
+constexpr std::uint64_t kFingerprint = 17;
+
+struct Fixture
+{
+  ManualClock m_clock;
+  IdempotencyLedger m_ledger{ { .m_clock = m_clock,
+                                .m_self = InstanceId("ostland-1"),
+                                .m_incarnation = Incarnation(7),
+                                .m_expiry = 10min,
+                                .m_maximumKeys = 4,
+                                .m_maximumKeysPerClientAccount = 3,
+                                .m_maximumWaiters = 2,
+                                .m_answerBytes = ByteCount(1'000),
+                                .m_largestAnswer = ByteCount(600) } };
+  std::vector<std::string> m_heard;
+
+  IdempotencyKey Issue() { return m_ledger.Issue(kBinding).m_key; }
+
+  KeyUse Use(std::uint64_t aFingerprint = kFingerprint)
+  {
+    return { .m_binding = kBinding,
+             .m_fingerprint = aFingerprint,
+             .m_waiter = [this](const KeptOutcome& aOutcome) {
+               const auto* answer = std::get_if<KeptAnswer>(&aOutcome);
+               m_heard.push_back(answer != nullptr
+                                   ? answer->m_body
+                                   : std::get<KeptFailure>(aOutcome).m_detail);
+             } };
+  }
+
+  // In a word, so that the tables below can be read.
+  std::string Claim(const IdempotencyKey& aKey, const KeyUse& aUse)
+  {
+    const ClaimResult result = m_ledger.Claim(aKey, aUse);
+    if (std::holds_alternative<FirstUse>(result)) {
+      return "first use";
+    }
+    if (std::holds_alternative<InFlight>(result)) {
+      return "in flight";
+    }
+    if (const auto* finished = std::get_if<Finished>(&result)) {
+      const auto* answer = std::get_if<KeptAnswer>(&finished->m_outcome);
+      return answer != nullptr
+               ? "answer " + answer->m_body
+               : "failure " +
+                   std::string(
+                     RanText(std::get<KeptFailure>(finished->m_outcome).m_ran));
+    }
+    const auto& refused = std::get<ClaimRefused>(result);
+    return std::string(InfoOf(refused.m_code).m_name) + " " +
+           std::string(RanText(refused.m_ran));
+  }
+  std::string Claim(const IdempotencyKey& aKey) { return Claim(aKey, Use()); }
+
+  // Drives a key into one of the states of the tables below.
+  void Bring(const IdempotencyKey& aKey, const std::string& aState)
+  {
+    if (aState == "issued") {
+      return;
+    }
+    REQUIRE(Claim(aKey) == "first use");
+    if (aState == "answered") {
+      m_ledger.Complete(aKey, KeptAnswer{ .m_status = 200, .m_body = "yes" });
+    } else if (aState == "failed unsent") {
+      m_ledger.Complete(aKey, KeptFailure{ .m_ran = Ran::No });
+    } else if (aState == "failed") {
+      m_ledger.Complete(aKey, KeptFailure{ .m_ran = Ran::Maybe });
+    } else if (aState == "released") {
+      m_ledger.Release(aKey, { .m_detail = "no backend server" });
+    } else {
+      REQUIRE(aState == "running");
+    }
+  }
+};
+
+struct Case
+{
+  std::string m_state;
+  std::string m_repeat;
+  std::string m_otherRequest;
+  std::string m_expired;
+};
+
+// One row a state: what the same request, one with another fingerprint, and
+// the same after the expiry are told.
+const std::vector<Case> kCases{
+  { "issued", "first use", "first use", "idempotency_key_expired no" },
+  { "running", "in flight", "idempotency_key_mismatch maybe", "in flight" },
+  { "answered",
+    "answer yes",
+    "idempotency_key_mismatch maybe",
+    "idempotency_key_expired yes" },
+  { "failed",
+    "failure maybe",
+    "idempotency_key_mismatch maybe",
+    "idempotency_key_expired maybe" },
+  { "failed unsent",
+    "failure no",
+    "idempotency_key_mismatch no",
+    "idempotency_key_expired no" },
+  { "released", "first use", "first use", "idempotency_key_expired no" },
+};
+
+TEST_CASE_METHOD(Fixture, "what a use is told in each state of its key")
+{
+  const Case& row = GENERATE(from_range(kCases));
+  CAPTURE(row.m_state);
+  const IdempotencyKey key = Issue();
+  Bring(key, row.m_state);
+  SECTION("the same request")
+  {
+    REQUIRE(Claim(key) == row.m_repeat);
+  }
+  SECTION("another request")
+  {
+    REQUIRE(Claim(key, Use(kFingerprint + 1)) == row.m_otherRequest);
+  }
+  SECTION("after the expiry")
+  {
+    m_clock.Advance(10min);
+    REQUIRE(Claim(key) == row.m_expired);
+  }
+  SECTION("just before the expiry")
+  {
+    m_clock.Advance(10min - 1ns);
+    REQUIRE(Claim(key) == row.m_repeat);
+  }
+  SECTION("after the ledger has forgotten it")
+  {
+    m_clock.Advance(10min);
+    m_ledger.Tick();
+    REQUIRE(m_ledger.KeyCount() == (row.m_state == "running" ? 1 : 0));
+    REQUIRE(Claim(key) == (row.m_state == "running"
+                             ? "in flight"
+                             : "idempotency_key_expired maybe"));
+  }
+}
+
+TEST_CASE_METHOD(Fixture, "a key that is not of this incarnation is not run")
+{
+  const IdempotencyKey key = Issue();
+  IdempotencyKey other = key;
+  SECTION("another instance")
+  {
+    other.m_owner = InstanceId("ostland-2");
+    REQUIRE(Claim(other) == "idempotency_outcome_unknown maybe");
+  }
+  SECTION("another incarnation")
+  {
+    other.m_incarnation = Incarnation(8);
+    REQUIRE(Claim(other) == "idempotency_outcome_unknown maybe");
+  }
+  SECTION("a nonce never issued")
+  {
+    other.m_nonce = std::string(32, '0');
+    REQUIRE(Claim(other) == "idempotency_key_expired maybe");
+  }
+  REQUIRE(Claim(key) == "first use");
+}
+
+TEST_CASE_METHOD(Fixture, "another route or client account learns nothing")
+{
+  const std::string state = GENERATE("issued", "running", "answered");
+  const bool isOtherRoute = GENERATE(true, false);
+  const IdempotencyKey key = Issue();
+  Bring(key, state);
+  KeyUse use = Use();
+  if (isOtherRoute) {
+    use.m_binding.m_route = RouteId("cancellations");
+  } else {
+    use.m_binding.m_clientAccount = ClientAccountId("teachers");
+  }
+  REQUIRE(Claim(key, use) == "idempotency_key_mismatch no");
+}
+
+TEST_CASE_METHOD(Fixture, "repeats that wait get the whole outcome once")
+{
+  const IdempotencyKey key = Issue();
+  Bring(key, "running");
+  REQUIRE(Claim(key) == "in flight");
+  REQUIRE(Claim(key) == "in flight");
+  REQUIRE(Claim(key) == "idempotency_outcome_unknown maybe");
+  REQUIRE(m_heard.empty());
+  SECTION("an answer too large to keep")
+  {
+    const std::string body(601, 'x');
+    m_ledger.Complete(key, KeptAnswer{ .m_status = 200, .m_body = body });
+    REQUIRE(m_heard == std::vector<std::string>{ body, body });
+    REQUIRE(Claim(key) == "failure yes");
+  }
+  SECTION("released, and run again")
+  {
+    m_ledger.Release(key, { .m_detail = "no backend server" });
+    REQUIRE(m_heard == std::vector<std::string>{ "no backend server",
+                                                 "no backend server" });
+    REQUIRE(Claim(key) == "first use");
+    m_ledger.Complete(key, KeptAnswer{ .m_body = "yes" });
+    REQUIRE(m_heard.size() == 2);
+  }
+}
+
+TEST_CASE_METHOD(Fixture, "a waiter may call the ledger")
+{
+  const IdempotencyKey key = Issue();
+  Bring(key, "running");
+  std::string seen;
+  KeyUse use = Use();
+  use.m_waiter = [&](const KeptOutcome&) { seen = Claim(key); };
+  REQUIRE(Claim(key, use) == "in flight");
+  m_ledger.Release(key, {});
+  REQUIRE(seen == "first use");
+  REQUIRE(m_ledger.InFlightCount() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "only a key in flight can end")
+{
+  const std::string state = GENERATE("issued", "answered", "released");
+  const IdempotencyKey key = Issue();
+  Bring(key, state);
+  REQUIRE_THROWS_AS(m_ledger.Complete(key, KeptFailure{}), std::logic_error);
+  REQUIRE_THROWS_AS(m_ledger.Release(key, {}), std::logic_error);
+}
+
+TEST_CASE_METHOD(Fixture, "a full ledger issues no key and forgets none")
+{
+  const IdempotencyKey running = Issue();
+  Bring(running, "running");
+  const IdempotencyKey answered = Issue();
+  Bring(answered, "answered");
+  Issue();
+  REQUIRE_THROWS_AS(Issue(), RequestError);
+  const KeyBinding other{ .m_route = RouteId("bookings"),
+                          .m_clientAccount = ClientAccountId("teachers") };
+  m_ledger.Issue(other);
+  REQUIRE_THROWS_AS(m_ledger.Issue(other), RequestError);
+  REQUIRE(Claim(running) == "in flight");
+  REQUIRE(Claim(answered) == "answer yes");
+
+  m_clock.Advance(10min);
+  Issue();
+  REQUIRE(m_ledger.KeyCount() == 2);
+  REQUIRE(m_ledger.InFlightCount() == 1);
+  REQUIRE(m_ledger.AnswerBytes() == ByteCount(0));
+}
+
+TEST_CASE_METHOD(Fixture, "kept answers stay within their bytes")
+{
+  const KeptAnswer answer{ .m_status = 200, .m_body = std::string(450, 'x') };
+  std::vector<IdempotencyKey> keys;
+  for (int count = 0; count < 3; ++count) {
+    keys.push_back(Issue());
+    REQUIRE(Claim(keys.back()) == "first use");
+    m_ledger.Complete(keys.back(), answer);
+  }
+  REQUIRE(m_ledger.AnswerBytes() <= ByteCount(1'000));
+  REQUIRE(Claim(keys[0]) == "answer " + answer.m_body);
+  REQUIRE(Claim(keys[2]) == "failure yes");
+  m_clock.Advance(10min);
+  m_ledger.Tick();
+  REQUIRE(m_ledger.AnswerBytes() == ByteCount(0));
+}
+
+} // namespace
+} // namespace rattanweir
