Add the fleet harness, the link cutter and the end-to-end tests

The harness starts gateways and stand-ins as separate processes and routes all peer traffic through a TCP relay, which can cut, swallow and delay, and reads which instances each forwarded request visited.

--- /dev/null
+++ b/testing/end_to_end/one_instance_test.cc
@@ -0,0 +1,273 @@
+// One instance before one engine and one service, as separate processes.
+
+#include "testing/harness/caller.h"
+#include "testing/harness/fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+namespace rattanweir::testing {
+
+namespace {
+
+const std::string kInstance = "ostland-1";
+const std::string kEngine = "engine-ostland";
+const std::string kService = "service-ostland";
+
+struct RefusalCase
+{
+  std::string m_name;
+  HttpRequest m_request;
+  std::string m_result;
+};
+
+const HttpField kGoodKey{ .m_name = "authorization",
+                          .m_value = "Bearer secret-of-parents" };
+const HttpField kSmallKey{ .m_name = "x-api-key",
+                           .m_value = "secret-of-small" };
+const HttpField kBadKey{ .m_name = "x-api-key", .m_value = "no-such-key" };
+const HttpField kBadIdempotencyKey{ .m_name = "idempotency-key",
+                                    .m_value = "made up" };
+const std::string kChatBody =
+  R"({"marker":"x","model":"guide","prompt":"p","max_tokens":2})";
+
+const std::vector<RefusalCase> kRefusals = {
+  { "unknown route", { "POST", "/nowhere", { kGoodKey }, kChatBody }, "104" },
+  { "no key", { "POST", "/v1/chat", {}, kChatBody }, "105" },
+  { "unknown key", { "POST", "/v1/chat", { kBadKey }, kChatBody }, "106" },
+  { "over the burst",
+    { "POST",
+      "/v1/chat",
+      { kSmallKey },
+      R"({"prompt":"p","max_tokens":9999})" },
+    "108" },
+  { "made-up idempotency key",
+    { "POST", "/bookings", { kGoodKey, kBadIdempotencyKey }, "{}" },
+    "109" },
+};
+
+struct EngineFault
+{
+  std::string m_name;
+  std::string m_switch;
+};
+
+// Each takes effect once.
+const std::vector<EngineFault> kEngineFaults = {
+  { "the stream breaks", R"([{"name":"break_after","value":3,"times":1}])" },
+  { "the stream breaks before its first token",
+    R"([{"name":"break_after","value":0,"times":1}])" },
+  { "an answer to another attempt",
+    R"([{"name":"wrong_attempt_id","times":1}])" },
+  { "refused as not run", R"([{"name":"refuse_not_run","times":1}])" },
+  { "reset before the run", R"([{"name":"reset_before_run","times":1}])" },
+  { "a marked end after too few tokens",
+    R"([{"name":"short_end","value":3,"times":1}])" },
+  { "each event twice", R"([{"name":"duplicate_bytes","times":1}])" },
+};
+
+} // namespace
+
+TEST_CASE("Answers arrive whole and no key goes past the instance")
+{
+  Fleet fleet({});
+  fleet.WaitUntilReady();
+  Caller caller(fleet, kInstance);
+  for (const CallKind kind :
+       { CallKind::Stream, CallKind::Text, CallKind::Booking }) {
+    const CallerRecord call = caller.Call({ .m_kind = kind });
+    CHECK(call.m_status == 200);
+    CHECK(call.m_isWhole);
+    CHECK(IsOwnWholeAnswer(call));
+  }
+  CHECK(Describe(fleet.Judge()) == "");
+}
+
+TEST_CASE("A booking repeated under its key runs once and answers alike")
+{
+  Fleet fleet({});
+  fleet.WaitUntilReady();
+  Caller caller(fleet, kInstance);
+  CallOptions booking{ .m_kind = CallKind::Booking,
+                       .m_idempotencyKey = caller.IssueKey(),
+                       .m_marker = fleet.FreshMarker() };
+  REQUIRE_FALSE(booking.m_idempotencyKey.empty());
+  const CallerRecord first = caller.Call(booking);
+  const CallerRecord second = caller.Call(booking);
+  CHECK(first.m_status == 200);
+  CHECK(second.m_answer == first.m_answer);
+  CHECK(fleet.CountOf(kService, "run") == 1);
+
+  booking.m_marker = fleet.FreshMarker();
+  caller.Call(booking);
+  CHECK(caller.LastResult() == "111");
+  CHECK(Describe(fleet.Judge()) == "");
+}
+
+TEST_CASE("Each request that cannot be taken is refused by its code")
+{
+  Fleet fleet({});
+  fleet.WaitUntilReady();
+  for (const RefusalCase& each : kRefusals) {
+    CAPTURE(each.m_name);
+    HttpConnection connection(fleet.CallerAddress(kInstance), kConditionBound);
+    const HttpAnswer answer = connection.Send(each.m_request);
+    CHECK(FieldOf(answer.m_headers, "rattanweir-result") == each.m_result);
+    CHECK(FieldOf(answer.m_headers, "rattanweir-ran") == "no");
+    CHECK(ParseJson(answer.m_body)["code"].asString() == each.m_result);
+  }
+  CHECK(fleet.CountOf(kEngine, "received") == 0);
+  CHECK(fleet.CountOf(kService, "received") == 0);
+}
+
+TEST_CASE("A published version is in force soon and an older one never again")
+{
+  Fleet fleet({});
+  fleet.WaitUntilReady();
+  for (const std::uint64_t version : { 5, 3, 9 }) {
+    fleet.PublishKeys(version);
+    if (version == 3) {
+      continue;
+    }
+    WaitUntil("version in force",
+              [&] { return fleet.VersionOf(kInstance, "keys") == version; });
+  }
+  CHECK(Describe(fleet.Judge()) == "");
+}
+
+TEST_CASE("A withdrawn key ends a running stream with a typed last event")
+{
+  Fleet fleet({});
+  fleet.WaitUntilReady();
+  Caller caller(fleet, kInstance);
+  bool isWithdrawn = false;
+  const CallerRecord call =
+    caller.Call({ .m_clientAccount = "teachers", .m_maxTokens = 9000 },
+                [&](const std::string&) {
+                  if (!isWithdrawn) {
+                    fleet.WithdrawKey("teachers-key");
+                    isWithdrawn = true;
+                  }
+                  return true;
+                });
+  CHECK_FALSE(call.m_isWhole);
+  const std::size_t last = call.m_answer.rfind("event: error");
+  REQUIRE(last != std::string::npos);
+  CHECK(call.m_answer.find("\"code\":407", last) != std::string::npos);
+  caller.Call({ .m_clientAccount = "teachers" });
+  CHECK(caller.LastResult() == "106");
+  WaitUntil("the engine is told to stop",
+            [&] { return fleet.CountOf(kEngine, "cancelled") == 1; });
+  CHECK(Describe(fleet.Judge()) == "");
+}
+
+TEST_CASE("A graceful shutdown cuts nothing that is in flight")
+{
+  constexpr int kStreams = 8;
+  Fleet fleet({});
+  fleet.WaitUntilReady();
+  fleet.Switch(kService, R"([{"name":"delay","value":500}])");
+  std::atomic<int> streaming = 0;
+  std::vector<std::thread> callers;
+  callers.reserve(kStreams + 1);
+  for (int i = 0; i < kStreams; ++i) {
+    callers.emplace_back([&] {
+      bool isFirst = true;
+      Caller(fleet, kInstance)
+        .Call({ .m_maxTokens = 300 }, [&](const std::string&) {
+          streaming += isFirst ? 1 : 0;
+          isFirst = false;
+          return true;
+        });
+    });
+  }
+  callers.emplace_back(
+    [&] { Caller(fleet, kInstance).Call({ .m_kind = CallKind::Booking }); });
+  WaitUntil("all in flight", [&] {
+    return streaming == kStreams && fleet.CountOf(kService, "received") == 1;
+  });
+  fleet.Drain(kInstance);
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK(fleet.Instance(kInstance).WaitForExit() == 0);
+  CHECK(Describe(fleet.Judge()) == "");
+}
+
+TEST_CASE("A faulty engine never makes a short or foreign answer whole")
+{
+  Fleet fleet({});
+  fleet.WaitUntilReady();
+  Caller caller(fleet, kInstance);
+  for (const EngineFault& fault : kEngineFaults) {
+    CAPTURE(fault.m_name);
+    fleet.Switch(kEngine, fault.m_switch);
+    const CallerRecord faulty = caller.Call({});
+    CAPTURE(faulty.m_status, faulty.m_answer);
+    CHECK((!faulty.m_isWhole || faulty.m_status != 200 ||
+           IsOwnWholeAnswer(faulty)));
+    WaitUntil("a whole answer again", [&] {
+      const CallerRecord call = caller.Call({});
+      return call.m_status == 200 && IsOwnWholeAnswer(call);
+    });
+  }
+  CHECK(Describe(fleet.Judge()) == "");
+}
+
+TEST_CASE("An engine killed in a stream leaves the answer marked as broken")
+{
+  Fleet fleet({});
+  fleet.WaitUntilReady();
+  Caller caller(fleet, kInstance);
+  const CallerRecord call =
+    caller.Call({ .m_maxTokens = 5000 }, [&](const std::string&) {
+      fleet.Server(kEngine).Signal(SIGKILL);
+      return true;
+    });
+  CHECK(call.m_status == 200);
+  CHECK_FALSE(call.m_isWhole);
+  CHECK(call.m_answer.find("event: error") != std::string::npos);
+  CHECK(Describe(fleet.Judge()) == "");
+}
+
+struct ServiceFault
+{
+  std::string m_name;
+  std::string m_switch;
+  std::string m_ran;
+  std::size_t m_runs;
+};
+
+TEST_CASE("A booking that fails says truly whether it ran")
+{
+  const std::vector<ServiceFault> faults = {
+    { "refused", R"([{"name":"refuse_not_run","times":1}])", "no", 0 },
+    { "reset before",
+      R"([{"name":"reset_before_run","times":1}])",
+      "maybe",
+      0 },
+    { "reset after", R"([{"name":"reset_after_run","times":1}])", "maybe", 1 },
+    { "late",
+      R"([{"name":"answer_late","value":6000,"times":1}])",
+      "maybe",
+      1 },
+    { "foreign", R"([{"name":"wrong_attempt_id","times":1}])", "maybe", 1 },
+  };
+  Fleet fleet({ .m_bookingDeadline = "1s" });
+  fleet.WaitUntilReady();
+  for (const ServiceFault& fault : faults) {
+    CAPTURE(fault.m_name);
+    Caller caller(fleet, kInstance);
+    const std::size_t before = fleet.CountOf(kService, "run");
+    fleet.Switch(kService, fault.m_switch);
+    const CallerRecord call = caller.Call({ .m_kind = CallKind::Booking });
+    CHECK(call.m_ran == fault.m_ran);
+    CHECK(fleet.CountOf(kService, "run") - before == fault.m_runs);
+  }
+  CHECK(Describe(fleet.Judge()) == "");
+}
+
+} // namespace rattanweir::testing
--- /dev/null
+++ b/testing/end_to_end/soak_test.cc
@@ -0,0 +1,245 @@
+// Callers in three regions while links, processes and backend servers fail on
+// a schedule drawn from a seed. RATTANWEIR_SOAK_SEEDS says how many seeds.
+
+#include "rattanweir/base/random/random.h"
+#include "testing/harness/caller.h"
+#include "testing/harness/fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <thread>
+
+namespace rattanweir::testing {
+
+namespace {
+
+constexpr std::uint64_t kDefaultSeeds = 2;
+constexpr int kFaultsPerSeed = 6;
+constexpr std::size_t kCallsPerFault = 60;
+constexpr int kCallersPerInstance = 2;
+constexpr std::size_t kMostTokens = 40;
+constexpr int kRepeats = 3;
+const std::vector<std::string> kInstances = { "ostland-1",
+                                              "vestland-1",
+                                              "nordland-1" };
+const std::vector<std::string> kServerRegions = { "ostland", "vestland" };
+
+struct Account
+{
+  std::string m_id;
+  std::set<std::string> m_home;
+};
+
+const std::vector<Account> kAccounts = { { "parents", { "ostland" } },
+                                         { "teachers", { "vestland" } },
+                                         { "small", {} } };
+
+template<class Value>
+const Value&
+Pick(RandomEngine& aEngine, const std::vector<Value>& aValues)
+{
+  return aValues[UniformIndex(aEngine, aValues.size())];
+}
+
+// Something that fails, and its repair.
+struct Fault
+{
+  std::string m_name;
+  std::function<void(Fleet&, const std::string&)> m_begin;
+  std::function<void(Fleet&, const std::string&)> m_end;
+};
+
+void
+SetLink(Fleet& aFleet, const std::string& aInstance, LinkState aState)
+{
+  aFleet.Link(aInstance).Set(aState);
+}
+
+void
+SwitchAll(Fleet& aFleet, const std::string& aJson)
+{
+  for (const std::string& region : kServerRegions) {
+    aFleet.Switch("engine-" + region, aJson);
+    aFleet.Switch("service-" + region, aJson);
+  }
+}
+
+Fault
+LinkFault(const std::string& aName, LinkState aState)
+{
+  return { aName,
+           [aState](Fleet& aFleet, const std::string& aInstance) {
+             SetLink(aFleet, aInstance, aState);
+           },
+           [](Fleet& aFleet, const std::string& aInstance) {
+             SetLink(aFleet, aInstance, LinkState::Open);
+           } };
+}
+
+Fault
+ServerFault(const std::string& aSwitch, int aValue)
+{
+  const std::string name = R"([{"name":")" + aSwitch + R"(",)";
+  const std::string on = name + R"("value":)" + std::to_string(aValue) + "}]";
+  const std::string off = name + R"("times":0}])";
+  return { aSwitch,
+           [on](Fleet& aFleet, const std::string&) { SwitchAll(aFleet, on); },
+           [off](Fleet& aFleet, const std::string&) {
+             SwitchAll(aFleet, off);
+           } };
+}
+
+const std::vector<Fault> kFaults = {
+  LinkFault("link cut", LinkState::Cut),
+  LinkFault("link swallows", LinkState::BlackHole),
+  { "paused",
+    [](Fleet& aFleet, const std::string& aInstance) {
+      aFleet.Instance(aInstance).Signal(SIGSTOP);
+    },
+    [](Fleet& aFleet, const std::string& aInstance) {
+      aFleet.Instance(aInstance).Signal(SIGCONT);
+    } },
+  { "killed",
+    [](Fleet& aFleet, const std::string& aInstance) {
+      aFleet.Instance(aInstance).Signal(SIGKILL);
+      aFleet.Instance(aInstance).WaitForExit();
+    },
+    [](Fleet& aFleet, const std::string& aInstance) {
+      aFleet.Restart(aInstance);
+    } },
+  ServerFault("break_after", 5),
+  ServerFault("reset_after_run", 1),
+  ServerFault("reset_before_run", 1),
+  ServerFault("refuse_not_run", 1),
+  ServerFault("wrong_attempt_id", 1),
+  ServerFault("short_answer", 1),
+};
+
+// Books once, and repeats under the same key wherever the caller gets to
+// until it has an answer or is told to give up.
+void
+Book(Fleet& aFleet, RandomEngine& aEngine)
+{
+  CallOptions booking{ .m_kind = CallKind::Booking,
+                       .m_marker = aFleet.FreshMarker() };
+  booking.m_idempotencyKey =
+    Caller(aFleet, Pick(aEngine, kInstances)).IssueKey();
+  if (booking.m_idempotencyKey.empty()) {
+    return;
+  }
+  for (int i = 0; i < kRepeats; ++i) {
+    const CallerRecord call =
+      Caller(aFleet, Pick(aEngine, kInstances)).Call(booking);
+    if (call.m_status == 200 && call.m_isWhole) {
+      return;
+    }
+  }
+}
+
+void
+CallUntil(Fleet& aFleet,
+          const std::string& aInstance,
+          std::uint64_t aSeed,
+          const std::atomic<bool>& aIsOver)
+{
+  RandomEngine engine(aSeed);
+  Caller caller(aFleet, aInstance);
+  while (!aIsOver) {
+    if (UniformIndex(engine, 4) == 0) {
+      Book(aFleet, engine);
+      continue;
+    }
+    const Account& account = Pick(engine, kAccounts);
+    const bool isBound =
+      !account.m_home.empty() && UniformIndex(engine, 2) == 0;
+    CallOptions call{ .m_kind = UniformIndex(engine, 2) == 0 ? CallKind::Stream
+                                                             : CallKind::Text,
+                      .m_clientAccount = account.m_id,
+                      .m_path = isBound ? "/v1/home" : "",
+                      .m_prompt =
+                        "prompt " + std::to_string(UniformIndex(engine, 5)),
+                      .m_maxTokens = 1 + UniformIndex(engine, kMostTokens) };
+    if (isBound) {
+      call.m_permittedRegions = account.m_home;
+    }
+    caller.Call(call);
+  }
+}
+
+void
+WaitForCalls(const Fleet& aFleet)
+{
+  const std::size_t before = aFleet.CallCount();
+  WaitUntil("calls go on",
+            [&] { return aFleet.CallCount() >= before + kCallsPerFault; });
+}
+
+std::string
+RunSeed(std::uint64_t aSeed)
+{
+  Fleet fleet({ .m_regions = { "ostland", "vestland", "nordland" },
+                .m_serverRegions = kServerRegions,
+                .m_tokenInterval = "1ms",
+                .m_bookingDeadline = "2s" });
+  fleet.WaitUntilReady();
+  std::atomic<bool> isOver = false;
+  std::vector<std::thread> callers;
+  for (const std::string& instance : kInstances) {
+    for (int i = 0; i < kCallersPerInstance; ++i) {
+      callers.emplace_back([&fleet, &isOver, &instance, aSeed, i] {
+        CallUntil(fleet, instance, aSeed * kCallersPerInstance + i, isOver);
+      });
+    }
+  }
+  RandomEngine engine(aSeed);
+  std::uint64_t version = 1;
+  for (int i = 0; i < kFaultsPerSeed; ++i) {
+    const Fault& fault = Pick(engine, kFaults);
+    const std::string& instance = Pick(engine, kInstances);
+    std::cout << "seed " << aSeed << ": " << fault.m_name << " at " << instance
+              << std::endl;
+    fault.m_begin(fleet, instance);
+    fleet.PublishKeys(++version);
+    WaitForCalls(fleet);
+    fault.m_end(fleet, instance);
+    WaitForCalls(fleet);
+    for (const std::string& each : kInstances) {
+      fleet.VersionOf(each, "keys");
+    }
+  }
+  isOver = true;
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  WaitUntil("all is well again", [&] {
+    return std::all_of(
+      kInstances.begin(), kInstances.end(), [&](const std::string& aInstance) {
+        const CallerRecord call = Caller(fleet, aInstance).Call({});
+        return call.m_status == 200 && IsOwnWholeAnswer(call) &&
+               fleet.VersionOf(aInstance, "keys") == version;
+      });
+  });
+  std::cout << "seed " << aSeed << ": " << fleet.CallCount() << " calls"
+            << std::endl;
+  return Describe(fleet.Judge());
+}
+
+} // namespace
+
+TEST_CASE("No schedule of faults breaks a promise")
+{
+  const char* const setting = std::getenv("RATTANWEIR_SOAK_SEEDS");
+  const std::uint64_t seeds =
+    setting == nullptr ? kDefaultSeeds : std::stoull(setting);
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    CAPTURE(seed);
+    CHECK(RunSeed(seed) == "");
+  }
+}
+
+} // namespace rattanweir::testing
--- /dev/null
+++ b/testing/end_to_end/three_regions_test.cc
@@ -0,0 +1,242 @@
+// An instance in each of three regions; links, processes and the platform
+// fail. nordland has no backend servers.
+
+#include "testing/harness/caller.h"
+#include "testing/harness/fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <functional>
+#include <thread>
+
+namespace rattanweir::testing {
+
+namespace {
+
+const FleetOptions kThreeRegions{
+  .m_regions = { "ostland", "vestland", "nordland" },
+  .m_serverRegions = { "ostland", "vestland" },
+};
+
+std::size_t
+RunsOfBookings(Fleet& aFleet)
+{
+  return aFleet.CountOf("service-ostland", "run") +
+         aFleet.CountOf("service-vestland", "run");
+}
+
+void
+SwitchServices(Fleet& aFleet, const std::string& aJson)
+{
+  aFleet.Switch("service-ostland", aJson);
+  aFleet.Switch("service-vestland", aJson);
+}
+
+bool
+IsServed(Fleet& aFleet, const std::string& aInstance, const CallOptions& aCall)
+{
+  const CallerRecord call = Caller(aFleet, aInstance).Call(aCall);
+  return call.m_status == 200 && IsOwnWholeAnswer(call);
+}
+
+void
+WaitUntilServed(Fleet& aFleet,
+                const std::string& aInstance,
+                const CallOptions& aCall)
+{
+  WaitUntil("served at " + aInstance,
+            [&] { return IsServed(aFleet, aInstance, aCall); });
+}
+
+} // namespace
+
+TEST_CASE("A region without servers forwards; data stays in its region")
+{
+  Fleet fleet(kThreeRegions);
+  fleet.WaitUntilReady();
+  for (const CallKind kind :
+       { CallKind::Stream, CallKind::Text, CallKind::Booking }) {
+    WaitUntilServed(fleet, "nordland-1", { .m_kind = kind });
+  }
+  for (const std::string instance :
+       { "ostland-1", "vestland-1", "nordland-1" }) {
+    WaitUntilServed(fleet,
+                    instance,
+                    { .m_clientAccount = "teachers",
+                      .m_path = "/v1/home",
+                      .m_permittedRegions = { "vestland" } });
+    WaitUntilServed(
+      fleet,
+      instance,
+      { .m_path = "/v1/home", .m_permittedRegions = { "ostland" } });
+  }
+  CHECK(fleet.Link("ostland-1").Hops().size() +
+          fleet.Link("vestland-1").Hops().size() >=
+        5);
+  CHECK(Describe(fleet.Judge()) == "");
+}
+
+TEST_CASE("A region cut off serves what may run there and refuses the rest")
+{
+  for (const LinkState state : { LinkState::Cut, LinkState::BlackHole }) {
+    CAPTURE(static_cast<int>(state));
+    Fleet fleet(kThreeRegions);
+    fleet.WaitUntilReady();
+    const CallOptions bound{ .m_clientAccount = "teachers",
+                             .m_path = "/v1/home",
+                             .m_permittedRegions = { "vestland" } };
+    WaitUntilServed(fleet, "ostland-1", bound);
+    for (const std::string instance :
+         { "ostland-1", "vestland-1", "nordland-1" }) {
+      fleet.Link(instance).Set(state);
+    }
+    CHECK(IsServed(fleet, "ostland-1", {}));
+    CHECK(IsServed(fleet, "vestland-1", bound));
+    Caller cutOff(fleet, "ostland-1");
+    const CallerRecord refused = cutOff.Call(bound);
+    CHECK(refused.m_status >= 500);
+    WaitUntil("known to be unreachable", [&] {
+      return cutOff.Call(bound).m_ran == "no" && cutOff.LastResult() == "300";
+    });
+    for (const std::string instance :
+         { "ostland-1", "vestland-1", "nordland-1" }) {
+      fleet.Link(instance).Set(LinkState::Open);
+    }
+    WaitUntilServed(fleet, "ostland-1", bound);
+    CHECK(Describe(fleet.Judge()) == "");
+  }
+}
+
+struct OwnerCase
+{
+  std::string m_name;
+  // Set at the services before the call.
+  std::string m_switch;
+  // The record of a service that tells when to kill the owner; empty for
+  // before the call.
+  std::string m_killAt;
+  std::size_t m_mostRuns;
+};
+
+TEST_CASE("A booking whose key's owner is killed never runs twice")
+{
+  const std::vector<OwnerCase> cases = {
+    { "before dispatch", "[]", "", 0 },
+    { "during dispatch", R"([{"name":"delay","value":700}])", "received", 1 },
+    { "after the run", R"([{"name":"answer_late","value":700}])", "run", 1 },
+  };
+  for (const OwnerCase& each : cases) {
+    CAPTURE(each.m_name);
+    Fleet fleet(kThreeRegions);
+    fleet.WaitUntilReady();
+    SwitchServices(fleet, each.m_switch);
+    const CallOptions booking{ .m_kind = CallKind::Booking,
+                               .m_idempotencyKey =
+                                 Caller(fleet, "ostland-1").IssueKey(),
+                               .m_marker = fleet.FreshMarker() };
+    REQUIRE_FALSE(booking.m_idempotencyKey.empty());
+    if (each.m_killAt.empty()) {
+      fleet.Instance("ostland-1").Signal(SIGKILL);
+    }
+    std::thread killer([&] {
+      if (!each.m_killAt.empty()) {
+        WaitUntil("dispatched", [&] {
+          return fleet.CountOf("service-ostland", each.m_killAt) +
+                   fleet.CountOf("service-vestland", each.m_killAt) >
+                 0;
+        });
+        fleet.Instance("ostland-1").Signal(SIGKILL);
+      }
+    });
+    const CallerRecord first = Caller(fleet, "vestland-1").Call(booking);
+    killer.join();
+    CHECK(first.m_status != 200);
+    CHECK_FALSE(first.m_ran.empty());
+    CHECK(fleet.Instance("ostland-1").WaitForExit() == -SIGKILL);
+    fleet.Restart("ostland-1");
+    fleet.WaitUntilReady();
+    SwitchServices(fleet,
+                   R"([{"name":"delay","times":0},)"
+                   R"({"name":"answer_late","times":0}])");
+    for (const std::string instance : { "vestland-1", "ostland-1" }) {
+      Caller repeat(fleet, instance);
+      WaitUntil("the new process says that the outcome is not known", [&] {
+        repeat.Call(booking);
+        return repeat.LastResult() == "406";
+      });
+    }
+    CHECK(RunsOfBookings(fleet) <= each.m_mostRuns);
+    CHECK(Describe(fleet.Judge()) == "");
+  }
+}
+
+TEST_CASE("An owner frozen past the deadline runs nothing late")
+{
+  Fleet fleet(kThreeRegions);
+  fleet.WaitUntilReady();
+  Caller entry(fleet, "vestland-1");
+  const CallOptions booking{ .m_kind = CallKind::Booking,
+                             .m_idempotencyKey =
+                               Caller(fleet, "ostland-1").IssueKey(),
+                             .m_marker = fleet.FreshMarker() };
+  fleet.Instance("ostland-1").Signal(SIGSTOP);
+  const CallerRecord frozen = entry.Call(booking);
+  CHECK(frozen.m_status != 200);
+  fleet.Instance("ostland-1").Signal(SIGCONT);
+  WaitUntilServed(fleet, "ostland-1", {});
+  entry.Call(booking);
+  CHECK(RunsOfBookings(fleet) <= 1);
+  CHECK(Describe(fleet.Judge()) == "");
+}
+
+TEST_CASE("A leaving server gets no new work, also from other regions")
+{
+  Fleet fleet(kThreeRegions);
+  fleet.WaitUntilReady();
+  WaitUntilServed(fleet, "nordland-1", {});
+  fleet.MarkLeaving("engine-ostland");
+  WaitUntil("all work goes to vestland", [&] {
+    const std::size_t before = fleet.CountOf("engine-ostland", "run");
+    for (const std::string instance :
+         { "ostland-1", "vestland-1", "nordland-1" }) {
+      IsServed(fleet, instance, {});
+    }
+    return fleet.CountOf("engine-ostland", "run") == before;
+  });
+  CHECK(IsServed(fleet, "ostland-1", {}));
+  CHECK(Describe(fleet.Judge()) == "");
+}
+
+TEST_CASE("With the platform down or stale nothing in force reverts")
+{
+  FleetOptions options = kThreeRegions;
+  options.m_hasPlatform = true;
+  Fleet fleet(options);
+  fleet.WaitUntilReady();
+  const auto hasVersion = [&](const std::string& aInstance, int aVersion) {
+    WaitUntil(aInstance + " at the version", [&] {
+      return fleet.VersionOf(aInstance, "keys") ==
+             static_cast<std::uint64_t>(aVersion);
+    });
+  };
+  fleet.PublishKeys(2);
+  for (const std::string instance :
+       { "ostland-1", "vestland-1", "nordland-1" }) {
+    hasVersion(instance, 2);
+  }
+  fleet.Switch("platform", R"([{"name":"down"}])");
+  WaitUntilServed(fleet, "ostland-1", {});
+  WaitUntilServed(fleet, "nordland-1", {});
+  fleet.Switch("platform",
+               R"([{"name":"down","times":0},{"name":"stale","value":1}])");
+  fleet.Instance("vestland-1").Signal(SIGKILL);
+  fleet.Instance("vestland-1").WaitForExit();
+  fleet.Restart("vestland-1");
+  fleet.WaitUntilReady();
+  CHECK(fleet.VersionOf("vestland-1", "keys") == 2);
+  WaitUntilServed(fleet, "vestland-1", {});
+  CHECK(Describe(fleet.Judge()) == "");
+}
+
+} // namespace rattanweir::testing
--- /dev/null
+++ b/testing/harness/configuration_files.h
@@ -0,0 +1,90 @@
+// The configuration of a Fleet as files of a scratch folder.
+//
+//   ConfigurationFiles files;
+//   files.WriteRoutes("4s");
+//   files.WriteKeys(2, { "teachers-key" });   // that key is withdrawn
+//
+// Accounts are `parents` (home ostland), `teachers` (home vestland) and
+// `small` (a low rate); ACCOUNT-key is the id of each one's key. Routes are
+// /v1/chat, /v1/home (bound to the account's home), /bookings (not
+// idempotent), /lookups and /open (open to all). Each file is replaced at
+// once, so no reader sees half of one.
+
+#pragma once
+
+#include "rattanweir/base/endpoint/endpoint.h"
+#include "testing/history/history.h"
+
+#include <cstdint>
+#include <filesystem>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace rattanweir::testing {
+
+// The rights of the account `small`, over the fleet.
+inline constexpr AccountRights kSmallRights{ .m_tokensPerSecond = 400,
+                                             .m_burstTokens = 400 };
+
+// Tokens that the route `bookings` reserves.
+inline constexpr std::int64_t kBookingCost = 1;
+
+const std::vector<std::string>&
+ClientAccountNames();
+
+// What a caller of the account shows.
+std::string
+KeyTextOf(const std::string& aClientAccount);
+
+std::string
+KeyIdOf(const std::string& aClientAccount);
+
+struct ServerRow
+{
+  std::string m_id;
+  std::string m_region;
+  Endpoint m_address;
+  bool m_isEngine = false;
+  bool m_isLeaving = false;
+};
+
+struct InstanceRow
+{
+  std::string m_id;
+  std::string m_region;
+  Endpoint m_callerAddress;
+  Endpoint m_peerAddress;
+};
+
+class ConfigurationFiles
+{
+public:
+  ConfigurationFiles();
+  ~ConfigurationFiles();
+  ConfigurationFiles(const ConfigurationFiles&) = delete;
+  ConfigurationFiles& operator=(const ConfigurationFiles&) = delete;
+
+  std::string Directory() const { return m_directory.string(); }
+
+  void WriteAccounts() const;
+  void WriteRoutes(const std::string& aBookingDeadline) const;
+  void WriteKeys(std::uint64_t aVersion,
+                 const std::set<std::string>& aWithdrawn) const;
+  // Each call is a new version.
+  void WriteServers(const std::vector<ServerRow>& aRows);
+  void WriteInstances(const std::vector<InstanceRow>& aRows) const;
+
+  // Returns the path. `aPlatform` is the setting of that name.
+  std::string WriteSettings(const std::string& aInstance,
+                            const std::string& aRegion,
+                            const std::string& aPlatform) const;
+
+private:
+  void Write(const std::string& aFile, const std::string& aText) const;
+
+  std::filesystem::path m_directory;
+  std::uint64_t m_serversVersion = 0;
+};
+
+} // namespace rattanweir::testing
--- /dev/null
+++ b/testing/harness/process.cc
@@ -0,0 +1,162 @@
+#include "testing/harness/process.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace rattanweir::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kPollInterval = 5ms;
+constexpr std::size_t kReadBytes = 65'536;
+
+} // namespace
+
+void
+WaitUntil(const std::string& aWhat, const std::function<bool()>& aCondition)
+{
+  const auto end = std::chrono::steady_clock::now() + kConditionBound;
+  while (!aCondition()) {
+    if (std::chrono::steady_clock::now() > end) {
+      throw std::runtime_error("waited in vain: " + aWhat);
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+}
+
+Process::Process(const ProcessOptions& aOptions)
+  : m_name(aOptions.m_path.substr(aOptions.m_path.rfind('/') + 1))
+{
+  int ends[2];
+  if (::pipe2(ends, O_CLOEXEC) != 0) {
+    throw std::runtime_error("no pipe");
+  }
+  std::vector<char*> arguments = { const_cast<char*>(aOptions.m_path.c_str()) };
+  for (const std::string& argument : aOptions.m_arguments) {
+    arguments.push_back(const_cast<char*>(argument.c_str()));
+  }
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  ::posix_spawn_file_actions_init(&actions);
+  ::posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+  ::posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
+  const int failed = ::posix_spawn(&m_pid,
+                                   aOptions.m_path.c_str(),
+                                   &actions,
+                                   nullptr,
+                                   arguments.data(),
+                                   environ);
+  ::posix_spawn_file_actions_destroy(&actions);
+  ::close(ends[1]);
+  if (failed != 0) {
+    ::close(ends[0]);
+    throw std::runtime_error("cannot start " + aOptions.m_path);
+  }
+  m_reader = std::thread([this, fd = ends[0]] { ReadLines(fd); });
+}
+
+Process::~Process()
+{
+  if (!m_status) {
+    ::kill(m_pid, SIGKILL);
+    ::waitpid(m_pid, nullptr, 0);
+  }
+  m_reader.join();
+}
+
+void
+Process::ReadLines(int aFd)
+{
+  std::string pending;
+  std::vector<char> buffer(kReadBytes);
+  for (;;) {
+    const ssize_t count = ::read(aFd, buffer.data(), buffer.size());
+    if (count <= 0) {
+      break;
+    }
+    pending.append(buffer.data(), static_cast<std::size_t>(count));
+    const std::lock_guard lock(m_mutex);
+    std::size_t begin = 0;
+    for (std::size_t end = 0;
+         (end = pending.find('\n', begin)) != std::string::npos;
+         begin = end + 1) {
+      m_lines.push_back(pending.substr(begin, end - begin));
+    }
+    pending.erase(0, begin);
+  }
+  ::close(aFd);
+  const std::lock_guard lock(m_mutex);
+  m_isClosed = true;
+}
+
+std::vector<std::string>
+Process::Lines() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_lines;
+}
+
+Json::Value
+Process::WaitForRecord(const std::string& aEvent) const
+{
+  Json::Value found;
+  const auto look = [&] {
+    const std::lock_guard lock(m_mutex);
+    for (const std::string& line : m_lines) {
+      if (!line.starts_with("{")) {
+        continue;
+      }
+      const Json::Value record = ParseJson(line);
+      if (record["event"] == aEvent) {
+        found = record;
+        return true;
+      }
+    }
+    return m_isClosed;
+  };
+  WaitUntil(aEvent + " of " + m_name, look);
+  if (found.isNull()) {
+    std::string message = m_name + " ended before " + aEvent;
+    for (const std::string& line : Lines()) {
+      message += "\n  " + line;
+    }
+    throw std::runtime_error(message);
+  }
+  return found;
+}
+
+void
+Process::Signal(int aSignal) const
+{
+  if (!m_status) {
+    ::kill(m_pid, aSignal);
+  }
+}
+
+bool
+Process::HasEnded()
+{
+  int status = 0;
+  if (!m_status && ::waitpid(m_pid, &status, WNOHANG) == m_pid) {
+    m_status = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  }
+  const std::lock_guard lock(m_mutex);
+  return m_status.has_value() && m_isClosed;
+}
+
+int
+Process::WaitForExit()
+{
+  WaitUntil("the end of " + m_name, [this] { return HasEnded(); });
+  return *m_status;
+}
+
+} // namespace rattanweir::testing
--- a/testing/history/history.cc
+++ b/testing/history/history.cc
@@ -397,4 +397,15 @@
   return "unknown";
 }
 
+std::string
+Describe(const std::vector<Violation>& aViolations)
+{
+  std::string text;
+  for (const Violation& violation : aViolations) {
+    text += std::string(PromiseName(violation.m_promise)) + ": " +
+            violation.m_detail + "\n";
+  }
+  return text;
+}
+
 } // namespace rattanweir::testing
--- a/testing/history/history.h
+++ b/testing/history/history.h
@@ -162,4 +162,8 @@
 std::string_view
 PromiseName(Promise aPromise);
 
+// A line for each violation; empty without any.
+std::string
+Describe(const std::vector<Violation>& aViolations);
+
 } // namespace rattanweir::testing
