--- /dev/null
+++ b/rattanweir/connection/admin/admin_query.cc
@@ -0,0 +1,91 @@
+#include "rattanweir/connection/admin/admin_query.h"
+
+#include "rattanweir/base/result/result_code.h"
+
+#include <charconv>
+
+namespace rattanweir {
+namespace {
+
+constexpr std::size_t kEscapeDigits = 2;
+constexpr int kHexadecimal = 16;
+
+char
+DecodeEscape(std::string_view aDigits)
+{
+  unsigned char byte = 0;
+  const char* const end = aDigits.data() + aDigits.size();
+  const auto parsed = std::from_chars(aDigits.data(), end, byte, kHexadecimal);
+  if (aDigits.size() != kEscapeDigits || parsed.ec != std::errc() ||
+      parsed.ptr != end) {
+    throw RequestError(ResultCode::MalformedRequest,
+                       "a % without two hexadecimal digits");
+  }
+  return static_cast<char>(byte);
+}
+
+std::string
+Decode(std::string_view aText)
+{
+  std::string decoded;
+  for (std::size_t at = 0; at < aText.size(); ++at) {
+    if (aText[at] == '+') {
+      decoded += ' ';
+    } else if (aText[at] == '%') {
+      decoded += DecodeEscape(aText.substr(at + 1, kEscapeDigits));
+      at += kEscapeDigits;
+    } else {
+      decoded += aText[at];
+    }
+  }
+  return decoded;
+}
+
+// Cuts the text up to the mark off its front. The mark goes too.
+std::string_view
+TakeUpTo(std::string_view& aText, char aMark)
+{
+  const std::string_view taken = aText.substr(0, aText.find(aMark));
+  aText.remove_prefix(std::min(aText.size(), taken.size() + 1));
+  return taken;
+}
+
+} // namespace
+
+std::optional<std::string>
+AdminQuery::Find(const std::string& aName) const
+{
+  const auto found = m_parameters.find(aName);
+  return found == m_parameters.end() ? std::nullopt
+                                     : std::optional(found->second);
+}
+
+std::string
+AdminQuery::Require(const std::string& aName) const
+{
+  if (const auto value = Find(aName)) {
+    return *value;
+  }
+  throw RequestError(ResultCode::MalformedRequest,
+                     "the parameter " + aName + " is missing");
+}
+
+AdminQuery
+ParseAdminTarget(std::string_view aTarget)
+{
+  AdminQuery query{ .m_path = Decode(TakeUpTo(aTarget, '?')) };
+  while (!aTarget.empty()) {
+    std::string_view value = TakeUpTo(aTarget, '&');
+    const std::string name = Decode(TakeUpTo(value, '='));
+    if (name.empty()) {
+      continue;
+    }
+    if (!query.m_parameters.emplace(name, Decode(value)).second) {
+      throw RequestError(ResultCode::MalformedRequest,
+                         "the parameter " + name + " comes twice");
+    }
+  }
+  return query;
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/connection/admin/admin_routes.h
@@ -0,0 +1,53 @@
+// Answers the operators' requests by functions registered for their paths.
+//
+//   AdminRoutes routes;
+//   routes.Register("GET", "/counters", [&](const AdminQuery&) {
+//     return AdminAnswer{ .m_body = CountersJson(metrics) };
+//   });
+//   HttpServer server({ ..., .m_handler = routes });
+//
+// A path without a function is refused with UnknownRoute. HEAD is answered as
+// GET is. For one thread.
+
+#pragma once
+
+#include "rattanweir/base/asio/asio.h"
+#include "rattanweir/connection/admin/admin_query.h"
+#include "rattanweir/request/exchange/exchange.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace rattanweir {
+
+struct AdminAnswer
+{
+  unsigned m_status = 200;
+  std::string m_contentType = "application/json";
+  std::string m_body;
+};
+
+// Gives the whole answer at once, or throws RequestError.
+using AdminFunction = std::function<AdminAnswer(const AdminQuery&)>;
+
+class AdminRoutes final : public RequestHandler
+{
+public:
+  // Replaces an earlier function for the same method and path.
+  void Register(const std::string& aMethod,
+                const std::string& aPath,
+                AdminFunction aFunction);
+
+  Task<void> Handle(InboundRequest aRequest,
+                    AnswerSink& aSink,
+                    CancelSource& aCancel) override;
+
+private:
+  AdminAnswer AnswerTo(const InboundRequest& aRequest) const;
+
+  std::map<std::pair<std::string, std::string>, AdminFunction> m_functions;
+};
+
+} // namespace rattanweir
