--- /dev/null
+++ b/bench/rate_leases/rate_leases.cc
@@ -0,0 +1,251 @@
+// Compares ways to split a client account's rate over a fleet.
+//
+// Eight instances in three regions, one big account and four small ones. One
+// table row a case and model: how many requests within the rate were refused,
+// the same for the worst-served account, over-admission, and what it costs.
+
+#include "testing/rate_fleet/rate_fleet.h"
+
+#include <cstdio>
+#include <string>
+#include <vector>
+
+namespace rattanweir {
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::nanoseconds;
+
+constexpr double kRate = 2'000;
+constexpr std::int64_t kBurst = 20'000;
+constexpr std::size_t kInstances = 8;
+// Replacements run beside the fleet in one case.
+constexpr nanoseconds kLoadFrom = 20s;
+constexpr nanoseconds kEnd = 140s;
+const ClientAccountId kBig("big");
+
+struct Case
+{
+  std::string m_name;
+  void (*m_prepare)(RateFleet&);
+};
+
+void
+Even(RateFleet& aFleet, const ClientAccountId& aAccount, double aRate)
+{
+  for (std::size_t instance = 0; instance < kInstances; ++instance) {
+    aFleet.AddLoad({ .m_account = aAccount,
+                     .m_instance = instance,
+                     .m_tokensPerSecond = aRate / kInstances,
+                     .m_from = kLoadFrom });
+  }
+}
+
+// The small accounts send half their rate, each at two instances.
+void
+SmallAccounts(RateFleet& aFleet)
+{
+  for (std::size_t number = 0; number < 4; ++number) {
+    for (std::size_t part = 0; part < 2; ++part) {
+      aFleet.AddLoad(
+        { .m_account = ClientAccountId("small-" + std::to_string(number)),
+          .m_instance = (2 * number + 3 * part) % kInstances,
+          .m_tokensPerSecond = kRate / 8,
+          .m_from = kLoadFrom });
+    }
+  }
+}
+
+void
+AtOne(RateFleet& aFleet)
+{
+  SmallAccounts(aFleet);
+  aFleet.AddLoad({ .m_account = kBig,
+                   .m_instance = 0,
+                   .m_tokensPerSecond = 0.95 * kRate,
+                   .m_from = kLoadFrom });
+}
+
+void
+EvenLoad(RateFleet& aFleet)
+{
+  SmallAccounts(aFleet);
+  Even(aFleet, kBig, 0.95 * kRate);
+}
+
+// All demand is in one region, and in the next one after 20 s.
+void
+Moving(RateFleet& aFleet)
+{
+  SmallAccounts(aFleet);
+  for (int phase = 0; phase < 6; ++phase) {
+    const nanoseconds from = kLoadFrom + phase * 20s;
+    for (std::size_t instance = phase % 3; instance < kInstances;
+         instance += 3) {
+      const double members = phase % 3 == 2 ? 2 : 3;
+      aFleet.AddLoad({ .m_account = kBig,
+                       .m_instance = instance,
+                       .m_tokensPerSecond = 0.8 * kRate / members,
+                       .m_from = from,
+                       .m_until = from + 20s });
+    }
+  }
+}
+
+void
+Threefold(RateFleet& aFleet)
+{
+  SmallAccounts(aFleet);
+  Even(aFleet, kBig, 3 * kRate);
+}
+
+void
+Eightfold(RateFleet& aFleet)
+{
+  SmallAccounts(aFleet);
+  Even(aFleet, kBig, 8 * kRate);
+}
+
+void
+ThreefoldAtOne(RateFleet& aFleet)
+{
+  SmallAccounts(aFleet);
+  aFleet.AddLoad({ .m_account = kBig,
+                   .m_instance = 0,
+                   .m_tokensPerSecond = 3 * kRate,
+                   .m_from = kLoadFrom });
+}
+
+void
+Restarts(RateFleet& aFleet)
+{
+  SmallAccounts(aFleet);
+  Even(aFleet, kBig, 0.8 * kRate);
+  for (std::size_t instance = 0; instance < kInstances; ++instance) {
+    aFleet.At(30s + 12s * instance,
+              [&aFleet, instance] { aFleet.Restart(instance); });
+  }
+}
+
+// One region is cut off for 60 s, then each is for itself for 30 s.
+void
+Cut(RateFleet& aFleet)
+{
+  EvenLoad(aFleet);
+  aFleet.At(30s, [&aFleet] { aFleet.Partition({ 0, 1, 1, 0, 1, 1, 0, 1 }); });
+  aFleet.At(90s, [&aFleet] { aFleet.Partition({ 0, 1, 2, 0, 1, 2, 0, 1 }); });
+  aFleet.At(120s, [&aFleet] { aFleet.Heal(); });
+}
+
+void
+CutSkewed(RateFleet& aFleet)
+{
+  AtOne(aFleet);
+  aFleet.At(30s, [&aFleet] { aFleet.Partition({ 0, 1, 1, 0, 1, 1, 0, 1 }); });
+  aFleet.At(90s, [&aFleet] { aFleet.Heal(); });
+}
+
+// One instance sleeps 10 s at a time, past every term; its callers wait.
+void
+Sleeper(RateFleet& aFleet)
+{
+  AtOne(aFleet);
+  for (int round = 0; round < 5; ++round) {
+    aFleet.At(30s + 20s * round, [&aFleet] { aFleet.Freeze(3); });
+    aFleet.At(40s + 20s * round, [&aFleet] { aFleet.Wake(3); });
+  }
+}
+
+const std::vector<Case> kCases{
+  { "all at one, 95%", AtOne },
+  { "even, 95%", EvenLoad },
+  { "moving region, 80%", Moving },
+  { "even, 3x", Threefold },
+  { "even, 8x", Eightfold },
+  { "all at one, 3x", ThreefoldAtOne },
+  { "restart each, 80%", Restarts },
+  { "cut 3/5 then 3/3/2, even", Cut },
+  { "cut 3/5, all at one", CutSkewed },
+  { "idle lender sleeps", Sleeper },
+};
+
+struct Model
+{
+  std::string m_name;
+  RateModel m_model;
+};
+
+const std::vector<Model> kModels{
+  { "static 1/N", RateModel::StaticSplit },
+  { "bare tokens", RateModel::BareTokens },
+  { "shares leased", RateModel::ShareLeases },
+};
+
+ClientAccountsSection
+Section()
+{
+  ClientAccountsSection section{ .m_maximumInstances = kInstances };
+  section.m_clientAccounts.push_back(
+    { .m_id = kBig, .m_rate = TokenRate(kRate), .m_burst = Tokens(kBurst) });
+  for (int number = 0; number < 4; ++number) {
+    section.m_clientAccounts.push_back(
+      { .m_id = ClientAccountId("small-" + std::to_string(number)),
+        .m_rate = TokenRate(kRate / 2),
+        .m_burst = Tokens(kBurst / 2) });
+  }
+  return section;
+}
+
+void
+RunCase(const Case& aCase, const Model& aModel, std::uint64_t aSeed)
+{
+  RateFleet fleet({ .m_seed = aSeed,
+                    .m_model = aModel.m_model,
+                    .m_section = Section(),
+                    .m_loss = 0.01 });
+  aCase.m_prepare(fleet);
+  fleet.Run(kEnd);
+  double worst = 0;
+  double admitted = 0;
+  double rightful = 0;
+  double offered = 0;
+  for (const auto& [id, account] : fleet.Accounts()) {
+    worst = std::max(worst, account.WronglyRefused());
+    admitted += static_cast<double>(account.m_admitted);
+    rightful += static_cast<double>(account.m_rightful);
+    offered += static_cast<double>(account.m_offered);
+  }
+  const double nodeSeconds =
+    std::chrono::duration<double>(kEnd - kLoadFrom).count() * kInstances;
+  std::printf(
+    "| %-26s | %-13s | %8.2f | %8.2f | %8.0f | %8.2f | %8.0f | %8.3f |\n",
+    aCase.m_name.c_str(),
+    aModel.m_name.c_str(),
+    100 * fleet.Accounts().at(kBig).WronglyRefused(),
+    100 * worst,
+    fleet.OverAdmission(),
+    static_cast<double>(fleet.MessageCount()) / nodeSeconds,
+    static_cast<double>(fleet.MessageBytes()) / nodeSeconds,
+    static_cast<double>(fleet.MessageCount()) / offered);
+}
+
+} // namespace
+} // namespace rattanweir
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace rattanweir;
+  const std::uint64_t seed = aCount > 1 ? std::stoull(aArguments[1]) : 1;
+  std::printf("seed %llu; refused and worst in %% of the rightful requests\n",
+              static_cast<unsigned long long>(seed));
+  std::printf("| case                       | model         | refused  | worst "
+              "   | over     | msg/s    | B/s      | msg/req  |\n");
+  std::printf("| --- | --- | --- | --- | --- | --- | --- | --- |\n");
+  for (const Case& each : kCases) {
+    for (const Model& model : kModels) {
+      RunCase(each, model, seed);
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/rattanweir/process/rate/internal/account_ledger.cc
@@ -0,0 +1,304 @@
+#include "rattanweir/process/rate/internal/account_ledger.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rattanweir::internal {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+// A smaller share is not worth its messages.
+constexpr double kSmallestFraction = 0.01;
+
+// How much more than the expected demand is asked for.
+constexpr double kHeadroom = 1.1;
+
+// How far ahead an instance keeps its own demand covered by tokens at hand.
+constexpr double kLookaheadSeconds = 1;
+
+// For how long a borrower that asked counts as needing a part.
+constexpr nanoseconds kAskerMemory = milliseconds(1'500);
+
+// When a lender that needs its share itself may be asked again.
+constexpr nanoseconds kAskBusyLenderAfter = milliseconds(1'000);
+
+double
+SecondsOf(nanoseconds aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+double
+Ratio(double aPart, double aWhole)
+{
+  return aWhole > 0 ? aPart / aWhole : 0;
+}
+
+double
+CountOf(Tokens aTokens)
+{
+  return static_cast<double>(aTokens.Value());
+}
+
+// What a peer sent may be any number.
+bool
+IsFraction(double aValue)
+{
+  return std::isfinite(aValue) && aValue > 0;
+}
+
+} // namespace
+
+AccountLedger::AccountLedger(const RateLedgerOptions& aOptions,
+                             SteadyTime aNow,
+                             SteadyTime aOwnsFrom,
+                             const ShareLimits& aLimits)
+  : m_options(aOptions)
+  , m_bucket(aNow, aLimits)
+  , m_demand(aNow)
+{
+  if (aNow < aOwnsFrom) {
+    m_bucket.LendOut({ .m_fraction = 1 }, aOptions.m_self, aOwnsFrom);
+  }
+}
+
+void
+AccountLedger::SetLimits(SteadyTime aNow, const ShareLimits& aLimits)
+{
+  m_bucket.Advance(aNow);
+  m_bucket.SetLimits(aLimits);
+}
+
+std::optional<RateShort>
+AccountLedger::Take(SteadyTime aNow, Tokens aTokens)
+{
+  m_bucket.Advance(aNow);
+  if (m_bucket.Take(CountOf(aTokens))) {
+    return std::nullopt;
+  }
+  RateShort result;
+  if (const auto wait = m_bucket.TimeUntil(CountOf(aTokens))) {
+    result.m_comeBackAfter = std::chrono::ceil<milliseconds>(*wait);
+  }
+  return result;
+}
+
+void
+AccountLedger::CountDemand(SteadyTime aNow, Tokens aTokens)
+{
+  m_demand.Add(aNow, CountOf(aTokens));
+}
+
+void
+AccountLedger::GiveBack(SteadyTime aNow, Tokens aTokens)
+{
+  m_bucket.Advance(aNow);
+  m_bucket.GiveBack(CountOf(aTokens));
+}
+
+bool
+AccountLedger::IsRunningLow(SteadyTime aNow) const
+{
+  const double supply =
+    m_bucket.Tokens() +
+    m_bucket.Held() * m_bucket.Limits().m_tokensPerSecond * kLookaheadSeconds;
+  return supply < m_demand.Rising(aNow) * kLookaheadSeconds;
+}
+
+// What is missing to admit `aTokens` now and the demand of a term after it.
+double
+AccountLedger::TokensWanted(SteadyTime aNow, double aTokens) const
+{
+  const double term = SecondsOf(m_options.m_leaseTerm);
+  const double supply =
+    m_bucket.Tokens() +
+    m_bucket.Held() * m_bucket.Limits().m_tokensPerSecond * term;
+  return std::max(aTokens - m_bucket.Tokens(),
+                  kHeadroom * m_demand.Rising(aNow) * term - supply);
+}
+
+double
+AccountLedger::FractionWanted(SteadyTime aNow, double aTokens) const
+{
+  const ShareLimits& limits = m_bucket.Limits();
+  const double term = SecondsOf(m_options.m_leaseTerm);
+  const double held = m_bucket.Held();
+  const double forRate =
+    Ratio(kHeadroom * m_demand.Rising(aNow), limits.m_tokensPerSecond) - held;
+  const double forCap = Ratio(aTokens, limits.m_burst) - held;
+  const double forNow = Ratio(aTokens - m_bucket.Tokens(), limits.m_burst);
+  const double forTerm =
+    Ratio(TokensWanted(aNow, aTokens),
+          limits.m_tokensPerSecond * term + limits.m_burst);
+  return std::max({ forRate, forCap, forNow, forTerm });
+}
+
+std::optional<LeaseRequest>
+AccountLedger::Prepare(SteadyTime aNow,
+                       Tokens aTokens,
+                       const std::vector<InstanceId>& aPeers)
+{
+  m_bucket.Advance(aNow);
+  if (m_asked && aNow - m_asked->m_at < m_options.m_answerTimeout) {
+    return std::nullopt;
+  }
+  if (m_asked) {
+    m_choice.NoteRefused(aNow, m_asked->m_lender, m_options.m_leaseTerm);
+    m_asked.reset();
+  }
+  const double tokens = TokensWanted(aNow, CountOf(aTokens));
+  if (tokens <= 0) {
+    return std::nullopt;
+  }
+  const std::optional<InstanceId> lender = m_choice.Next(aNow, aPeers);
+  if (!lender) {
+    return std::nullopt;
+  }
+  const double fraction =
+    std::max(kSmallestFraction, FractionWanted(aNow, CountOf(aTokens)));
+  m_asked = Asked{ .m_lender = *lender, .m_fraction = fraction, .m_at = aNow };
+  return LeaseRequest{ .m_lender = *lender,
+                       .m_fraction = fraction,
+                       .m_tokens =
+                         Tokens(static_cast<std::int64_t>(std::ceil(tokens))),
+                       .m_term = m_options.m_leaseTerm };
+}
+
+// The largest part of the own share without which the rest and the tokens left
+// still cover the demand of a term. A part takes its tokens along as far as
+// there are any.
+double
+AccountLedger::FractionToSpare(SteadyTime aNow) const
+{
+  const ShareLimits& limits = m_bucket.Limits();
+  const double term = SecondsOf(m_options.m_leaseTerm);
+  const double refill = limits.m_tokensPerSecond * term;
+  const double surplus =
+    m_bucket.Held() * refill + m_bucket.Tokens() - m_demand.Steady(aNow) * term;
+  const double withTokens = Ratio(surplus, refill + limits.m_burst);
+  const double beyondTokens = Ratio(surplus - m_bucket.Tokens(), refill);
+  return std::clamp(
+    std::max(withTokens, beyondTokens), 0.0, m_bucket.OwnFree());
+}
+
+// The part of the spare share that is this borrower's among those who asked.
+double
+AccountLedger::FairPart(SteadyTime aNow, const InstanceId& aBorrower)
+{
+  std::erase_if(m_askers, [&](const Asker& aAsker) {
+    return aAsker.m_borrower == aBorrower || aAsker.m_at + kAskerMemory < aNow;
+  });
+  m_askers.push_back({ .m_borrower = aBorrower, .m_at = aNow });
+  const double lent = 1 - m_bucket.OwnFree();
+  const double all = lent + FractionToSpare(aNow);
+  return all / static_cast<double>(m_askers.size()) -
+         m_bucket.LentTo(aBorrower);
+}
+
+// Not less than what the smaller bucket would lose, and not what is needed
+// here at once.
+double
+AccountLedger::TokensToLend(SteadyTime aNow,
+                            double aFraction,
+                            const LeaseRequest& aRequest) const
+{
+  const double burst = m_bucket.Limits().m_burst;
+  const double left = m_bucket.Cap() - aFraction * burst;
+  const double wanted =
+    std::max(CountOf(aRequest.m_tokens), m_bucket.Tokens() - left);
+  const double free =
+    m_bucket.Tokens() - m_demand.Steady(aNow) * kLookaheadSeconds;
+  return std::max(0.0, std::min({ aFraction * burst, free, wanted }));
+}
+
+nanoseconds
+AccountLedger::AskAgainAfter(SteadyTime aNow) const
+{
+  const std::optional<SteadyTime> next = m_bucket.NextReturn();
+  return next ? *next - aNow : kAskBusyLenderAfter;
+}
+
+LeaseGrant
+AccountLedger::Lend(SteadyTime aNow, const LeaseRequest& aRequest)
+{
+  m_bucket.Advance(aNow);
+  if (const LeaseGrant* lent = m_bucket.FindLent(aRequest.m_id)) {
+    return *lent;
+  }
+  LeaseGrant grant{ .m_id = aRequest.m_id,
+                    .m_clientAccount = aRequest.m_clientAccount,
+                    .m_term =
+                      std::min(aRequest.m_term, m_options.m_leaseTerm) };
+  const bool isInNeed = m_asked.has_value();
+  if (!IsFraction(aRequest.m_fraction) || grant.m_term <= nanoseconds::zero() ||
+      aRequest.m_borrower == m_options.m_self || isInNeed) {
+    grant.m_askAgainAfter = AskAgainAfter(aNow);
+    return grant;
+  }
+  const double fraction = std::min({ aRequest.m_fraction,
+                                     FractionToSpare(aNow),
+                                     FairPart(aNow, aRequest.m_borrower) });
+  if (fraction >= kSmallestFraction) {
+    grant.m_fraction = fraction;
+    grant.m_tokens = TokensToLend(aNow, fraction, aRequest);
+    m_bucket.LendOut(grant,
+                     aRequest.m_borrower,
+                     aNow + grant.m_term + m_options.m_leaseMargin);
+  }
+  if (grant.m_fraction < aRequest.m_fraction) {
+    grant.m_askAgainAfter = AskAgainAfter(aNow);
+  }
+  return grant;
+}
+
+bool
+AccountLedger::Accept(SteadyTime aNow, const LeaseGrant& aGrant)
+{
+  if (!m_asked || m_asked->m_id != aGrant.m_id) {
+    return false;
+  }
+  const Asked asked = *m_asked;
+  m_asked.reset();
+  m_bucket.Advance(aNow);
+  const SteadyTime until =
+    asked.m_at + std::min(aGrant.m_term, m_options.m_leaseTerm);
+  if (!IsFraction(aGrant.m_fraction) || aGrant.m_fraction > 1 ||
+      !std::isfinite(aGrant.m_tokens) || aGrant.m_tokens < 0 || until <= aNow) {
+    m_choice.NoteRefused(aNow, asked.m_lender, aGrant.m_askAgainAfter);
+    return false;
+  }
+  if (aGrant.m_fraction < asked.m_fraction) {
+    m_choice.NotePartly(aNow, asked.m_lender, aGrant.m_askAgainAfter);
+  } else {
+    m_choice.NoteGranted();
+  }
+  m_bucket.Borrow(aGrant, until);
+  return true;
+}
+
+void
+AccountLedger::EndLeases(SteadyTime aNow)
+{
+  if (m_bucket.HasLeases()) {
+    m_bucket.Advance(aNow);
+  }
+}
+
+void
+AccountLedger::Pause(SteadyTime aNow)
+{
+  m_asked.reset();
+  m_bucket.ForgetBorrowed();
+  Empty(aNow);
+}
+
+void
+AccountLedger::Empty(SteadyTime aNow)
+{
+  m_bucket.Advance(aNow);
+  m_bucket.Empty();
+}
+
+} // namespace rattanweir::internal
--- /dev/null
+++ b/rattanweir/process/rate/internal/share_bucket.cc
@@ -0,0 +1,201 @@
+#include "rattanweir/process/rate/internal/share_bucket.h"
+
+#include <algorithm>
+
+namespace rattanweir::internal {
+namespace {
+
+// Longer waits are told as this, to stay within the range of the type.
+constexpr double kLongestWaitSeconds = 1e8;
+
+double
+SecondsOf(std::chrono::nanoseconds aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+std::chrono::nanoseconds
+DurationOf(double aSeconds)
+{
+  return std::chrono::ceil<std::chrono::nanoseconds>(
+    std::chrono::duration<double>(std::min(aSeconds, kLongestWaitSeconds)));
+}
+
+} // namespace
+
+ShareBucket::ShareBucket(SteadyTime aNow, const ShareLimits& aLimits)
+  : m_limits(aLimits)
+  , m_at(aNow)
+{
+}
+
+double
+ShareBucket::Borrowed() const
+{
+  double sum = 0;
+  for (const BorrowedPart& part : m_borrowed) {
+    sum += part.m_fraction;
+  }
+  return sum;
+}
+
+double
+ShareBucket::OwnFree() const
+{
+  double free = 1;
+  for (const Lent& lent : m_lent) {
+    free -= lent.m_grant.m_fraction;
+  }
+  return std::max(0.0, free);
+}
+
+std::optional<SteadyTime>
+ShareBucket::NextReturn() const
+{
+  std::optional<SteadyTime> next;
+  for (const Lent& lent : m_lent) {
+    next = std::min(next.value_or(lent.m_until), lent.m_until);
+  }
+  return next;
+}
+
+std::optional<SteadyTime>
+ShareBucket::NextChange() const
+{
+  std::optional<SteadyTime> next = NextReturn();
+  for (const BorrowedPart& part : m_borrowed) {
+    next = std::min(next.value_or(part.m_until), part.m_until);
+  }
+  return next;
+}
+
+void
+ShareBucket::FillUntil(SteadyTime aTime)
+{
+  m_tokens += Held() * m_limits.m_tokensPerSecond * SecondsOf(aTime - m_at);
+  m_at = aTime;
+  Clip();
+}
+
+void
+ShareBucket::EndLeases()
+{
+  std::erase_if(m_lent,
+                [this](const Lent& aLent) { return aLent.m_until <= m_at; });
+  std::erase_if(m_borrowed, [this](const BorrowedPart& aPart) {
+    return aPart.m_until <= m_at;
+  });
+  Clip();
+}
+
+void
+ShareBucket::Advance(SteadyTime aNow)
+{
+  for (auto next = NextChange(); next && *next <= aNow; next = NextChange()) {
+    FillUntil(std::max(m_at, *next));
+    EndLeases();
+  }
+  FillUntil(std::max(m_at, aNow));
+}
+
+void
+ShareBucket::SetLimits(const ShareLimits& aLimits)
+{
+  m_limits = aLimits;
+  Clip();
+}
+
+bool
+ShareBucket::Take(double aTokens)
+{
+  if (aTokens > m_tokens) {
+    return false;
+  }
+  m_tokens -= aTokens;
+  return true;
+}
+
+void
+ShareBucket::GiveBack(double aTokens)
+{
+  m_tokens += aTokens;
+  Clip();
+}
+
+void
+ShareBucket::LendOut(const LeaseGrant& aGrant,
+                     const InstanceId& aBorrower,
+                     SteadyTime aUntil)
+{
+  m_lent.push_back(
+    { .m_grant = aGrant, .m_borrower = aBorrower, .m_until = aUntil });
+  m_tokens = std::max(0.0, m_tokens - aGrant.m_tokens);
+  Clip();
+}
+
+const LeaseGrant*
+ShareBucket::FindLent(const LeaseId& aId) const
+{
+  for (const Lent& lent : m_lent) {
+    if (lent.m_grant.m_id == aId) {
+      return &lent.m_grant;
+    }
+  }
+  return nullptr;
+}
+
+double
+ShareBucket::LentTo(const InstanceId& aBorrower) const
+{
+  double sum = 0;
+  for (const Lent& lent : m_lent) {
+    if (lent.m_borrower == aBorrower) {
+      sum += lent.m_grant.m_fraction;
+    }
+  }
+  return sum;
+}
+
+void
+ShareBucket::Borrow(const LeaseGrant& aGrant, SteadyTime aUntil)
+{
+  m_borrowed.push_back({ .m_fraction = aGrant.m_fraction, .m_until = aUntil });
+  // Limits may have changed since the lender counted the tokens.
+  GiveBack(std::min(aGrant.m_tokens, aGrant.m_fraction * m_limits.m_burst));
+}
+
+void
+ShareBucket::ForgetBorrowed()
+{
+  m_borrowed.clear();
+  Clip();
+}
+
+std::optional<std::chrono::nanoseconds>
+ShareBucket::TimeUntil(double aTokens) const
+{
+  ShareBucket later = *this;
+  for (;;) {
+    const std::optional<SteadyTime> next = later.NextChange();
+    const double speed = later.Held() * m_limits.m_tokensPerSecond;
+    if (aTokens <= later.Cap() && speed > 0) {
+      const std::chrono::nanoseconds wait =
+        DurationOf(std::max(0.0, aTokens - later.m_tokens) / speed);
+      if (!next || later.m_at + wait <= *next) {
+        return later.m_at + wait - m_at;
+      }
+    }
+    if (!next) {
+      return std::nullopt;
+    }
+    later.Advance(*next);
+  }
+}
+
+void
+ShareBucket::Clip()
+{
+  m_tokens = std::min(m_tokens, Cap());
+}
+
+} // namespace rattanweir::internal
--- /dev/null
+++ b/rattanweir/process/rate/rate_ledger.cc
@@ -0,0 +1,300 @@
+#include "rattanweir/process/rate/rate_ledger.h"
+
+#include "rattanweir/process/rate/internal/account_ledger.h"
+
+#include <algorithm>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace rattanweir {
+namespace {
+
+using internal::AccountLedger;
+using internal::ShareLimits;
+
+// When a paused lender may be asked again.
+constexpr std::chrono::nanoseconds kAskPausedLenderAfter =
+  std::chrono::seconds(1);
+
+struct Account
+{
+  Tokens m_burst;
+  AccountLedger m_ledger;
+};
+
+} // namespace
+
+struct RateLedger::State
+{
+  explicit State(const RateLedgerOptions& aOptions)
+    : m_options(aOptions)
+    , m_startedAt(aOptions.m_clock.SteadyNow())
+  {
+  }
+
+  RateLedgerOptions m_options;
+  SteadyTime m_startedAt;
+  std::uint32_t m_maximumInstances = 1;
+  std::unordered_map<ClientAccountId, Account> m_accounts;
+  // When accounts left the configuration, for as long as a lease lent then may
+  // still run.
+  std::unordered_map<ClientAccountId, SteadyTime> m_removed;
+  // The reservations that may still give tokens back.
+  std::unordered_set<std::uint64_t> m_open;
+  std::uint64_t m_lastNumber = 0;
+  std::uint64_t m_lastLease = 0;
+  // Of the last call; nothing before the first configuration.
+  std::optional<SteadyTime> m_lastTurn;
+  bool m_isPaused = false;
+
+  SteadyTime SeeTurn();
+  Account* Find(const ClientAccountId& aId);
+  ShareLimits LimitsOf(const ClientAccount& aAccount) const;
+  SteadyTime LeaseEnd(SteadyTime aFrom) const;
+  SteadyTime OwnsFrom(const ClientAccountId& aId) const;
+  void RemoveAccountsNotIn(const ClientAccountsSection& aSection,
+                           SteadyTime aNow);
+};
+
+// The time of this call. A gap since the last one is a pause, seen before the
+// call does anything else.
+SteadyTime
+RateLedger::State::SeeTurn()
+{
+  const SteadyTime now = m_options.m_clock.SteadyNow();
+  if (!m_lastTurn) {
+    return now;
+  }
+  const std::chrono::nanoseconds gap = now - *m_lastTurn;
+  m_lastTurn = now;
+  if (gap <= m_options.m_pauseBound) {
+    return now;
+  }
+  m_isPaused = true;
+  m_open.clear();
+  for (auto& [id, account] : m_accounts) {
+    account.m_ledger.Pause(now);
+  }
+  return now;
+}
+
+Account*
+RateLedger::State::Find(const ClientAccountId& aId)
+{
+  const auto found = m_accounts.find(aId);
+  return found == m_accounts.end() ? nullptr : &found->second;
+}
+
+ShareLimits
+RateLedger::State::LimitsOf(const ClientAccount& aAccount) const
+{
+  const auto instances = static_cast<double>(m_maximumInstances);
+  return { .m_tokensPerSecond =
+             aAccount.m_rate.Value() * (1 - m_options.m_clockDrift) / instances,
+           .m_burst =
+             static_cast<double>(aAccount.m_burst.Value()) / instances };
+}
+
+SteadyTime
+RateLedger::State::LeaseEnd(SteadyTime aFrom) const
+{
+  return aFrom + m_options.m_leaseTerm + m_options.m_leaseMargin;
+}
+
+// From when an account that is new here may be granted from the own share: a
+// lease of the process before this one, or from before the account was
+// removed, may still run. Where there is only one instance nobody borrowed.
+SteadyTime
+RateLedger::State::OwnsFrom(const ClientAccountId& aId) const
+{
+  if (m_maximumInstances == 1) {
+    return m_startedAt;
+  }
+  const auto removed = m_removed.find(aId);
+  return LeaseEnd(removed == m_removed.end() ? m_startedAt : removed->second);
+}
+
+void
+RateLedger::State::RemoveAccountsNotIn(const ClientAccountsSection& aSection,
+                                       SteadyTime aNow)
+{
+  std::unordered_set<ClientAccountId> kept;
+  for (const ClientAccount& account : aSection.m_clientAccounts) {
+    kept.insert(account.m_id);
+  }
+  std::erase_if(m_accounts, [&](const auto& aEntry) {
+    if (kept.contains(aEntry.first)) {
+      return false;
+    }
+    m_removed.insert_or_assign(aEntry.first, aNow);
+    return true;
+  });
+}
+
+RateLedger::RateLedger(const RateLedgerOptions& aOptions)
+  : m_state(std::make_unique<State>(aOptions))
+{
+}
+
+RateLedger::~RateLedger() = default;
+
+void
+RateLedger::Configure(const ClientAccountsSection& aSection)
+{
+  const SteadyTime now = m_state->SeeTurn();
+  m_state->m_lastTurn = now;
+  m_state->m_maximumInstances = std::max(1U, aSection.m_maximumInstances);
+  m_state->RemoveAccountsNotIn(aSection, now);
+  for (const ClientAccount& account : aSection.m_clientAccounts) {
+    const ShareLimits limits = m_state->LimitsOf(account);
+    if (Account* known = m_state->Find(account.m_id)) {
+      known->m_burst = account.m_burst;
+      known->m_ledger.SetLimits(now, limits);
+      continue;
+    }
+    const SteadyTime ownsFrom = m_state->OwnsFrom(account.m_id);
+    m_state->m_accounts.emplace(
+      account.m_id,
+      Account{ .m_burst = account.m_burst,
+               .m_ledger =
+                 AccountLedger(m_state->m_options, now, ownsFrom, limits) });
+  }
+}
+
+ReserveResult
+RateLedger::Reserve(const ClientAccountId& aAccount,
+                    Tokens aTokens,
+                    ReserveTry aTry)
+{
+  const SteadyTime now = m_state->SeeTurn();
+  if (m_state->m_isPaused) {
+    return LedgerPaused{};
+  }
+  Account* account = m_state->Find(aAccount);
+  if (account == nullptr) {
+    return UnknownClientAccount{};
+  }
+  if (aTokens > account->m_burst) {
+    return ExceedsBurst{};
+  }
+  const Tokens tokens = std::max(aTokens, Tokens(0));
+  if (aTry == ReserveTry::First) {
+    account->m_ledger.CountDemand(now, tokens);
+  }
+  if (const auto isShort = account->m_ledger.Take(now, tokens)) {
+    return *isShort;
+  }
+  const std::uint64_t number = ++m_state->m_lastNumber;
+  m_state->m_open.insert(number);
+  return Reservation{ .m_clientAccount = aAccount,
+                      .m_tokens = tokens,
+                      .m_number = number,
+                      .m_isRunningLow = account->m_ledger.IsRunningLow(now) };
+}
+
+void
+RateLedger::Settle(const Reservation& aReservation, Tokens aUsed)
+{
+  const SteadyTime now = m_state->SeeTurn();
+  if (m_state->m_open.erase(aReservation.m_number) == 0) {
+    return;
+  }
+  Account* account = m_state->Find(aReservation.m_clientAccount);
+  const Tokens used = std::max(aUsed, Tokens(0));
+  if (account != nullptr && used < aReservation.m_tokens) {
+    account->m_ledger.GiveBack(now, aReservation.m_tokens - used);
+  }
+}
+
+std::optional<LeaseRequest>
+RateLedger::PrepareLeaseRequest(const ClientAccountId& aAccount,
+                                Tokens aTokens,
+                                const std::vector<InstanceId>& aPeers)
+{
+  const SteadyTime now = m_state->SeeTurn();
+  Account* account = m_state->Find(aAccount);
+  if (m_state->m_isPaused || account == nullptr) {
+    return std::nullopt;
+  }
+  auto request = account->m_ledger.Prepare(now, aTokens, aPeers);
+  if (!request) {
+    return std::nullopt;
+  }
+  const RateLedgerOptions& options = m_state->m_options;
+  request->m_id = LeaseId(options.m_self.Value() + "/" +
+                          std::to_string(options.m_incarnation.Value()) + "/" +
+                          std::to_string(++m_state->m_lastLease));
+  account->m_ledger.NoteAsked(request->m_id);
+  request->m_borrower = options.m_self;
+  request->m_borrowerIncarnation = options.m_incarnation;
+  request->m_clientAccount = aAccount;
+  return request;
+}
+
+LeaseGrant
+RateLedger::Lend(const LeaseRequest& aRequest)
+{
+  const SteadyTime now = m_state->SeeTurn();
+  Account* account = m_state->Find(aRequest.m_clientAccount);
+  if (m_state->m_isPaused || account == nullptr) {
+    return { .m_id = aRequest.m_id,
+             .m_clientAccount = aRequest.m_clientAccount,
+             .m_askAgainAfter = kAskPausedLenderAfter };
+  }
+  return account->m_ledger.Lend(now, aRequest);
+}
+
+bool
+RateLedger::Accept(const LeaseGrant& aGrant)
+{
+  const SteadyTime now = m_state->SeeTurn();
+  Account* account = m_state->Find(aGrant.m_clientAccount);
+  return !m_state->m_isPaused && account != nullptr &&
+         account->m_ledger.Accept(now, aGrant);
+}
+
+void
+RateLedger::Tick()
+{
+  const SteadyTime now = m_state->SeeTurn();
+  for (auto& [id, account] : m_state->m_accounts) {
+    account.m_ledger.EndLeases(now);
+  }
+  std::erase_if(m_state->m_removed, [&](const auto& aEntry) {
+    return m_state->LeaseEnd(aEntry.second) <= now;
+  });
+}
+
+bool
+RateLedger::IsPaused() const
+{
+  return m_state->m_isPaused;
+}
+
+void
+RateLedger::Resume()
+{
+  const SteadyTime now = m_state->SeeTurn();
+  m_state->m_isPaused = false;
+  for (auto& [id, account] : m_state->m_accounts) {
+    account.m_ledger.Empty(now);
+  }
+}
+
+RateStatus
+RateLedger::Status(const ClientAccountId& aAccount) const
+{
+  const Account* account = m_state->Find(aAccount);
+  if (account == nullptr) {
+    return {};
+  }
+  const internal::ShareBucket& bucket = account->m_ledger.Bucket();
+  const auto instances = static_cast<double>(m_state->m_maximumInstances);
+  return { .m_ownedFraction = 1 / instances,
+           .m_borrowedFraction = bucket.Borrowed() / instances,
+           .m_lentFraction = (1 - bucket.OwnFree()) / instances,
+           .m_tokensAtHand = bucket.Tokens() };
+}
+
+} // namespace rattanweir
--- a/rattanweir/process/rate/rate_ledger.h
+++ b/rattanweir/process/rate/rate_ledger.h
@@ -15,6 +15,13 @@
 //     ledger.Settle(*held, Tokens(320));
 //   }
 //
+// A request that is short, or an admitted one that says so, asks a peer:
+//
+//   if (auto ask = ledger.PrepareLeaseRequest(account, Tokens(500), peers)) {
+//     ledger.Accept(Send(ask->m_lender, *ask));
+//     result = ledger.Reserve(account, Tokens(500), ReserveTry::Again);
+//   }
+//
 // Ways weighed: docs/design/rate-leases.md. For one thread; check and
 // deduction are one call, so nothing can come between them.
 
@@ -26,7 +33,7 @@
 #include "rattanweir/version/section/section.h"
 
 #include <chrono>
-#include <map>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <variant>
@@ -41,6 +48,9 @@
   Tokens m_tokens;
   // Ledger's own number for the reservation.
   std::uint64_t m_number = 0;
+  // The share held here will soon not cover the demand: ask for a lease now,
+  // with no tokens named, before a request has to wait for it.
+  bool m_isRunningLow = false;
 };
 
 // The request needs more tokens than the account's whole burst.
@@ -55,7 +65,7 @@
 struct RateShort
 {
   // How long until this instance alone could admit the request; nothing if it
-  // never can with the share that it holds.
+  // never can with its own share and what it has borrowed.
   std::optional<std::chrono::milliseconds> m_comeBackAfter;
 };
 
@@ -69,6 +79,14 @@
                                    RateShort,
                                    LedgerPaused>;
 
+// Whether the request has been refused by Reserve before and waited: its
+// demand is only counted once.
+enum class ReserveTry
+{
+  First,
+  Again,
+};
+
 // Asks a peer for a share of one account for a term.
 struct LeaseRequest
 {
@@ -77,7 +95,12 @@
   LeaseId m_id;
   InstanceId m_borrower;
   Incarnation m_borrowerIncarnation;
+  // Whom to ask.
+  InstanceId m_lender;
   ClientAccountId m_clientAccount;
+  // The share wanted, in units of what one instance owns; above 1 if one
+  // lender cannot give it all.
+  double m_fraction = 0;
   // The tokens wanted at hand.
   Tokens m_tokens;
   // The term the borrower counts, from before it asked.
@@ -90,12 +113,13 @@
 {
   LeaseId m_id;
   ClientAccountId m_clientAccount;
-  // Of the whole account's rate and burst.
+  // Of what the lender itself owns (1/N of the account), from 0 to 1. A share
+  // keeps its meaning when rate, burst or N change while it is lent.
   double m_fraction = 0;
-  // Handed over with it; at most the fraction of the burst.
+  // Handed over with it; at most the fraction of the lender's burst.
   double m_tokens = 0;
   std::chrono::nanoseconds m_term{};
-  // Where to turn to no sooner than this, after a refusal.
+  // When the lender may have more, where it gave less than was asked.
   std::chrono::nanoseconds m_askAgainAfter{};
 };
 
@@ -104,16 +128,25 @@
   const Clock& m_clock;
   InstanceId m_self;
   Incarnation m_incarnation;
-  // The term of a lease.
+  // The term of a lease. A process owns nothing for one term and margin after
+  // it was made, since its predecessor may have lent its share; so the term is
+  // the same at all instances.
   std::chrono::nanoseconds m_leaseTerm{ std::chrono::seconds(5) };
-  // Added by the lender for the drift of clocks over a term.
+  // Added by the lender for the drift of clocks over a term; at least twice
+  // the drift times the term.
   std::chrono::nanoseconds m_leaseMargin{ std::chrono::milliseconds(250) };
-  // A gap between two calls to Tick above this means that the process was
-  // paused.
+  // The most by which this process's clock runs fast or slow, as a part of
+  // the time. Buckets refill this much slower, so that the bound holds in true
+  // time.
+  double m_clockDrift = 0.001;
+  // A gap between two calls above this means that the process was paused.
   std::chrono::nanoseconds m_pauseBound{ std::chrono::seconds(1) };
+  // A lease request without an answer for this long counts as refused.
+  std::chrono::nanoseconds m_answerTimeout{ std::chrono::seconds(1) };
 };
 
-// What operators and metrics are told of one account.
+// What operators and metrics are told of one account, in fractions of the
+// whole account.
 struct RateStatus
 {
   double m_ownedFraction = 0;
@@ -134,25 +167,36 @@
   // accounts that stay are clipped to their new share.
   void Configure(const ClientAccountsSection& aSection);
 
-  // Checks and deducts in one call.
-  ReserveResult Reserve(const ClientAccountId& aAccount, Tokens aTokens);
+  // Checks and deducts in one call. Any gap since the last call that is over
+  // the pause bound is seen before a token is granted.
+  ReserveResult Reserve(const ClientAccountId& aAccount,
+                        Tokens aTokens,
+                        ReserveTry aTry = ReserveTry::First);
 
-  // Gives back what was reserved and not used. Call with the whole amount
-  // used where the request may have run. A reservation from before a pause
-  // gives nothing back.
+  // Gives back what was reserved and not used; only the first call for a
+  // reservation counts. Call with the whole amount used where the request may
+  // have run. A reservation from before a pause gives nothing back.
   void Settle(const Reservation& aReservation, Tokens aUsed);
 
-  // The request to send to a peer so that this instance could admit
-  // `aTokens`, or nothing if asking cannot help now.
+  // The request to send to one of `aPeers` (nearest first) so that this
+  // instance could admit `aTokens` and the demand of the next term, or nothing
+  // if asking cannot help now: one request an account is outstanding at most,
+  // and peers that had nothing are left alone for a while. Every request ends
+  // with Accept, or after the answer timeout.
   std::optional<LeaseRequest> PrepareLeaseRequest(
     const ClientAccountId& aAccount,
-    Tokens aTokens);
+    Tokens aTokens,
+    const std::vector<InstanceId>& aPeers);
 
-  // Lender's side: deducts first, then answers. Idempotent by lease id.
+  // Lender's side: deducts first, then answers. Idempotent by lease id. Lends
+  // what the account's recent demand here leaves unused, and never what is
+  // borrowed.
   LeaseGrant Lend(const LeaseRequest& aRequest);
 
   // Borrower's side: counts the term from PrepareLeaseRequest. False if the
-  // grant is a repeat, late, or not the answer to a request of this process.
+  // grant is a refusal, a repeat, late, or not the answer to a request of this
+  // process. Where no answer can come (no connection), accept a grant that has
+  // only the id and the account.
   bool Accept(const LeaseGrant& aGrant);
 
   // Called at least every half pause bound; sees pauses and ends leases.
--- /dev/null
+++ b/testing/rate_fleet/admission_history.h
@@ -0,0 +1,37 @@
+// What a fleet admitted of one client account, checked over every interval.
+//
+//   AdmissionHistory history;
+//   history.SetLimits(0, 2'000, 20'000);
+//   history.Add(1.5, 700);
+//   history.Add(1.9, -200); // given back
+//   double tokens = history.OverAdmission();
+//
+// Times are true time in seconds and never go back.
+
+#pragma once
+
+namespace rattanweir {
+
+class AdmissionHistory
+{
+public:
+  // From this time on. Over a change, an interval may hold the larger burst.
+  void SetLimits(double aTime, double aRate, double aBurst);
+
+  void Add(double aTime, double aTokens);
+
+  // By how many tokens the worst interval is over rate * t + burst; 0 if none
+  // is.
+  double OverAdmission() const;
+
+private:
+  double m_time = 0;
+  double m_rate = 0;
+  double m_largestBurst = 0;
+  // Admitted so far, less what the rate allowed so far.
+  double m_excess = 0;
+  double m_lowestExcess = 0;
+  double m_worst = 0;
+};
+
+} // namespace rattanweir
--- /dev/null
+++ b/testing/rate_fleet/bare_token_ledger.cc
@@ -0,0 +1,117 @@
+#include "testing/rate_fleet/bare_token_ledger.h"
+
+#include <algorithm>
+#include <string>
+
+namespace rattanweir {
+
+BareTokenLedger::BareTokenLedger(const BareTokenOptions& aOptions)
+  : m_options(aOptions)
+{
+}
+
+void
+BareTokenLedger::Configure(const ClientAccountsSection& aSection)
+{
+  m_instances = aSection.m_maximumInstances;
+  for (const ClientAccount& account : aSection.m_clientAccounts) {
+    auto [found, isNew] = m_accounts.try_emplace(account.m_id);
+    found->second.m_account = account;
+    if (isNew) {
+      found->second.m_at = m_options.m_clock.SteadyNow();
+    }
+  }
+}
+
+BareTokenLedger::Account&
+BareTokenLedger::Filled(const ClientAccountId& aId)
+{
+  Account& account = m_accounts.at(aId);
+  const SteadyTime now = m_options.m_clock.SteadyNow();
+  const double seconds =
+    std::chrono::duration<double>(now - account.m_at).count();
+  const double refill = account.m_account.m_rate.Value() / m_instances;
+  const double cap =
+    static_cast<double>(account.m_account.m_burst.Value()) / m_instances;
+  account.m_own = std::min(cap, account.m_own + refill * seconds);
+  account.m_at = now;
+  return account;
+}
+
+ReserveResult
+BareTokenLedger::Reserve(const ClientAccountId& aAccount,
+                         Tokens aTokens,
+                         ReserveTry /*aTry*/)
+{
+  Account& account = Filled(aAccount);
+  const auto tokens = static_cast<double>(aTokens.Value());
+  if (tokens > account.m_own + account.m_received) {
+    return RateShort{};
+  }
+  const double received = std::min(tokens, account.m_received);
+  account.m_received -= received;
+  account.m_own -= tokens - received;
+  return Reservation{ .m_clientAccount = aAccount,
+                      .m_tokens = aTokens,
+                      .m_number = ++m_lastNumber };
+}
+
+void
+BareTokenLedger::Settle(const Reservation& aReservation, Tokens aUsed)
+{
+  Filled(aReservation.m_clientAccount).m_own +=
+    static_cast<double>((aReservation.m_tokens - aUsed).Value());
+}
+
+std::optional<LeaseRequest>
+BareTokenLedger::PrepareLeaseRequest(const ClientAccountId& aAccount,
+                                     Tokens aTokens,
+                                     const std::vector<InstanceId>& aPeers)
+{
+  Account& account = Filled(aAccount);
+  if (account.m_asked || aPeers.empty()) {
+    return std::nullopt;
+  }
+  account.m_asked = LeaseId(m_options.m_self.Value() + "/" +
+                            std::to_string(m_options.m_incarnation.Value()) +
+                            "/" + std::to_string(++m_lastNumber));
+  return LeaseRequest{ .m_id = *account.m_asked,
+                       .m_borrower = m_options.m_self,
+                       .m_borrowerIncarnation = m_options.m_incarnation,
+                       .m_lender = aPeers[account.m_nextPeer++ % aPeers.size()],
+                       .m_clientAccount = aAccount,
+                       .m_tokens = aTokens };
+}
+
+LeaseGrant
+BareTokenLedger::Lend(const LeaseRequest& aRequest)
+{
+  const auto given = m_given.find(aRequest.m_id);
+  if (given != m_given.end()) {
+    return given->second;
+  }
+  Account& account = Filled(aRequest.m_clientAccount);
+  LeaseGrant grant{ .m_id = aRequest.m_id,
+                    .m_clientAccount = aRequest.m_clientAccount };
+  grant.m_tokens =
+    std::min(static_cast<double>(aRequest.m_tokens.Value()), account.m_own);
+  if (m_options.m_lenderDeducts) {
+    account.m_own -= grant.m_tokens;
+  }
+  m_given.emplace(grant.m_id, grant);
+  return grant;
+}
+
+bool
+BareTokenLedger::Accept(const LeaseGrant& aGrant)
+{
+  Account& account = Filled(aGrant.m_clientAccount);
+  if (account.m_asked != aGrant.m_id) {
+    return false;
+  }
+  account.m_asked.reset();
+  account.m_received += aGrant.m_tokens;
+  return aGrant.m_tokens > 0;
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/testing/rate_fleet/bare_token_ledger.h
@@ -0,0 +1,64 @@
+// Baseline for RateLedger: every instance keeps its share for good, and lends
+// tokens without the share that bounds them. The calls are those of RateLedger.
+
+#pragma once
+
+#include "rattanweir/process/rate/rate_ledger.h"
+
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace rattanweir {
+
+struct BareTokenOptions
+{
+  const Clock& m_clock;
+  InstanceId m_self;
+  Incarnation m_incarnation;
+  // False leaves out the deduction, so that a checker has something to find.
+  bool m_lenderDeducts = true;
+};
+
+class BareTokenLedger
+{
+public:
+  explicit BareTokenLedger(const BareTokenOptions& aOptions);
+
+  void Configure(const ClientAccountsSection& aSection);
+  ReserveResult Reserve(const ClientAccountId& aAccount,
+                        Tokens aTokens,
+                        ReserveTry aTry);
+  void Settle(const Reservation& aReservation, Tokens aUsed);
+  std::optional<LeaseRequest> PrepareLeaseRequest(
+    const ClientAccountId& aAccount,
+    Tokens aTokens,
+    const std::vector<InstanceId>& aPeers);
+  LeaseGrant Lend(const LeaseRequest& aRequest);
+  bool Accept(const LeaseGrant& aGrant);
+  void Tick() {}
+  bool IsPaused() const { return false; }
+  void Resume() {}
+
+private:
+  struct Account
+  {
+    ClientAccount m_account;
+    double m_own = 0;
+    double m_received = 0;
+    SteadyTime m_at;
+    std::optional<LeaseId> m_asked;
+    std::size_t m_nextPeer = 0;
+  };
+
+  Account& Filled(const ClientAccountId& aId);
+
+  BareTokenOptions m_options;
+  double m_instances = 1;
+  std::unordered_map<ClientAccountId, Account> m_accounts;
+  std::map<LeaseId, LeaseGrant> m_given;
+  std::uint64_t m_lastNumber = 0;
+};
+
+} // namespace rattanweir
