--- a/rattanweir/process/rate/internal/account_ledger.cc
+++ b/rattanweir/process/rate/internal/account_ledger.cc
@@ -327,9 +327,7 @@
   m_bucket.Advance(aNow);
   for (const BorrowedPart& part : std::vector(m_bucket.BorrowedParts())) {
     if (IsSpare(aNow, part)) {
-      const double rest = m_bucket.Held() - part.m_fraction;
-      returns.push_back(
-        m_bucket.GiveUp(part.m_id, rest * m_bucket.Limits().m_burst));
+      returns.push_back(m_bucket.GiveUp(part.m_id));
     }
   }
   return returns;
--- a/rattanweir/process/rate/internal/share_bucket.cc
+++ b/rattanweir/process/rate/internal/share_bucket.cc
@@ -170,20 +170,15 @@
 }
 
 LeaseReturn
-ShareBucket::GiveUp(const LeaseId& aId, double aKept)
+ShareBucket::GiveUp(const LeaseId& aId)
 {
   const auto part = std::find_if(
     m_borrowed.begin(), m_borrowed.end(), [&aId](const BorrowedPart& aPart) {
       return aPart.m_id == aId;
     });
-  LeaseReturn result{
-    .m_id = aId,
-    .m_lender = part->m_lender,
-    .m_tokens =
-      std::clamp(m_tokens - aKept, 0.0, part->m_fraction * m_limits.m_burst)
-  };
-  m_tokens -= result.m_tokens;
+  LeaseReturn result{ .m_id = aId, .m_lender = part->m_lender };
   m_borrowed.erase(part);
+  result.m_tokens = std::max(0.0, m_tokens - Cap());
   Clip();
   return result;
 }
--- a/rattanweir/process/rate/internal/share_bucket.h
+++ b/rattanweir/process/rate/internal/share_bucket.h
@@ -82,9 +82,9 @@
               const InstanceId& aLender,
               SteadyTime aUntil);
   const std::vector<BorrowedPart>& BorrowedParts() const { return m_borrowed; }
-  // Gives one borrowed part up, with the tokens above `aKept`, as far as the
-  // part's own cap.
-  LeaseReturn GiveUp(const LeaseId& aId, double aKept);
+  // Gives one borrowed part up, with the tokens that are over the cap without
+  // it. Borrower and account are left to the caller.
+  LeaseReturn GiveUp(const LeaseId& aId);
   void ForgetBorrowed();
   bool HasLeases() const { return !m_lent.empty() || !m_borrowed.empty(); }
 
--- a/rattanweir/process/rate/rate_fleet_test.cc
+++ b/rattanweir/process/rate/rate_fleet_test.cc
@@ -25,38 +25,47 @@
   return text == nullptr ? kSeeds : std::stoull(text);
 }
 
+// Three accounts with the same rate; their bursts hold ten, two and one second
+// of it.
 ClientAccountsSection
-Section(double aFactor = 1, std::uint32_t aInstances = 10)
+Section(std::uint32_t aInstances, double aFactor = 1)
 {
   ClientAccountsSection section{ .m_maximumInstances = aInstances };
-  for (int number = 0; number < 3; ++number) {
+  std::int64_t burst = 10'000;
+  for (const char* id : { "account-0", "account-1", "account-2" }) {
     section.m_clientAccounts.push_back(
-      { .m_id = ClientAccountId("account-" + std::to_string(number)),
+      { .m_id = ClientAccountId(id),
         .m_rate = TokenRate(1'000 * aFactor),
-        .m_burst = Tokens(static_cast<std::int64_t>(10'000 * aFactor)) });
+        .m_burst = Tokens(
+          static_cast<std::int64_t>(static_cast<double>(burst) * aFactor)) });
+    burst = burst == 10'000 ? 2'000 : 1'000;
   }
   return section;
 }
 
-// Quiet times in which buckets fill, and waves of up to many times the rate at
-// random instances, in small and in large requests.
+// Quiet times in which buckets fill and shares are lent, and waves of several
+// times the rate at a few instances at once.
 void
 AddRandomLoads(RateFleet& aFleet)
 {
   RandomEngine& engine = aFleet.Engine();
-  for (const auto& [account, result] : aFleet.Accounts()) {
-    for (int wave = 0; wave < 20; ++wave) {
-      const bool isLarge = UniformIndex(engine, 2) == 0;
-      const nanoseconds from = 1s * UniformIndex(engine, 80);
-      aFleet.AddLoad(
-        { .m_account = account,
-          .m_instance = UniformIndex(engine, 8),
-          .m_tokensPerSecond =
-            500.0 * static_cast<double>(1 + UniformIndex(engine, 20)),
-          .m_smallest = isLarge ? 1'000 : 50,
-          .m_largest = isLarge ? 6'000 : 500,
-          .m_from = from,
-          .m_until = from + 1s * (1 + UniformIndex(engine, 10)) });
+  for (const ClientAccount& account : Section(1).m_clientAccounts) {
+    const std::int64_t share = account.m_burst.Value() / 8;
+    nanoseconds from = 12s;
+    while (from < kEnd) {
+      const nanoseconds until = from + 500ms * (1 + UniformIndex(engine, 12));
+      const std::int64_t largest = share * (UniformIndex(engine, 4) + 1) / 2;
+      for (std::size_t part = 0; part < 4; ++part) {
+        aFleet.AddLoad(
+          { .m_account = account.m_id,
+            .m_instance = UniformIndex(engine, 8),
+            .m_tokensPerSecond = 500.0 * (1.0 + UniformIndex(engine, 6)),
+            .m_smallest = largest / 8,
+            .m_largest = largest,
+            .m_from = from,
+            .m_until = until });
+      }
+      from = until + 500ms * UniformIndex(engine, 12);
     }
   }
 }
@@ -75,8 +84,10 @@
 struct FaultPlan
 {
   RateFleet& m_fleet;
+  // The most that ever run; those over eight are replacements beside the ones
+  // that they replace.
+  std::uint32_t m_instances = 8;
   bool m_changesLimits = true;
-  int m_replacements = 0;
 
   void Partition(std::size_t aParts)
   {
@@ -112,7 +123,7 @@
       case Fault::Replace:
         // The one that is replaced lives on, in the count of the
         // configuration.
-        if (m_replacements++ < 2) {
+        if (m_fleet.InstanceCount() < m_instances) {
           m_fleet.Freeze(node);
           m_fleet.AddReplacementOf(node);
           m_fleet.At(aNow + 7s, [this, node] { m_fleet.Wake(node); });
@@ -120,9 +131,10 @@
         return;
       case Fault::ChangeLimits:
         if (m_changesLimits) {
-          m_fleet.Configure(
-            Section(0.5 + 0.5 * UniformIndex(m_fleet.Engine(), 4),
-                    10 + UniformIndex(m_fleet.Engine(), 6)));
+          m_fleet.Configure(Section(
+            m_instances + UniformIndex(m_fleet.Engine(), 4),
+            0.5 +
+              0.5 * static_cast<double>(UniformIndex(m_fleet.Engine(), 4))));
         }
         return;
     }
@@ -152,15 +164,18 @@
 Outcome
 RunWithFaults(RateModel aModel, std::uint64_t aSeed)
 {
+  const std::uint32_t instances = aSeed % 3 == 0 ? 10 : 8;
   RateFleet fleet({ .m_seed = aSeed,
                     .m_model = aModel,
-                    .m_section = Section(),
+                    .m_section = Section(instances),
                     .m_loss = 0.1,
                     .m_duplication = 0.2,
-                    .m_lateness = 0.05,
+                    .m_lateness = 0.1,
                     .m_leastUsed = aSeed % 2 == 0 ? 1 : 0.2 });
   AddRandomLoads(fleet);
-  FaultPlan plan{ .m_fleet = fleet, .m_changesLimits = aSeed % 3 == 0 };
+  FaultPlan plan{ .m_fleet = fleet,
+                  .m_instances = instances,
+                  .m_changesLimits = aSeed % 4 == 0 };
   plan.Schedule(8s);
   fleet.Run(kEnd);
   Outcome outcome{ .m_overAdmission = fleet.OverAdmission() };
@@ -197,8 +212,7 @@
 {
   const RateModel model =
     GENERATE(RateModel::ShareLeases, RateModel::BareTokens);
-  RateFleet fleet(
-    { .m_seed = 1, .m_model = model, .m_section = Section(1, 8) });
+  RateFleet fleet({ .m_seed = 1, .m_model = model, .m_section = Section(8) });
   const ClientAccountId account("account-0");
   for (int wave = 0; wave < 3; ++wave) {
     fleet.AddLoad({ .m_account = account,
@@ -247,7 +261,7 @@
 // Without faults the leases have to carry the shares to where the demand is.
 TEST_CASE("demand at one instance gets nearly the whole rate")
 {
-  RateFleet fleet({ .m_seed = 3, .m_section = Section(1, 8) });
+  RateFleet fleet({ .m_seed = 3, .m_section = Section(8) });
   const ClientAccountId account("account-0");
   fleet.AddLoad({ .m_account = account,
                   .m_instance = 2,
@@ -263,7 +277,7 @@
 // Each part of a partition gets its own shares and no more.
 TEST_CASE("a part of a partition keeps serving with its own shares")
 {
-  RateFleet fleet({ .m_seed = 5, .m_section = Section(1, 8) });
+  RateFleet fleet({ .m_seed = 5, .m_section = Section(8) });
   const ClientAccountId account("account-0");
   for (std::size_t instance = 0; instance < 8; ++instance) {
     fleet.AddLoad({ .m_account = account,
--- a/rattanweir/process/rate/rate_ledger_test.cc
+++ b/rattanweir/process/rate/rate_ledger_test.cc
@@ -152,6 +152,17 @@
   REQUIRE(std::holds_alternative<Reservation>(result));
 }
 
+TEST_CASE("a bucket refills slower by the drift of its clock")
+{
+  ManualClock clock;
+  RateLedger ledger({ .m_clock = clock, .m_clockDrift = 0.01 });
+  ledger.Configure(Section(400, 4'000, 1));
+  clock.Advance(1s);
+  ledger.Tick();
+  ledger.Reserve(kAccount, Tokens(0));
+  REQUIRE(ledger.Status(kAccount).m_tokensAtHand == Approx(396));
+}
+
 TEST_CASE("a request is admitted from the instance's share of rate and burst")
 {
   FullInstance instance;
