--- a/rattanweir/process/rate/rate_fleet_test.cc
+++ b/rattanweir/process/rate/rate_fleet_test.cc
@@ -195,6 +195,85 @@
   }
 }
 
+struct Scenario
+{
+  std::string m_name;
+  void (*m_bring)(RateFleet&);
+};
+
+// All demand is at instance 0, so that it holds the shares of all others when
+// the fault comes, and moves to the others while it may still hold them.
+const std::vector<Scenario> kScenarios{
+  { "restart of each lender in turn",
+    [](RateFleet& aFleet) {
+      for (std::size_t step = 0; step < 70; ++step) {
+        aFleet.At(20s + 300ms * step,
+                  [&aFleet, step] { aFleet.Restart(1 + step % 7); });
+      }
+    } },
+  { "the borrower sleeps past the term",
+    [](RateFleet& aFleet) {
+      aFleet.At(24s, [&aFleet] { aFleet.Freeze(0); });
+      aFleet.At(31s, [&aFleet] { aFleet.Wake(0); });
+    } },
+  { "the borrower sleeps for less than a pause",
+    [](RateFleet& aFleet) {
+      for (std::size_t step = 0; step < 20; ++step) {
+        aFleet.At(20s + 1s * step, [&aFleet] { aFleet.Freeze(0); });
+        aFleet.At(20s + 1s * step + 900ms, [&aFleet] { aFleet.Wake(0); });
+      }
+    } },
+  { "a lender sleeps past the term",
+    [](RateFleet& aFleet) {
+      aFleet.At(24s, [&aFleet] { aFleet.Freeze(3); });
+      aFleet.At(31s, [&aFleet] { aFleet.Wake(3); });
+    } },
+  { "a lender is replaced while it sleeps, and wakes",
+    [](RateFleet& aFleet) {
+      aFleet.At(21s, [&aFleet] {
+        aFleet.Freeze(3);
+        aFleet.AddReplacementOf(3);
+      });
+      aFleet.At(26s, [&aFleet] { aFleet.Wake(3); });
+    } },
+  { "the borrower is cut off",
+    [](RateFleet& aFleet) {
+      aFleet.At(22s, [&aFleet] { aFleet.Partition({ 1 }); });
+      aFleet.At(40s, [&aFleet] { aFleet.Heal(); });
+    } },
+};
+
+TEST_CASE("the bound holds when shares are out while a fault comes")
+{
+  const Scenario& scenario = GENERATE(from_range(kScenarios));
+  CAPTURE(scenario.m_name);
+  RateFleet fleet({ .m_seed = 11, .m_section = Section(9) });
+  for (const ClientAccount& account : Section(9).m_clientAccounts) {
+    const std::int64_t largest = account.m_burst.Value() / 10;
+    fleet.AddLoad({ .m_account = account.m_id,
+                    .m_instance = 0,
+                    .m_tokensPerSecond = 5'000,
+                    .m_smallest = largest / 4,
+                    .m_largest = largest,
+                    .m_from = 16s });
+    for (std::size_t instance = 1; instance < 8; ++instance) {
+      fleet.AddLoad({ .m_account = account.m_id,
+                      .m_instance = instance,
+                      .m_tokensPerSecond = 600,
+                      .m_smallest = largest / 4,
+                      .m_largest = largest,
+                      .m_from = 25s });
+    }
+  }
+  scenario.m_bring(fleet);
+  fleet.Run(50s);
+  for (const auto& [id, account] : fleet.Accounts()) {
+    CAPTURE(id.Value());
+    CHECK(account.m_history.OverAdmission() == 0);
+    CHECK(account.m_admitted > 80);
+  }
+}
+
 // The checker has to find what the mechanism is there to prevent.
 TEST_CASE("the checker finds a lender that does not deduct")
 {
