Add control between instances: heartbeats, section relay, share leases

One coroutine for each heartbeat target; a call informs both sides and says whether the receiver's list has the sender. Newer sections are fetched from whoever tells of them and judged by the catalog like those from the service. An instance is ready, and a paused one resumes, only once a peer has answered that it is listed and no newer section is outstanding; with no peer answering for 3 s it goes on alone, so that a region cut off keeps serving.

Status of the rate ledger was as old as the last call on the account; seen as a lease that was asked for although the tokens were there. It now advances a copy of the bucket.

--- /dev/null
+++ b/rattanweir/connection/control/control_plane.cc
@@ -0,0 +1,167 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/connection/control/control_plane.h"
+
+#include "rattanweir/connection/control_messages/control_messages.h"
+#include "rattanweir/process/logging/log.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace rattanweir {
+namespace {
+
+// Well below the pause bound of the rate ledger, which Tick must be called
+// within.
+constexpr std::chrono::milliseconds kWatchInterval{ 100 };
+
+} // namespace
+
+ControlPlane::ControlPlane(const ControlPlaneOptions& aOptions)
+  : m_options(aOptions)
+  , m_relay({ .m_executor = aOptions.m_executor,
+              .m_clock = aOptions.m_clock,
+              .m_upstream = aOptions.m_upstream,
+              .m_catalog = aOptions.m_catalog,
+              .m_metrics = aOptions.m_metrics })
+  , m_heartbeats({ .m_executor = aOptions.m_executor,
+                   .m_clock = aOptions.m_clock,
+                   .m_upstream = aOptions.m_upstream,
+                   .m_membership = aOptions.m_membership,
+                   .m_relay = m_relay,
+                   .m_metrics = aOptions.m_metrics,
+                   .m_interval = aOptions.m_heartbeatInterval,
+                   .m_fanOut = aOptions.m_fanOut,
+                   .m_describe = aOptions.m_describe,
+                   .m_onLeaving = aOptions.m_onLeaving })
+  , m_lending({ .m_executor = aOptions.m_executor,
+                .m_clock = aOptions.m_clock,
+                .m_upstream = aOptions.m_upstream,
+                .m_membership = aOptions.m_membership,
+                .m_rate = aOptions.m_rate,
+                .m_metrics = aOptions.m_metrics })
+{
+  RegisterMethods();
+}
+
+void
+ControlPlane::RegisterMethods()
+{
+  m_dispatcher.Register(kHeartbeatMethod, [this](const Json::Value& aValue) {
+    return m_heartbeats.Answer(aValue);
+  });
+  m_dispatcher.Register(kFetchSectionMethod, [this](const Json::Value& aValue) {
+    return AnswerFetchSection(aValue);
+  });
+  m_dispatcher.Register(kBorrowShareMethod, [this](const Json::Value& aValue) {
+    return AnswerBorrowShare(aValue);
+  });
+  m_dispatcher.Register(kReturnShareMethod, [this](const Json::Value& aValue) {
+    return AnswerReturnShare(aValue);
+  });
+}
+
+void
+ControlPlane::Start()
+{
+  m_startedAt = m_options.m_clock.SteadyNow();
+  m_heartbeats.Start();
+  asio::co_spawn(m_options.m_executor, Watch(), asio::detached);
+}
+
+void
+ControlPlane::Stop()
+{
+  m_isStopped = true;
+  m_heartbeats.Stop();
+}
+
+std::string
+ControlPlane::HandleCall(const std::string& aRequest)
+{
+  return m_dispatcher.Handle(aRequest);
+}
+
+Json::Value
+ControlPlane::AnswerFetchSection(const Json::Value& aParameters) const
+{
+  const SectionKind kind = SectionKindFromJson(aParameters);
+  const std::optional<SectionOffer> offer = m_options.m_catalog.InForce(kind);
+  if (!offer) {
+    throw RpcError("no version of this section is in force here");
+  }
+  return ToJson(*offer);
+}
+
+Json::Value
+ControlPlane::AnswerBorrowShare(const Json::Value& aParameters)
+{
+  const LeaseRequest request = LeaseRequestFromJson(aParameters);
+  if (!m_options.m_membership.Find(request.m_borrower)) {
+    throw RpcError("the borrower is not in the instance list");
+  }
+  m_options.m_metrics.Count("rattanweir_share_requests_total");
+  return ToJson(m_options.m_rate.Lend(request));
+}
+
+Json::Value
+ControlPlane::AnswerReturnShare(const Json::Value& aParameters)
+{
+  Json::Value result(Json::objectValue);
+  result["taken"] = m_options.m_rate.TakeBack(LeaseReturnFromJson(aParameters));
+  return result;
+}
+
+Task<void>
+ControlPlane::Watch()
+{
+  asio::steady_timer timer(m_options.m_executor);
+  while (!m_isStopped) {
+    m_lending.Return(m_options.m_rate.Tick());
+    WatchForPause();
+    if (!m_hasCaughtUp) {
+      m_hasCaughtUp = IsInStepWithPeersSince(m_startedAt);
+    }
+    timer.expires_after(kWatchInterval);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+bool
+ControlPlane::IsInStepWithPeersSince(SteadyTime aSince) const
+{
+  if (!m_options.m_membership.Self() || m_relay.IsFetching()) {
+    return false;
+  }
+  if (m_heartbeats.TargetCount() == 0) {
+    return m_options.m_membership.Peers().empty();
+  }
+  const ExchangeSummary summary = m_heartbeats.Since(aSince);
+  if (summary.m_answered > 0) {
+    return summary.m_listed > 0;
+  }
+  // Cut off: better to serve on what is known than not at all.
+  return m_options.m_clock.SteadyNow() - aSince >= m_options.m_aloneAfter;
+}
+
+void
+ControlPlane::WatchForPause()
+{
+  if (!m_options.m_rate.IsPaused()) {
+    return;
+  }
+  if (!m_pauseSeenAt) {
+    m_pauseSeenAt = m_options.m_clock.SteadyNow();
+    m_options.m_metrics.Count("rattanweir_pauses_total");
+    Log(LogLevel::Warning, "pause_seen");
+    m_heartbeats.SendNow();
+    return;
+  }
+  if (!IsInStepWithPeersSince(*m_pauseSeenAt)) {
+    return;
+  }
+  m_pauseSeenAt.reset();
+  m_options.m_rate.Resume();
+  Log(LogLevel::Info, "pause_ended");
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/connection/control/peer_call.cc
@@ -0,0 +1,56 @@
+#include "rattanweir/connection/control/peer_call.h"
+
+#include "rattanweir/connection/rpc/rpc.h"
+
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+constexpr unsigned kHttpOk = 200;
+
+// Room for a section of a megabyte, escaped.
+constexpr std::size_t kLargestResponse = 4ULL * 1024 * 1024;
+
+Task<std::string>
+ReadBody(UpstreamExchange& aExchange)
+{
+  std::string body;
+  while (true) {
+    std::optional<std::string> chunk = co_await aExchange.ReadChunk();
+    if (!chunk) {
+      co_return body;
+    }
+    body += *chunk;
+    if (body.size() > kLargestResponse) {
+      throw RpcError("the peer's response is too large");
+    }
+  }
+}
+
+} // namespace
+
+Task<Json::Value>
+CallPeer(Upstream& aUpstream, PeerCall aCall)
+{
+  OutboundRequest request;
+  request.m_method = "POST";
+  request.m_target = kControlPath;
+  request.m_headers = { { "content-type", "application/json" } };
+  request.m_body = std::make_shared<const std::string>(
+    EncodeRpcRequest(aCall.m_method, aCall.m_parameters));
+  request.m_deadline = aCall.m_deadline;
+
+  CancelSource cancel;
+  const std::unique_ptr<UpstreamExchange> exchange =
+    co_await aUpstream.Send(aCall.m_endpoint, std::move(request), cancel);
+  const AnswerHead head = co_await exchange->ReadHead();
+  if (head.m_status != kHttpOk) {
+    throw RpcError("the peer answered with status " +
+                   std::to_string(head.m_status));
+  }
+  const std::string response = co_await ReadBody(*exchange);
+  co_return DecodeRpcResponse(response);
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/connection/control/share_lending.h
@@ -0,0 +1,69 @@
+// Borrows shares of a client account's rate from peers, and returns them.
+//
+//   if (co_await lending.Borrow(account, Tokens(500), deadline, cancel)) {
+//     ... reserve once more ...
+//   }
+//
+// Requests of one account that come up short together wait for one lease
+// request; the rate ledger bounds how often which peer is asked. For one
+// thread; must outlive the executor's work.
+
+#pragma once
+
+#include "rattanweir/process/membership/membership.h"
+#include "rattanweir/process/metrics/metrics.h"
+#include "rattanweir/process/rate/rate_ledger.h"
+#include "rattanweir/request/exchange/exchange.h"
+#include "rattanweir/request/pipeline/share_borrower.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace rattanweir {
+
+struct ShareLendingOptions
+{
+  Executor m_executor;
+  const Clock& m_clock;
+  Upstream& m_upstream;
+  Membership& m_membership;
+  RateLedger& m_rate;
+  Metrics& m_metrics;
+};
+
+class ShareLending final : public ShareBorrower
+{
+public:
+  explicit ShareLending(const ShareLendingOptions& aOptions);
+  ~ShareLending() override;
+  ShareLending(const ShareLending&) = delete;
+  ShareLending& operator=(const ShareLending&) = delete;
+
+  // Asks peers, nearest first, until the tokens are at hand, no peer is left
+  // to ask, the deadline passes or the request is cancelled. True if something
+  // was borrowed meanwhile.
+  Task<bool> Borrow(ClientAccountId aAccount,
+                    Tokens aTokens,
+                    SteadyTime aDeadline,
+                    CancelSource& aCancel) override;
+
+  // Tells each lender of the shares that are not needed any more. One that
+  // does not hear of it has its share back with the end of the term.
+  void Return(const std::vector<LeaseReturn>& aReturns);
+
+private:
+  struct Pending;
+
+  Task<bool> Ask(LeaseRequest aRequest, SteadyTime aDeadline);
+  Task<void> Tell(LeaseReturn aReturn);
+  Task<void> WaitForPending(ClientAccountId aAccount, SteadyTime aDeadline);
+  void EndPending(const ClientAccountId& aAccount);
+  bool IsAtHand(const ClientAccountId& aAccount, Tokens aTokens) const;
+  std::vector<InstanceId> LendersNearestFirst() const;
+
+  ShareLendingOptions m_options;
+  std::map<ClientAccountId, std::shared_ptr<Pending>> m_pending;
+};
+
+} // namespace rattanweir
--- a/rattanweir/process/rate/rate_ledger.cc
+++ b/rattanweir/process/rate/rate_ledger.cc
@@ -303,7 +303,8 @@
   if (account == nullptr) {
     return {};
   }
-  const internal::ShareBucket& bucket = account->m_ledger.Bucket();
+  internal::ShareBucket bucket = account->m_ledger.Bucket();
+  bucket.Advance(m_state->m_options.m_clock.SteadyNow());
   const auto instances = static_cast<double>(m_state->m_maximumInstances);
   return { .m_ownedFraction = 1 / instances,
            .m_borrowedFraction = bucket.Borrowed() / instances,
