Read the platform from a directory or its services

Both sources feed the catalog and the membership by the same two functions. A service is read by long watches that ask for what is newer than the version in force, so a service that is behind a relaying peer is not asked in a loop.

Ruled out: refusing a list in which two rows share an address, as an instance and its replacement may while the list lags.

--- a/rattanweir/connection/http_client/http_client_test.cc
+++ b/rattanweir/connection/http_client/http_client_test.cc
@@ -124,7 +124,7 @@
                       "\r\nx-request-id: r\r\nContent-Length: 300000\r\n\r\n");
     const std::string received = co_await server.ReadUntil(body);
     REQUIRE(received == body);
-    co_await WaitFor([&] { return exchange != nullptr; });
+    co_await WaitUntil([&] { return exchange != nullptr; });
 
     co_await server.Write("HTTP/1.1 100 Continue\r\n\r\n"
                           "HTTP/1.1 201 Created\r\nx-load: 3\r\n"
@@ -233,7 +233,7 @@
       } else if (row.m_end == End::Reset) {
         server.Reset();
       }
-      co_await WaitFor([&] { return isDone; });
+      co_await WaitUntil([&] { return isDone; });
       CAPTURE(row.m_what, error ? error->what() : "");
       REQUIRE(error);
       CHECK(error->Code() == row.m_code);
@@ -350,7 +350,7 @@
         asio::detached);
       RawPeer server = co_await bench.m_listener.Accept();
       co_await Reply(server, row.m_first);
-      co_await WaitFor([&] { return first == "ok"; });
+      co_await WaitUntil([&] { return first == "ok"; });
       co_await server.Write(row.m_late);
       if (row.m_closes) {
         server.Close();
@@ -370,7 +370,7 @@
         fresh.emplace(co_await bench.m_listener.Accept());
       }
       co_await Reply(fresh ? *fresh : server, answer);
-      co_await WaitFor([&] { return !second.empty(); });
+      co_await WaitUntil([&] { return !second.empty(); });
       CAPTURE(row.m_what);
       CHECK(second == "new");
     });
@@ -417,7 +417,7 @@
     for (RawPeer& server : servers) {
       co_await Reply(server, kWhole);
     }
-    co_await WaitFor([&] { return answered == 3; });
+    co_await WaitUntil([&] { return answered == 3; });
     REQUIRE(bench.m_upstream.IdleConnections() == 2);
   });
 }
@@ -443,7 +443,7 @@
                    "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\n"
                    "Content-Length: 0\r\n\r\n");
     server.Close();
-    co_await WaitFor([&] { return status == 503; });
+    co_await WaitUntil([&] { return status == 503; });
   });
 }
 
--- a/rattanweir/connection/http_server/http_server_test.cc
+++ b/rattanweir/connection/http_server/http_server_test.cc
@@ -234,9 +234,9 @@
   bench.Run([&]() -> Task<void> {
     RawPeer caller = co_await bench.Connect();
     co_await caller.Write(Get("/endless"));
-    co_await WaitFor([&] { return !bench.m_errors.empty(); });
+    co_await WaitUntil([&] { return !bench.m_errors.empty(); });
     REQUIRE(bench.m_errors[0] == ResultCode::CallerTooSlow);
-    co_await WaitFor([&] { return bench.m_server.Connections() == 0; });
+    co_await WaitUntil([&] { return bench.m_server.Connections() == 0; });
   });
 }
 
@@ -288,7 +288,7 @@
     co_await aSink.WriteHead(Head("text/event-stream"));
     for (std::size_t i = 0; i < texts.size(); ++i) {
       // Each chunk waits until the caller has the one before.
-      co_await WaitFor([&received, i] { return received >= i; });
+      co_await WaitUntil([&received, i] { return received >= i; });
       co_await aSink.WriteChunk(texts[i]);
     }
     co_await aSink.Finish();
@@ -406,7 +406,7 @@
           AnswerSink& aSink,
           CancelSource& aCancel) -> Task<void> {
       co_await aSink.WriteHead(Head("text/plain"));
-      co_await WaitFor([&] { return aCancel.Reason().has_value(); });
+      co_await WaitUntil([&] { return aCancel.Reason().has_value(); });
       reason = aCancel.Reason();
       throw RequestError(*reason, "cancelled");
     };
@@ -416,7 +416,7 @@
       co_await caller.ReadUntil("\r\n\r\n");
       co_await caller.Write(row.m_pipelined);
       row.m_resets ? caller.Reset() : caller.Close();
-      co_await WaitFor([&] { return bench.m_server.Connections() == 0; });
+      co_await WaitUntil([&] { return bench.m_server.Connections() == 0; });
       CAPTURE(row.m_what);
       CHECK(reason == ResultCode::CallerGone);
       CHECK(bench.m_handler.m_seen.size() == 1);
@@ -433,7 +433,7 @@
                   AnswerSink& aSink,
                   CancelSource&) -> Task<void> {
       co_await aSink.WriteHead(Head("text/plain"));
-      co_await WaitFor([this] { return m_mayEnd; });
+      co_await WaitUntil([this] { return m_mayEnd; });
       co_await aSink.WriteChunk("end");
       co_await aSink.Finish();
     };
@@ -453,7 +453,7 @@
     co_await first.Write(Get("/gate"));
     co_await first.ReadUntil("\r\n\r\n");
     co_await second.Write(Post("Content-Length: 60\r\n", "incomplete"));
-    co_await WaitFor([&] { return bench.m_server.Connections() == 3; });
+    co_await WaitUntil([&] { return bench.m_server.Connections() == 3; });
 
     RawPeer over = co_await bench.Connect();
     const std::string refused = co_await over.ReadToEnd();
@@ -465,7 +465,7 @@
     REQUIRE(ResultIn(noRoom) == "202");
     second.Close();
     third.Close();
-    co_await WaitFor([&] { return bench.m_server.Connections() == 1; });
+    co_await WaitUntil([&] { return bench.m_server.Connections() == 1; });
 
     RawPeer fourth = co_await bench.Connect();
     RawPeer fifth = co_await bench.Connect();
@@ -531,13 +531,13 @@
   bench.m_handler.m_scripts["/wait"] = [](const InboundRequest&,
                                           AnswerSink&,
                                           CancelSource& aCancel) -> Task<void> {
-    co_await WaitFor([&] { return aCancel.Reason().has_value(); });
+    co_await WaitUntil([&] { return aCancel.Reason().has_value(); });
     throw RequestError(*aCancel.Reason(), "cancelled", Ran::Maybe);
   };
   bench.Run([&]() -> Task<void> {
     RawPeer caller = co_await bench.Connect();
     co_await caller.Write(Get("/wait"));
-    co_await WaitFor([&] { return bench.m_server.RequestsInFlight() == 1; });
+    co_await WaitUntil([&] { return bench.m_server.RequestsInFlight() == 1; });
     bench.m_server.Abort();
     const std::string answer = co_await caller.ReadToEnd();
     REQUIRE(ResultIn(answer) == "204");
--- /dev/null
+++ b/rattanweir/connection/platform/internal/back_off.cc
@@ -0,0 +1,28 @@
+#include "rattanweir/connection/platform/internal/back_off.h"
+
+#include <algorithm>
+#include <random>
+
+namespace rattanweir {
+
+BackOff::BackOff(RandomEngine& aEngine,
+                 std::chrono::nanoseconds aFirst,
+                 std::chrono::nanoseconds aLongest)
+  : m_engine(aEngine)
+  , m_first(aFirst)
+  , m_longest(aLongest)
+  , m_step(aFirst)
+{
+}
+
+std::chrono::nanoseconds
+BackOff::Next()
+{
+  std::uniform_int_distribution<std::chrono::nanoseconds::rep> part(
+    m_step.count() / 2, m_step.count());
+  const std::chrono::nanoseconds wait(part(m_engine));
+  m_step = std::min(2 * m_step, m_longest);
+  return wait;
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/connection/platform/internal/back_off.h
@@ -0,0 +1,31 @@
+// How long to wait before a failed read is tried again.
+
+#pragma once
+
+#include "rattanweir/base/random/random.h"
+
+#include <chrono>
+
+namespace rattanweir {
+
+// Doubles its step up to a bound; each wait is between half a step and a whole
+// one, so that readers that failed together do not come back together.
+class BackOff
+{
+public:
+  BackOff(RandomEngine& aEngine,
+          std::chrono::nanoseconds aFirst,
+          std::chrono::nanoseconds aLongest);
+
+  std::chrono::nanoseconds Next();
+  // After a success.
+  void Reset() { m_step = m_first; }
+
+private:
+  RandomEngine& m_engine;
+  std::chrono::nanoseconds m_first;
+  std::chrono::nanoseconds m_longest;
+  std::chrono::nanoseconds m_step;
+};
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/connection/platform/internal/directory_reader.cc
@@ -0,0 +1,225 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/connection/platform/internal/directory_reader.h"
+#include "rattanweir/connection/platform/internal/feed.h"
+#include "rattanweir/process/logging/log.h"
+#include "rattanweir/request/wait/wait.h"
+#include "rattanweir/version/text_file/text_file.h"
+#include "rattanweir/version/yaml/load.h"
+#include "rattanweir/version/yaml/reader.h"
+
+#include <sys/stat.h>
+
+#include <limits>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::nanoseconds;
+
+const std::string kInstanceListName = "instances";
+
+// What stat says of a file; another stamp means that it may have changed.
+struct FileStamp
+{
+  WallTime m_changedAt;
+  std::uint64_t m_size = 0;
+  std::uint64_t m_inode = 0;
+
+  friend bool operator==(const FileStamp&, const FileStamp&) = default;
+};
+
+std::optional<FileStamp>
+StampOf(const std::string& aPath)
+{
+  struct stat info = {};
+  if (::stat(aPath.c_str(), &info) != 0) {
+    return std::nullopt;
+  }
+  return FileStamp{
+    .m_changedAt = WallTime(std::chrono::seconds(info.st_mtim.tv_sec) +
+                            nanoseconds(info.st_mtim.tv_nsec)),
+    .m_size = static_cast<std::uint64_t>(info.st_size),
+    .m_inode = static_cast<std::uint64_t>(info.st_ino),
+  };
+}
+
+// The number in the `version` field, or nothing if it can't be read.
+std::optional<SectionVersion>
+VersionIn(const SectionText& aText)
+{
+  FaultCollector faults(aText.m_file, "");
+  const auto root = LoadYaml(aText, faults);
+  if (!root) {
+    return std::nullopt;
+  }
+  MappingReader reader(*root, "", faults);
+  const Range<std::int64_t> range{ 1,
+                                   std::numeric_limits<std::int64_t>::max() };
+  const std::int64_t version = reader.ReadInteger("version", range);
+  if (!faults.IsEmpty()) {
+    return std::nullopt;
+  }
+  return SectionVersion(static_cast<std::uint64_t>(version));
+}
+
+// One file and what was read of it last.
+struct WatchedFile
+{
+  // Nothing for the instance list.
+  std::optional<SectionKind> m_kind;
+  std::string m_path;
+  std::optional<FileStamp> m_stamp;
+  std::string m_text;
+  bool m_isMissing = false;
+};
+
+class DirectoryReader : public std::enable_shared_from_this<DirectoryReader>
+{
+public:
+  DirectoryReader(const DirectoryPlatform& aSource,
+                  const PlatformOptions& aOptions)
+    : m_options(aOptions)
+  {
+    for (const SectionKind kind : kAllSectionKinds) {
+      Watch(aSource.m_directory, SectionName(kind), kind);
+    }
+    Watch(aSource.m_directory, kInstanceListName, std::nullopt);
+  }
+
+  Task<void> Run()
+  {
+    const auto self = shared_from_this();
+    while (!m_cancel.Reason()) {
+      co_await WaitFor(
+        m_options.m_executor, m_options.m_pollInterval, m_cancel);
+      if (!m_cancel.Reason()) {
+        LookAtAll();
+      }
+    }
+  }
+
+  void LookAtAll()
+  {
+    for (WatchedFile& file : m_files) {
+      LookAt(file);
+    }
+  }
+
+  void Stop() { m_cancel.Cancel(ResultCode::InstanceDraining); }
+
+private:
+  void Watch(const std::string& aDirectory,
+             const std::string& aName,
+             std::optional<SectionKind> aKind)
+  {
+    m_files.push_back(WatchedFile{
+      .m_kind = aKind, .m_path = aDirectory + "/" + aName + ".yaml" });
+  }
+
+  void LookAt(WatchedFile& aFile);
+  void Take(const WatchedFile& aFile, const SectionText& aText);
+  void Miss(WatchedFile& aFile, const std::string& aWhy);
+
+  // A clock set back leaves changes in the future: those count as settled.
+  bool IsSettled(const FileStamp& aStamp) const
+  {
+    const nanoseconds age = m_options.m_clock.WallNow() - aStamp.m_changedAt;
+    return age < nanoseconds::zero() || age >= m_options.m_settleTime;
+  }
+
+  PlatformOptions m_options;
+  CancelSource m_cancel;
+  std::vector<WatchedFile> m_files;
+};
+
+void
+DirectoryReader::Miss(WatchedFile& aFile, const std::string& aWhy)
+{
+  if (!std::exchange(aFile.m_isMissing, true)) {
+    FeedFailure(m_options, aFile.m_path, aWhy);
+  }
+}
+
+void
+DirectoryReader::LookAt(WatchedFile& aFile)
+{
+  const auto stamp = StampOf(aFile.m_path);
+  if (!stamp) {
+    Miss(aFile, "there is no such file");
+    return;
+  }
+  if (stamp == aFile.m_stamp || !IsSettled(*stamp)) {
+    return;
+  }
+  try {
+    const SectionText text = ReadTextFile(aFile.m_path);
+    if (StampOf(aFile.m_path) != stamp) {
+      return;
+    }
+    aFile.m_isMissing = false;
+    aFile.m_stamp = stamp;
+    if (text.m_text != aFile.m_text) {
+      aFile.m_text = text.m_text;
+      Take(aFile, text);
+    }
+  } catch (const TextFileError& error) {
+    Miss(aFile, error.what());
+  }
+}
+
+void
+DirectoryReader::Take(const WatchedFile& aFile, const SectionText& aText)
+{
+  if (!aFile.m_kind) {
+    FeedInstanceList(m_options, aText);
+    return;
+  }
+  const auto inForce = m_options.m_catalog.Status(*aFile.m_kind).m_inForce;
+  const SectionVersion next(inForce ? inForce->Value() + 1 : 1);
+  const SectionOffer offer{ .m_kind = *aFile.m_kind,
+                            .m_version = VersionIn(aText).value_or(next),
+                            .m_text = aText };
+  if (FeedSection(m_options, offer) == OfferOutcome::NotNewer) {
+    Log(LogLevel::Warning,
+        "changed_without_higher_version",
+        { { "file", aFile.m_path },
+          { "version", std::to_string(offer.m_version.Value()) } });
+  }
+}
+
+class StartedDirectoryReader final : public PlatformReader
+{
+public:
+  StartedDirectoryReader(const DirectoryPlatform& aSource,
+                         const PlatformOptions& aOptions)
+    : m_executor(aOptions.m_executor)
+    , m_reader(std::make_shared<DirectoryReader>(aSource, aOptions))
+  {
+  }
+
+  void Start() override
+  {
+    m_reader->LookAtAll();
+    asio::co_spawn(m_executor, m_reader->Run(), asio::detached);
+  }
+  void Stop() override { m_reader->Stop(); }
+
+private:
+  Executor m_executor;
+  std::shared_ptr<DirectoryReader> m_reader;
+};
+
+} // namespace
+
+std::unique_ptr<PlatformReader>
+MakeDirectoryReader(const DirectoryPlatform& aSource,
+                    const PlatformOptions& aOptions)
+{
+  return std::make_unique<StartedDirectoryReader>(aSource, aOptions);
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/connection/platform/internal/feed.h
@@ -0,0 +1,24 @@
+// What both sources do with a text that they have read.
+
+#pragma once
+
+#include "rattanweir/connection/platform/platform.h"
+
+namespace rattanweir {
+
+// Offers a section to the catalog; logs and counts what became of it.
+OfferOutcome
+FeedSection(const PlatformOptions& aOptions, const SectionOffer& aOffer);
+
+// Applies an instance list; a faulty one changes nothing and is logged and
+// counted.
+void
+FeedInstanceList(const PlatformOptions& aOptions, const SectionText& aText);
+
+// Logs and counts a read that failed.
+void
+FeedFailure(const PlatformOptions& aOptions,
+            const std::string& aWhat,
+            const std::string& aWhy);
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/connection/platform/internal/service_reader.cc
@@ -0,0 +1,240 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/connection/http_client/http_client.h"
+#include "rattanweir/connection/platform/internal/back_off.h"
+#include "rattanweir/connection/platform/internal/feed.h"
+#include "rattanweir/connection/platform/internal/service_reader.h"
+#include "rattanweir/request/exchange/header_fields.h"
+#include "rattanweir/request/wait/wait.h"
+#include "rattanweir/version/yaml/load.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+constexpr unsigned kHttpOk = 200;
+constexpr unsigned kHttpNotModified = 304;
+// What the service may take beyond the time that a watch waits.
+constexpr auto kAnswerTime = std::chrono::seconds(5);
+
+// What one watch gave.
+struct WatchAnswer
+{
+  // The watch ended and there is nothing newer.
+  bool m_isUnchanged = false;
+  std::string m_number;
+  std::string m_text;
+};
+
+// A read that failed, and why.
+class ReadError : public std::runtime_error
+{
+public:
+  using std::runtime_error::runtime_error;
+};
+
+class ServiceReader : public std::enable_shared_from_this<ServiceReader>
+{
+public:
+  ServiceReader(const ServicePlatform& aSource, const PlatformOptions& aOptions)
+    : m_source(aSource)
+    , m_options(aOptions)
+    , m_random(RandomNumber())
+    , m_upstream(
+        { .m_executor = aOptions.m_executor, .m_clock = aOptions.m_clock })
+  {
+  }
+
+  void Start()
+  {
+    for (const SectionKind kind : kAllSectionKinds) {
+      Spawn([self = shared_from_this(), kind] { return self->Section(kind); },
+            "section " + SectionName(kind));
+    }
+    Spawn([self = shared_from_this()] { return self->InstanceList(); },
+          "instance list");
+  }
+
+  void Stop() { m_cancel.Cancel(ResultCode::InstanceDraining); }
+
+private:
+  // One watch. Throws if it brought nothing that it should have.
+  using Read = std::function<Task<void>()>;
+
+  void Spawn(Read aRead, std::string aWhat)
+  {
+    asio::co_spawn(
+      m_options.m_executor,
+      Repeat(shared_from_this(), std::move(aRead), std::move(aWhat)),
+      asio::detached);
+  }
+
+  static Task<void> Repeat(std::shared_ptr<ServiceReader> aSelf,
+                           Read aRead,
+                           std::string aWhat);
+  Task<void> Section(SectionKind aKind);
+  Task<void> InstanceList();
+  Task<WatchAnswer> Watch(Endpoint aEndpoint,
+                          std::string aTarget,
+                          std::string aNumberField);
+  Task<std::string> ReadText(UpstreamExchange& aExchange);
+  std::string WaitParameter() const
+  {
+    return "&wait=" + std::to_string(m_options.m_watchTime.count()) + "s";
+  }
+
+  ServicePlatform m_source;
+  PlatformOptions m_options;
+  RandomEngine m_random;
+  HttpUpstream m_upstream;
+  CancelSource m_cancel;
+  std::string m_listRevision;
+};
+
+Task<void>
+ServiceReader::Repeat(std::shared_ptr<ServiceReader> aSelf,
+                      Read aRead,
+                      std::string aWhat)
+{
+  const PlatformOptions& options = aSelf->m_options;
+  BackOff backOff(
+    aSelf->m_random, options.m_firstBackOff, options.m_longestBackOff);
+  while (!aSelf->m_cancel.Reason()) {
+    std::string failure;
+    try {
+      co_await aRead();
+    } catch (const std::exception& error) {
+      failure = error.what();
+    }
+    if (failure.empty()) {
+      backOff.Reset();
+    } else if (!aSelf->m_cancel.Reason()) {
+      FeedFailure(options, aWhat, failure);
+      co_await WaitFor(options.m_executor, backOff.Next(), aSelf->m_cancel);
+    }
+  }
+}
+
+Task<std::string>
+ServiceReader::ReadText(UpstreamExchange& aExchange)
+{
+  std::string text;
+  for (;;) {
+    const std::optional<std::string> chunk = co_await aExchange.ReadChunk();
+    if (!chunk) {
+      co_return text;
+    }
+    text += *chunk;
+    if (text.size() > kMaximumTextBytes) {
+      throw ReadError("the text is longer than " +
+                      std::to_string(kMaximumTextBytes) + " bytes");
+    }
+  }
+}
+
+Task<WatchAnswer>
+ServiceReader::Watch(Endpoint aEndpoint,
+                     std::string aTarget,
+                     std::string aNumberField)
+{
+  OutboundRequest request{ .m_method = "GET", .m_target = std::move(aTarget) };
+  request.m_deadline =
+    m_options.m_clock.SteadyNow() + m_options.m_watchTime + kAnswerTime;
+  const auto exchange =
+    co_await m_upstream.Send(aEndpoint, std::move(request), m_cancel);
+  const AnswerHead head = co_await exchange->ReadHead();
+  WatchAnswer answer;
+  answer.m_text = co_await ReadText(*exchange);
+  answer.m_isUnchanged = head.m_status == kHttpNotModified;
+  if (answer.m_isUnchanged) {
+    co_return answer;
+  }
+  const std::string* number = FindHeader(head.m_headers, aNumberField);
+  if (head.m_status != kHttpOk || number == nullptr) {
+    throw ReadError("status " + std::to_string(head.m_status) +
+                    (number == nullptr ? " without " + aNumberField : ""));
+  }
+  answer.m_number = *number;
+  co_return answer;
+}
+
+Task<void>
+ServiceReader::Section(SectionKind aKind)
+{
+  std::string target = "/v1/sections/" + SectionName(aKind);
+  const SectionStatus status = m_options.m_catalog.Status(aKind);
+  // A version that was rejected does not get better by reading it again.
+  const auto known = std::max(status.m_inForce, status.m_rejected);
+  if (known) {
+    target += "?newer_than=" + std::to_string(known->Value()) + WaitParameter();
+  }
+  const std::string name = SectionName(aKind) + " of the configuration service";
+  const WatchAnswer answer =
+    co_await Watch(m_source.m_configurationService, target, "section-version");
+  if (answer.m_isUnchanged) {
+    co_return;
+  }
+  const auto number = ParseDecimal(answer.m_number);
+  if (!number) {
+    throw ReadError("a section-version that is no number");
+  }
+  const SectionOffer offer{ .m_kind = aKind,
+                            .m_version = SectionVersion(*number),
+                            .m_text = { .m_file = name,
+                                        .m_text = answer.m_text } };
+  if (known && offer.m_version <= *known) {
+    throw ReadError("the service has only version " + answer.m_number);
+  }
+  // A peer may have relayed it meanwhile; then it is not newer, and fine.
+  FeedSection(m_options, offer);
+}
+
+Task<void>
+ServiceReader::InstanceList()
+{
+  std::string target = "/v1/instances";
+  if (!m_listRevision.empty()) {
+    target += "?changed_from=" + m_listRevision + WaitParameter();
+  }
+  WatchAnswer answer =
+    co_await Watch(m_source.m_instanceList, target, "list-revision");
+  if (answer.m_isUnchanged) {
+    co_return;
+  }
+  if (answer.m_number == m_listRevision) {
+    throw ReadError("the service gave the same list again");
+  }
+  m_listRevision = std::move(answer.m_number);
+  const SectionText text{ .m_file = "instance list service",
+                          .m_text = std::move(answer.m_text) };
+  FeedInstanceList(m_options, text);
+}
+
+class StartedServiceReader final : public PlatformReader
+{
+public:
+  StartedServiceReader(const ServicePlatform& aSource,
+                       const PlatformOptions& aOptions)
+    : m_reader(std::make_shared<ServiceReader>(aSource, aOptions))
+  {
+  }
+
+  void Start() override { m_reader->Start(); }
+  void Stop() override { m_reader->Stop(); }
+
+private:
+  std::shared_ptr<ServiceReader> m_reader;
+};
+
+} // namespace
+
+std::unique_ptr<PlatformReader>
+MakeServiceReader(const ServicePlatform& aSource,
+                  const PlatformOptions& aOptions)
+{
+  return std::make_unique<StartedServiceReader>(aSource, aOptions);
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/connection/platform/platform_test.cc
@@ -0,0 +1,312 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/connection/platform/internal/back_off.h"
+#include "rattanweir/connection/platform/platform.h"
+#include "rattanweir/request/wait/wait.h"
+#include "testing/raw_peer/raw_peer.h"
+
+#include <catch2/catch.hpp>
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+namespace rattanweir {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kKind = SectionKind::ClientAccounts;
+
+// A section with one client account, told apart by its rate.
+std::string
+Accounts(int aVersion, int aRate)
+{
+  return "version: " + std::to_string(aVersion) +
+         "\nmaximum_instances: 8\nclient_accounts:\n- { id: a, "
+         "rate_tokens_per_second: " +
+         std::to_string(aRate) + ", burst_tokens: 100 }\n";
+}
+
+std::string
+Instances(const std::string& aId)
+{
+  return "instances:\n- { id: " + aId +
+         ", region: r, availability_zone: z, caller_address: 10.0.0.1:1, "
+         "peer_address: 10.0.0.1:2 }\n";
+}
+
+struct Bench
+{
+  PlatformOptions Options()
+  {
+    return { .m_executor = m_context.get_executor(),
+             .m_catalog = m_catalog,
+             .m_membership = m_membership,
+             .m_metrics = m_metrics,
+             .m_pollInterval = 2ms,
+             .m_settleTime = 5ms,
+             .m_watchTime = 1s,
+             .m_firstBackOff = 2ms,
+             .m_longestBackOff = 10ms };
+  }
+  double Rate() const
+  {
+    const ClientAccount* account =
+      m_catalog.FindClientAccount(ClientAccountId("a"));
+    return account == nullptr ? 0 : account->m_rate.Value();
+  }
+  Task<void> WaitForRate(double aRate)
+  {
+    return WaitUntil([this, aRate] { return Rate() == aRate; });
+  }
+  Task<void> WaitForPeer(std::string aId)
+  {
+    return WaitUntil(
+      [this, aId] { return m_membership.Find(InstanceId(aId)).has_value(); });
+  }
+
+  asio::io_context m_context;
+  Catalog m_catalog;
+  Metrics m_metrics;
+  Membership m_membership{ { .m_clock = SystemClock(),
+                             .m_self = InstanceId("self") } };
+};
+
+// A directory of its own, removed at the end.
+class Directory
+{
+public:
+  Directory()
+  {
+    std::string path =
+      std::filesystem::temp_directory_path() / "platformXXXXXX";
+    if (::mkdtemp(path.data()) == nullptr) {
+      throw std::runtime_error("no directory");
+    }
+    m_path = path;
+  }
+  ~Directory() { std::filesystem::remove_all(m_path); }
+  Directory(const Directory&) = delete;
+  Directory& operator=(const Directory&) = delete;
+
+  void Write(const std::string& aName, const std::string& aText) const
+  {
+    std::ofstream(m_path / (aName + ".yaml")) << aText;
+  }
+  std::string Path() const { return m_path; }
+
+private:
+  std::filesystem::path m_path;
+};
+
+TEST_CASE("a directory's changes are taken when their version is higher")
+{
+  Bench bench;
+  const Directory directory;
+  directory.Write("client_accounts", Accounts(3, 10));
+  directory.Write("instances", Instances("one"));
+  Platform platform(DirectoryPlatform{ directory.Path() }, bench.Options());
+  platform.Start();
+  RunTask(bench.m_context, [&]() -> Task<void> {
+    co_await bench.WaitForRate(10);
+    co_await bench.WaitForPeer("one");
+
+    // Neither the same version with another text nor a lower one is taken.
+    directory.Write("client_accounts", Accounts(3, 11));
+    directory.Write("instances", Instances("two"));
+    co_await bench.WaitForPeer("two");
+    directory.Write("client_accounts", Accounts(2, 12));
+    directory.Write("instances", Instances("three"));
+    co_await bench.WaitForPeer("three");
+    REQUIRE(bench.Rate() == 10);
+
+    directory.Write("client_accounts", "client_accounts: [");
+    co_await WaitUntil(
+      [&] { return bench.m_catalog.Status(kKind).m_rejectedCount == 1; });
+    REQUIRE(bench.Rate() == 10);
+    const SectionStatus status = bench.m_catalog.Status(kKind);
+    REQUIRE(status.m_inForce == SectionVersion(3));
+    REQUIRE(status.m_rejected == SectionVersion(4));
+
+    directory.Write("client_accounts", Accounts(4, 13));
+    co_await bench.WaitForRate(13);
+    directory.Write("instances", "instances: 3");
+    co_await WaitUntil([&] {
+      return bench.m_metrics.Counter(
+               "rattanweir_instance_lists_rejected_total") == 1;
+    });
+    co_await bench.WaitForPeer("three");
+    platform.Stop();
+  });
+}
+
+TEST_CASE("a file that is being written is left alone until it has settled")
+{
+  Bench bench;
+  const Directory directory;
+  PlatformOptions options = bench.Options();
+  options.m_settleTime = 100ms;
+  Platform platform(DirectoryPlatform{ directory.Path() }, options);
+  directory.Write("client_accounts", Accounts(1, 10));
+  platform.Start();
+  REQUIRE(bench.Rate() == 0);
+  RunTask(bench.m_context, [&]() -> Task<void> {
+    // The rest of the file comes while its writer is still at it.
+    directory.Write("client_accounts", Accounts(1, 20));
+    co_await bench.WaitForRate(20);
+    platform.Stop();
+  });
+  REQUIRE(bench.m_catalog.Status(kKind).m_acceptedCount == 1);
+}
+
+// Answers the watch for one section; everything else waits for ever.
+class SectionService
+{
+public:
+  explicit SectionService(asio::io_context& aContext)
+    : m_listener(aContext)
+  {
+  }
+
+  ServicePlatform Source() const
+  {
+    return { .m_configurationService = m_listener.LocalEndpoint(),
+             .m_instanceList = m_listener.LocalEndpoint() };
+  }
+
+  // The next watch whose target starts so, with its connection.
+  Task<RawPeer> Next(std::string aTarget)
+  {
+    for (;;) {
+      RawPeer peer = co_await m_listener.Accept();
+      const std::string request = co_await peer.ReadUntil("\r\n\r\n");
+      m_target = request.substr(0, request.find(" HTTP"));
+      if (m_target.starts_with("GET " + aTarget)) {
+        co_return peer;
+      }
+      m_waiting.push_back(std::move(peer));
+    }
+  }
+
+  // Of the request that Next returned.
+  std::string m_target;
+
+private:
+  RawListener m_listener;
+  std::vector<RawPeer> m_waiting;
+};
+
+std::string
+Answer(const std::string& aNumber, const std::string& aText)
+{
+  return "HTTP/1.1 200 OK\r\nConnection: close\r\n" + aNumber +
+         "\r\nContent-Length: " + std::to_string(aText.size()) + "\r\n\r\n" +
+         aText;
+}
+
+TEST_CASE("a service is watched for newer versions, whatever it answers")
+{
+  Bench bench;
+  SectionService service(bench.m_context);
+  Platform platform(service.Source(), bench.Options());
+  platform.Start();
+  const std::string path = "/v1/sections/client_accounts";
+  const std::string closes = "HTTP/1.1 304 Same\r\nConnection: close\r\n\r\n";
+  const struct
+  {
+    std::string m_what;
+    std::string m_asked;
+    std::string m_answer;
+    double m_rate;
+    std::uint64_t m_failures;
+  } steps[] = {
+    { "no answer", "", "", 0, 0 },
+    { "an error", "", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", 0, 1 },
+    { "no number", "", Answer("x: 1", Accounts(1, 5)), 0, 2 },
+    { "a bad number", "", Answer("section-version: x", Accounts(1, 5)), 0, 3 },
+    { "cut short", "", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\na", 0, 4 },
+    { "too long",
+      "",
+      Answer("section-version: 1", std::string(1'100'000, ' ')),
+      0,
+      5 },
+    // The number of the service counts, not the one in the text.
+    { "a first one", "", Answer("section-version: 7", Accounts(1, 5)), 5, 6 },
+    { "nothing new", "?newer_than=7&wait=1s", closes, 5, 6 },
+    { "an old one",
+      "?newer_than=7&wait=1s",
+      Answer("section-version: 6", Accounts(99, 6)),
+      5,
+      6 },
+    { "a faulty one",
+      "?newer_than=7&wait=1s",
+      Answer("section-version: 8", "client_accounts: 1"),
+      5,
+      7 },
+    { "a newer one",
+      "?newer_than=8&wait=1s",
+      Answer("section-version: 9", Accounts(1, 9)),
+      9,
+      7 },
+    { "and on", "?newer_than=9&wait=1s", closes, 9, 7 },
+  };
+  RunTask(bench.m_context, [&]() -> Task<void> {
+    for (const auto& step : steps) {
+      RawPeer peer = co_await service.Next(path);
+      CAPTURE(step.m_what);
+      CHECK(service.m_target == "GET " + path + step.m_asked);
+      CHECK(bench.m_metrics.Counter(
+              "rattanweir_platform_read_failures_total") == step.m_failures);
+      co_await peer.Write(step.m_answer);
+      peer.Close();
+      co_await bench.WaitForRate(step.m_rate);
+    }
+    platform.Stop();
+  });
+}
+
+TEST_CASE("the instance list is watched from its revision on")
+{
+  Bench bench;
+  SectionService service(bench.m_context);
+  Platform platform(service.Source(), bench.Options());
+  platform.Start();
+  RunTask(bench.m_context, [&]() -> Task<void> {
+    RawPeer first = co_await service.Next("/v1/instances");
+    CHECK(service.m_target == "GET /v1/instances");
+    const std::string one = Answer("list-revision: r1", Instances("one"));
+    co_await first.Write(one);
+    co_await bench.WaitForPeer("one");
+    RawPeer second = co_await service.Next("/v1/instances");
+    CHECK(service.m_target == "GET /v1/instances?changed_from=r1&wait=1s");
+    const std::string faulty = Answer("list-revision: r2", "instances: 1");
+    co_await second.Write(faulty);
+    RawPeer third = co_await service.Next("/v1/instances");
+    CHECK(service.m_target == "GET /v1/instances?changed_from=r2&wait=1s");
+    const std::string two = Answer("list-revision: r3", Instances("two"));
+    co_await third.Write(two);
+    co_await bench.WaitForPeer("two");
+    REQUIRE_FALSE(bench.m_membership.Find(InstanceId("one")));
+    platform.Stop();
+  });
+}
+
+TEST_CASE("waits grow to their bound, differ, and start again after success")
+{
+  RandomEngine engine(1);
+  BackOff backOff(engine, 100ms, 400ms);
+  for (const auto step : { 100ms, 200ms, 400ms, 400ms }) {
+    const auto wait = backOff.Next();
+    REQUIRE(wait >= step / 2);
+    REQUIRE(wait <= step);
+  }
+  const auto first = backOff.Next();
+  REQUIRE(first != backOff.Next());
+  backOff.Reset();
+  REQUIRE(backOff.Next() <= 100ms);
+}
+
+} // namespace
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/process/instance_list/instance_list_test.cc
@@ -0,0 +1,70 @@
+#include "rattanweir/process/instance_list/instance_list.h"
+
+#include <catch2/catch.hpp>
+
+namespace rattanweir {
+namespace {
+
+std::string
+Row(const std::string& aId, const std::string& aPort)
+{
+  return "- { id: " + aId + ", region: east, availability_zone: east-a, " +
+         "caller_address: 10.0.0.1:" + aPort +
+         ", peer_address: 10.0.0.2:" + aPort + " }\n";
+}
+
+TEST_CASE("a list gives its rows in order")
+{
+  const auto list = ParseInstanceList(
+    { .m_file = "instances.yaml",
+      .m_text = "instances:\n" + Row("b", "80") +
+                "- { id: a, region: west, availability_zone: west-b,\n"
+                "    caller_address: 10.0.0.3:81, peer_address: 10.0.0.3:82,\n"
+                "    leaving: true }\n" });
+  REQUIRE(list.size() == 2);
+  REQUIRE(list[0].m_id == InstanceId("b"));
+  REQUIRE_FALSE(list[0].m_isLeaving);
+  REQUIRE(list[1].m_region == RegionId("west"));
+  REQUIRE(list[1].m_zone == AvailabilityZoneId("west-b"));
+  REQUIRE(list[1].m_callerAddress.ToString() == "10.0.0.3:81");
+  REQUIRE(list[1].m_peerAddress.ToString() == "10.0.0.3:82");
+  REQUIRE(list[1].m_isLeaving);
+}
+
+TEST_CASE("a list may be empty or name an address twice")
+{
+  const std::string rows = Row("a", "80") + Row("b", "80");
+  REQUIRE(ParseInstanceList({ .m_text = "instances:\n" + rows }).size() == 2);
+  REQUIRE(ParseInstanceList({ .m_text = "instances: []" }).empty());
+}
+
+TEST_CASE("each fault of a list is found with its place")
+{
+  const struct
+  {
+    std::string m_text;
+    std::string m_fault;
+  } cases[] = {
+    { "", "instances.yaml" },
+    { "instances: 3", ":1: instances.instances" },
+    { "instances: []\nmore: 1", ":2: instances.more" },
+    { "instances:\n- { id: a }", ":2: instances[0].region" },
+    { "instances:\n" + Row("a", "80") + Row("a", "81"), ":3: instances[1].id" },
+    { "instances:\n" + Row("a", "80x"), ":2: instances[0].caller_address" },
+  };
+  for (const auto& row : cases) {
+    std::string found;
+    try {
+      ParseInstanceList({ .m_file = "instances.yaml", .m_text = row.m_text });
+    } catch (const SectionError& error) {
+      for (const SectionFault& fault : error.Faults()) {
+        found += fault.ToString() + "\n";
+      }
+    }
+    CAPTURE(row.m_text, found);
+    CHECK(found.find(row.m_fault) != std::string::npos);
+  }
+}
+
+} // namespace
+} // namespace rattanweir
--- a/testing/raw_peer/raw_peer.cc
+++ b/testing/raw_peer/raw_peer.cc
@@ -132,7 +132,7 @@
 }
 
 Task<void>
-WaitFor(std::function<bool()> aCondition)
+WaitUntil(std::function<bool()> aCondition)
 {
   const auto latest = std::chrono::steady_clock::now() + kLongestRun;
   asio::steady_timer timer(co_await asio::this_coro::executor);
--- a/testing/raw_peer/raw_peer.h
+++ b/testing/raw_peer/raw_peer.h
@@ -76,6 +76,6 @@
 // Lets other tasks run until the condition holds. Throws std::runtime_error if
 // it takes longer than any correct run.
 Task<void>
-WaitFor(std::function<bool()> aCondition);
+WaitUntil(std::function<bool()> aCondition);
 
 } // namespace rattanweir
