--- a/rattanweir/request/body/request_body.cc
+++ b/rattanweir/request/body/request_body.cc
@@ -4,8 +4,10 @@
 
 #include <json/json.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
+#include <vector>
 
 namespace rattanweir {
 namespace {
@@ -128,11 +130,16 @@
   return decoded;
 }
 
+std::string
+ParameterName(std::string_view aParameter)
+{
+  return PercentDecode(aParameter.substr(0, aParameter.find('=')));
+}
+
 bool
 IsKeyParameter(std::string_view aParameter)
 {
-  const std::string name =
-    PercentDecode(aParameter.substr(0, aParameter.find('=')));
+  const std::string name = ParameterName(aParameter);
   for (const char* const parameter : kKeyParameters) {
     if (IsSameHeaderName(name, parameter)) {
       return true;
@@ -141,6 +148,20 @@
   return false;
 }
 
+// The parts of a query or form between its separators.
+std::vector<std::string_view>
+ParametersOf(std::string_view aQuery)
+{
+  std::vector<std::string_view> parameters;
+  std::size_t begin = 0;
+  while (begin <= aQuery.size()) {
+    const std::size_t end = std::min(aQuery.find('&', begin), aQuery.size());
+    parameters.push_back(aQuery.substr(begin, end - begin));
+    begin = end + 1;
+  }
+  return parameters;
+}
+
 } // namespace
 
 RequestBody
@@ -168,11 +189,7 @@
 WithoutKeyParameters(const std::string& aQuery)
 {
   std::string kept;
-  std::size_t begin = 0;
-  while (begin <= aQuery.size()) {
-    const std::size_t end = std::min(aQuery.find('&', begin), aQuery.size());
-    const std::string_view parameter(aQuery.data() + begin, end - begin);
-    begin = end + 1;
+  for (const std::string_view parameter : ParametersOf(aQuery)) {
     if (IsKeyParameter(parameter)) {
       continue;
     }
@@ -184,4 +201,16 @@
   return kept;
 }
 
+std::optional<std::string>
+QueryParameter(const std::string& aQuery, std::string_view aName)
+{
+  for (const std::string_view parameter : ParametersOf(aQuery)) {
+    const std::size_t equals = parameter.find('=');
+    if (equals != std::string_view::npos && ParameterName(parameter) == aName) {
+      return PercentDecode(parameter.substr(equals + 1));
+    }
+  }
+  return std::nullopt;
+}
+
 } // namespace rattanweir
--- a/rattanweir/request/pipeline/admission.cc
+++ b/rattanweir/request/pipeline/admission.cc
@@ -220,7 +220,7 @@
                const ClientAccountId& aAccount)
 {
   const ClientAccount* account = aCatalog.FindClientAccount(aAccount);
-  const auto admitted = PermittedRegionsOf(aRoute.m_residency, account);
+  auto admitted = PermittedRegionsOf(aRoute.m_residency, account);
   const Route* newest = aCatalog.FindRoute(aRoute.m_id);
   if (newest == nullptr) {
     return admitted;
--- a/rattanweir/request/pipeline/json_answer.h
+++ b/rattanweir/request/pipeline/json_answer.h
@@ -4,9 +4,7 @@
 
 #include "rattanweir/request/exchange/exchange.h"
 
-namespace Json {
-class Value;
-}
+#include <json/value.h>
 
 namespace rattanweir {
 
