Keep both directions of a refusal in one package

ParseRefusal stood in relay beside the writer of connection's refusals; HEAD requests are refused, since the answer's length comes without a body. request_refusal_test and request_relay_test pass.

--- a/rattanweir/request/pipeline/admission.cc
+++ b/rattanweir/request/pipeline/admission.cc
@@ -17,6 +17,8 @@
 using std::chrono::milliseconds;
 
 constexpr const char* kOwnPathPrefix = "/rattanweir/";
+// Its answers have the length of a body that does not come.
+constexpr const char* kBodilessMethod = "HEAD";
 // Longer deadlines than any route's are as good as none.
 constexpr std::uint64_t kLongestDeadlineMs = 24ULL * 60 * 60 * 1000;
 
@@ -125,6 +127,9 @@
 {
   CheckTakesRequests(aServing);
   const Catalog& catalog = aServing.m_catalog;
+  if (aRequest.m_method == kBodilessMethod) {
+    Refuse(ResultCode::MalformedRequest, "routes take no HEAD requests");
+  }
   const auto presentedKey = PresentedKey(aRequest.m_headers);
   const RequestBody body =
     ReadRequestBody(aRequest.m_headers, std::move(aRequest.m_body));
--- a/rattanweir/request/pipeline/pipeline_test.cc
+++ b/rattanweir/request/pipeline/pipeline_test.cc
@@ -133,6 +133,7 @@
         Code::MalformedRequest,
         Ran::No },
       { "bad body", {}, { .m_body = "{" }, Code::MalformedRequest, Ran::No },
+      { "HEAD", {}, { .m_method = "HEAD" }, Code::MalformedRequest, Ran::No },
       { "bad deadline",
         {},
         { .m_headers = With(kKeyA, { { "rattanweir-deadline-ms", "x" } }) },
--- a/rattanweir/request/relay/refusal.cc
+++ b/rattanweir/request/refusal/parse_refusal.cc
@@ -1,4 +1,4 @@
-#include "rattanweir/request/relay/refusal.h"
+#include "rattanweir/request/refusal/parse_refusal.h"
 
 #include <json/json.h>
 
--- a/rattanweir/request/refusal/refusal_test.cc
+++ b/rattanweir/request/refusal/refusal_test.cc
@@ -2,6 +2,8 @@
 
 #include "rattanweir/request/refusal/refusal.h"
 
+#include "rattanweir/request/refusal/parse_refusal.h"
+
 #include <catch2/catch.hpp>
 #include <json/json.h>
 
@@ -82,5 +84,25 @@
   REQUIRE(Parsed(event.substr(start.size()))["detail"] == "two\n\nlines");
 }
 
+TEST_CASE("a refusal is read back as it was meant")
+{
+  const RequestError error = ParseRefusal(
+    R"({"code":302,"name":"x","ran":"yes","retry_after_ms":70,"detail":"d"})",
+    ResultCode::PeerLost);
+  REQUIRE(error.Code() == ResultCode::NoBackendServer);
+  REQUIRE(error.HasRun() == Ran::Yes);
+  REQUIRE(error.ComeBackAfter() == std::chrono::milliseconds(70));
+  REQUIRE(error.what() == std::string("d"));
+  for (const char* const text : { "",
+                                  "{}",
+                                  "[]",
+                                  R"({"code":1,"ran":"no"})",
+                                  R"({"code":0,"ran":"no"})",
+                                  R"({"code":302,"ran":"perhaps"})" }) {
+    REQUIRE(ParseRefusal(text, ResultCode::PeerLost).Code() ==
+            ResultCode::PeerLost);
+  }
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/request/relay/answer_relay.cc
+++ b/rattanweir/request/relay/answer_relay.cc
@@ -1,8 +1,8 @@
 #include "rattanweir/request/relay/answer_relay.h"
 
 #include "rattanweir/request/exchange/header_fields.h"
+#include "rattanweir/request/refusal/parse_refusal.h"
 #include "rattanweir/request/relay/event_splitter.h"
-#include "rattanweir/request/relay/refusal.h"
 
 #include <json/json.h>
 
--- a/rattanweir/request/relay/relay_test.cc
+++ b/rattanweir/request/relay/relay_test.cc
@@ -3,7 +3,6 @@
 #include "rattanweir/request/exchange/header_fields.h"
 #include "rattanweir/request/relay/answer_relay.h"
 #include "rattanweir/request/relay/event_splitter.h"
-#include "rattanweir/request/relay/refusal.h"
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
@@ -322,25 +321,5 @@
   }
 }
 
-TEST_CASE("a refusal is read back as it was meant")
-{
-  const RequestError error = ParseRefusal(
-    R"({"code":302,"name":"x","ran":"yes","retry_after_ms":70,"detail":"d"})",
-    ResultCode::PeerLost);
-  REQUIRE(error.Code() == ResultCode::NoBackendServer);
-  REQUIRE(error.HasRun() == Ran::Yes);
-  REQUIRE(error.ComeBackAfter() == std::chrono::milliseconds(70));
-  REQUIRE(error.what() == std::string("d"));
-  for (const char* const text : { "",
-                                  "{}",
-                                  "[]",
-                                  R"({"code":1,"ran":"no"})",
-                                  R"({"code":0,"ran":"no"})",
-                                  R"({"code":302,"ran":"perhaps"})" }) {
-    REQUIRE(ParseRefusal(text, ResultCode::PeerLost).Code() ==
-            ResultCode::PeerLost);
-  }
-}
-
 } // namespace
 } // namespace rattanweir
