--- a/testing/pipeline_world/pipeline_world.cc
+++ b/testing/pipeline_world/pipeline_world.cc
@@ -383,8 +383,13 @@
 {
   std::string text = "version: 1\nkeys:\n";
   for (const std::string& name : aNames) {
-    text += "  - { id: " + name + ", client_account: " + name +
-            ", sha256: " + kHashes.at(name) + " }\n";
+    text += "  - { id: ";
+    text += name;
+    text += ", client_account: ";
+    text += name;
+    text += ", sha256: ";
+    text += kHashes.at(name);
+    text += " }\n";
   }
   Offer(SectionKind::Keys, aNames.empty() ? "version: 1\nkeys: []\n" : text);
 }
