Add rattanweird: one instance wired on one io_context

Its three sides, control plane, ledgers and handlers are declared by life span; a graceful shutdown drains the caller side, then the keyed runs, then the peer side, bounded by the shutdown timeout.

--- /dev/null
+++ b/programs/rattanweird/daemon.cc
@@ -0,0 +1,363 @@
+#include "programs/rattanweird/daemon.h"
+
+#include "rattanweir/process/logging/log.h"
+#include "rattanweir/request/pipeline/entry_answers.h"
+#include "rattanweir/request/wait/wait.h"
+
+#include <boost/asio/redirect_error.hpp>
+
+#include <csignal>
+#include <exception>
+#include <set>
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Below half of the rate ledger's pause bound.
+constexpr milliseconds kTickInterval(100);
+constexpr milliseconds kKeyedRunsPoll(20);
+constexpr unsigned kServiceUnavailable = 503;
+constexpr const char* kPlainText = "text/plain; version=0.0.4";
+
+template<class Function>
+void
+Spawn(asio::io_context& aContext, Function aFunction)
+{
+  asio::co_spawn(
+    aContext, std::move(aFunction), [](const std::exception_ptr& aError) {
+      if (aError) {
+        std::rethrow_exception(aError);
+      }
+    });
+}
+
+} // namespace
+
+Daemon::Daemon(const Settings& aSettings)
+  : m_settings(aSettings)
+  , m_clock(SystemClock())
+  , m_incarnation(RandomNumber())
+  , m_random(RandomNumber())
+  , m_membership({ .m_clock = m_clock, .m_self = m_settings.m_instance })
+  , m_rates({ .m_clock = m_clock,
+              .m_self = m_settings.m_instance,
+              .m_incarnation = m_incarnation })
+  , m_keys({ .m_clock = m_clock,
+             .m_self = m_settings.m_instance,
+             .m_incarnation = m_incarnation })
+  , m_backends({ .m_clock = m_clock })
+  , m_retries({})
+  , m_upstream({ .m_executor = m_context.get_executor() })
+  , m_control(MakeControlOptions())
+  , m_serving(MakeServing())
+  , m_keyedRuns(m_serving)
+  , m_entryHandler(m_serving, m_keyedRuns)
+  , m_peerHandler({ .m_serving = m_serving,
+                    .m_keyedRuns = m_keyedRuns,
+                    .m_control =
+                      [this](const std::string& aCall) {
+                        return m_control.HandleCall(aCall);
+                      } })
+  , m_report(m_serving, m_incarnation, m_keyedRuns)
+  , m_callerServer(MakeCallerOptions())
+  , m_peerServer(MakePeerOptions())
+  , m_adminServer(MakeAdminOptions())
+  , m_signals(m_context, SIGTERM, SIGINT)
+{
+  m_serving.m_callerAddress = m_callerServer.LocalEndpoint();
+  m_catalog.OnAccepted([this](SectionKind aKind) { TakeAccepted(aKind); });
+  RegisterGauges();
+  RegisterAdminRoutes();
+  Log(LogLevel::Info,
+      "listening",
+      { { "instance", m_settings.m_instance.Value() },
+        { "caller", m_callerServer.LocalEndpoint().ToString() },
+        { "peer", m_peerServer.LocalEndpoint().ToString() },
+        { "admin", m_adminServer.LocalEndpoint().ToString() } });
+}
+
+void
+Daemon::Run()
+{
+  m_callerServer.Start();
+  m_peerServer.Start();
+  m_adminServer.Start();
+  m_control.Start();
+  Spawn(m_context, [this] { return TickUntilStopped(); });
+  Spawn(m_context, [this] { return AwaitSignals(); });
+  m_context.run();
+}
+
+Serving
+Daemon::MakeServing()
+{
+  return { .m_executor = m_context.get_executor(),
+           .m_clock = m_clock,
+           .m_random = m_random,
+           .m_self = m_settings.m_instance,
+           .m_region = m_settings.m_region,
+           .m_catalog = m_catalog,
+           .m_membership = m_membership,
+           .m_rates = m_rates,
+           .m_keys = m_keys,
+           .m_backends = m_backends,
+           .m_inFlight = m_inFlight,
+           .m_retries = m_retries,
+           .m_metrics = m_metrics,
+           .m_upstream = m_upstream,
+           .m_borrower = m_control.Borrower() };
+}
+
+ControlPlaneOptions
+Daemon::MakeControlOptions()
+{
+  return { .m_executor = m_context.get_executor(),
+           .m_clock = m_clock,
+           .m_upstream = m_upstream,
+           .m_catalog = m_catalog,
+           .m_membership = m_membership,
+           .m_rate = m_rates,
+           .m_metrics = m_metrics,
+           .m_heartbeatInterval = m_settings.m_heartbeatInterval,
+           .m_describe = [this] { return Describe(); },
+           .m_onLeaving =
+             [this](const std::vector<BackendServerId>& aLeaving) {
+               for (const BackendServerId& id : aLeaving) {
+                 m_backends.MarkLeavingByPeer(id);
+               }
+             } };
+}
+
+HttpServerOptions
+Daemon::MakeCallerOptions()
+{
+  return { .m_executor = m_context.get_executor(),
+           .m_address = m_settings.m_callerAddress,
+           .m_handler = m_entryHandler,
+           .m_limits = m_settings.m_callerLimits,
+           .m_onError = [this](const RequestError& aError) {
+             m_metrics.CountRefusal(aError.Code());
+           } };
+}
+
+HttpServerOptions
+Daemon::MakePeerOptions()
+{
+  return { .m_executor = m_context.get_executor(),
+           .m_address = m_settings.m_peerAddress,
+           .m_handler = m_peerHandler,
+           .m_limits = m_settings.m_callerLimits,
+           .m_trustsRequestId = true,
+           // Counted apart: the entry instance counts what its caller sees.
+           .m_onError = [this](const RequestError&) {
+             m_metrics.Count("rattanweir_peer_refusals_total");
+           } };
+}
+
+HttpServerOptions
+Daemon::MakeAdminOptions()
+{
+  return { .m_executor = m_context.get_executor(),
+           .m_address = m_settings.m_adminAddress,
+           .m_handler = m_adminRoutes,
+           .m_limits = m_settings.m_callerLimits };
+}
+
+void
+Daemon::RegisterGauges()
+{
+  m_metrics.SetGauge("rattanweir_requests_in_flight", [this] {
+    return static_cast<double>(m_inFlight.Count());
+  });
+  m_metrics.SetGauge("rattanweir_caller_connections", [this] {
+    return static_cast<double>(m_callerServer.Connections());
+  });
+  m_metrics.SetGauge("rattanweir_idempotency_keys",
+                     [this] { return static_cast<double>(m_keys.KeyCount()); });
+  m_metrics.SetGauge("rattanweir_retry_budget",
+                     [this] { return m_retries.Available(); });
+  m_metrics.SetGauge("rattanweir_ready",
+                     [this] { return m_serving.m_isReady ? 1.0 : 0.0; });
+}
+
+void
+Daemon::RegisterAdminRoutes()
+{
+  using Query = const AdminQuery&;
+  const auto get = [this](const char* aPath, auto aText) {
+    m_adminRoutes.Register("GET", aPath, [aText](Query aQuery) {
+      return AdminAnswer{ .m_body = aText(aQuery) };
+    });
+  };
+  get("/livez", [](Query) { return R"({"live":true})"; });
+  get("/status", [this](Query) { return m_report.Status(); });
+  get("/counters", [this](Query) { return m_report.Counters(); });
+  get("/explain", [this](Query aQuery) { return m_report.Explain(aQuery); });
+  get("/entries",
+      [this](Query) { return EntriesJson(m_serving, std::nullopt); });
+  m_adminRoutes.Register("GET", "/readyz", [this](Query) { return Readyz(); });
+  m_adminRoutes.Register("GET", "/metrics", [this](Query) {
+    return AdminAnswer{ .m_contentType = kPlainText,
+                        .m_body = m_metrics.Exposition() };
+  });
+  m_adminRoutes.Register("POST", "/drain", [this](Query) {
+    BeginShutdown();
+    return AdminAnswer{ .m_body = R"({"draining":true})" };
+  });
+}
+
+AdminAnswer
+Daemon::Readyz() const
+{
+  const bool isReady =
+    m_serving.m_isReady && !m_serving.m_isDraining && !m_rates.IsPaused();
+  return { .m_status = isReady ? 200 : kServiceUnavailable,
+           .m_body = isReady ? R"({"ready":true})" : R"({"ready":false})" };
+}
+
+void
+Daemon::TakeAccepted(SectionKind aKind)
+{
+  const auto version = m_catalog.Status(aKind).m_inForce;
+  Log(LogLevel::Info,
+      "section_accepted",
+      { { "section", SectionName(aKind) },
+        { "version", std::to_string(version->Value()) } });
+  switch (aKind) {
+    case SectionKind::ClientAccounts:
+      m_rates.Configure(m_catalog.ClientAccounts());
+      break;
+    case SectionKind::BackendServers:
+      ForgetUnlistedBackends();
+      break;
+    case SectionKind::Keys:
+    case SectionKind::Routes:
+      break;
+  }
+  m_inFlight.CancelWithdrawn([this](const RunningRequest& aRequest) {
+    return IsStillEntitled(m_catalog, aRequest);
+  });
+  UpdateReadiness();
+}
+
+void
+Daemon::ForgetUnlistedBackends()
+{
+  const auto offer = m_catalog.InForce(SectionKind::BackendServers);
+  std::set<BackendServerId> listed;
+  for (const BackendServer& server :
+       ParseBackendServers(offer->m_text).m_backendServers) {
+    listed.insert(server.m_id);
+  }
+  m_backends.KeepOnly(listed);
+}
+
+Heartbeat
+Daemon::Describe() const
+{
+  Heartbeat heartbeat{
+    .m_from = m_settings.m_instance,
+    .m_incarnation = m_incarnation,
+    .m_isDraining = m_serving.m_isDraining,
+    .m_isReady = m_serving.m_isReady && !m_rates.IsPaused(),
+    .m_requestsInFlight = static_cast<std::uint32_t>(m_inFlight.Count()),
+    .m_leavingBackendServers = m_backends.LeavingByOwnSignal(),
+  };
+  for (const SectionKind kind : kAllSectionKinds) {
+    if (const auto version = m_catalog.Status(kind).m_inForce) {
+      heartbeat.m_versions[kind] = *version;
+    }
+  }
+  return heartbeat;
+}
+
+void
+Daemon::UpdateReadiness()
+{
+  const bool isReady = m_catalog.IsComplete() && m_control.HasCaughtUp();
+  if (isReady && !m_serving.m_isReady) {
+    m_serving.m_isReady = true;
+    Log(LogLevel::Info, "ready");
+    m_control.SendNow();
+  }
+}
+
+Task<void>
+Daemon::TickUntilStopped()
+{
+  CancelSource never;
+  while (!m_isStopped) {
+    m_rates.Tick();
+    m_keys.Tick();
+    UpdateReadiness();
+    co_await WaitFor(m_context.get_executor(), kTickInterval, never);
+  }
+}
+
+Task<void>
+Daemon::AwaitSignals()
+{
+  boost::system::error_code error;
+  co_await m_signals.async_wait(
+    asio::redirect_error(asio::use_awaitable, error));
+  if (!error) {
+    BeginShutdown();
+  }
+}
+
+void
+Daemon::BeginShutdown()
+{
+  if (std::exchange(m_serving.m_isDraining, true)) {
+    return;
+  }
+  Log(LogLevel::Info,
+      "draining",
+      { { "in_flight", std::to_string(m_inFlight.Count()) } });
+  m_control.SendNow();
+  Spawn(m_context, [this] { return AbortAtShutdownTimeout(); });
+  Spawn(m_context, [this] { return ShutDown(); });
+}
+
+Task<void>
+Daemon::ShutDown()
+{
+  m_callerServer.Drain();
+  co_await m_callerServer.WaitUntilDone();
+  // Peers may still ask for the outcome of keys that this instance owns.
+  co_await WaitForKeyedRuns();
+  m_peerServer.Drain();
+  co_await m_peerServer.WaitUntilDone();
+  m_control.Stop();
+  Log(LogLevel::Info, "stopped");
+  m_isStopped = true;
+  m_context.stop();
+}
+
+Task<void>
+Daemon::AbortAtShutdownTimeout()
+{
+  CancelSource never;
+  co_await WaitFor(
+    m_context.get_executor(), m_settings.m_shutdownTimeout, never);
+  Log(LogLevel::Warning,
+      "shutdown_timeout",
+      { { "in_flight", std::to_string(m_inFlight.Count()) } });
+  m_inFlight.CancelAll(ResultCode::InstanceDraining);
+  m_callerServer.Abort();
+  m_peerServer.Abort();
+}
+
+Task<void>
+Daemon::WaitForKeyedRuns()
+{
+  CancelSource never;
+  while (m_keyedRuns.RunningCount() > 0) {
+    co_await WaitFor(m_context.get_executor(), kKeyedRunsPoll, never);
+  }
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/programs/rattanweird/daemon.h
@@ -0,0 +1,91 @@
+// One running instance: everything that lives as long as the process, wired
+// together on one io_context.
+//
+//   Daemon daemon(settings);
+//   daemon.Run();
+//
+// The members are declared in the order of their life spans: what comes later
+// may use what came before.
+
+#pragma once
+
+#include "programs/rattanweird/status_report.h"
+
+#include "rattanweir/connection/admin/admin_routes.h"
+#include "rattanweir/connection/control/control_plane.h"
+#include "rattanweir/connection/http_client/http_client.h"
+#include "rattanweir/connection/http_server/http_server.h"
+#include "rattanweir/process/settings/settings.h"
+#include "rattanweir/request/pipeline/entry_handler.h"
+#include "rattanweir/request/pipeline/peer_handler.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+namespace rattanweir {
+
+class Daemon
+{
+public:
+  // Listens on all three addresses and logs them. Throws
+  // boost::system::system_error.
+  explicit Daemon(const Settings& aSettings);
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  // Serves until a graceful shutdown has ended.
+  void Run();
+
+private:
+  Serving MakeServing();
+  ControlPlaneOptions MakeControlOptions();
+  HttpServerOptions MakeCallerOptions();
+  HttpServerOptions MakePeerOptions();
+  HttpServerOptions MakeAdminOptions();
+  void RegisterGauges();
+  void RegisterAdminRoutes();
+  AdminAnswer Readyz() const;
+  void TakeAccepted(SectionKind aKind);
+  void ForgetUnlistedBackends();
+  Heartbeat Describe() const;
+  void UpdateReadiness();
+  Task<void> TickUntilStopped();
+  Task<void> AwaitSignals();
+  void BeginShutdown();
+  Task<void> ShutDown();
+  Task<void> AbortAtShutdownTimeout();
+  Task<void> WaitForKeyedRuns();
+
+  const Settings m_settings;
+  const Clock& m_clock;
+  const Incarnation m_incarnation;
+  RandomEngine m_random;
+  asio::io_context m_context;
+
+  Metrics m_metrics;
+  Catalog m_catalog;
+  Membership m_membership;
+  RateLedger m_rates;
+  IdempotencyLedger m_keys;
+  BackendView m_backends;
+  RunningRequests m_inFlight;
+  RetryBudget m_retries;
+
+  HttpUpstream m_upstream;
+  ControlPlane m_control;
+  Serving m_serving;
+  KeyedRuns m_keyedRuns;
+  EntryHandler m_entryHandler;
+  PeerHandler m_peerHandler;
+  AdminRoutes m_adminRoutes;
+  StatusReport m_report;
+
+  HttpServer m_callerServer;
+  HttpServer m_peerServer;
+  HttpServer m_adminServer;
+
+  asio::signal_set m_signals;
+  bool m_isStopped = false;
+};
+
+} // namespace rattanweir
--- a/programs/rattanweird/status_report.cc
+++ b/programs/rattanweird/status_report.cc
@@ -1,6 +1,5 @@
 #include "programs/rattanweird/status_report.h"
 
-#include "rattanweir/request/body/request_body.h"
 #include "rattanweir/request/pipeline/explain.h"
 #include "rattanweir/request/pipeline/json_answer.h"
 
@@ -75,18 +74,18 @@
 }
 
 std::string
-StatusReport::Explain(const std::string& aQuery) const
+StatusReport::Explain(const AdminQuery& aQuery) const
 {
   ExplainQuestion question;
-  if (const auto route = QueryParameter(aQuery, "route")) {
+  if (const auto route = aQuery.Find("route")) {
     question.m_route = RouteId(*route);
   }
-  if (const auto model = QueryParameter(aQuery, "model")) {
+  if (const auto model = aQuery.Find("model")) {
     question.m_model = ModelId(*model);
   }
-  question.m_path = QueryParameter(aQuery, "path").value_or("");
+  question.m_path = aQuery.Find("path").value_or("");
   question.m_clientAccount =
-    ClientAccountId(QueryParameter(aQuery, "client_account").value_or(""));
+    ClientAccountId(aQuery.Find("client_account").value_or(""));
   const Explanation explanation = rattanweir::Explain(m_serving, question);
   Json::Value json(Json::objectValue);
   json["result"] = explanation.m_result;
--- a/programs/rattanweird/status_report.h
+++ b/programs/rattanweird/status_report.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include "rattanweir/connection/admin/admin_query.h"
 #include "rattanweir/request/pipeline/keyed_runs.h"
 #include "rattanweir/request/pipeline/serving.h"
 
@@ -30,9 +31,8 @@
   // Refusals and retries by the names of their result codes.
   std::string Counters() const;
 
-  // Answers `route=..&client_account=..` or `path=..&model=..`; the query
-  // without its question mark.
-  std::string Explain(const std::string& aQuery) const;
+  // Answers `route=..&client_account=..` or `path=..&model=..`.
+  std::string Explain(const AdminQuery& aQuery) const;
 
 private:
   Json::Value Sections() const;
--- a/rattanweir/request/body/request_body.cc
+++ b/rattanweir/request/body/request_body.cc
@@ -201,16 +201,4 @@
   return kept;
 }
 
-std::optional<std::string>
-QueryParameter(const std::string& aQuery, std::string_view aName)
-{
-  for (const std::string_view parameter : ParametersOf(aQuery)) {
-    const std::size_t equals = parameter.find('=');
-    if (equals != std::string_view::npos && ParameterName(parameter) == aName) {
-      return PercentDecode(parameter.substr(equals + 1));
-    }
-  }
-  return std::nullopt;
-}
-
 } // namespace rattanweir
--- a/rattanweir/request/body/request_body.h
+++ b/rattanweir/request/body/request_body.h
@@ -16,7 +16,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 
 namespace rattanweir {
 
@@ -42,8 +41,4 @@
 std::string
 WithoutKeyParameters(const std::string& aQuery);
 
-// The percent-decoded value of the first parameter with this name, or nothing.
-std::optional<std::string>
-QueryParameter(const std::string& aQuery, std::string_view aName);
-
 } // namespace rattanweir
--- a/rattanweir/request/credentials/credentials_test.cc
+++ b/rattanweir/request/credentials/credentials_test.cc
@@ -69,8 +69,6 @@
     REQUIRE(PassedTarget(target) == passed);
   }
   REQUIRE(PathOf("/v1/a?b=1") == "/v1/a");
-  REQUIRE(QueryParameter("a=1&b%20c=%2fd&e", "b c") == "/d");
-  REQUIRE(QueryParameter("a=1&e", "e") == std::nullopt);
 }
 
 TEST_CASE("bodies are read for routing and lose their key fields")
--- a/rattanweir/request/pipeline/pipeline_test.cc
+++ b/rattanweir/request/pipeline/pipeline_test.cc
@@ -1,6 +1,7 @@
 #include "testing/pipeline_world/pipeline_world.h"
 
 #include "rattanweir/request/exchange/header_fields.h"
+#include "rattanweir/request/pipeline/explain.h"
 
 #include <catch2/catch.hpp>
 
@@ -870,5 +871,50 @@
   REQUIRE(issue("west-1", R"({"route":"book"})").m_code == Code::KeyNotGranted);
 }
 
+TEST_CASE("an explanation agrees with what a request then meets")
+{
+  struct Row
+  {
+    ExplainQuestion m_question;
+    Arrange m_arrange;
+    const char* m_result;
+  };
+  const ClientAccountId account("a");
+  const auto cutOff = [](PipelineWorld& aWorld) {
+    aWorld.m_membership.MarkUnreachable(InstanceId("west-1"));
+  };
+  const Row rows[] = {
+    { { .m_route = RouteId("book"), .m_clientAccount = account },
+      {},
+      "served by d1" },
+    { { .m_path = "/book/now", .m_clientAccount = account },
+      {},
+      "served by d1" },
+    { { .m_path = "/west", .m_clientAccount = account },
+      {},
+      "forwarded to west-1" },
+    { { .m_path = "/west", .m_clientAccount = account },
+      cutOff,
+      "residency_unavailable" },
+    { { .m_path = "/none", .m_clientAccount = account },
+      {},
+      "no_backend_server" },
+    { { .m_path = "/book" }, {}, "key_missing" },
+    { { .m_path = "/x" }, {}, "unknown_route" },
+    { { .m_path = "/book", .m_clientAccount = account },
+      PauseProcess,
+      "instance_paused" },
+  };
+  for (const Row& row : rows) {
+    PipelineWorld world;
+    if (row.m_arrange) {
+      row.m_arrange(world);
+    }
+    const Explanation why = Explain(world.m_serving, row.m_question);
+    CHECK(why.m_result == row.m_result);
+    CHECK_FALSE(why.m_reasons.empty());
+  }
+}
+
 } // namespace
 } // namespace rattanweir
