--- a/programs/rattanweird/daemon.cc
+++ b/programs/rattanweird/daemon.cc
@@ -65,6 +65,11 @@
   , m_callerServer(MakeCallerOptions())
   , m_peerServer(MakePeerOptions())
   , m_adminServer(MakeAdminOptions())
+  , m_platform(m_settings.m_platform,
+               { .m_executor = m_context.get_executor(),
+                 .m_catalog = m_catalog,
+                 .m_membership = m_membership,
+                 .m_metrics = m_metrics })
   , m_signals(m_context, SIGTERM, SIGINT)
 {
   m_serving.m_callerAddress = m_callerServer.LocalEndpoint();
@@ -85,6 +90,7 @@
   m_callerServer.Start();
   m_peerServer.Start();
   m_adminServer.Start();
+  m_platform.Start();
   m_control.Start();
   Spawn(m_context, [this] { return TickUntilStopped(); });
   Spawn(m_context, [this] { return AwaitSignals(); });
@@ -331,6 +337,7 @@
   co_await WaitForKeyedRuns();
   m_peerServer.Drain();
   co_await m_peerServer.WaitUntilDone();
+  m_platform.Stop();
   m_control.Stop();
   Log(LogLevel::Info, "stopped");
   m_isStopped = true;
--- a/programs/rattanweird/daemon.h
+++ b/programs/rattanweird/daemon.h
@@ -15,6 +15,7 @@
 #include "rattanweir/connection/control/control_plane.h"
 #include "rattanweir/connection/http_client/http_client.h"
 #include "rattanweir/connection/http_server/http_server.h"
+#include "rattanweir/connection/platform/platform.h"
 #include "rattanweir/process/settings/settings.h"
 #include "rattanweir/request/pipeline/entry_handler.h"
 #include "rattanweir/request/pipeline/peer_handler.h"
@@ -83,6 +84,7 @@
   HttpServer m_callerServer;
   HttpServer m_peerServer;
   HttpServer m_adminServer;
+  Platform m_platform;
 
   asio::signal_set m_signals;
   bool m_isStopped = false;
