--- a/rattanweir/process/rate/internal/share_bucket.cc
+++ b/rattanweir/process/rate/internal/share_bucket.cc
@@ -207,25 +207,51 @@
   Clip();
 }
 
+std::vector<ShareBucket::Change>
+ShareBucket::ChangesInOrder() const
+{
+  std::vector<Change> changes;
+  changes.reserve(m_lent.size() + m_borrowed.size());
+  for (const Lent& lent : m_lent) {
+    changes.push_back(
+      { .m_at = lent.m_until, .m_share = lent.m_grant.m_fraction });
+  }
+  for (const BorrowedPart& part : m_borrowed) {
+    changes.push_back({ .m_at = part.m_until, .m_share = -part.m_fraction });
+  }
+  std::sort(changes.begin(),
+            changes.end(),
+            [](const Change& aLeft, const Change& aRight) {
+              return aLeft.m_at < aRight.m_at;
+            });
+  return changes;
+}
+
 std::optional<std::chrono::nanoseconds>
 ShareBucket::TimeUntil(double aTokens) const
 {
-  ShareBucket later = *this;
-  for (;;) {
-    const std::optional<SteadyTime> next = later.NextChange();
-    const double speed = later.Held() * m_limits.m_tokensPerSecond;
-    if (aTokens <= later.Cap() && speed > 0) {
+  std::vector<Change> changes = ChangesInOrder();
+  // The last one stands for no change any more.
+  changes.push_back({ .m_at = SteadyTime::max() });
+  SteadyTime at = m_at;
+  double held = Held();
+  double tokens = m_tokens;
+  for (const Change& change : changes) {
+    const double cap = held * m_limits.m_burst;
+    const double speed = held * m_limits.m_tokensPerSecond;
+    if (aTokens <= cap && speed > 0) {
       const std::chrono::nanoseconds wait =
-        DurationOf(std::max(0.0, aTokens - later.m_tokens) / speed);
-      if (!next || later.m_at + wait <= *next) {
-        return later.m_at + wait - m_at;
+        DurationOf(std::max(0.0, aTokens - tokens) / speed);
+      if (at + wait <= change.m_at) {
+        return at + wait - m_at;
       }
     }
-    if (!next) {
-      return std::nullopt;
-    }
-    later.Advance(*next);
+    tokens = std::min(cap, tokens + speed * SecondsOf(change.m_at - at));
+    held += change.m_share;
+    tokens = std::min(tokens, held * m_limits.m_burst);
+    at = change.m_at;
   }
+  return std::nullopt;
 }
 
 void
--- a/rattanweir/process/rate/internal/share_bucket.h
+++ b/rattanweir/process/rate/internal/share_bucket.h
@@ -98,7 +98,15 @@
     InstanceId m_borrower;
     SteadyTime m_until;
   };
+  // The share held grows or shrinks by a lease that ends.
+  struct Change
+  {
+    SteadyTime m_at;
+    double m_share = 0;
+  };
+
   std::optional<SteadyTime> NextChange() const;
+  std::vector<Change> ChangesInOrder() const;
   void FillUntil(SteadyTime aTime);
   void EndLeases();
   void Clip();
--- a/rattanweir/process/rate/rate_lease_test.cc
+++ b/rattanweir/process/rate/rate_lease_test.cc
@@ -157,6 +157,29 @@
   }
 }
 
+TEST_CASE("the time to come back counts leases that end meanwhile")
+{
+  FullInstance instance;
+  instance.Drain();
+  SECTION("a borrowed one ends: 200 a second for 5 s, then 100")
+  {
+    const auto ask = instance.Ask(1'900);
+    REQUIRE(instance.m_ledger.Accept(GrantFor(*ask, 1, 0)));
+    REQUIRE(instance.Reserve(800) == "4000 ms");
+    REQUIRE(instance.Reserve(1'000) == "5000 ms");
+    REQUIRE(instance.Reserve(1'001) == "short");
+  }
+  SECTION("a lent one comes back: 60 a second for 5.025 s, then 100")
+  {
+    FullInstance idle;
+    idle.m_ledger.Lend(RequestFor(0.4));
+    REQUIRE(idle.Reserve(600) == "taken");
+    REQUIRE(idle.Reserve(300) == "5000 ms");
+    REQUIRE(idle.Reserve(600) == "8010 ms");
+    REQUIRE(idle.Reserve(1'001) == "short");
+  }
+}
+
 TEST_CASE("a grant that is not wanted any more changes nothing")
 {
   FullInstance borrower;
