Measure what a connection costs in memory and time

The gateway's server and client pass requests through and decide nothing; each figure is taken beside the same one without them, in one run.

--- /dev/null
+++ b/bench/connection_memory/connection_memory.cc
@@ -0,0 +1,280 @@
+// What a connection costs: memory while it is idle and while it streams, and
+// the time that the gateway's server and client add to a request.
+//
+//   connection_memory                  all figures
+//   connection_memory --memory_case 3  one case's memory, in a fresh process
+//
+// The gateway passes requests through and decides nothing. Each figure stands
+// beside the same one without the gateway, from the same run. Where several
+// cases run in one process, a later one's resident memory is too low, since it
+// reuses what an earlier one has freed.
+
+#include "rattanweir/base/asio/asio.h"
+
+#include "bench/connection_memory/bench_world.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <gflags/gflags.h>
+#include <malloc.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <future>
+#include <vector>
+
+DEFINE_int32(memory_case, -1, "measure only this case's memory, from 0");
+
+namespace rattanweir {
+namespace {
+
+using asio::ip::tcp;
+using std::chrono::nanoseconds;
+
+constexpr int kConnections = 2'000;
+constexpr int kRounds = 40;
+constexpr int kRequestsInARound = 250;
+constexpr int kConcurrent = 32;
+constexpr auto kLoadTime = std::chrono::seconds(3);
+
+double
+ResidentBytes()
+{
+  malloc_trim(0);
+  std::ifstream statm("/proc/self/statm");
+  double total = 0;
+  double resident = 0;
+  statm >> total >> resident;
+  return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+double
+AllocatedBytes()
+{
+  return static_cast<double>(mallinfo2().uordblks);
+}
+
+// Callers without any memory of their own in this process.
+std::vector<tcp::socket>
+OpenCallers(asio::io_context& aContext,
+            const Endpoint& aEndpoint,
+            const std::string& aTarget,
+            const std::string& aMark)
+{
+  std::vector<tcp::socket> callers;
+  callers.reserve(kConnections);
+  const std::string request = "GET " + aTarget + " HTTP/1.1\r\n\r\n";
+  for (int i = 0; i < kConnections; ++i) {
+    tcp::socket& socket = callers.emplace_back(aContext);
+    socket.connect(
+      { asio::ip::make_address(aEndpoint.m_address), aEndpoint.m_port });
+    asio::write(socket, asio::buffer(request));
+    std::string answer;
+    asio::read_until(socket, asio::dynamic_buffer(answer), aMark);
+  }
+  return callers;
+}
+
+void
+WaitUntilClosed(BenchWorld& aWorld)
+{
+  const auto isOpen = [](BenchServer& aServer, std::uint32_t aMost) {
+    return aServer.Connections() > aMost;
+  };
+  while (isOpen(aWorld.m_gateway, 0) ||
+         isOpen(aWorld.m_backend, kConcurrent * 2)) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+}
+
+struct MemoryCost
+{
+  double m_resident = 0;
+  double m_allocated = 0;
+};
+
+MemoryCost
+MeasureMemory(BenchWorld& aWorld,
+              const Endpoint& aEndpoint,
+              const std::string& aTarget,
+              const std::string& aMark)
+{
+  asio::io_context context;
+  const double resident = ResidentBytes();
+  const double allocated = AllocatedBytes();
+  MemoryCost cost;
+  {
+    const auto callers = OpenCallers(context, aEndpoint, aTarget, aMark);
+    cost.m_resident = (ResidentBytes() - resident) / kConnections;
+    cost.m_allocated = (AllocatedBytes() - allocated) / kConnections;
+  }
+  WaitUntilClosed(aWorld);
+  return cost;
+}
+
+void
+ReportMemory(BenchWorld& aWorld)
+{
+  const struct
+  {
+    const char* m_name;
+    Endpoint m_endpoint;
+    const char* m_target;
+    const char* m_mark;
+  } cases[] = {
+    { "idle, server alone", aWorld.m_backend.LocalEndpoint(), "/small", "ok" },
+    { "idle, gateway", aWorld.m_gateway.LocalEndpoint(), "/small", "ok" },
+    { "stream, server alone",
+      aWorld.m_backend.LocalEndpoint(),
+      "/hold",
+      "forest" },
+    { "stream, server and gateway",
+      aWorld.m_gateway.LocalEndpoint(),
+      "/hold",
+      "forest" },
+  };
+  std::printf("%-28s %14s %14s\n", "bytes a connection", "resident", "in use");
+  int number = 0;
+  for (const auto& row : cases) {
+    if (const int here = number++;
+        FLAGS_memory_case >= 0 && FLAGS_memory_case != here) {
+      continue;
+    }
+    const MemoryCost cost =
+      MeasureMemory(aWorld, row.m_endpoint, row.m_target, row.m_mark);
+    std::printf(
+      "%-28s %14.0f %14.0f\n", row.m_name, cost.m_resident, cost.m_allocated);
+  }
+}
+
+Task<void>
+Ask(HttpUpstream& aUpstream, Endpoint aEndpoint, std::string aTarget)
+{
+  CancelSource cancel;
+  OutboundRequest request{ .m_method = "GET", .m_target = std::move(aTarget) };
+  request.m_deadline = SystemClock().SteadyNow() + std::chrono::seconds(30);
+  const auto exchange =
+    co_await aUpstream.Send(aEndpoint, std::move(request), cancel);
+  co_await exchange->ReadHead();
+  while (co_await exchange->ReadChunk()) {
+  }
+}
+
+// Runs the task in the thread and waits for its end.
+void
+RunIn(IoThread& aThread, std::function<Task<void>()> aTask)
+{
+  std::promise<void> done;
+  asio::co_spawn(
+    aThread.Context(), std::move(aTask), [&](const std::exception_ptr& aError) {
+      aError ? done.set_exception(aError) : done.set_value();
+    });
+  done.get_future().get();
+}
+
+std::string
+Quantiles(std::vector<nanoseconds>& aTimes)
+{
+  std::sort(aTimes.begin(), aTimes.end());
+  const auto at = [&](double aPart) {
+    const auto index =
+      static_cast<std::size_t>(aPart * static_cast<double>(aTimes.size() - 1));
+    return static_cast<double>(aTimes[index].count()) / 1e3;
+  };
+  char text[64];
+  std::snprintf(text, sizeof text, "%10.1f %10.1f", at(0.5), at(0.99));
+  return text;
+}
+
+// One request at a time, direct and through the gateway in turns.
+void
+ReportLatency(BenchWorld& aWorld, IoThread& aClient, HttpUpstream& aUpstream)
+{
+  const Endpoint endpoints[] = { aWorld.m_backend.LocalEndpoint(),
+                                 aWorld.m_gateway.LocalEndpoint() };
+  std::printf("\n%-28s %10s %10s\n", "us a request", "p50", "p99");
+  for (const std::string target : { "/small", "/stream" }) {
+    std::vector<nanoseconds> times[2];
+    for (int round = 0; round < 2 * kRounds; ++round) {
+      const int side = round % 2;
+      RunIn(aClient, [&]() -> Task<void> {
+        for (int i = 0; i < kRequestsInARound; ++i) {
+          const auto start = std::chrono::steady_clock::now();
+          co_await Ask(aUpstream, endpoints[side], target);
+          times[side].push_back(std::chrono::steady_clock::now() - start);
+        }
+      });
+    }
+    std::printf(
+      "%-28s %s\n", (target + " direct").c_str(), Quantiles(times[0]).c_str());
+    std::printf(
+      "%-28s %s\n", (target + " gateway").c_str(), Quantiles(times[1]).c_str());
+  }
+}
+
+// Many requests at a time; what they cost the gateway's thread.
+void
+ReportLoad(BenchWorld& aWorld, IoThread& aClient, HttpUpstream& aUpstream)
+{
+  std::printf("\n%-28s %10s %10s %12s\n",
+              "gateway under load",
+              "requests/s",
+              "us of core",
+              "requests/core");
+  for (const std::string target : { "/small", "/stream" }) {
+    const auto end = std::chrono::steady_clock::now() + kLoadTime;
+    const nanoseconds before = aWorld.m_gateway.Used();
+    int count = 0;
+    std::vector<std::future<void>> callers;
+    callers.reserve(kConcurrent);
+    for (int caller = 0; caller < kConcurrent; ++caller) {
+      callers.push_back(std::async(std::launch::async, [&] {
+        RunIn(aClient, [&]() -> Task<void> {
+          while (std::chrono::steady_clock::now() < end) {
+            co_await Ask(aUpstream, aWorld.m_gateway.LocalEndpoint(), target);
+            ++count;
+          }
+        });
+      }));
+    }
+    callers.clear();
+    const auto used =
+      std::chrono::duration<double>(aWorld.m_gateway.Used() - before);
+    const std::chrono::duration<double> time = kLoadTime;
+    std::printf("%-28s %10.0f %10.1f %12.0f\n",
+                target.c_str(),
+                count / time.count(),
+                used.count() / count * 1e6,
+                count / used.count());
+  }
+}
+
+void
+Run()
+{
+  BenchWorld world;
+  ReportMemory(world);
+  if (FLAGS_memory_case >= 0) {
+    return;
+  }
+  IoThread client;
+  HttpUpstream upstream({ .m_executor = client.Context().get_executor() });
+  ReportLatency(world, client, upstream);
+  ReportLoad(world, client, upstream);
+}
+
+} // namespace
+} // namespace rattanweir
+
+int
+main(int argc, char** argv)
+{
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  rattanweir::Run();
+  return 0;
+}
--- a/rattanweir/connection/platform/platform_test.cc
+++ b/rattanweir/connection/platform/platform_test.cc
@@ -61,7 +61,7 @@
   {
     return WaitUntil([this, aRate] { return Rate() == aRate; });
   }
-  Task<void> WaitForPeer(std::string aId)
+  Task<void> WaitForPeer(const std::string& aId)
   {
     return WaitUntil(
       [this, aId] { return m_membership.Find(InstanceId(aId)).has_value(); });
