--- /dev/null
+++ b/programs/rattanweirctl/admin_client.cc
@@ -0,0 +1,70 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "programs/rattanweirctl/admin_client.h"
+
+#include "rattanweir/base/cancel/cancel.h"
+#include "rattanweir/base/clock/clock.h"
+#include "rattanweir/connection/http_client/http_client.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <exception>
+#include <memory>
+#include <optional>
+
+namespace rattanweir::ctl {
+namespace {
+
+Task<AdminAnswer>
+Exchange(Upstream& aUpstream, AdminRequest aRequest, CancelSource& aCancel)
+{
+  OutboundRequest outbound{
+    .m_method = aRequest.m_method,
+    .m_target = aRequest.m_target,
+    .m_headers = { { "accept", "application/json" } },
+    .m_body = std::make_shared<const std::string>(),
+    .m_deadline = SystemClock().SteadyNow() + aRequest.m_timeout,
+  };
+  const auto exchange =
+    co_await aUpstream.Send(aRequest.m_endpoint, std::move(outbound), aCancel);
+  AdminAnswer answer;
+  const AnswerHead head = co_await exchange->ReadHead();
+  answer.m_status = head.m_status;
+  while (auto chunk = co_await exchange->ReadChunk()) {
+    answer.m_body += *chunk;
+  }
+  co_return answer;
+}
+
+} // namespace
+
+AdminAnswer
+AskAdmin(const AdminRequest& aRequest)
+{
+  asio::io_context context;
+  AdminAnswer answer;
+  std::exception_ptr failure;
+  {
+    HttpUpstream upstream({ .m_executor = context.get_executor() });
+    CancelSource cancel;
+    asio::co_spawn(context,
+                   Exchange(upstream, aRequest, cancel),
+                   [&](std::exception_ptr aFailure, AdminAnswer aAnswer) {
+                     failure = aFailure;
+                     answer = std::move(aAnswer);
+                     context.stop();
+                   });
+    context.run();
+  }
+  if (!failure) {
+    return answer;
+  }
+  try {
+    std::rethrow_exception(failure);
+  } catch (const RequestError& error) {
+    throw AdminUnreachable(aRequest.m_endpoint.ToString() + ": " +
+                           error.what());
+  }
+}
+
+} // namespace rattanweir::ctl
--- /dev/null
+++ b/programs/rattanweirctl/admin_commands.cc
@@ -0,0 +1,153 @@
+#include "programs/rattanweirctl/admin_commands.h"
+
+#include "programs/rattanweirctl/admin_client.h"
+#include "programs/rattanweirctl/text_form.h"
+
+#include <json/json.h>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace rattanweir::ctl {
+namespace {
+
+struct AdminCommand
+{
+  std::string_view m_name;
+  std::string_view m_method;
+  std::string_view m_path;
+  // The field of the answer that is false where the answer is no; empty if
+  // there is none.
+  std::string_view m_verdict;
+};
+
+constexpr AdminCommand kCommands[] = {
+  { "status", "GET", "/status", "ready" },
+  { "entries", "GET", "/entries", "" },
+  { "explain", "GET", "/explain", "served" },
+  { "counters", "GET", "/counters", "" },
+  { "drain", "POST", "/drain", "" },
+};
+
+constexpr unsigned kLeastSuccess = 200;
+constexpr unsigned kLeastRedirect = 300;
+
+const AdminCommand*
+FindCommand(const std::string& aName)
+{
+  for (const AdminCommand& command : kCommands) {
+    if (command.m_name == aName) {
+      return &command;
+    }
+  }
+  return nullptr;
+}
+
+// A value of a query: everything but unreserved characters is escaped.
+std::string
+EncodeValue(const std::string& aValue)
+{
+  constexpr std::string_view kUnreserved =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+  constexpr std::string_view kDigits = "0123456789ABCDEF";
+  std::string encoded;
+  for (const char character : aValue) {
+    if (kUnreserved.find(character) != std::string_view::npos) {
+      encoded += character;
+      continue;
+    }
+    const auto code = static_cast<unsigned char>(character);
+    encoded += { '%', kDigits[code >> 4U], kDigits[code & 0xFU] };
+  }
+  return encoded;
+}
+
+std::string
+ExplainQuery(const CommandLine& aLine)
+{
+  if (aLine.m_route.empty() == aLine.m_path.empty()) {
+    throw UsageError("explain needs either --route or --path");
+  }
+  const std::array<std::pair<std::string_view, const std::string&>, 4> fields{
+    { { "route", aLine.m_route },
+      { "path", aLine.m_path },
+      { "model", aLine.m_model },
+      { "client_account", aLine.m_clientAccount } }
+  };
+  std::string query;
+  for (const auto& [name, value] : fields) {
+    if (value.empty()) {
+      continue;
+    }
+    query += query.empty() ? "?" : "&";
+    query += std::string(name) + "=" + EncodeValue(value);
+  }
+  return query;
+}
+
+std::optional<Json::Value>
+ParseJson(const std::string& aText)
+{
+  const std::unique_ptr<Json::CharReader> reader(
+    Json::CharReaderBuilder().newCharReader());
+  Json::Value value;
+  if (!reader->parse(
+        aText.data(), aText.data() + aText.size(), &value, nullptr)) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+bool
+SaysNo(const AdminCommand& aCommand, const Json::Value& aAnswer)
+{
+  if (aCommand.m_verdict.empty() || !aAnswer.isObject()) {
+    return false;
+  }
+  const Json::Value verdict = aAnswer[std::string(aCommand.m_verdict)];
+  return verdict.isBool() && !verdict.asBool();
+}
+
+} // namespace
+
+bool
+IsAdminCommand(const std::string& aCommand)
+{
+  return FindCommand(aCommand) != nullptr;
+}
+
+ExitCode
+RunAdminCommand(const CommandLine& aLine, std::ostream& aOut)
+{
+  const AdminCommand* command = FindCommand(aLine.m_command);
+  if (command == nullptr) {
+    throw UsageError("there is no command '" + aLine.m_command + "'");
+  }
+  if (!aLine.m_operands.empty()) {
+    throw UsageError(aLine.m_command + " takes no '" +
+                     aLine.m_operands.front() + "'");
+  }
+  std::string target(command->m_path);
+  if (command->m_name == "explain") {
+    target += ExplainQuery(aLine);
+  }
+  const AdminAnswer answer =
+    AskAdmin({ .m_endpoint = aLine.m_admin,
+               .m_method = std::string(command->m_method),
+               .m_target = target,
+               .m_timeout = aLine.m_timeout });
+  const std::optional<Json::Value> value = ParseJson(answer.m_body);
+  if (value && !aLine.m_asJson) {
+    PrintAsText(*value, aOut);
+  } else {
+    aOut << answer.m_body << "\n";
+  }
+  const bool isSuccess =
+    answer.m_status >= kLeastSuccess && answer.m_status < kLeastRedirect;
+  const bool isNo = !isSuccess || (value && SaysNo(*command, *value));
+  return isNo ? ExitCode::AnswerIsNo : ExitCode::Ok;
+}
+
+} // namespace rattanweir::ctl
--- /dev/null
+++ b/programs/rattanweirctl/command_line.cc
@@ -0,0 +1,135 @@
+#include "programs/rattanweirctl/command_line.h"
+
+#include "rattanweir/base/units/units.h"
+
+#include <gflags/gflags.h>
+
+#include <string_view>
+
+DEFINE_string(admin, "127.0.0.1:8082", "admin address of the instance");
+DEFINE_string(timeout, "10s", "how long to wait for the instance");
+DEFINE_bool(json, false, "print JSON in place of text");
+DEFINE_string(section, "", "what the checked file holds");
+DEFINE_string(route, "", "id of the route to explain");
+DEFINE_string(path, "", "path of the request to explain");
+DEFINE_string(model, "", "model of the request to explain");
+DEFINE_string(client_account, "", "client account of the request to explain");
+DECLARE_bool(help);
+
+namespace rattanweir::ctl {
+namespace {
+
+constexpr const char* kHelp =
+  R"(rattanweirctl asks one instance, or checks configuration before it is published.
+
+  rattanweirctl check FILE|DIRECTORY...   faults with file, line and field
+  rattanweirctl status                    versions in force, peers, requests in flight
+  rattanweirctl entries                   the instances that callers are told of
+  rattanweirctl explain                   why a request goes where it goes
+  rattanweirctl counters                  refusals and retries by result code
+  rattanweirctl drain                     take no new work and end in good order
+
+Flags of every command:
+  --json                  print JSON in place of text
+  --help                  print this
+
+Flags of the commands that ask an instance:
+  --admin IP:PORT         its admin address (127.0.0.1:8082)
+  --timeout DURATION      how long to wait for its answer (10s)
+
+Flags of explain: either a route, or a path with or without a model.
+  --route ID
+  --path PATH
+  --model NAME
+  --client_account ID     not needed for a route that is open to all
+
+Flags of check:
+  --section NAME          what the file holds: client_accounts, keys, routes,
+                          backend_servers, settings, or document for all four
+                          sections in one file. Without it the file's name
+                          tells, and any other name means document.
+
+A directory is checked as the directory platform reads it: the four section
+files, each with its version, and the references between them.
+
+Exit codes: 0 done, no faults; 1 faults found, or the instance answered no;
+2 wrong command line or a file that cannot be read; 3 no answer came.
+)";
+
+bool
+IsKnownFlag(const std::string& aName)
+{
+  constexpr std::string_view kNegation = "no";
+  gflags::CommandLineFlagInfo info;
+  if (gflags::GetCommandLineFlagInfo(aName.c_str(), &info)) {
+    return true;
+  }
+  return aName.starts_with(kNegation) &&
+         gflags::GetCommandLineFlagInfo(aName.substr(kNegation.size()).c_str(),
+                                        &info) &&
+         info.type == "bool";
+}
+
+// gflags ends the process by itself on an unknown flag, with the exit code
+// that stands for "no" here.
+void
+RefuseUnknownFlags(int aArgc, char** aArgv)
+{
+  for (int index = 1; index < aArgc; ++index) {
+    const std::string_view argument = aArgv[index];
+    if (argument == "--") {
+      return;
+    }
+    if (argument.size() < 2 || argument.front() != '-') {
+      continue;
+    }
+    const std::size_t start = argument.starts_with("--") ? 2 : 1;
+    const std::string name(argument.substr(start, argument.find('=') - start));
+    if (!IsKnownFlag(name)) {
+      throw UsageError("there is no flag --" + name);
+    }
+  }
+}
+
+} // namespace
+
+CommandLine
+ParseCommandLine(int aArgc, char** aArgv)
+{
+  RefuseUnknownFlags(aArgc, aArgv);
+  gflags::SetUsageMessage(kHelp);
+  gflags::ParseCommandLineNonHelpFlags(&aArgc, &aArgv, true);
+  CommandLine line{
+    .m_wantsHelp = FLAGS_help,
+    .m_operands = { aArgv + 1, aArgv + aArgc },
+    .m_asJson = FLAGS_json,
+    .m_section = FLAGS_section,
+    .m_route = FLAGS_route,
+    .m_path = FLAGS_path,
+    .m_model = FLAGS_model,
+    .m_clientAccount = FLAGS_client_account,
+  };
+  if (line.m_wantsHelp) {
+    return line;
+  }
+  if (line.m_operands.empty()) {
+    throw UsageError("no command is given");
+  }
+  line.m_command = line.m_operands.front();
+  line.m_operands.erase(line.m_operands.begin());
+  try {
+    line.m_admin = ParseEndpoint(FLAGS_admin);
+    line.m_timeout = ParseDuration(FLAGS_timeout);
+  } catch (const std::invalid_argument& error) {
+    throw UsageError(error.what());
+  }
+  return line;
+}
+
+std::string
+HelpText()
+{
+  return kHelp;
+}
+
+} // namespace rattanweir::ctl
--- /dev/null
+++ b/programs/rattanweirctl/exit_code.h
@@ -0,0 +1,18 @@
+// How rattanweirctl ends, for scripts.
+
+#pragma once
+
+namespace rattanweir::ctl {
+
+enum class ExitCode
+{
+  Ok = 0,
+  // Faults were found, or the instance's answer is no.
+  AnswerIsNo = 1,
+  // The command line is wrong or names a file that cannot be read.
+  Usage = 2,
+  // No answer came from the instance.
+  NotReachable = 3,
+};
+
+} // namespace rattanweir::ctl
--- /dev/null
+++ b/programs/rattanweirctl/main.cc
@@ -0,0 +1,50 @@
+// The operators' tool; `--help` and docs/CONFIGURATION.md describe it.
+
+#include "programs/rattanweirctl/admin_client.h"
+#include "programs/rattanweirctl/admin_commands.h"
+#include "programs/rattanweirctl/check_command.h"
+#include "programs/rattanweirctl/command_line.h"
+
+#include <exception>
+#include <iostream>
+
+namespace rattanweir::ctl {
+namespace {
+
+ExitCode
+Run(int aArgc, char** aArgv)
+{
+  const CommandLine line = ParseCommandLine(aArgc, aArgv);
+  if (line.m_wantsHelp) {
+    std::cout << HelpText();
+    return ExitCode::Ok;
+  }
+  if (line.m_command == "check") {
+    return RunCheck(line.m_operands, line.m_section, line.m_asJson, std::cout);
+  }
+  return RunAdminCommand(line, std::cout);
+}
+
+ExitCode
+RunOrExplain(int aArgc, char** aArgv)
+{
+  try {
+    return Run(aArgc, aArgv);
+  } catch (const UsageError& error) {
+    std::cerr << "rattanweirctl: " << error.what()
+              << "; see rattanweirctl --help\n";
+    return ExitCode::Usage;
+  } catch (const std::exception& error) {
+    std::cerr << "rattanweirctl: " << error.what() << "\n";
+    return ExitCode::NotReachable;
+  }
+}
+
+} // namespace
+} // namespace rattanweir::ctl
+
+int
+main(int aArgc, char** aArgv)
+{
+  return static_cast<int>(rattanweir::ctl::RunOrExplain(aArgc, aArgv));
+}
--- /dev/null
+++ b/programs/rattanweirctl/text_form.cc
@@ -0,0 +1,69 @@
+#include "programs/rattanweirctl/text_form.h"
+
+#include <string>
+
+namespace rattanweir::ctl {
+namespace {
+
+constexpr std::size_t kIndent = 2;
+
+std::string
+ScalarText(const Json::Value& aValue)
+{
+  if (aValue.isNull()) {
+    return "-";
+  }
+  if (aValue.empty() && (aValue.isArray() || aValue.isObject())) {
+    return "none";
+  }
+  return aValue.asString();
+}
+
+bool
+HasRows(const Json::Value& aValue)
+{
+  return (aValue.isArray() || aValue.isObject()) && !aValue.empty();
+}
+
+// `aFirst` stands before the first line; the others are indented to fit.
+void
+Print(const Json::Value& aValue,
+      const std::string& aFirst,
+      std::size_t aDepth,
+      std::ostream& aOut)
+{
+  if (!HasRows(aValue)) {
+    aOut << aFirst << ScalarText(aValue) << "\n";
+    return;
+  }
+  const std::string indent(aDepth * kIndent, ' ');
+  std::string first = aFirst;
+  if (aValue.isArray()) {
+    for (const Json::Value& row : aValue) {
+      Print(row, first + "- ", aDepth + 1, aOut);
+      first = indent;
+    }
+    return;
+  }
+  for (const std::string& name : aValue.getMemberNames()) {
+    const Json::Value& field = aValue[name];
+    aOut << first << name << ":";
+    first = indent;
+    if (!HasRows(field)) {
+      aOut << " " << ScalarText(field) << "\n";
+      continue;
+    }
+    aOut << "\n";
+    Print(field, std::string((aDepth + 1) * kIndent, ' '), aDepth + 1, aOut);
+  }
+}
+
+} // namespace
+
+void
+PrintAsText(const Json::Value& aValue, std::ostream& aOut)
+{
+  Print(aValue, "", 0, aOut);
+}
+
+} // namespace rattanweir::ctl
