--- a/testing/raw_peer/raw_peer.cc
+++ b/testing/raw_peer/raw_peer.cc
@@ -115,8 +115,9 @@
 RunTask(asio::io_context& aContext, std::function<Task<void>()> aTask)
 {
   std::optional<std::exception_ptr> end;
-  asio::co_spawn(
-    aContext, aTask, [&](std::exception_ptr aError) { end.emplace(aError); });
+  asio::co_spawn(aContext, aTask, [&](const std::exception_ptr& aError) {
+    end.emplace(aError);
+  });
   aContext.restart();
   const auto latest = std::chrono::steady_clock::now() + kLongestRun;
   while (!end && std::chrono::steady_clock::now() < latest) {
@@ -131,7 +132,7 @@
 }
 
 Task<void>
-WaitFor(std::function<bool()> aCondition)
+WaitUntil(std::function<bool()> aCondition)
 {
   const auto latest = std::chrono::steady_clock::now() + kLongestRun;
   asio::steady_timer timer(co_await asio::this_coro::executor);
