--- a/testing/harness/process.h
+++ b/testing/harness/process.h
@@ -53,6 +53,8 @@
   // the process's lines after the bound or when it ended.
   Json::Value WaitForRecord(const std::string& aEvent) const;
 
+  int Pid() const { return m_pid; }
+
   void Signal(int aSignal) const;
 
   // The exit status, or minus the signal that ended it; Lines() has them all
--- a/testing/stand_in/platform.cc
+++ b/testing/stand_in/platform.cc
@@ -17,8 +17,12 @@
 #include <chrono>
 #include <fstream>
 #include <limits>
+#include <map>
+#include <optional>
 #include <sstream>
+#include <sys/stat.h>
 #include <thread>
+#include <utility>
 
 DEFINE_int32(port, 0, "TCP port; 0 picks a free one");
 DEFINE_string(directory, ".", "the folder of the YAML files");
@@ -50,6 +54,23 @@
   return text.str();
 }
 
+// The file's text if another one stands there than at the last call.
+std::optional<std::string>
+ReadIfReplaced(const std::string& aName)
+{
+  static std::map<std::string, std::pair<ino_t, std::int64_t>> seen;
+  struct stat status = {};
+  if (::stat((FLAGS_directory + "/" + aName + ".yaml").c_str(), &status) != 0) {
+    return std::nullopt;
+  }
+  const std::pair<ino_t, std::int64_t> now{ status.st_ino,
+                                            status.st_mtim.tv_nsec };
+  if (std::exchange(seen[aName], now) == now) {
+    return std::nullopt;
+  }
+  return ReadFile(aName);
+}
+
 // The value of one query parameter, or empty.
 std::string
 QueryOf(const std::string& aTarget, const std::string& aName)
@@ -85,13 +106,12 @@
 public:
   Published Newest(const std::string& aName)
   {
-    const std::string text = ReadFile(aName);
     const auto limit = TheSwitches().Take("stale").value_or(
       std::numeric_limits<std::int64_t>::max());
     const std::lock_guard lock(m_mutex);
     auto& versions = m_versions[aName];
-    if (!text.empty()) {
-      versions[VersionOf(text)] = text;
+    if (const auto text = ReadIfReplaced(aName); text && !text->empty()) {
+      versions[VersionOf(*text)] = *text;
     }
     const auto above = versions.upper_bound(static_cast<std::uint64_t>(limit));
     if (above == versions.begin()) {
