--- a/programs/rattanweirctl/admin_client.cc
+++ b/programs/rattanweirctl/admin_client.cc
@@ -10,7 +10,7 @@
 
 #include <exception>
 #include <memory>
-#include <optional>
+#include <utility>
 
 namespace rattanweir::ctl {
 namespace {
@@ -50,7 +50,7 @@
     asio::co_spawn(context,
                    Exchange(upstream, aRequest, cancel),
                    [&](std::exception_ptr aFailure, AdminAnswer aAnswer) {
-                     failure = aFailure;
+                     failure = std::move(aFailure);
                      answer = std::move(aAnswer);
                      context.stop();
                    });
--- a/programs/rattanweirctl/admin_commands.cc
+++ b/programs/rattanweirctl/admin_commands.cc
@@ -2,9 +2,11 @@
 
 #include "programs/rattanweirctl/admin_client.h"
 #include "programs/rattanweirctl/text_form.h"
+#include "rattanweir/base/result/result_code.h"
 
 #include <json/json.h>
 
+#include <algorithm>
 #include <array>
 #include <memory>
 #include <optional>
@@ -13,22 +15,46 @@
 namespace rattanweir::ctl {
 namespace {
 
+bool
+NeverSaysNo(const Json::Value& /*aAnswer*/)
+{
+  return false;
+}
+
+bool
+SaysUnready(const Json::Value& aAnswer)
+{
+  const Json::Value& ready = aAnswer["ready"];
+  return ready.isBool() && !ready.asBool();
+}
+
+// The result of an explanation is the name of a refusal, or a sentence.
+bool
+SaysRefused(const Json::Value& aAnswer)
+{
+  const Json::Value& result = aAnswer["result"];
+  const auto results = AllResults();
+  return result.isString() &&
+         std::any_of(results.begin(), results.end(), [&](const auto& aInfo) {
+           return aInfo.m_name == result.asString();
+         });
+}
+
 struct AdminCommand
 {
   std::string_view m_name;
   std::string_view m_method;
   std::string_view m_path;
-  // The field of the answer that is false where the answer is no; empty if
-  // there is none.
-  std::string_view m_verdict;
+  // Whether an answer, an object, means no.
+  bool (*m_saysNo)(const Json::Value&);
 };
 
 constexpr AdminCommand kCommands[] = {
-  { "status", "GET", "/status", "ready" },
-  { "entries", "GET", "/entries", "" },
-  { "explain", "GET", "/explain", "served" },
-  { "counters", "GET", "/counters", "" },
-  { "drain", "POST", "/drain", "" },
+  { "status", "GET", "/status", &SaysUnready },
+  { "entries", "GET", "/entries", &NeverSaysNo },
+  { "explain", "GET", "/explain", &SaysRefused },
+  { "counters", "GET", "/counters", &NeverSaysNo },
+  { "drain", "POST", "/drain", &NeverSaysNo },
 };
 
 constexpr unsigned kLeastSuccess = 200;
@@ -100,16 +126,6 @@
   return value;
 }
 
-bool
-SaysNo(const AdminCommand& aCommand, const Json::Value& aAnswer)
-{
-  if (aCommand.m_verdict.empty() || !aAnswer.isObject()) {
-    return false;
-  }
-  const Json::Value verdict = aAnswer[std::string(aCommand.m_verdict)];
-  return verdict.isBool() && !verdict.asBool();
-}
-
 } // namespace
 
 bool
@@ -146,7 +162,8 @@
   }
   const bool isSuccess =
     answer.m_status >= kLeastSuccess && answer.m_status < kLeastRedirect;
-  const bool isNo = !isSuccess || (value && SaysNo(*command, *value));
+  const bool isNo =
+    !isSuccess || (value && value->isObject() && command->m_saysNo(*value));
   return isNo ? ExitCode::AnswerIsNo : ExitCode::Ok;
 }
 
--- a/programs/rattanweirctl/admin_commands.h
+++ b/programs/rattanweirctl/admin_commands.h
@@ -18,8 +18,8 @@
 IsAdminCommand(const std::string& aCommand);
 
 // Prints the instance's answer. AnswerIsNo if the instance refused, if
-// `status` says `"ready": false` or `explain` says `"served": false`. Throws
-// UsageError and AdminUnreachable.
+// `status` says `"ready": false` or the result of `explain` is a refusal.
+// Throws UsageError and AdminUnreachable.
 ExitCode
 RunAdminCommand(const CommandLine& aLine, std::ostream& aOut);
 
--- a/programs/rattanweirctl/admin_commands_test.cc
+++ b/programs/rattanweirctl/admin_commands_test.cc
@@ -84,8 +84,9 @@
   { { .m_command = "entries", .m_asJson = true }, 200, R"({"entries":[]})", ExitCode::Ok, "GET /entries", "{\"entries\":[]}\n" },
   { { .m_command = "counters" }, 503, "not now", ExitCode::AnswerIsNo, "GET /counters", "not now\n" },
   { { .m_command = "drain" }, 202, "{}", ExitCode::Ok, "POST /drain", "none\n" },
-  { { .m_command = "explain", .m_route = "r", .m_clientAccount = "a&b=c" }, 200, R"({"served":false,"reasons":["x","y"]})",
-    ExitCode::AnswerIsNo, "GET /explain?route=r&client_account=a%26b%3Dc", "reasons:\n  - x\n  - y\nserved: false\n" },
+  { { .m_command = "explain", .m_route = "r", .m_clientAccount = "a&b=c" }, 200, R"({"result":"rate_exceeded","reasons":["x","y"]})",
+    ExitCode::AnswerIsNo, "GET /explain?route=r&client_account=a%26b%3Dc", "reasons:\n  - x\n  - y\nresult: rate_exceeded\n" },
+  { { .m_command = "explain", .m_route = "r" }, 200, R"({"result":"served by s1"})", ExitCode::Ok, "GET /explain?route=r", "result: served by s1\n" },
   { { .m_command = "explain", .m_path = "/v1/chat", .m_model = "m" }, 404, R"({"code":104})", ExitCode::AnswerIsNo, "GET /explain?path=%2Fv1%2Fchat&model=m", "code: 104\n" },
 };
 // clang-format on
--- a/programs/rattanweirctl/check_command.cc
+++ b/programs/rattanweirctl/check_command.cc
@@ -1,6 +1,7 @@
 #include "programs/rattanweirctl/check_command.h"
 
 #include "programs/rattanweirctl/command_line.h"
+#include "rattanweir/process/instance_list/instance_list.h"
 #include "rattanweir/process/settings/settings.h"
 #include "rattanweir/version/document/document.h"
 #include "rattanweir/version/section/section.h"
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr const char* kSettings = "settings";
+constexpr const char* kInstances = "instances";
 constexpr const char* kDocument = "document";
 
 SectionText
@@ -45,14 +47,19 @@
   return {};
 }
 
+SectionText
+ReadFileOf(const std::string& aDirectory, const std::string& aName)
+{
+  const std::filesystem::path folder(aDirectory);
+  return ReadNamedFile((folder / (aName + ".yaml")).string());
+}
+
 CheckReport
 CheckDirectory(const std::string& aDirectory)
 {
   CheckReport report;
   const auto read = [&](SectionKind aKind, auto aParser) {
-    const std::filesystem::path folder(aDirectory);
-    const SectionText text =
-      ReadNamedFile((folder / (SectionName(aKind) + ".yaml")).string());
+    const SectionText text = ReadFileOf(aDirectory, SectionName(aKind));
     const std::size_t before = report.m_faults.size();
     auto section = Gather(report, [&] { return aParser(text); });
     if (report.m_faults.size() == before) {
@@ -66,19 +73,46 @@
     .m_routes = read(SectionKind::Routes, ParseRoutes),
     .m_backendServers = read(SectionKind::BackendServers, ParseBackendServers),
   };
+  const SectionText instances = ReadFileOf(aDirectory, kInstances);
+  Gather(report, [&] { return ParseInstanceList(instances); });
   if (report.m_faults.empty()) {
     report.m_warnings = FindDanglingReferences(document, aDirectory);
   }
   return report;
 }
 
+// Whether it names what a file may hold.
+bool
+IsKnownName(const std::string& aName)
+{
+  return aName == kSettings || aName == kInstances || aName == kDocument ||
+         SectionKindFromName(aName);
+}
+
 // What a file holds, from its name.
 std::string
 NameOfContents(const std::string& aPath)
 {
   const std::string stem = std::filesystem::path(aPath).stem().string();
-  const bool isKnown = stem == kSettings || SectionKindFromName(stem);
-  return isKnown ? stem : kDocument;
+  return IsKnownName(stem) ? stem : kDocument;
+}
+
+CheckReport
+CheckText(const std::string& aContents, const SectionText& aText)
+{
+  CheckReport report;
+  if (const auto kind = SectionKindFromName(aContents)) {
+    report.m_faults = FaultsOf(*kind, aText);
+  } else if (aContents == kSettings) {
+    Gather(report, [&] { return ParseSettings(aText); });
+  } else if (aContents == kInstances) {
+    Gather(report, [&] { return ParseInstanceList(aText); });
+  } else {
+    DocumentReport found = CheckDocument(aText);
+    report = { .m_faults = std::move(found.m_faults),
+               .m_warnings = std::move(found.m_warnings) };
+  }
+  return report;
 }
 
 Json::Value
@@ -129,22 +163,10 @@
   }
   const std::string contents =
     aSection.empty() ? NameOfContents(aPath) : aSection;
-  const auto kind = SectionKindFromName(contents);
-  if (!kind && contents != kSettings && contents != kDocument) {
+  if (!IsKnownName(contents)) {
     throw UsageError("there is no section '" + contents + "'");
   }
-  const SectionText text = ReadNamedFile(aPath);
-  CheckReport report;
-  if (kind) {
-    report.m_faults = FaultsOf(*kind, text);
-  } else if (contents == kSettings) {
-    Gather(report, [&] { return ParseSettings(text); });
-  } else {
-    DocumentReport found = CheckDocument(text);
-    report = { .m_faults = std::move(found.m_faults),
-               .m_warnings = std::move(found.m_warnings) };
-  }
-  return report;
+  return CheckText(contents, ReadNamedFile(aPath));
 }
 
 ExitCode
--- a/programs/rattanweirctl/check_command.h
+++ b/programs/rattanweirctl/check_command.h
@@ -22,7 +22,8 @@
   std::vector<SectionFault> m_warnings;
 };
 
-// Checks a file, or a directory with the four section files. `aSection` names
+// Checks a file, or a directory with the four section files and
+// the instance list. `aSection` names
 // what a file holds; if empty, the file's name tells. Throws UsageError if
 // the file cannot be read or the name is not known.
 CheckReport
--- a/programs/rattanweirctl/check_command_test.cc
+++ b/programs/rattanweirctl/check_command_test.cc
@@ -58,6 +58,7 @@
   { "k.yaml", "keys: 1", "keys", ":1: keys.keys: is not a list" },
   { "keys.yaml", "routes: 1\nx: 2", "routes", ":1: routes.routes: is not a list" },
   { "settings.yaml", "a: 1", "", ":1: settings.instance: is missing" },
+  { "instances.yaml", "instances: [{id: a}]", "", ":1: instances[0].region: is missing" },
   { "all.yaml", "keys: {keys: 1}", "", ":1: keys.keys: is not a list" },
   { "all.yaml", "- 1", "", ":1: document: is not a mapping" },
 };
--- a/programs/rattanweirctl/command_line.cc
+++ b/programs/rattanweirctl/command_line.cc
@@ -45,12 +45,13 @@
 
 Flags of check:
   --section NAME          what the file holds: client_accounts, keys, routes,
-                          backend_servers, settings, or document for all four
-                          sections in one file. Without it the file's name
-                          tells, and any other name means document.
+                          backend_servers, instances, settings, or document
+                          for all four sections in one file. Without it the
+                          file's name tells, and any other name means document.
 
 A directory is checked as the directory platform reads it: the four section
-files, each with its version, and the references between them.
+files, each with its version, the list of instances, and the references
+between the sections.
 
 Exit codes: 0 done, no faults; 1 faults found, or the instance answered no;
 2 wrong command line or a file that cannot be read; 3 no answer came.
