--- a/rattanweir/version/fault/fault_collector.cc
+++ b/rattanweir/version/fault/fault_collector.cc
@@ -1,5 +1,6 @@
 #include "rattanweir/version/fault/fault_collector.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace rattanweir {
@@ -28,6 +29,10 @@
 FaultCollector::Faults() const
 {
   std::vector<SectionFault> faults = m_faults;
+  std::stable_sort(
+    faults.begin(), faults.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.m_line < aRight.m_line;
+    });
   if (m_leftOut > 0) {
     faults.push_back(
       { .m_file = m_file,
--- a/rattanweir/version/fault/fault_collector.h
+++ b/rattanweir/version/fault/fault_collector.h
@@ -28,7 +28,8 @@
   void Add(int aLine, std::string aField, std::string aMessage);
   bool IsEmpty() const { return m_faults.empty(); }
 
-  // All faults; the last one tells how many were left out, if any were.
+  // All faults in the order of their lines; the last one tells how many were
+  // left out, if any were.
   std::vector<SectionFault> Faults() const;
 
   // Throws SectionError if there is a fault.
--- a/rattanweir/version/section/section_test.cc
+++ b/rattanweir/version/section/section_test.cc
@@ -216,7 +216,7 @@
   }
 }
 
-TEST_CASE("every fault of a section is reported, in one go")
+TEST_CASE("every fault of a section is reported at once, in the order of lines")
 {
   const std::string text =
     Replaced(Replaced(Replaced(kRoutes, "deadline: 30s", "deadline: soon"),
@@ -224,7 +224,14 @@
                       "idempotent: no"),
              "pool: booking",
              "pools: booking");
-  REQUIRE(FaultTexts(kR, text).size() == 4);
+  std::vector<std::string> places;
+  for (const std::string& fault : FaultTexts(kR, text)) {
+    places.push_back(fault.substr(0, fault.rfind(": ")));
+  }
+  REQUIRE(places == std::vector<std::string>{ "f:9: routes[0].deadline",
+                                              "f:11: routes[1].pool",
+                                              "f:14: routes[1].idempotent",
+                                              "f:18: routes[1].pools" });
 }
 
 TEST_CASE("a text that is empty, too large or no mapping is refused")
