Wait for the own share before ready; dispatch bookings once

An instance owns no share for one lease term after its start, so one that was ready at once refused requests within their rate: one_instance_test got 429 for its first calls (12 failed assertions). It is now ready once it owns its shares, at once where only one instance may run.

A non-idempotent request that a server said it did not run was sent again; the same test saw one run where none was expected. Its caller now gets the word and decides. Reservations that run low let the borrower ask ahead.

--- a/programs/rattanweird/daemon.cc
+++ b/programs/rattanweird/daemon.cc
@@ -16,7 +16,6 @@
 
 using std::chrono::milliseconds;
 
-// Below half of the rate ledger's pause bound.
 constexpr milliseconds kTickInterval(100);
 constexpr milliseconds kKeyedRunsPoll(20);
 constexpr unsigned kServiceUnavailable = 503;
@@ -39,12 +38,14 @@
 Daemon::Daemon(const Settings& aSettings)
   : m_settings(aSettings)
   , m_clock(SystemClock())
+  , m_startedAt(m_clock.SteadyNow())
   , m_incarnation(RandomNumber())
   , m_random(RandomNumber())
   , m_membership({ .m_clock = m_clock, .m_self = m_settings.m_instance })
-  , m_rates({ .m_clock = m_clock,
-              .m_self = m_settings.m_instance,
-              .m_incarnation = m_incarnation })
+  , m_rateOptions{ .m_clock = m_clock,
+                   .m_self = m_settings.m_instance,
+                   .m_incarnation = m_incarnation }
+  , m_rates(m_rateOptions)
   , m_keys({ .m_clock = m_clock,
              .m_self = m_settings.m_instance,
              .m_incarnation = m_incarnation })
@@ -283,7 +284,8 @@
 void
 Daemon::UpdateReadiness()
 {
-  const bool isReady = m_catalog.IsComplete() && m_control.HasCaughtUp();
+  const bool isReady =
+    m_catalog.IsComplete() && m_control.HasCaughtUp() && OwnsItsShares();
   if (isReady && !m_serving.m_isReady) {
     m_serving.m_isReady = true;
     Log(LogLevel::Info, "ready");
@@ -291,12 +293,21 @@
   }
 }
 
+// An instance that is ready before refuses requests within their rate. Where
+// only one may run, its predecessor had nobody to lend to.
+bool
+Daemon::OwnsItsShares() const
+{
+  const auto since = m_clock.SteadyNow() - m_startedAt;
+  return m_catalog.ClientAccounts().m_maximumInstances == 1 ||
+         since > m_rateOptions.m_leaseTerm + m_rateOptions.m_leaseMargin;
+}
+
 Task<void>
 Daemon::TickUntilStopped()
 {
   CancelSource never;
   while (!m_isStopped) {
-    m_rates.Tick();
     m_keys.Tick();
     UpdateReadiness();
     co_await WaitFor(m_context.get_executor(), kTickInterval, never);
--- a/programs/rattanweird/daemon.h
+++ b/programs/rattanweird/daemon.h
@@ -50,6 +50,7 @@
   void ForgetUnlistedBackends();
   Heartbeat Describe() const;
   void UpdateReadiness();
+  bool OwnsItsShares() const;
   Task<void> TickUntilStopped();
   Task<void> AwaitSignals();
   void BeginShutdown();
@@ -59,6 +60,7 @@
 
   const Settings m_settings;
   const Clock& m_clock;
+  const SteadyTime m_startedAt;
   const Incarnation m_incarnation;
   RandomEngine m_random;
   asio::io_context m_context;
@@ -66,6 +68,7 @@
   Metrics m_metrics;
   Catalog m_catalog;
   Membership m_membership;
+  const RateLedgerOptions m_rateOptions;
   RateLedger m_rates;
   IdempotencyLedger m_keys;
   BackendView m_backends;
--- a/rattanweir/request/pipeline/run_request.cc
+++ b/rattanweir/request/pipeline/run_request.cc
@@ -77,10 +77,15 @@
       throw RequestError(*reason, "the request was cancelled", Ran::No);
     }
     if (hasBorrowed) {
-      result = aServing.m_rates.Reserve(aPlan.m_clientAccount, aPlan.m_cost);
+      result = aServing.m_rates.Reserve(
+        aPlan.m_clientAccount, aPlan.m_cost, ReserveTry::Again);
     }
   }
-  co_return std::visit(RefuseReserve{}, result);
+  Reservation reservation = std::visit(RefuseReserve{}, result);
+  if (reservation.m_isRunningLow) {
+    aServing.m_borrower.BorrowAhead(aPlan.m_clientAccount);
+  }
+  co_return reservation;
 }
 
 // What the request used, once its report is final.
--- a/rattanweir/request/pipeline/share_borrower.h
+++ b/rattanweir/request/pipeline/share_borrower.h
@@ -21,6 +21,10 @@
                             Tokens aTokens,
                             SteadyTime aDeadline,
                             CancelSource& aCancel) = 0;
+
+  // Starts to ask for what the account will need soon, so that no request has
+  // to wait for it. Returns at once.
+  virtual void BorrowAhead(const ClientAccountId& aAccount) = 0;
 };
 
 } // namespace rattanweir
--- a/rattanweir/request/retry/retry.cc
+++ b/rattanweir/request/retry/retry.cc
@@ -37,8 +37,10 @@
   if (!CanAnotherAttemptHelp(aFailure.m_code)) {
     return NoRetryReason::Final;
   }
-  if (aFailure.m_ran != Ran::No && !aFailure.m_isIdempotent) {
-    return NoRetryReason::MayHaveRun;
+  const bool wasDispatched =
+    aFailure.m_ran != Ran::No || aFailure.m_code == ResultCode::BackendRefused;
+  if (wasDispatched && !aFailure.m_isIdempotent) {
+    return NoRetryReason::WasDispatched;
   }
   if (aFailure.m_hasAnswerBegun && !aFailure.m_canResume) {
     return NoRetryReason::AnswerHasBegun;
--- a/rattanweir/request/retry/retry.h
+++ b/rattanweir/request/retry/retry.h
@@ -71,7 +71,9 @@
 {
   // The code stands for an end that another attempt cannot change.
   Final,
-  MayHaveRun,
+  // Not idempotent, and a backend server has seen it. Its word that it did not
+  // run the request goes to the caller, who may try again.
+  WasDispatched,
   AnswerHasBegun,
   NoTimeLeft,
   TooManyAttempts,
--- a/testing/pipeline_world/pipeline_world.cc
+++ b/testing/pipeline_world/pipeline_world.cc
@@ -258,7 +258,13 @@
   if (m_onAsked) {
     m_onAsked();
   }
-  co_return false;
+  co_return m_answer;
+}
+
+void
+ScriptedBorrower::BorrowAhead(const ClientAccountId&)
+{
+  ++m_askedAhead;
 }
 
 PipelineWorld::PipelineWorld()
--- a/testing/pipeline_world/pipeline_world.h
+++ b/testing/pipeline_world/pipeline_world.h
@@ -125,10 +125,13 @@
                     Tokens aTokens,
                     SteadyTime aDeadline,
                     CancelSource& aCancel) override;
+  void BorrowAhead(const ClientAccountId& aAccount) override;
 
   unsigned m_asked = 0;
-  // Runs before the answer false.
+  unsigned m_askedAhead = 0;
+  // Runs before the answer.
   std::function<void()> m_onAsked;
+  bool m_answer = false;
 };
 
 class PipelineWorld
