--- a/rattanweir/connection/control/share_lending.cc
+++ b/rattanweir/connection/control/share_lending.cc
@@ -72,6 +72,22 @@
   co_return hasBorrowed;
 }
 
+void
+ShareLending::BorrowAhead(const ClientAccountId& aAccount)
+{
+  if (m_pending.count(aAccount) != 0) {
+    return;
+  }
+  const std::optional<LeaseRequest> request =
+    m_options.m_rate.PrepareLeaseRequest(
+      aAccount, Tokens(0), LendersNearestFirst());
+  if (request) {
+    const SteadyTime deadline = m_options.m_clock.SteadyNow() + kCallTimeout;
+    asio::co_spawn(
+      m_options.m_executor, Ask(*request, deadline), asio::detached);
+  }
+}
+
 bool
 ShareLending::IsAtHand(const ClientAccountId& aAccount, Tokens aTokens) const
 {
--- a/rattanweir/connection/control/share_lending.h
+++ b/rattanweir/connection/control/share_lending.h
@@ -48,6 +48,8 @@
                     SteadyTime aDeadline,
                     CancelSource& aCancel) override;
 
+  void BorrowAhead(const ClientAccountId& aAccount) override;
+
   // Tells each lender of the shares that are not needed any more. One that
   // does not hear of it has its share back with the end of the term.
   void Return(const std::vector<LeaseReturn>& aReturns);
