Bound the kept answers of one client account

One account could fill the room for kept answers, so that repeats of others got "has run, answer not kept". It now gets a part, as it does of the keys.

--- a/bench/control_slopes/control_slopes.cc
+++ b/bench/control_slopes/control_slopes.cc
@@ -203,7 +203,8 @@
                  .m_incarnation = Incarnation(0x1234567890abcdef),
                  .m_maximumKeys = aCount,
                  .m_maximumKeysPerClientAccount = aCount,
-                 .m_answerBytes = ByteCount(1ULL << 32U) })
+                 .m_answerBytes = ByteCount(1ULL << 32U),
+                 .m_answerBytesPerClientAccount = ByteCount(1ULL << 32U) })
   {
     m_keys.reserve(aCount);
   }
--- a/bench/rate_leases/rate_leases.cc
+++ b/bench/rate_leases/rate_leases.cc
@@ -32,6 +32,8 @@
 {
   std::string m_name;
   void (*m_prepare)(RateFleet&);
+  // The most processes that run at once.
+  std::uint32_t m_places = kInstances;
 };
 
 void
@@ -160,6 +162,23 @@
   }
 }
 
+// Three times, an instance sleeps, is replaced, and wakes 10 s later with its
+// own callers' backlog; from then on it runs beside its replacement.
+void
+Replaced(RateFleet& aFleet)
+{
+  SmallAccounts(aFleet);
+  Even(aFleet, kBig, 0.8 * kRate);
+  for (std::size_t instance = 0; instance < 3; ++instance) {
+    const nanoseconds at = 30s + 30s * instance;
+    aFleet.At(at, [&aFleet, instance] {
+      aFleet.Freeze(instance);
+      aFleet.AddReplacementOf(instance);
+    });
+    aFleet.At(at + 10s, [&aFleet, instance] { aFleet.Wake(instance); });
+  }
+}
+
 // Requests of the big account that need more than one instance's burst, which
 // then stop, while all instances have a burst of small ones.
 void
@@ -196,6 +215,7 @@
   { "cut 3/5 then 3/3/2, even", Cut },
   { "cut 3/5, all at one", CutSkewed },
   { "idle lender sleeps", Sleeper },
+  { "replaced, old ones wake", Replaced, 11 },
   { "large, then bursts", Gathered },
 };
 
@@ -212,9 +232,9 @@
 };
 
 ClientAccountsSection
-Section()
+Section(std::uint32_t aPlaces)
 {
-  ClientAccountsSection section{ .m_maximumInstances = kInstances };
+  ClientAccountsSection section{ .m_maximumInstances = aPlaces };
   section.m_clientAccounts.push_back(
     { .m_id = kBig, .m_rate = TokenRate(kRate), .m_burst = Tokens(kBurst) });
   for (int number = 0; number < 4; ++number) {
@@ -241,7 +261,7 @@
 {
   RateFleet fleet({ .m_seed = aSeed,
                     .m_model = aModel,
-                    .m_section = Section(),
+                    .m_section = Section(aCase.m_places),
                     .m_loss = 0.01 });
   aCase.m_prepare(fleet);
   fleet.Run(kEnd);
--- a/rattanweir/process/idempotency/idempotency_ledger.cc
+++ b/rattanweir/process/idempotency/idempotency_ledger.cc
@@ -28,6 +28,13 @@
 
 using Entries = std::list<Entry>;
 
+// What the keys of one client account take up.
+struct Usage
+{
+  std::size_t m_keys = 0;
+  std::uint64_t m_answerBytes = 0;
+};
+
 std::uint64_t
 SizeOf(const KeptAnswer& aAnswer)
 {
@@ -71,7 +78,7 @@
   Entries m_running;
   // The views are into the entries.
   std::unordered_map<std::string_view, Entries::iterator> m_byNonce;
-  std::unordered_map<ClientAccountId, std::size_t> m_countByAccount;
+  std::unordered_map<ClientAccountId, Usage> m_usageByAccount;
   std::uint64_t m_answerBytes = 0;
 
   SteadyTime Now() const { return m_options.m_clock.SteadyNow(); }
@@ -83,7 +90,7 @@
   void CheckRoom(const ClientAccountId& aAccount) const;
   void Forget(Entries::iterator aEntry);
   Entry& Stop(const IdempotencyKey& aKey);
-  std::unique_ptr<KeptOutcome> Keep(const KeptOutcome& aOutcome);
+  void Keep(Entry& aEntry, const KeptOutcome& aOutcome);
 };
 
 // What makes a key unusable whatever became of it.
@@ -143,9 +150,9 @@
 void
 IdempotencyLedger::State::CheckRoom(const ClientAccountId& aAccount) const
 {
-  const auto held = m_countByAccount.find(aAccount);
-  if (held != m_countByAccount.end() &&
-      held->second >= m_options.m_maximumKeysPerClientAccount) {
+  const auto held = m_usageByAccount.find(aAccount);
+  if (held != m_usageByAccount.end() &&
+      held->second.m_keys >= m_options.m_maximumKeysPerClientAccount) {
     throw RequestError(ResultCode::TooManyRequests,
                        "the client account holds its most idempotency keys");
   }
@@ -158,12 +165,13 @@
 void
 IdempotencyLedger::State::Forget(Entries::iterator aEntry)
 {
-  if (aEntry->m_outcome) {
-    m_answerBytes -= AnswerSizeOf(*aEntry->m_outcome);
-  }
-  const auto count = m_countByAccount.find(aEntry->m_binding.m_clientAccount);
-  if (--count->second == 0) {
-    m_countByAccount.erase(count);
+  const std::uint64_t size =
+    aEntry->m_outcome ? AnswerSizeOf(*aEntry->m_outcome) : 0;
+  const auto usage = m_usageByAccount.find(aEntry->m_binding.m_clientAccount);
+  m_answerBytes -= size;
+  usage->second.m_answerBytes -= size;
+  if (--usage->second.m_keys == 0) {
+    m_usageByAccount.erase(usage);
   }
   m_byNonce.erase(aEntry->m_nonce);
   m_idle.erase(aEntry);
@@ -184,20 +192,25 @@
   return entry;
 }
 
-// The outcome in the form in which there is room for it.
-std::unique_ptr<KeptOutcome>
-IdempotencyLedger::State::Keep(const KeptOutcome& aOutcome)
+// Keeps the outcome in the form in which there is room for it.
+void
+IdempotencyLedger::State::Keep(Entry& aEntry, const KeptOutcome& aOutcome)
 {
   const std::uint64_t size = AnswerSizeOf(aOutcome);
+  Usage& usage = m_usageByAccount[aEntry.m_binding.m_clientAccount];
   if (size > m_options.m_largestAnswer.Value() ||
-      m_answerBytes + size > m_options.m_answerBytes.Value()) {
-    return std::make_unique<KeptOutcome>(
+      m_answerBytes + size > m_options.m_answerBytes.Value() ||
+      usage.m_answerBytes + size >
+        m_options.m_answerBytesPerClientAccount.Value()) {
+    aEntry.m_outcome = std::make_unique<KeptOutcome>(
       KeptFailure{ .m_code = ResultCode::IdempotencyOutcomeUnknown,
                    .m_ran = Ran::Yes,
                    .m_detail = "the request ran; its answer was not kept" });
+    return;
   }
   m_answerBytes += size;
-  return std::make_unique<KeptOutcome>(aOutcome);
+  usage.m_answerBytes += size;
+  aEntry.m_outcome = std::make_unique<KeptOutcome>(aOutcome);
 }
 
 IdempotencyLedger::IdempotencyLedger(const IdempotencyLedgerOptions& aOptions)
@@ -220,7 +233,7 @@
                        .m_binding = aBinding,
                        .m_expiresAt = m_state->Now() + options.m_expiry });
   m_state->m_byNonce.emplace(entry->m_nonce, entry);
-  ++m_state->m_countByAccount[aBinding.m_clientAccount];
+  ++m_state->m_usageByAccount[aBinding.m_clientAccount].m_keys;
   return { .m_key = { .m_owner = options.m_self,
                       .m_incarnation = options.m_incarnation,
                       .m_nonce = entry->m_nonce },
@@ -259,7 +272,7 @@
   Entry& entry = m_state->Stop(aKey);
   const auto waiters = std::move(entry.m_waiters);
   entry.m_waiters.clear();
-  entry.m_outcome = m_state->Keep(aOutcome);
+  m_state->Keep(entry, aOutcome);
   for (const auto& waiter : waiters) {
     waiter(aOutcome);
   }
--- a/rattanweir/process/idempotency/idempotency_ledger.h
+++ b/rattanweir/process/idempotency/idempotency_ledger.h
@@ -14,8 +14,9 @@
 //
 // Memory is bounded: at most `m_maximumKeys` keys and `m_answerBytes` bytes of
 // kept answers; beyond that no new key is issued, and an answer too large is
-// kept as "ran, answer gone". Nothing is evicted before its expiry, and a key
-// in flight has none. For one thread. Ways weighed:
+// kept as "ran, answer gone". One client account gets only a part of either, so
+// that it cannot take the place of the others. Nothing is evicted before its
+// expiry, and a key in flight has none. For one thread. Ways weighed:
 // docs/design/at-most-once.md.
 
 #pragma once
@@ -97,7 +98,8 @@
   std::string m_detail;
 };
 
-using ClaimResult = std::variant<FirstUse, ClaimInFlight, Finished, ClaimRefused>;
+using ClaimResult =
+  std::variant<FirstUse, ClaimInFlight, Finished, ClaimRefused>;
 
 // One use of a key.
 struct KeyUse
@@ -105,8 +107,8 @@
   KeyBinding m_binding;
   // A hash over method, target and body; a repeat must bring the same.
   std::uint64_t m_fingerprint = 0;
-  // Called with the outcome if the claim is ClaimInFlight; not called otherwise.
-  // Must not throw; may call the ledger.
+  // Called with the outcome if the claim is ClaimInFlight; not called
+  // otherwise. Must not throw; may call the ledger.
   std::function<void(const KeptOutcome&)> m_waiter;
 };
 
@@ -119,13 +121,13 @@
   // from its end.
   std::chrono::nanoseconds m_expiry{ std::chrono::minutes(10) };
   std::size_t m_maximumKeys = 100'000;
-  // Of one client account, so that one cannot use up the ledger; the callers
-  // of open routes count as one.
+  // Of one client account; the callers of open routes count as one.
   std::size_t m_maximumKeysPerClientAccount = 25'000;
   // Repeats that wait for one key.
   std::size_t m_maximumWaiters = 64;
-  // Of all kept answers together.
+  // Of all kept answers together, and of those of one client account.
   ByteCount m_answerBytes{ 32ULL << 20U };
+  ByteCount m_answerBytesPerClientAccount{ 8ULL << 20U };
   ByteCount m_largestAnswer{ 256ULL << 10U };
 };
 
--- a/rattanweir/process/idempotency/idempotency_ledger_test.cc
+++ b/rattanweir/process/idempotency/idempotency_ledger_test.cc
@@ -25,7 +25,8 @@
                                 .m_maximumKeys = 4,
                                 .m_maximumKeysPerClientAccount = 3,
                                 .m_maximumWaiters = 2,
-                                .m_answerBytes = ByteCount(1'000),
+                                .m_answerBytes = ByteCount(700),
+                                .m_answerBytesPerClientAccount = ByteCount(600),
                                 .m_largestAnswer = ByteCount(600) } };
   std::vector<std::string> m_heard;
 
@@ -260,19 +261,30 @@
 
 TEST_CASE_METHOD(Fixture, "kept answers stay within their bytes")
 {
-  const KeptAnswer answer{ .m_status = 200, .m_body = std::string(450, 'x') };
-  std::vector<IdempotencyKey> keys;
-  for (int count = 0; count < 3; ++count) {
-    keys.push_back(Issue());
-    REQUIRE(Claim(keys.back()) == "first use");
-    m_ledger.Complete(keys.back(), answer);
-  }
-  REQUIRE(m_ledger.AnswerBytes() <= ByteCount(1'000));
-  REQUIRE(Claim(keys[0]) == "answer " + answer.m_body);
-  REQUIRE(Claim(keys[2]) == "failure yes");
+  const KeptAnswer answer{ .m_status = 200, .m_body = std::string(250, 'x') };
+  const auto run = [&](const KeyBinding& aBinding) {
+    const IdempotencyKey key = m_ledger.Issue(aBinding).m_key;
+    KeyUse use = Use();
+    use.m_binding = aBinding;
+    REQUIRE(Claim(key, use) == "first use");
+    m_ledger.Complete(key, answer);
+    return Claim(key, use);
+  };
+  KeyBinding other = kBinding;
+  other.m_clientAccount = ClientAccountId("teachers");
+  const std::string kept = "answer " + answer.m_body;
+  // Room for one answer of an account, and for two in all.
+  REQUIRE(run(kBinding) == kept);
+  REQUIRE(run(kBinding) == "failure yes");
+  REQUIRE(run(other) == kept);
+  other.m_clientAccount = ClientAccountId("workshops");
+  REQUIRE(run(other) == "failure yes");
+  REQUIRE(m_ledger.AnswerBytes() <= ByteCount(700));
+
   m_clock.Advance(10min);
   m_ledger.Tick();
   REQUIRE(m_ledger.AnswerBytes() == ByteCount(0));
+  REQUIRE(run(kBinding) == kept);
 }
 
 } // namespace
