Load YAML into plain nodes

The loader now builds plain nodes from the events, and field readers point into them.

What is kept is the same.

Aliases are refused now: copied values would let a short text grow without bound. The row of the fault table that wrote one hash through an alias writes it twice instead; a row for the alias itself is new, and so is a text of 900,000 brackets, which is refused and not recursed into.

--- a/rattanweir/version/section/internal/section_reader.h
+++ b/rattanweir/version/section/internal/section_reader.h
@@ -31,7 +31,7 @@
 // Reads a section's whole mapping, its optional `version` included.
 template<class Section>
 Section
-ReadWhole(const YAML::Node& aRoot,
+ReadWhole(const YamlNode& aRoot,
           FaultCollector& aFaults,
           Section (*aRead)(MappingReader&))
 {
--- a/rattanweir/version/section/section_test.cc
+++ b/rattanweir/version/section/section_test.cc
@@ -167,7 +167,7 @@
   { kK, "sha256: 00", "sha256: ", "f:5: keys[0].sha256", "64 lower-case" },
   { kK, "sha256: 00", "sha256: AA", "f:5: keys[0].sha256", "64 lower-case" },
   { kK, "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f", "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855", "f:5: keys[0].sha256", "empty text" },
-  { kK, "parents-1\n    client_account: parents\n    sha256: 0", "a\n    client_account: b\n    sha256: &h 0001020304050607080900000000000000000000000000000000000000000000\n  - id: b\n    client_account: b\n    sha256: *h\n  - id: c\n    client_account: c\n    sha256: 0", "f:8: keys[1].sha256", "stands on line 5 already" },
+  { kK, "parents-1\n    client_account: parents\n    sha256: 0", "a\n    client_account: b\n    sha256: 0001020304050607080900000000000000000000000000000000000000000000\n  - id: b\n    client_account: b\n    sha256: 0001020304050607080900000000000000000000000000000000000000000000\n  - id: c\n    client_account: c\n    sha256: 0", "f:8: keys[1].sha256", "stands on line 5 already" },
   { kK, "client_account: parents", "client_account: ''", "f:4: keys[0].client_account", "not an id" },
   { kR, "id: book", "id: chat", "f:11: routes[1].id", "line 3" },
   { kR, "path: /v1/book", "path: /v1/chat\n    model: guide", "f:12: routes[1].path", "line 4" },
@@ -198,6 +198,7 @@
   { kB, "maximum_in_flight: 4", "maximum_in_flight: 0", "f:11: backend_servers[1].maximum_in_flight", "within" },
   { kB, "region: ostland\n", "region:\n", "f:6: backend_servers[0].region", "not a single value" },
   { kB, "  - { id: s1", "  - s1\n  - { id: s1", "f:11: backend_servers[1]", "not a mapping" },
+  { kB, "pool: answers", "pool: &p answers\n    kind: *p", "f:5: backend_servers", "alias" },
   { kB, "version: 1", "version: 1\n---", "f: backend_servers", "more than one" },
 };
 // clang-format on
@@ -234,13 +235,15 @@
                                               "f:18: routes[1].pools" });
 }
 
-TEST_CASE("a text that is empty, too large or no mapping is refused")
+TEST_CASE("a text that is empty, too large, too deep or no mapping is refused")
 {
   const SectionKind kind = GENERATE(kA, kK, kR, kB);
   REQUIRE(FaultTexts(kind, GoodText(kind)).empty());
   REQUIRE(FaultTexts(kind, "").size() == 1);
   REQUIRE(FaultTexts(kind, "[1, 2]").size() == 1);
   REQUIRE(FaultTexts(kind, "{").size() == 1);
+  // Deeper than any stack would bear.
+  REQUIRE(FaultTexts(kind, std::string(900'000, '[')).size() == 1);
   std::string large = std::string(GoodText(kind)) + "#";
   large.append(1'000'000 - large.size(), 'x');
   REQUIRE(FaultTexts(kind, large).empty());
--- a/rattanweir/version/yaml/load.cc
+++ b/rattanweir/version/yaml/load.cc
@@ -1,17 +1,119 @@
 #include "rattanweir/version/yaml/load.h"
 
+#include <yaml-cpp/anchor.h>
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/exceptions.h>
+#include <yaml-cpp/mark.h>
+#include <yaml-cpp/parser.h>
+
+#include <istream>
+#include <streambuf>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace rattanweir {
+namespace {
 
 int
-LineOf(const YAML::Node& aNode)
+LineOf(const YAML::Mark& aMark)
 {
-  return aNode.Mark().line + 1;
+  return aMark.line + 1;
 }
 
-std::optional<YAML::Node>
+// Builds plain nodes from the library's events: its own nodes take several
+// times the time and memory (bench/section_load).
+class NodeBuilder : public YAML::EventHandler
+{
+public:
+  explicit NodeBuilder(FaultCollector& aFaults)
+    : m_faults(aFaults)
+  {
+  }
+
+  std::vector<YamlNode>& Documents() { return m_documents; }
+
+  void OnDocumentStart(const YAML::Mark& /*aMark*/) override {}
+  void OnDocumentEnd() override {}
+
+  void OnNull(const YAML::Mark& aMark, YAML::anchor_t /*aAnchor*/) override
+  {
+    Add({ .m_kind = YamlNode::Kind::Null, .m_line = LineOf(aMark) });
+  }
+
+  // An alias would have to repeat its anchor's value: a short text could
+  // stand for a very long one.
+  void OnAlias(const YAML::Mark& aMark, YAML::anchor_t /*aAnchor*/) override
+  {
+    m_faults.Add(LineOf(aMark), "", "has an alias; aliases are not taken");
+    Add({ .m_kind = YamlNode::Kind::Null, .m_line = LineOf(aMark) });
+  }
+
+  void OnScalar(const YAML::Mark& aMark,
+                const std::string& /*aTag*/,
+                YAML::anchor_t /*aAnchor*/,
+                const std::string& aValue) override
+  {
+    Add({ .m_kind = YamlNode::Kind::Scalar,
+          .m_line = LineOf(aMark),
+          .m_scalar = aValue });
+  }
+
+  void OnSequenceStart(const YAML::Mark& aMark,
+                       const std::string& /*aTag*/,
+                       YAML::anchor_t /*aAnchor*/,
+                       YAML::EmitterStyle::value /*aStyle*/) override
+  {
+    m_open.push_back(
+      { .m_kind = YamlNode::Kind::Sequence, .m_line = LineOf(aMark) });
+  }
+  void OnSequenceEnd() override { Close(); }
+
+  void OnMapStart(const YAML::Mark& aMark,
+                  const std::string& /*aTag*/,
+                  YAML::anchor_t /*aAnchor*/,
+                  YAML::EmitterStyle::value /*aStyle*/) override
+  {
+    m_open.push_back(
+      { .m_kind = YamlNode::Kind::Mapping, .m_line = LineOf(aMark) });
+  }
+  void OnMapEnd() override { Close(); }
+
+private:
+  void Add(YamlNode aNode)
+  {
+    auto& siblings = m_open.empty() ? m_documents : m_open.back().m_children;
+    siblings.push_back(std::move(aNode));
+  }
+
+  void Close()
+  {
+    YamlNode node = std::move(m_open.back());
+    m_open.pop_back();
+    Add(std::move(node));
+  }
+
+  FaultCollector& m_faults;
+  std::vector<YamlNode> m_documents;
+  // Sequences and mappings whose end was not seen yet, outermost first.
+  std::vector<YamlNode> m_open;
+};
+
+// Reads a text in place.
+class TextBuffer : public std::streambuf
+{
+public:
+  explicit TextBuffer(const std::string& aText)
+  {
+    // Only read, but the interface wants a pointer to char.
+    char* begin = const_cast<char*>(aText.data());
+    setg(begin, begin, begin + aText.size());
+  }
+};
+
+} // namespace
+
+std::optional<YamlNode>
 LoadYaml(const SectionText& aText,
          FaultCollector& aFaults,
          std::size_t aMaximumBytes)
@@ -23,19 +125,26 @@
                   " bytes, the most is " + std::to_string(aMaximumBytes));
     return std::nullopt;
   }
+  NodeBuilder builder(aFaults);
   try {
-    const std::vector<YAML::Node> documents = YAML::LoadAll(aText.m_text);
-    if (documents.size() == 1) {
-      return documents.front();
+    TextBuffer buffer(aText.m_text);
+    std::istream stream(&buffer);
+    YAML::Parser parser(stream);
+    while (parser.HandleNextDocument(builder)) {
     }
+  } catch (const YAML::Exception& error) {
+    aFaults.Add(LineOf(error.mark), "", "is not YAML: " + error.msg);
+    return std::nullopt;
+  }
+  std::vector<YamlNode>& documents = builder.Documents();
+  if (documents.size() != 1) {
     aFaults.Add(0,
                 "",
                 documents.empty() ? "is empty"
                                   : "holds more than one YAML document");
-  } catch (const YAML::Exception& error) {
-    aFaults.Add(error.mark.line + 1, "", "is not YAML: " + error.msg);
+    return std::nullopt;
   }
-  return std::nullopt;
+  return std::move(documents.front());
 }
 
 } // namespace rattanweir
--- a/rattanweir/version/yaml/load.h
+++ b/rattanweir/version/yaml/load.h
@@ -9,8 +9,7 @@
 #pragma once
 
 #include "rattanweir/version/fault/fault_collector.h"
-
-#include <yaml-cpp/yaml.h>
+#include "rattanweir/version/yaml/node.h"
 
 #include <cstddef>
 #include <optional>
@@ -22,14 +21,11 @@
 inline constexpr std::size_t kMaximumTextBytes = 1'000'000;
 
 // The root of the text's only document, or nothing with a fault added: more
-// than `aMaximumBytes`, not YAML, empty, or several documents.
-std::optional<YAML::Node>
+// than `aMaximumBytes`, not YAML, empty, or several documents. An alias adds a
+// fault, too, and is read as a value that was not given.
+std::optional<YamlNode>
 LoadYaml(const SectionText& aText,
          FaultCollector& aFaults,
          std::size_t aMaximumBytes = kMaximumTextBytes);
 
-// The line of a node, counted from 1.
-int
-LineOf(const YAML::Node& aNode);
-
 } // namespace rattanweir
--- a/rattanweir/version/yaml/reader.cc
+++ b/rattanweir/version/yaml/reader.cc
@@ -1,7 +1,5 @@
 #include "rattanweir/version/yaml/reader.h"
 
-#include "rattanweir/version/yaml/load.h"
-
 #include <algorithm>
 #include <set>
 
@@ -37,32 +35,31 @@
 
 } // namespace
 
-MappingReader::MappingReader(const YAML::Node& aNode,
+MappingReader::MappingReader(const YamlNode& aNode,
                              std::string aPath,
                              FaultCollector& aFaults)
   : m_path(std::move(aPath))
-  , m_line(LineOf(aNode))
-  , m_isMapping(aNode.IsMap())
+  , m_line(aNode.m_line)
+  , m_isMapping(aNode.IsMapping())
   , m_faults(aFaults)
 {
   if (!m_isMapping) {
     m_faults.Add(m_line, m_path, "is not a mapping");
     return;
   }
-  m_fields.reserve(aNode.size());
-  for (const auto& entry : aNode) {
-    const int line = LineOf(entry.first);
-    if (!entry.first.IsScalar()) {
-      m_faults.Add(line, m_path, "has a field whose name is not a text");
+  const std::vector<YamlNode>& children = aNode.m_children;
+  m_fields.reserve(children.size() / 2);
+  for (std::size_t index = 0; index + 1 < children.size(); index += 2) {
+    const YamlNode& name = children[index];
+    if (!name.IsScalar()) {
+      m_faults.Add(name.m_line, m_path, "has a field whose name is not a text");
       continue;
     }
-    const std::string& name = entry.first.Scalar();
-    if (Find(name) != nullptr) {
-      m_faults.Add(line, PathOf(name), "stands twice");
+    if (Find(name.m_scalar) != nullptr) {
+      m_faults.Add(name.m_line, PathOf(name.m_scalar), "stands twice");
       continue;
     }
-    m_fields.push_back(
-      { .m_name = name, .m_value = entry.second, .m_line = line });
+    m_fields.push_back({ .m_name = name, .m_value = children[index + 1] });
   }
 }
 
@@ -70,7 +67,7 @@
 MappingReader::Find(std::string_view aField) const
 {
   for (const Field& field : m_fields) {
-    if (field.m_name == aField) {
+    if (field.m_name.m_scalar == aField) {
       return &field;
     }
   }
@@ -81,7 +78,7 @@
 MappingReader::Take(std::string_view aField, bool aIsWanted)
 {
   for (Field& field : m_fields) {
-    if (field.m_name != aField) {
+    if (field.m_name.m_scalar != aField) {
       continue;
     }
     field.m_isKnown = true;
@@ -104,7 +101,7 @@
     AddFault(aField, "is not a single value");
     return std::nullopt;
   }
-  return field->m_value.Scalar();
+  return field->m_value.m_scalar;
 }
 
 std::string
@@ -131,7 +128,7 @@
 MappingReader::LineOfField(std::string_view aField) const
 {
   const Field* field = Find(aField);
-  return field == nullptr ? m_line : field->m_line;
+  return field == nullptr ? m_line : field->m_name.m_line;
 }
 
 void
@@ -145,7 +142,7 @@
 {
   for (const Field& field : m_fields) {
     if (!field.m_isKnown) {
-      AddFault(field.m_name, "is not a known field");
+      AddFault(field.m_name.m_scalar, "is not a known field");
     }
   }
 }
@@ -178,19 +175,19 @@
   if (field == nullptr) {
     return ids;
   }
-  if (!field->m_value.IsSequence() || field->m_value.size() == 0) {
+  if (!field->m_value.IsSequence() || field->m_value.m_children.empty()) {
     AddFault(aField, "is not a list with at least one id");
     return ids;
   }
   std::set<std::string> seen;
-  for (const YAML::Node& node : field->m_value) {
-    const std::string text = node.IsScalar() ? node.Scalar() : "";
+  for (const YamlNode& node : field->m_value.m_children) {
+    const std::string& text = node.m_scalar;
     if (!IsId(text)) {
-      m_faults.Add(LineOf(node), PathOf(aField), IdFault(text));
+      m_faults.Add(node.m_line, PathOf(aField), IdFault(text));
       continue;
     }
     if (!seen.insert(text).second) {
-      m_faults.Add(LineOf(node), PathOf(aField), "has '" + text + "' twice");
+      m_faults.Add(node.m_line, PathOf(aField), "has '" + text + "' twice");
       continue;
     }
     ids.push_back(text);
@@ -204,19 +201,19 @@
   const Field* field = Take(aField, true);
   if (field == nullptr) {
     // Its faults would only repeat that it is missing.
-    MappingReader none(
-      YAML::Node(YAML::NodeType::Map), PathOf(aField), m_faults);
+    static const YamlNode kEmpty{ .m_kind = YamlNode::Kind::Mapping };
+    MappingReader none(kEmpty, PathOf(aField), m_faults);
     none.m_isMapping = false;
     return none;
   }
   return { field->m_value, PathOf(aField), m_faults };
 }
 
-std::optional<YAML::Node>
+const YamlNode*
 MappingReader::ReadNode(std::string_view aField)
 {
   const Field* field = Take(aField, true);
-  return field == nullptr ? std::nullopt : std::optional(field->m_value);
+  return field == nullptr ? nullptr : &field->m_value;
 }
 
 void
@@ -232,7 +229,7 @@
     return;
   }
   std::size_t index = 0;
-  for (const YAML::Node& node : field->m_value) {
+  for (const YamlNode& node : field->m_value.m_children) {
     MappingReader row(node, "[" + std::to_string(index) + "]", m_faults);
     ++index;
     aFunction(row);
--- a/rattanweir/version/yaml/reader.h
+++ b/rattanweir/version/yaml/reader.h
@@ -17,8 +17,7 @@
 #include "rattanweir/base/endpoint/endpoint.h"
 #include "rattanweir/base/units/units.h"
 #include "rattanweir/version/fault/fault_collector.h"
-
-#include <yaml-cpp/yaml.h>
+#include "rattanweir/version/yaml/node.h"
 
 #include <chrono>
 #include <cstdint>
@@ -41,12 +40,13 @@
 };
 
 // Reads the fields of one mapping. Each reader without a default adds a fault
-// if the field is missing. The collector must outlive the reader.
+// if the field is missing. Node and collector must outlive the
+// reader.
 class MappingReader
 {
 public:
   // `aPath` is the field that holds the mapping; empty for the root.
-  MappingReader(const YAML::Node& aNode,
+  MappingReader(const YamlNode& aNode,
                 std::string aPath,
                 FaultCollector& aFaults);
 
@@ -110,8 +110,8 @@
   // A mapping below this one.
   MappingReader ReadMapping(std::string_view aField);
 
-  // The field's value as it stands.
-  std::optional<YAML::Node> ReadNode(std::string_view aField);
+  // The field's value as it stands, or null.
+  const YamlNode* ReadNode(std::string_view aField);
 
   // Calls the function with a reader for each row of a list of mappings.
   void ReadRows(std::string_view aField,
@@ -131,9 +131,8 @@
 private:
   struct Field
   {
-    std::string m_name;
-    YAML::Node m_value;
-    int m_line = 0;
+    const YamlNode& m_name;
+    const YamlNode& m_value;
     bool m_isKnown = false;
   };
 
