--- a/programs/rattanweirctl/admin_commands_test.cc
+++ b/programs/rattanweirctl/admin_commands_test.cc
@@ -78,8 +78,8 @@
 
 // clang-format off
 const AnswerCase kCases[] = {
-  { { .m_command = "status" }, 200, R"({"ready":true,"peers":[{"id":"a","n":1},{"id":"b"}],"none":[],"x":null})",
-    ExitCode::Ok, "GET /status", "none: none\npeers:\n  - id: a\n    n: 1\n  - id: b\nready: true\nx: -\n" },
+  { { .m_command = "status" }, 200, R"({"ready":true,"peers":[{"id":"a","n":1},{"id":"b"}],"none":[],"share":0.1,"x":null})",
+    ExitCode::Ok, "GET /status", "none: none\npeers:\n  - id: a\n    n: 1\n  - id: b\nready: true\nshare: 0.1\nx: -\n" },
   { { .m_command = "status" }, 200, R"({"ready":false})", ExitCode::AnswerIsNo, "GET /status", "ready: false\n" },
   { { .m_command = "entries", .m_asJson = true }, 200, R"({"entries":[]})", ExitCode::Ok, "GET /entries", "{\"entries\":[]}\n" },
   { { .m_command = "counters" }, 503, "not now", ExitCode::AnswerIsNo, "GET /counters", "not now\n" },
--- a/programs/rattanweirctl/text_form.cc
+++ b/programs/rattanweirctl/text_form.cc
@@ -1,5 +1,6 @@
 #include "programs/rattanweirctl/text_form.h"
 
+#include <charconv>
 #include <string>
 
 namespace rattanweir::ctl {
@@ -7,6 +8,15 @@
 
 constexpr std::size_t kIndent = 2;
 
+// The shortest text that reads back as the same number.
+std::string
+NumberText(double aValue)
+{
+  char text[32];
+  const auto written = std::to_chars(text, text + sizeof(text), aValue);
+  return { text, written.ptr };
+}
+
 std::string
 ScalarText(const Json::Value& aValue)
 {
@@ -16,7 +26,9 @@
   if (aValue.empty() && (aValue.isArray() || aValue.isObject())) {
     return "none";
   }
-  return aValue.asString();
+  return aValue.isDouble() && !aValue.isIntegral()
+           ? NumberText(aValue.asDouble())
+           : aValue.asString();
 }
 
 bool
