--- a/rattanweir/connection/http_client/http_client_test.cc
+++ b/rattanweir/connection/http_client/http_client_test.cc
@@ -23,12 +23,13 @@
 // A client and the listener that it talks to.
 struct Bench
 {
-  Bench()
+  explicit Bench(std::chrono::nanoseconds aIdleTimeout = 10s)
     : m_listener(m_context)
     , m_upstream({ .m_executor = m_context.get_executor(),
                    .m_connectTimeout = 200ms,
                    .m_headerBytes = ByteCount(1024),
-                   .m_idlePerEndpoint = 2 })
+                   .m_idlePerEndpoint = 2,
+                   .m_idleTimeout = aIdleTimeout })
   {
   }
 
@@ -397,9 +398,9 @@
   });
 }
 
-TEST_CASE("idle connections are bounded")
+TEST_CASE("idle connections are bounded in number and in time")
 {
-  Bench bench;
+  Bench bench(50ms);
   bench.Run([&]() -> Task<void> {
     std::vector<RawPeer> servers;
     int answered = 0;
@@ -418,7 +419,33 @@
       co_await Reply(server, kWhole);
     }
     co_await WaitUntil([&] { return answered == 3; });
-    REQUIRE(bench.m_upstream.IdleConnections() == 2);
+    REQUIRE(bench.m_upstream.IdleConnections() <= 2);
+    for (RawPeer& server : servers) {
+      co_await server.ReadToEnd();
+    }
+    REQUIRE(bench.m_upstream.IdleConnections() == 0);
+  });
+}
+
+TEST_CASE("a server that takes no connection is given up on in time")
+{
+  Bench bench;
+  // The listener's queue is full, so that a further connect gets no answer.
+  asio::ip::tcp::acceptor full(bench.m_context);
+  full.open(asio::ip::tcp::v4());
+  full.bind({ asio::ip::address_v4::loopback(), 0 });
+  full.listen(0);
+  const Endpoint endpoint{ .m_address = "127.0.0.1",
+                           .m_port = full.local_endpoint().port() };
+  bench.Run([&]() -> Task<void> {
+    const RawPeer first = co_await RawPeer::Connect(bench.m_context, endpoint);
+    const OutboundRequest request = bench.Request();
+    const auto error = co_await ErrorOf([&]() -> Task<void> {
+      co_await bench.m_upstream.Send(endpoint, request, bench.m_cancel);
+    });
+    REQUIRE(error);
+    REQUIRE(error->Code() == ResultCode::BackendConnectFailed);
+    REQUIRE(error->HasRun() == Ran::No);
   });
 }
 
