--- a/rattanweir/connection/http_client/http_client.cc
+++ b/rattanweir/connection/http_client/http_client.cc
@@ -48,10 +48,9 @@
 
   Task<void> Connect();
   Task<bool> Write();
-  // Throws if the exchange is cancelled or its deadline has passed.
+  // Throws if the exchange is cancelled or its deadline has passed. Also
+  // before each wait: an end that came between two waits counts as well.
   void CheckEnded() const;
-  // Before each wait: an end that came between two waits counts as well.
-  void StartWait();
   [[noreturn]] void Fail(ResultCode aCode, const std::string& aWhat) const;
 
   HttpUpstreamOptions m_options;
@@ -89,13 +88,6 @@
   }
 }
 
-void
-HttpExchange::StartWait()
-{
-  CheckEnded();
-  m_stream->Socket().ExpireAfter(Left());
-}
-
 Task<void>
 HttpExchange::Connect()
 {
@@ -117,7 +109,9 @@
 Task<bool>
 HttpExchange::Write()
 {
-  StartWait();
+  CheckEnded();
+  // The timer runs on over the reads of the answer.
+  m_stream->Socket().ExpireAfter(Left());
   const WriteOutcome outcome =
     co_await m_stream->WriteRequest(m_endpoint, m_request);
   m_hasSent = outcome.m_bytesSent > 0;
@@ -154,7 +148,7 @@
 Task<AnswerHead>
 HttpExchange::ReadHead()
 {
-  StartWait();
+  CheckEnded();
   HeadOutcome outcome = co_await m_stream->ReadHead();
   if (outcome.m_isUnusable) {
     Fail(ResultCode::AnswerIncomplete,
@@ -179,7 +173,7 @@
   ChunkOutcome outcome;
   outcome.m_error = std::exchange(m_heldError, {});
   if (!outcome.m_error) {
-    StartWait();
+    CheckEnded();
     outcome = co_await m_stream->ReadChunk();
   }
   if (!outcome.m_chunk.empty()) {
--- a/rattanweir/connection/http_client/internal/client_stream.cc
+++ b/rattanweir/connection/http_client/internal/client_stream.cc
@@ -18,6 +18,9 @@
 #include <limits>
 #include <utility>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 namespace rattanweir {
 namespace {
 
@@ -31,6 +34,11 @@
 constexpr std::size_t kFirstReadBytes = 4UL * 1024;
 constexpr std::size_t kMostReadBytes = 64UL * 1024;
 
+// A silent server is given up on after the first time and all the probes.
+constexpr int kKeepAliveIdleSeconds = 5;
+constexpr int kKeepAliveIntervalSeconds = 2;
+constexpr int kKeepAliveProbes = 3;
+
 // Methods whose requests carry a length even without a body.
 bool
 HasBody(const OutboundRequest& aRequest)
@@ -62,6 +70,25 @@
   return beast::buffers_to_string(writer.get());
 }
 
+// Keeps the system asking, so that a server that is gone without a word is
+// found before the request's deadline.
+void
+SetOptions(tcp::socket& aSocket)
+{
+  ErrorCode ignored;
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  const std::pair<int, int> options[] = {
+    { TCP_KEEPIDLE, kKeepAliveIdleSeconds },
+    { TCP_KEEPINTVL, kKeepAliveIntervalSeconds },
+    { TCP_KEEPCNT, kKeepAliveProbes },
+  };
+  for (const auto& [option, value] : options) {
+    ::setsockopt(
+      aSocket.native_handle(), IPPROTO_TCP, option, &value, sizeof value);
+  }
+}
+
 bool
 IsBrokenConnection(const ErrorCode& aError)
 {
@@ -132,8 +159,7 @@
   co_await socket.async_connect(
     endpoint, asio::redirect_error(asio::use_awaitable, error));
   if (!error) {
-    ErrorCode ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
+    SetOptions(socket);
   }
   co_return error;
 }
--- a/rattanweir/connection/http_server/internal/server_stream.cc
+++ b/rattanweir/connection/http_server/internal/server_stream.cc
@@ -39,6 +39,13 @@
 constexpr auto kLingerTime = std::chrono::seconds(2);
 constexpr std::size_t kLingerBytes = 16UL * 1024 * 1024;
 
+void
+SetTcpOption(tcp::socket& aSocket, int aOption, int aValue)
+{
+  ::setsockopt(
+    aSocket.native_handle(), IPPROTO_TCP, aOption, &aValue, sizeof aValue);
+}
+
 bool
 IsParseError(const ErrorCode& aError)
 {
@@ -120,11 +127,12 @@
   ErrorCode ignored;
   socket.non_blocking(true, ignored);
   socket.set_option(tcp::no_delay(true), ignored);
-  ::setsockopt(socket.native_handle(),
-               IPPROTO_TCP,
-               TCP_NOTSENT_LOWAT,
-               &kUnsentBytes,
-               sizeof kUnsentBytes);
+  const auto timeout =
+    std::chrono::ceil<std::chrono::milliseconds>(aLimits.m_writeTimeout);
+  SetTcpOption(socket, TCP_NOTSENT_LOWAT, kUnsentBytes);
+  // A caller that is gone without a word: what the system still holds for it
+  // would otherwise look taken.
+  SetTcpOption(socket, TCP_USER_TIMEOUT, static_cast<int>(timeout.count()));
 }
 
 ServerStream::~ServerStream() = default;
@@ -210,10 +218,18 @@
   TimedSocket& socket = m_state->m_socket;
   ErrorCode error;
   std::size_t left = asio::buffer_size(aBuffers);
+  bool hasWaited = false;
   while (!error && left > 0) {
-    socket.ExpireAfter(m_state->m_limits.m_writeTimeout);
-    std::size_t taken = co_await socket.Get().async_write_some(
-      aBuffers, asio::redirect_error(asio::use_awaitable, error));
+    // Nearly always the system takes all at once, with no need for a timer.
+    std::size_t taken = socket.Get().write_some(aBuffers, error);
+    if (error == asio::error::would_block) {
+      hasWaited = true;
+      socket.ExpireAfter(m_state->m_limits.m_writeTimeout);
+      co_await socket.Get().async_wait(
+        tcp::socket::wait_write,
+        asio::redirect_error(asio::use_awaitable, error));
+      continue;
+    }
     left -= taken;
     for (asio::const_buffer& buffer : aBuffers) {
       const std::size_t here = std::min(taken, buffer.size());
@@ -221,7 +237,7 @@
       taken -= here;
     }
   }
-  if (!error) {
+  if (!error && hasWaited) {
     socket.ExpireNever();
   }
   co_return error;
