--- a/rattanweir/version/catalog/backend_server_index.cc
+++ b/rattanweir/version/catalog/backend_server_index.cc
@@ -35,6 +35,16 @@
                                        : servers->second;
 }
 
+std::set<BackendServerId>
+BackendServerIndex::Ids() const
+{
+  std::set<BackendServerId> ids;
+  for (const BackendServer& server : m_section.m_backendServers) {
+    ids.insert(server.m_id);
+  }
+  return ids;
+}
+
 std::vector<RegionId>
 BackendServerIndex::RegionsOf(const PoolId& aPool) const
 {
--- a/rattanweir/version/catalog/catalog.cc
+++ b/rattanweir/version/catalog/catalog.cc
@@ -204,6 +204,12 @@
   return m_state->m_backendServers.Of(aPool, aRegion);
 }
 
+std::set<BackendServerId>
+Catalog::BackendServerIds() const
+{
+  return m_state->m_backendServers.Ids();
+}
+
 std::vector<RegionId>
 Catalog::RegionsOf(const PoolId& aPool) const
 {
--- a/rattanweir/version/catalog/catalog.h
+++ b/rattanweir/version/catalog/catalog.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -104,6 +105,9 @@
     const PoolId& aPool,
     const RegionId& aRegion) const;
 
+  // All backend servers of the section, leaving ones included.
+  std::set<BackendServerId> BackendServerIds() const;
+
   // The regions in which a pool has a backend server that is not leaving.
   std::vector<RegionId> RegionsOf(const PoolId& aPool) const;
 
--- a/rattanweir/version/catalog/catalog_test.cc
+++ b/rattanweir/version/catalog/catalog_test.cc
@@ -276,6 +276,11 @@
   REQUIRE(catalog.RegionsOf(PoolId("p")) ==
           std::vector{ RegionId("east"), RegionId("west") });
   REQUIRE(catalog.RegionsOf(PoolId("none")).empty());
+  REQUIRE(catalog.BackendServerIds().size() == 5);
+  catalog.Offer(Offered(SectionKind::BackendServers,
+                        2,
+                        "backend_servers:\n" + ServerRow("b", "p", "west", 2)));
+  REQUIRE(catalog.BackendServerIds() == std::set{ BackendServerId("b") });
 }
 
 } // namespace
--- a/rattanweir/version/catalog/internal/backend_server_index.h
+++ b/rattanweir/version/catalog/internal/backend_server_index.h
@@ -5,6 +5,7 @@
 #include "rattanweir/version/section/section.h"
 
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace rattanweir::internal {
@@ -21,6 +22,7 @@
 
   std::vector<const BackendServer*> Of(const PoolId& aPool,
                                        const RegionId& aRegion) const;
+  std::set<BackendServerId> Ids() const;
   std::vector<RegionId> RegionsOf(const PoolId& aPool) const;
 
 private:
