Let requests short of tokens wait for the refill in order of arrival

Cause: a request for which nothing could be borrowed was refused with RateExceeded at once, also when the refill covered it milliseconds later. And whoever came first after the refill took the tokens, so a large request could be overtaken for ever.

Change: request/rate_queue, a bounded line (64) for each client account. Only its first takes tokens; a request whose wait would pass 500 ms or its deadline is refused at once with when to come back, the time of those before it included; a full line refuses alike. RateLedger::PreviewBehind counts a newcomer's demand without taking what others wait for. Borrowing counts towards the same bound and asks for the line up to the request. rattanweir_rate_wait_seconds observes the waits.

The same commit touches the daemon, since its parts share the file: the admin side is drained and awaited, 2 s at most, at the end of a shutdown. `/status` shows conflicts, and the ids of backend servers come from the Catalog in place of a second parse of the section.

--- a/programs/rattanweird/daemon.cc
+++ b/programs/rattanweird/daemon.cc
@@ -8,7 +8,6 @@
 
 #include <csignal>
 #include <exception>
-#include <set>
 #include <utility>
 
 namespace rattanweir {
@@ -18,6 +17,8 @@
 
 constexpr milliseconds kTickInterval(100);
 constexpr milliseconds kKeyedRunsPoll(20);
+// The most that requests of operators hold the end of the process up.
+constexpr milliseconds kAdminDrainTime(2'000);
 constexpr unsigned kServiceUnavailable = 503;
 constexpr const char* kPlainText = "text/plain; version=0.0.4";
 
@@ -51,6 +52,9 @@
              .m_incarnation = m_incarnation })
   , m_backends({ .m_clock = m_clock })
   , m_retries({})
+  , m_rateQueue({ .m_executor = m_context.get_executor(),
+                  .m_clock = m_clock,
+                  .m_rates = m_rates })
   , m_upstream({ .m_executor = m_context.get_executor() })
   , m_control(MakeControlOptions())
   , m_serving(MakeServing())
@@ -109,6 +113,7 @@
            .m_catalog = m_catalog,
            .m_membership = m_membership,
            .m_rates = m_rates,
+           .m_rateQueue = m_rateQueue,
            .m_keys = m_keys,
            .m_backends = m_backends,
            .m_inFlight = m_inFlight,
@@ -238,7 +243,7 @@
       m_rates.Configure(m_catalog.ClientAccounts());
       break;
     case SectionKind::BackendServers:
-      ForgetUnlistedBackends();
+      m_backends.KeepOnly(m_catalog.BackendServerIds());
       break;
     case SectionKind::Keys:
     case SectionKind::Routes:
@@ -250,18 +255,6 @@
   UpdateReadiness();
 }
 
-void
-Daemon::ForgetUnlistedBackends()
-{
-  const auto offer = m_catalog.InForce(SectionKind::BackendServers);
-  std::set<BackendServerId> listed;
-  for (const BackendServer& server :
-       ParseBackendServers(offer->m_text).m_backendServers) {
-    listed.insert(server.m_id);
-  }
-  m_backends.KeepOnly(listed);
-}
-
 Heartbeat
 Daemon::Describe() const
 {
@@ -350,11 +343,24 @@
   co_await m_peerServer.WaitUntilDone();
   m_platform.Stop();
   m_control.Stop();
+  // Last, so that operators see the shutdown to its end; the answer to
+  // `/drain` itself may still be on its way.
+  m_adminServer.Drain();
+  Spawn(m_context, [this] { return AbortAdminSide(); });
+  co_await m_adminServer.WaitUntilDone();
   Log(LogLevel::Info, "stopped");
   m_isStopped = true;
   m_context.stop();
 }
 
+Task<void>
+Daemon::AbortAdminSide()
+{
+  CancelSource never;
+  co_await WaitFor(m_context.get_executor(), kAdminDrainTime, never);
+  m_adminServer.Abort();
+}
+
 Task<void>
 Daemon::AbortAtShutdownTimeout()
 {
--- a/programs/rattanweird/daemon.h
+++ b/programs/rattanweird/daemon.h
@@ -47,7 +47,6 @@
   void RegisterAdminRoutes();
   AdminAnswer Readyz() const;
   void TakeAccepted(SectionKind aKind);
-  void ForgetUnlistedBackends();
   Heartbeat Describe() const;
   void UpdateReadiness();
   bool OwnsItsShares() const;
@@ -55,6 +54,7 @@
   Task<void> AwaitSignals();
   void BeginShutdown();
   Task<void> ShutDown();
+  Task<void> AbortAdminSide();
   Task<void> AbortAtShutdownTimeout();
   Task<void> WaitForKeyedRuns();
 
@@ -74,6 +74,7 @@
   BackendView m_backends;
   RunningRequests m_inFlight;
   RetryBudget m_retries;
+  RateQueue m_rateQueue;
 
   HttpUpstream m_upstream;
   ControlPlane m_control;
--- a/programs/rattanweird/status_report.cc
+++ b/programs/rattanweird/status_report.cc
@@ -24,6 +24,7 @@
   }
   json["accepted"] = Json::UInt64(aStatus.m_acceptedCount);
   json["rejected"] = Json::UInt64(aStatus.m_rejectedCount);
+  json["conflicts"] = Json::UInt64(aStatus.m_conflictCount);
   return json;
 }
 
--- a/rattanweir/process/rate/internal/account_ledger.cc
+++ b/rattanweir/process/rate/internal/account_ledger.cc
@@ -92,6 +92,25 @@
   return result;
 }
 
+RateShort
+AccountLedger::ShortBehind(SteadyTime aNow, Tokens aTokens, Tokens aAhead)
+{
+  m_bucket.Advance(aNow);
+  RateShort result;
+  const auto alone = m_bucket.TimeUntil(CountOf(aTokens));
+  if (!alone) {
+    return result;
+  }
+  // Those ahead keep the bucket below its cap, so that it fills throughout.
+  const double speed = m_bucket.Held() * m_bucket.Limits().m_tokensPerSecond;
+  const double missing = CountOf(aAhead + aTokens) - m_bucket.Tokens();
+  const std::chrono::duration<double> all(std::max(0.0, Ratio(missing, speed)));
+  result.m_comeBackAfter =
+    std::chrono::ceil<milliseconds>(std::max<std::chrono::duration<double>>(
+      std::chrono::duration<double>(*alone), all));
+  return result;
+}
+
 void
 AccountLedger::CountDemand(SteadyTime aNow, Tokens aTokens)
 {
--- a/rattanweir/process/rate/internal/account_ledger.h
+++ b/rattanweir/process/rate/internal/account_ledger.h
@@ -29,6 +29,8 @@
 
   // Takes the tokens, or says how long it would take.
   std::optional<RateShort> Take(SteadyTime aNow, Tokens aTokens);
+  // How long until `aAhead` tokens and then these were taken.
+  RateShort ShortBehind(SteadyTime aNow, Tokens aTokens, Tokens aAhead);
   void CountDemand(SteadyTime aNow, Tokens aTokens);
   void GiveBack(SteadyTime aNow, Tokens aTokens);
 
--- a/rattanweir/process/rate/rate_ledger.cc
+++ b/rattanweir/process/rate/rate_ledger.cc
@@ -52,6 +52,9 @@
 
   SteadyTime SeeTurn();
   Account* Find(const ClientAccountId& aId);
+  // Why the request is refused whatever tokens there are, if it is.
+  std::optional<ReserveResult> RefusalOf(const ClientAccountId& aId,
+                                         Tokens aTokens);
   ShareLimits LimitsOf(const ClientAccount& aAccount) const;
   SteadyTime LeaseEnd(SteadyTime aFrom) const;
   SteadyTime OwnsFrom(const ClientAccountId& aId) const;
@@ -88,6 +91,22 @@
   return found == m_accounts.end() ? nullptr : &found->second;
 }
 
+std::optional<ReserveResult>
+RateLedger::State::RefusalOf(const ClientAccountId& aId, Tokens aTokens)
+{
+  if (m_isPaused) {
+    return LedgerPaused{};
+  }
+  const Account* account = Find(aId);
+  if (account == nullptr) {
+    return UnknownClientAccount{};
+  }
+  if (aTokens > account->m_burst) {
+    return ExceedsBurst{};
+  }
+  return std::nullopt;
+}
+
 ShareLimits
 RateLedger::State::LimitsOf(const ClientAccount& aAccount) const
 {
@@ -170,21 +189,15 @@
                     ReserveTry aTry)
 {
   const SteadyTime now = m_state->SeeTurn();
-  if (m_state->m_isPaused) {
-    return LedgerPaused{};
-  }
-  Account* account = m_state->Find(aAccount);
-  if (account == nullptr) {
-    return UnknownClientAccount{};
-  }
-  if (aTokens > account->m_burst) {
-    return ExceedsBurst{};
+  if (const auto refusal = m_state->RefusalOf(aAccount, aTokens)) {
+    return *refusal;
   }
+  AccountLedger& ledger = m_state->Find(aAccount)->m_ledger;
   const Tokens tokens = std::max(aTokens, Tokens(0));
   if (aTry == ReserveTry::First) {
-    account->m_ledger.CountDemand(now, tokens);
+    ledger.CountDemand(now, tokens);
   }
-  if (const auto isShort = account->m_ledger.Take(now, tokens)) {
+  if (const auto isShort = ledger.Take(now, tokens)) {
     return *isShort;
   }
   const std::uint64_t number = ++m_state->m_lastNumber;
@@ -192,7 +205,25 @@
   return Reservation{ .m_clientAccount = aAccount,
                       .m_tokens = tokens,
                       .m_number = number,
-                      .m_isRunningLow = account->m_ledger.IsRunningLow(now) };
+                      .m_isRunningLow = ledger.IsRunningLow(now) };
+}
+
+ReserveResult
+RateLedger::PreviewBehind(const ClientAccountId& aAccount,
+                          Tokens aTokens,
+                          Tokens aAhead,
+                          ReserveTry aTry)
+{
+  const SteadyTime now = m_state->SeeTurn();
+  if (const auto refusal = m_state->RefusalOf(aAccount, aTokens)) {
+    return *refusal;
+  }
+  AccountLedger& ledger = m_state->Find(aAccount)->m_ledger;
+  const Tokens tokens = std::max(aTokens, Tokens(0));
+  if (aTry == ReserveTry::First) {
+    ledger.CountDemand(now, tokens);
+  }
+  return ledger.ShortBehind(now, tokens, aAhead);
 }
 
 void
--- a/rattanweir/process/rate/rate_ledger.h
+++ b/rattanweir/process/rate/rate_ledger.h
@@ -185,6 +185,15 @@
                         Tokens aTokens,
                         ReserveTry aTry = ReserveTry::First);
 
+  // How Reserve would end for a request behind others that wait for `aAhead`
+  // tokens: takes nothing, and counts the demand of a first try. RateShort if
+  // nothing speaks against it, with the time until all of them had their
+  // tokens, zero if that is now.
+  ReserveResult PreviewBehind(const ClientAccountId& aAccount,
+                              Tokens aTokens,
+                              Tokens aAhead,
+                              ReserveTry aTry);
+
   // Gives back what was reserved and not used; only the first call for a
   // reservation counts. Call with the whole amount used where the request may
   // have run. A reservation from before a pause gives nothing back.
--- a/rattanweir/request/pipeline/run_request.cc
+++ b/rattanweir/request/pipeline/run_request.cc
@@ -65,21 +65,55 @@
   }
 };
 
+// Gives back what was reserved for a request that is not served after all.
+void
+ReleaseTokens(Serving& aServing, const ReserveResult& aResult)
+{
+  if (const auto* reservation = std::get_if<Reservation>(&aResult)) {
+    aServing.m_rates.Settle(*reservation, Tokens(0));
+  }
+}
+
+// Borrows, then waits in line for what is still missing.
+Task<ReserveResult>
+WaitForTokens(Serving& aServing,
+              const RequestPlan& aPlan,
+              ReserveResult aShort,
+              CancelSource& aCancel)
+{
+  const SteadyTime arrived = aServing.m_clock.SteadyNow();
+  const SteadyTime until =
+    std::min(arrived + kLongestRateWait, aPlan.m_deadline);
+  RateQueue::Place place(
+    aServing.m_rateQueue, aPlan.m_clientAccount, aPlan.m_cost);
+  if (!place.IsTaken()) {
+    co_return aShort;
+  }
+  const bool hasBorrowed = co_await aServing.m_borrower.Borrow(
+    aPlan.m_clientAccount, place.TokensUpToHere(), until, aCancel);
+  if (hasBorrowed) {
+    aServing.m_rateQueue.Wake(aPlan.m_clientAccount);
+  } else if (aServing.m_clock.SteadyNow() >= until) {
+    co_return aShort;
+  }
+  const ReserveResult result = co_await place.Wait(until, aCancel);
+  aServing.m_metrics.Observe("rattanweir_rate_wait_seconds",
+                             aServing.m_clock.SteadyNow() - arrived);
+  co_return result;
+}
+
 Task<Reservation>
 Reserve(Serving& aServing, const RequestPlan& aPlan, CancelSource& aCancel)
 {
   ReserveResult result =
-    aServing.m_rates.Reserve(aPlan.m_clientAccount, aPlan.m_cost);
+    aServing.m_rateQueue.Reserve(aPlan.m_clientAccount, aPlan.m_cost);
   if (std::holds_alternative<RateShort>(result)) {
-    const bool hasBorrowed = co_await aServing.m_borrower.Borrow(
-      aPlan.m_clientAccount, aPlan.m_cost, aPlan.m_deadline, aCancel);
-    if (const auto reason = aCancel.Reason()) {
-      throw RequestError(*reason, "the request was cancelled", Ran::No);
-    }
-    if (hasBorrowed) {
-      result = aServing.m_rates.Reserve(
-        aPlan.m_clientAccount, aPlan.m_cost, ReserveTry::Again);
-    }
+    result =
+      co_await WaitForTokens(aServing, aPlan, std::move(result), aCancel);
+  }
+  if (const auto reason = aCancel.Reason()) {
+    ReleaseTokens(aServing, result);
+    throw RequestError(*reason, "the request was cancelled", Ran::No);
   }
   Reservation reservation = std::visit(RefuseReserve{}, result);
   if (reservation.m_isRunningLow) {
--- a/rattanweir/request/pipeline/serving.h
+++ b/rattanweir/request/pipeline/serving.h
@@ -21,6 +21,7 @@
 #include "rattanweir/process/rate/rate_ledger.h"
 #include "rattanweir/request/exchange/exchange.h"
 #include "rattanweir/request/pipeline/share_borrower.h"
+#include "rattanweir/request/rate_queue/rate_queue.h"
 #include "rattanweir/request/retry/retry.h"
 #include "rattanweir/version/catalog/catalog.h"
 
@@ -36,6 +37,7 @@
   Catalog& m_catalog;
   Membership& m_membership;
   RateLedger& m_rates;
+  RateQueue& m_rateQueue;
   IdempotencyLedger& m_keys;
   BackendView& m_backends;
   RunningRequests& m_inFlight;
--- a/testing/end_to_end/one_instance_test.cc
+++ b/testing/end_to_end/one_instance_test.cc
@@ -198,6 +198,17 @@
   CHECK(Describe(fleet.Judge()) == "");
 }
 
+TEST_CASE("A drain asked for on the admin side is answered whole")
+{
+  Fleet fleet({});
+  fleet.WaitUntilReady();
+  const HttpAnswer answer = fleet.Admin(kInstance, "/drain", "POST");
+  CHECK(answer.m_status == 200);
+  CHECK(answer.m_isWhole);
+  CHECK(ParseJson(answer.m_body)["draining"].asBool());
+  CHECK(fleet.Instance(kInstance).WaitForExit() == 0);
+}
+
 TEST_CASE("A faulty engine never makes a short or foreign answer whole")
 {
   Fleet fleet({});
--- a/testing/harness/configuration_files.cc
+++ b/testing/harness/configuration_files.cc
@@ -76,7 +76,8 @@
 }
 
 void
-ConfigurationFiles::WriteAccounts(std::size_t aMaximumInstances) const
+ConfigurationFiles::WriteAccounts(std::size_t aMaximumInstances,
+                                  const AccountRights& aSmall) const
 {
   std::ostringstream text;
   text << "version: 1\nmaximum_instances: " << aMaximumInstances
@@ -86,8 +87,8 @@
        << "  - { id: teachers, rate_tokens_per_second: 4000000, "
           "burst_tokens: 4000000, home_region: vestland }\n"
        << "  - { id: small, rate_tokens_per_second: "
-       << kSmallRights.m_tokensPerSecond
-       << ", burst_tokens: " << kSmallRights.m_burstTokens << " }\n";
+       << aSmall.m_tokensPerSecond << ", burst_tokens: " << aSmall.m_burstTokens
+       << " }\n";
   Write("client_accounts.yaml", text.str());
 }
 
--- a/testing/harness/configuration_files.h
+++ b/testing/harness/configuration_files.h
@@ -67,7 +67,8 @@
 
   std::string Directory() const { return m_directory.string(); }
 
-  void WriteAccounts(std::size_t aMaximumInstances) const;
+  void WriteAccounts(std::size_t aMaximumInstances,
+                     const AccountRights& aSmall = kSmallRights) const;
   void WriteRoutes(const std::string& aBookingDeadline) const;
   void WriteKeys(std::uint64_t aVersion,
                  const std::set<std::string>& aWithdrawn) const;
--- a/testing/harness/fleet.cc
+++ b/testing/harness/fleet.cc
@@ -19,12 +19,12 @@
   for (const std::string& account : ClientAccountNames()) {
     m_history.m_keys.insert(KeyTextOf(account));
   }
-  m_history.m_accounts["small"] = kSmallRights;
+  m_history.m_accounts["small"] = m_options.m_smallRights;
   for (const std::string& region : m_options.m_serverRegions) {
     StartServer("engine", region);
     StartServer("service", region);
   }
-  m_files.WriteAccounts(m_options.m_regions.size());
+  m_files.WriteAccounts(m_options.m_regions.size(), m_options.m_smallRights);
   m_files.WriteRoutes(m_options.m_bookingDeadline);
   WriteServers();
   PublishKeys(m_keysVersion);
@@ -214,10 +214,12 @@
 }
 
 HttpAnswer
-Fleet::Admin(const std::string& aInstance, const std::string& aPath)
+Fleet::Admin(const std::string& aInstance,
+             const std::string& aPath,
+             const std::string& aMethod)
 {
   HttpConnection connection(m_nodes.at(aInstance).m_adminAddress, kCallTimeout);
-  return connection.Send({ .m_method = "GET", .m_target = aPath });
+  return connection.Send({ .m_method = aMethod, .m_target = aPath });
 }
 
 std::uint64_t
--- a/testing/harness/fleet.h
+++ b/testing/harness/fleet.h
@@ -34,6 +34,8 @@
   std::vector<std::string> m_serverRegions = { "ostland" };
   std::string m_tokenInterval = "2ms";
   std::string m_bookingDeadline = "4s";
+  // Of the account `small`.
+  AccountRights m_smallRights = kSmallRights;
   // Reads the configuration from a stand-in platform instead of a directory.
   bool m_hasPlatform = false;
 };
@@ -62,8 +64,10 @@
   // Sets switches of a backend server, or of `platform`.
   void Switch(const std::string& aServer, const std::string& aJson);
 
-  // GET on an instance's admin side.
-  HttpAnswer Admin(const std::string& aInstance, const std::string& aPath);
+  // A request to an instance's admin side.
+  HttpAnswer Admin(const std::string& aInstance,
+                   const std::string& aPath,
+                   const std::string& aMethod = "GET");
 
   // Publish a change of one section.
   void WithdrawKey(const std::string& aKeyId);
--- a/testing/pipeline_world/pipeline_world.cc
+++ b/testing/pipeline_world/pipeline_world.cc
@@ -274,6 +274,9 @@
   , m_keys({ .m_clock = m_clock,
              .m_self = InstanceId("east-1"),
              .m_incarnation = Incarnation(1) })
+  , m_rateQueue({ .m_executor = m_context.get_executor(),
+                  .m_clock = m_clock,
+                  .m_rates = m_rates })
   , m_serving{ .m_executor = m_context.get_executor(),
                .m_clock = m_clock,
                .m_random = m_random,
@@ -282,6 +285,7 @@
                .m_catalog = m_catalog,
                .m_membership = m_membership,
                .m_rates = m_rates,
+               .m_rateQueue = m_rateQueue,
                .m_keys = m_keys,
                .m_backends = m_backends,
                .m_inFlight = m_inFlight,
--- a/testing/pipeline_world/pipeline_world.h
+++ b/testing/pipeline_world/pipeline_world.h
@@ -169,6 +169,7 @@
   BackendView m_backends{ { .m_clock = m_clock } };
   RunningRequests m_inFlight;
   RetryBudget m_retries{ {} };
+  RateQueue m_rateQueue;
   Metrics m_metrics;
   ScriptedUpstream m_upstream{ m_context };
   ScriptedBorrower m_borrower;
