Name eight lenders at a time, in an order of each borrower's own

Cause: each ask copied all PeerViews and passed the whole list, sorted by name, to the ledger: 369 ids at 370 instances, and all borrowers of a zone began with the same peer. An answer that came after its request's deadline was dropped though the lender had deducted, which lost the share for its term.

Change: connection/control/lender_order ranks own zone, own region and other regions, and within them by xxhash over borrower, account and peer; eight are named at a time. Who gave less than was asked is left out for 5 s, so that an account goes on to farther peers; at the end of the list it begins anew and the ledger's own waits decide, as before. Membership::VisitUsablePeers shows rows without copies. A lease request now ends by itself with its own timeout and whoever waits for it leaves earlier.

--- /dev/null
+++ b/rattanweir/connection/control/lender_order_test.cc
@@ -0,0 +1,106 @@
+#include "rattanweir/connection/control/lender_order.h"
+
+#include "rattanweir/base/clock/manual_clock.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+namespace rattanweir {
+namespace {
+
+constexpr std::size_t kMost = 8;
+
+// Instance n of 370: 11 regions in turn, two availability zones each.
+InstanceRecord
+Record(unsigned aNumber)
+{
+  const std::string region = "r" + std::to_string(aNumber % 11);
+  const std::string zone = region + (aNumber / 11 % 2 == 0 ? "a" : "b");
+  return { .m_id = InstanceId("i-" + std::to_string(aNumber)),
+           .m_region = RegionId(region),
+           .m_zone = AvailabilityZoneId(zone) };
+}
+
+struct World
+{
+  explicit World(unsigned aSelf, unsigned aInstances = 370)
+    : m_membership({ .m_clock = m_clock, .m_self = Record(aSelf).m_id })
+  {
+    std::vector<InstanceRecord> list;
+    for (unsigned number = 0; number < aInstances; ++number) {
+      list.push_back(Record(number));
+    }
+    m_membership.ApplyList(list);
+    for (const InstanceRecord& record : list) {
+      m_membership.ApplyHeartbeat(
+        { .m_from = record.m_id, .m_sequence = 1, .m_isReady = true });
+    }
+  }
+
+  std::vector<InstanceId> Lenders(std::size_t aSkipped,
+                                  std::size_t aMost,
+                                  const std::string& aAccount = "parents") const
+  {
+    return LendersInOrder(m_membership,
+                          { .m_clientAccount = ClientAccountId(aAccount),
+                            .m_skipped = aSkipped,
+                            .m_most = aMost });
+  }
+
+  int DistanceOf(const InstanceId& aPeer) const
+  {
+    const InstanceRecord self = *m_membership.Self();
+    const InstanceRecord peer = m_membership.Find(aPeer)->m_record;
+    return (peer.m_region == self.m_region ? 0 : 2) +
+           (peer.m_zone == self.m_zone ? 0 : 1);
+  }
+
+  ManualClock m_clock;
+  Membership m_membership;
+};
+
+TEST_CASE("lenders are named nearest first, each usable one once")
+{
+  World world(0);
+  const auto all = world.Lenders(0, 1'000);
+  REQUIRE(all.size() == 369);
+  REQUIRE(std::set(all.begin(), all.end()).size() == 369);
+  REQUIRE(
+    std::is_sorted(all.begin(), all.end(), [&](auto& aLeft, auto& aRight) {
+      return world.DistanceOf(aLeft) < world.DistanceOf(aRight);
+    }));
+  // A window is that part of the whole order, wherever it begins.
+  for (const std::size_t skipped : { 0, 5, 16, 40, 365, 369, 400 }) {
+    INFO(skipped);
+    const std::size_t first = std::min<std::size_t>(skipped, all.size());
+    const std::size_t last = std::min(first + kMost, all.size());
+    REQUIRE(world.Lenders(skipped, kMost) ==
+            std::vector(all.begin() + first, all.begin() + last));
+  }
+  world.m_membership.MarkUnreachable(all.front());
+  REQUIRE(world.Lenders(0, 1).front() == all[1]);
+  REQUIRE(World(400).Lenders(0, kMost).empty());
+}
+
+TEST_CASE("borrowers and accounts begin with different lenders")
+{
+  std::set<InstanceId> firstOfBorrowers;
+  // The 17 of one availability zone.
+  for (unsigned self = 0; self < 370; self += 22) {
+    firstOfBorrowers.insert(World(self).Lenders(0, 1).front());
+  }
+  CHECK(firstOfBorrowers.size() >= 9);
+  const World world(0);
+  std::set<InstanceId> firstOfAccounts;
+  for (int account = 0; account < 100; ++account) {
+    firstOfAccounts.insert(
+      world.Lenders(0, 1, std::to_string(account)).front());
+  }
+  CHECK(firstOfAccounts.size() >= 14);
+}
+
+} // namespace
+} // namespace rattanweir
--- a/rattanweir/connection/control/share_lending.cc
+++ b/rattanweir/connection/control/share_lending.cc
@@ -2,6 +2,7 @@
 
 #include "rattanweir/connection/control/share_lending.h"
 
+#include "rattanweir/connection/control/lender_order.h"
 #include "rattanweir/connection/control/peer_call.h"
 #include "rattanweir/connection/control_messages/control_messages.h"
 
@@ -18,8 +19,11 @@
 // A lender that takes longer is left for the next one.
 constexpr std::chrono::milliseconds kCallTimeout{ 500 };
 
-// The most peers asked for one request.
-constexpr int kLendersAsked = 8;
+// The most peers asked for one request, and named to the ledger at a time.
+constexpr std::size_t kLendersAsked = 8;
+
+// After that the nearest are asked first again.
+constexpr std::chrono::seconds kSkipTime{ 5 };
 
 } // namespace
 
@@ -32,6 +36,8 @@
   }
 
   asio::steady_timer m_timer;
+  bool m_isDone = false;
+  bool m_isGranted = false;
 };
 
 ShareLending::ShareLending(const ShareLendingOptions& aOptions)
@@ -48,26 +54,21 @@
                      CancelSource& aCancel)
 {
   bool hasBorrowed = false;
-  for (int asked = 0; asked < kLendersAsked; ++asked) {
+  for (std::size_t asked = 0; asked < kLendersAsked; ++asked) {
     if (IsAtHand(aAccount, aTokens)) {
       co_return true;
     }
     if (aCancel.Reason() || m_options.m_clock.SteadyNow() >= aDeadline) {
       break;
     }
-    if (m_pending.count(aAccount) != 0) {
-      co_await WaitForPending(aAccount, aDeadline);
-      hasBorrowed = true;
-    } else {
-      std::optional<LeaseRequest> request =
-        m_options.m_rate.PrepareLeaseRequest(
-          aAccount, aTokens, LendersNearestFirst());
-      if (!request) {
-        break;
-      }
-      const bool isGranted = co_await Ask(*request, aDeadline);
-      hasBorrowed = hasBorrowed || isGranted;
+    const auto found = m_pending.find(aAccount);
+    const auto pending =
+      found == m_pending.end() ? StartAsk(aAccount, aTokens) : found->second;
+    if (!pending) {
+      break;
     }
+    const bool isGranted = co_await WaitFor(pending, aDeadline);
+    hasBorrowed = hasBorrowed || isGranted;
   }
   co_return hasBorrowed;
 }
@@ -75,17 +76,26 @@
 void
 ShareLending::BorrowAhead(const ClientAccountId& aAccount)
 {
-  if (m_pending.count(aAccount) != 0) {
-    return;
+  if (m_pending.count(aAccount) == 0) {
+    StartAsk(aAccount, Tokens(0));
   }
-  const std::optional<LeaseRequest> request =
-    m_options.m_rate.PrepareLeaseRequest(
-      aAccount, Tokens(0), LendersNearestFirst());
-  if (request) {
-    const SteadyTime deadline = m_options.m_clock.SteadyNow() + kCallTimeout;
-    asio::co_spawn(
-      m_options.m_executor, Ask(*request, deadline), asio::detached);
+}
+
+// The request ends by itself: an answer that comes after all who waited for it
+// have left still brings its share.
+std::shared_ptr<ShareLending::Pending>
+ShareLending::StartAsk(const ClientAccountId& aAccount, Tokens aTokens)
+{
+  std::optional<LeaseRequest> request = m_options.m_rate.PrepareLeaseRequest(
+    aAccount, aTokens, NextLenders(aAccount));
+  if (!request) {
+    return nullptr;
   }
+  auto pending = std::make_shared<Pending>(m_options.m_executor);
+  m_pending.emplace(aAccount, pending);
+  asio::co_spawn(
+    m_options.m_executor, Ask(std::move(*request)), asio::detached);
+  return pending;
 }
 
 bool
@@ -95,11 +105,9 @@
          static_cast<double>(aTokens.Value());
 }
 
-Task<bool>
-ShareLending::Ask(LeaseRequest aRequest, SteadyTime aDeadline)
+Task<void>
+ShareLending::Ask(LeaseRequest aRequest)
 {
-  m_pending.emplace(aRequest.m_clientAccount,
-                    std::make_shared<Pending>(m_options.m_executor));
   LeaseGrant grant;
   grant.m_id = aRequest.m_id;
   grant.m_clientAccount = aRequest.m_clientAccount;
@@ -111,8 +119,7 @@
       call.m_endpoint = lender->m_record.m_peerAddress;
       call.m_method = kBorrowShareMethod;
       call.m_parameters = ToJson(aRequest);
-      call.m_deadline =
-        std::min(aDeadline, m_options.m_clock.SteadyNow() + kCallTimeout);
+      call.m_deadline = m_options.m_clock.SteadyNow() + kCallTimeout;
       const Json::Value result =
         co_await CallPeer(m_options.m_upstream, std::move(call));
       grant = LeaseGrantFromJson(result);
@@ -122,11 +129,13 @@
     m_options.m_metrics.Count("rattanweir_share_request_failures_total");
   }
   const bool isGranted = m_options.m_rate.Accept(grant);
+  if (!isGranted || grant.m_fraction < aRequest.m_fraction) {
+    SkipOne(aRequest.m_clientAccount);
+  }
   m_options.m_metrics.Count(isGranted
                               ? "rattanweir_shares_borrowed_total"
                               : "rattanweir_share_requests_refused_total");
-  EndPending(aRequest.m_clientAccount);
-  co_return isGranted;
+  EndPending(aRequest.m_clientAccount, isGranted);
 }
 
 void
@@ -158,51 +167,60 @@
   }
 }
 
-Task<void>
-ShareLending::WaitForPending(ClientAccountId aAccount, SteadyTime aDeadline)
+// Whether it was granted; false as well if the deadline comes first.
+Task<bool>
+ShareLending::WaitFor(std::shared_ptr<Pending> aPending, SteadyTime aDeadline)
 {
-  const std::shared_ptr<Pending> pending = m_pending.at(aAccount);
   boost::system::error_code ignored;
   const auto left = aDeadline - m_options.m_clock.SteadyNow();
   // Set only by the first who waits: a new expiry would wake the others.
-  if (pending->m_timer.expiry() < std::chrono::steady_clock::now()) {
-    pending->m_timer.expires_after(left);
+  if (aPending->m_timer.expiry() < std::chrono::steady_clock::now()) {
+    aPending->m_timer.expires_after(left);
+  }
+  if (!aPending->m_isDone) {
+    co_await aPending->m_timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
   }
-  co_await pending->m_timer.async_wait(
-    asio::redirect_error(asio::use_awaitable, ignored));
+  co_return aPending->m_isGranted;
 }
 
 void
-ShareLending::EndPending(const ClientAccountId& aAccount)
+ShareLending::EndPending(const ClientAccountId& aAccount, bool aIsGranted)
 {
   const auto found = m_pending.find(aAccount);
+  found->second->m_isDone = true;
+  found->second->m_isGranted = aIsGranted;
   found->second->m_timer.cancel();
   m_pending.erase(found);
 }
 
 std::vector<InstanceId>
-ShareLending::LendersNearestFirst() const
+ShareLending::NextLenders(const ClientAccountId& aAccount)
 {
-  const std::optional<InstanceRecord> self = m_options.m_membership.Self();
-  if (!self) {
-    return {};
-  }
-  std::vector<std::pair<int, InstanceId>> ranked;
-  for (const PeerView& peer : m_options.m_membership.Peers()) {
-    if (!m_options.m_membership.IsUsable(peer)) {
-      continue;
-    }
-    const bool isFar = peer.m_record.m_region != self->m_region;
-    const bool isNear = peer.m_record.m_zone == self->m_zone;
-    ranked.emplace_back(isFar ? 2 : (isNear ? 0 : 1), peer.m_record.m_id);
+  LenderOrderOptions order{ .m_clientAccount = aAccount,
+                            .m_most = kLendersAsked };
+  const auto skip = m_skips.find(aAccount);
+  if (skip == m_skips.end()) {
+    return LendersInOrder(m_options.m_membership, order);
   }
-  std::sort(ranked.begin(), ranked.end());
-  std::vector<InstanceId> lenders;
-  lenders.reserve(ranked.size());
-  for (auto& [distance, id] : ranked) {
-    lenders.push_back(std::move(id));
+  order.m_skipped = skip->second.m_count;
+  std::vector<InstanceId> lenders =
+    LendersInOrder(m_options.m_membership, order);
+  const auto age = m_options.m_clock.SteadyNow() - skip->second.m_since;
+  if (age <= kSkipTime && lenders.size() == kLendersAsked) {
+    return lenders;
   }
-  return lenders;
+  // Begins anew; the ledger knows whom to leave alone.
+  m_skips.erase(skip);
+  order.m_skipped = 0;
+  return LendersInOrder(m_options.m_membership, order);
+}
+
+void
+ShareLending::SkipOne(const ClientAccountId& aAccount)
+{
+  const Skip fresh{ .m_since = m_options.m_clock.SteadyNow() };
+  ++m_skips.try_emplace(aAccount, fresh).first->second.m_count;
 }
 
 } // namespace rattanweir
--- a/rattanweir/connection/control/share_lending.h
+++ b/rattanweir/connection/control/share_lending.h
@@ -16,6 +16,7 @@
 #include "rattanweir/request/exchange/exchange.h"
 #include "rattanweir/request/pipeline/share_borrower.h"
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <vector>
@@ -57,15 +58,27 @@
 private:
   struct Pending;
 
-  Task<bool> Ask(LeaseRequest aRequest, SteadyTime aDeadline);
+  // How many of the nearest gave less than was asked, since the first did.
+  struct Skip
+  {
+    SteadyTime m_since;
+    std::size_t m_count = 0;
+  };
+
+  // Null if asking cannot help now.
+  std::shared_ptr<Pending> StartAsk(const ClientAccountId& aAccount,
+                                    Tokens aTokens);
+  Task<void> Ask(LeaseRequest aRequest);
   Task<void> Tell(LeaseReturn aReturn);
-  Task<void> WaitForPending(ClientAccountId aAccount, SteadyTime aDeadline);
-  void EndPending(const ClientAccountId& aAccount);
+  Task<bool> WaitFor(std::shared_ptr<Pending> aPending, SteadyTime aDeadline);
+  void EndPending(const ClientAccountId& aAccount, bool aIsGranted);
   bool IsAtHand(const ClientAccountId& aAccount, Tokens aTokens) const;
-  std::vector<InstanceId> LendersNearestFirst() const;
+  std::vector<InstanceId> NextLenders(const ClientAccountId& aAccount);
+  void SkipOne(const ClientAccountId& aAccount);
 
   ShareLendingOptions m_options;
   std::map<ClientAccountId, std::shared_ptr<Pending>> m_pending;
+  std::map<ClientAccountId, Skip> m_skips;
 };
 
 } // namespace rattanweir
--- a/rattanweir/process/membership/membership.cc
+++ b/rattanweir/process/membership/membership.cc
@@ -73,16 +73,20 @@
 Membership::IsUsable(const PeerView& aPeer) const
 {
   const auto found = m_peers.find(aPeer.m_record.m_id);
-  if (found == m_peers.end() || found->second.m_isUnreachable) {
-    return false;
-  }
+  return found != m_peers.end() && !found->second.m_isUnreachable &&
+         IsHeard(aPeer, m_options.m_clock.SteadyNow());
+}
+
+bool
+Membership::IsHeard(const PeerView& aPeer, SteadyTime aNow) const
+{
   if (aPeer.m_record.m_isLeaving || !aPeer.m_heartbeat) {
     return false;
   }
   if (aPeer.m_heartbeat->m_isDraining || !aPeer.m_heartbeat->m_isReady) {
     return false;
   }
-  const auto silence = m_options.m_clock.SteadyNow() - aPeer.m_heardAt;
+  const auto silence = aNow - aPeer.m_heardAt;
   return silence <=
          m_options.m_missedHeartbeats * aPeer.m_heartbeat->m_interval;
 }
@@ -100,6 +104,18 @@
   return peers;
 }
 
+void
+Membership::VisitUsablePeers(
+  const std::function<void(const InstanceRecord&)>& aVisit) const
+{
+  const SteadyTime now = m_options.m_clock.SteadyNow();
+  for (const auto& [id, entry] : m_peers) {
+    if (!entry.m_isUnreachable && IsHeard(entry.m_view, now)) {
+      aVisit(entry.m_view.m_record);
+    }
+  }
+}
+
 std::optional<PeerView>
 Membership::Find(const InstanceId& aId) const
 {
--- a/rattanweir/process/membership/membership.h
+++ b/rattanweir/process/membership/membership.h
@@ -19,6 +19,7 @@
 #include "rattanweir/version/section/section.h"
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -91,6 +92,10 @@
   // Listed and not leaving, draining, unready or silent.
   std::vector<PeerView> UsablePeersIn(const RegionId& aRegion) const;
 
+  // Shows the list's row of each peer that can be used, without a copy.
+  void VisitUsablePeers(
+    const std::function<void(const InstanceRecord&)>& aVisit) const;
+
   // The peer, listed or not usable alike; nothing if the list has it not.
   std::optional<PeerView> Find(const InstanceId& aId) const;
 
@@ -106,6 +111,9 @@
     bool m_isUnreachable = false;
   };
 
+  // Ready, staying and not silent.
+  bool IsHeard(const PeerView& aPeer, SteadyTime aNow) const;
+
   MembershipOptions m_options;
   std::map<InstanceId, Entry> m_peers;
   std::optional<InstanceRecord> m_self;
