Test that answers on the admin side are whole before the process ends

Cause: at the end of a shutdown the process stopped with requests of its admin side under way. With nothing else in flight that was as soon as POST /drain had been handled.

A second admin request whose body is half sent when POST /drain comes is now answered whole.

--- a/testing/end_to_end/one_instance_test.cc
+++ b/testing/end_to_end/one_instance_test.cc
@@ -1,7 +1,10 @@
 // One instance before one engine and one service, as separate processes.
 
+#include "rattanweir/base/asio/asio.h"
+
 #include "testing/harness/caller.h"
 #include "testing/harness/fleet.h"
+#include "testing/raw_peer/raw_peer.h"
 
 #include <catch2/catch.hpp>
 
@@ -198,14 +201,31 @@
   CHECK(Describe(fleet.Judge()) == "");
 }
 
-TEST_CASE("A drain asked for on the admin side is answered whole")
+TEST_CASE("A drain ends after the answers on the admin side are whole")
 {
   Fleet fleet({});
   fleet.WaitUntilReady();
-  const HttpAnswer answer = fleet.Admin(kInstance, "/drain", "POST");
-  CHECK(answer.m_status == 200);
-  CHECK(answer.m_isWhole);
-  CHECK(ParseJson(answer.m_body)["draining"].asBool());
+  std::string status;
+  asio::io_context context;
+  std::exception_ptr failure;
+  const auto ask = [&]() -> Task<void> {
+    RawPeer slow =
+      co_await RawPeer::Connect(context, fleet.AdminAddress(kInstance));
+    co_await slow.Write(
+      "GET /livez HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\n{");
+    const HttpAnswer drain = fleet.Admin(kInstance, "/drain", "POST");
+    CHECK(drain.m_isWhole);
+    CHECK(drain.m_body == R"({"draining":true})");
+    co_await slow.Write("}");
+    status = co_await slow.ReadToEnd();
+  };
+  asio::co_spawn(context, ask(), [&](const std::exception_ptr& aError) {
+    failure = aError;
+  });
+  context.run();
+  REQUIRE_FALSE(failure);
+  CHECK(status.starts_with("HTTP/1.1 200"));
+  CHECK(status.ends_with(R"({"live":true})"));
   CHECK(fleet.Instance(kInstance).WaitForExit() == 0);
 }
 
--- a/testing/harness/fleet.cc
+++ b/testing/harness/fleet.cc
@@ -213,6 +213,13 @@
     { .m_method = "POST", .m_target = "/_switch", .m_body = aJson });
 }
 
+Endpoint
+Fleet::AdminAddress(const std::string& aInstance) const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_nodes.at(aInstance).m_adminAddress;
+}
+
 HttpAnswer
 Fleet::Admin(const std::string& aInstance,
              const std::string& aPath,
--- a/testing/harness/fleet.h
+++ b/testing/harness/fleet.h
@@ -60,6 +60,7 @@
   Process& Server(const std::string& aServer);
   LinkCutter& Link(const std::string& aInstance);
   Endpoint CallerAddress(const std::string& aInstance) const;
+  Endpoint AdminAddress(const std::string& aInstance) const;
 
   // Sets switches of a backend server, or of `platform`.
   void Switch(const std::string& aServer, const std::string& aJson);
