Measure the rates of the running product

Change: bench/rate_demand, eight real instances on loopback with delayed links before one stand-in engine; refusals against one central bucket, every interval of the admitted against rate * t + burst, added wait and messages a request.

--- /dev/null
+++ b/bench/rate_demand/demand_run.cc
@@ -0,0 +1,106 @@
+#include "bench/rate_demand/demand_run.h"
+
+#include "testing/harness/caller.h"
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <random>
+#include <thread>
+
+namespace rattanweir::bench {
+namespace {
+
+using std::chrono::duration;
+using std::chrono::steady_clock;
+
+constexpr int kSenders = 96;
+
+// Sends what comes next, over a connection of its own to each instance.
+class Sender
+{
+public:
+  Sender(testing::Fleet& aFleet, const std::string& aClientAccount)
+    : m_fleet(aFleet)
+    , m_clientAccount(aClientAccount)
+  {
+  }
+
+  Result Send(const Arrival& aArrival, steady_clock::time_point aBegin)
+  {
+    auto& caller = m_callers[aArrival.m_instance];
+    if (!caller) {
+      caller = std::make_unique<testing::Caller>(m_fleet, aArrival.m_instance);
+    }
+    std::this_thread::sleep_until(
+      aBegin + std::chrono::duration_cast<steady_clock::duration>(
+                 duration<double>(aArrival.m_time)));
+    const auto since = [aBegin] {
+      return duration<double>(steady_clock::now() - aBegin).count();
+    };
+    Result result{ .m_sentAt = since(), .m_tokens = aArrival.m_tokens };
+    const testing::CallerRecord call = caller->Call(
+      { .m_kind = testing::CallKind::Text,
+        .m_clientAccount = m_clientAccount,
+        .m_prompt = "",
+        .m_maxTokens = static_cast<std::uint64_t>(aArrival.m_tokens) });
+    result.m_endedAt = since();
+    result.m_isServed = call.m_status == 200 && call.m_isWhole;
+    if (!result.m_isServed) {
+      result.m_result = caller->LastResult();
+    }
+    return result;
+  }
+
+private:
+  testing::Fleet& m_fleet;
+  std::string m_clientAccount;
+  std::map<std::string, std::unique_ptr<testing::Caller>> m_callers;
+};
+
+} // namespace
+
+std::vector<Arrival>
+MakeSchedule(const DemandOptions& aOptions, RandomEngine& aRandom)
+{
+  const double meanTokens =
+    (aOptions.m_leastTokens + aOptions.m_mostTokens) / 2.0;
+  std::exponential_distribution<double> gap(aOptions.m_tokensPerSecond /
+                                            meanTokens);
+  std::uniform_int_distribution<int> tokens(aOptions.m_leastTokens,
+                                            aOptions.m_mostTokens);
+  std::vector<Arrival> schedule;
+  for (double time = gap(aRandom); time < aOptions.m_seconds;
+       time += gap(aRandom)) {
+    const std::size_t turn = schedule.size() % aOptions.m_instances.size();
+    schedule.push_back({ .m_time = time,
+                         .m_instance = aOptions.m_instances[turn],
+                         .m_tokens = tokens(aRandom) });
+  }
+  return schedule;
+}
+
+std::vector<Result>
+Send(testing::Fleet& aFleet,
+     const std::string& aClientAccount,
+     const std::vector<Arrival>& aSchedule)
+{
+  std::vector<Result> results(aSchedule.size());
+  std::atomic<std::size_t> next = 0;
+  const auto begin = steady_clock::now();
+  std::vector<std::jthread> senders;
+  senders.reserve(kSenders);
+  for (int number = 0; number < kSenders; ++number) {
+    senders.emplace_back([&] {
+      Sender sender(aFleet, aClientAccount);
+      for (std::size_t turn = next++; turn < aSchedule.size(); turn = next++) {
+        results[turn] = sender.Send(aSchedule[turn], begin);
+      }
+    });
+  }
+  senders.clear();
+  return results;
+}
+
+} // namespace rattanweir::bench
