--- a/rattanweir/connection/http_server/http_server.h
+++ b/rattanweir/connection/http_server/http_server.h
@@ -21,6 +21,9 @@
 // any other answer just breaks off; neither gets the mark of a whole answer.
 // Other exceptions count as InternalError.
 //
+// HTTP/1.0 is refused: without chunks a caller can't tell a whole answer from a
+// broken one. A caller that ends its sending side counts as gone.
+//
 // For one thread. The handler must outlive the coroutines: either await
 // WaitUntilDone, or destroy the io_context before the handler.
 
--- a/rattanweir/connection/http_server/http_server_test.cc
+++ b/rattanweir/connection/http_server/http_server_test.cc
@@ -242,25 +242,31 @@
 
 TEST_CASE("requests on one connection are answered in order")
 {
-  Bench bench;
-  bench.Run([&]() -> Task<void> {
-    RawPeer caller = co_await bench.Connect();
-    // Sent at once: none of the pipelined bytes may get lost.
-    co_await caller.Write(
-      Post("Content-Length: 3\r\n", "one") +
-      Post("Transfer-Encoding: chunked\r\n", "2\r\ntw\r\n1\r\no\r\n0\r\n\r\n") +
-      "HEAD / HTTP/1.1\r\n\r\n" + Get("/", "Connection: close\r\n"));
-    const std::string first = co_await caller.ReadUntil("POST one");
-    REQUIRE(first.find("x-hop") == std::string::npos);
-    co_await caller.ReadUntil("POST two");
-    const std::string head = co_await caller.ReadUntil("\r\n\r\n");
-    REQUIRE(head.find("Content-Length: 5") != std::string::npos);
-    const std::string last = co_await caller.ReadToEnd();
-    REQUIRE(last.starts_with("HTTP/1.1 200 OK\r\n"));
-    REQUIRE(last.find("Connection: close") != std::string::npos);
-    REQUIRE(last.ends_with("\r\n\r\nGET "));
-    REQUIRE(bench.m_errors.empty());
-  });
+  const std::string requests =
+    Post("Content-Length: 3\r\n", "one") +
+    Post("Transfer-Encoding: chunked\r\n", "2\r\ntw\r\n1\r\no\r\n0\r\n\r\n") +
+    "HEAD / HTTP/1.1\r\n\r\n" + Get("/", "Connection: close\r\n");
+  // Sent at once none of the pipelined bytes may get lost, and sent byte by
+  // byte none may be taken for a whole.
+  for (const std::size_t size : { requests.size(), std::size_t(1) }) {
+    Bench bench;
+    bench.Run([&]() -> Task<void> {
+      RawPeer caller = co_await bench.Connect();
+      for (std::size_t at = 0; at < requests.size(); at += size) {
+        co_await caller.Write(requests.substr(at, size));
+      }
+      const std::string first = co_await caller.ReadUntil("POST one");
+      CHECK(first.find("x-hop") == std::string::npos);
+      co_await caller.ReadUntil("POST two");
+      const std::string head = co_await caller.ReadUntil("\r\n\r\n");
+      CHECK(head.find("Content-Length: 5") != std::string::npos);
+      const std::string last = co_await caller.ReadToEnd();
+      CHECK(last.starts_with("HTTP/1.1 200 OK\r\n"));
+      CHECK(last.find("Connection: close") != std::string::npos);
+      CHECK(last.ends_with("\r\n\r\nGET "));
+      CHECK(bench.m_errors.empty());
+    });
+  }
 }
 
 TEST_CASE("a caller that asks first is told to go on")
--- a/rattanweir/connection/platform/internal/feed.cc
+++ b/rattanweir/connection/platform/internal/feed.cc
@@ -30,13 +30,7 @@
 FeedSection(const PlatformOptions& aOptions, const SectionOffer& aOffer)
 {
   const OfferOutcome outcome = aOptions.m_catalog.Offer(aOffer);
-  const std::string name = SectionName(aOffer.m_kind);
-  const std::string version = std::to_string(aOffer.m_version.Value());
-  if (outcome == OfferOutcome::Accepted) {
-    Log(LogLevel::Info,
-        "section_accepted",
-        { { "section", name }, { "version", version } });
-  } else if (outcome == OfferOutcome::Rejected) {
+  if (outcome == OfferOutcome::Rejected) {
     aOptions.m_metrics.Count("rattanweir_sections_rejected_total");
     LogFaults("section_rejected",
               aOptions.m_catalog.Status(aOffer.m_kind).m_faults);
--- a/rattanweir/connection/platform/internal/feed.h
+++ b/rattanweir/connection/platform/internal/feed.h
@@ -6,7 +6,9 @@
 
 namespace rattanweir {
 
-// Offers a section to the catalog; logs and counts what became of it.
+// Offers a section to the catalog; logs and counts a rejected one. Accepted
+// ones are logged by who learns of them from the catalog, as some come from
+// peers.
 OfferOutcome
 FeedSection(const PlatformOptions& aOptions, const SectionOffer& aOffer);
 
