--- /dev/null
+++ b/rattanweir/connection/http_client/http_client_pool_test.cc
@@ -0,0 +1,177 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "testing/client_bench/client_bench.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/detached.hpp>
+
+#include <optional>
+
+namespace rattanweir {
+namespace {
+
+TEST_CASE("a connection is used again, but never with bytes of an old answer")
+{
+  const struct
+  {
+    std::string m_what;
+    std::string m_first;
+    // Written once the first answer was read.
+    std::string m_late;
+    bool m_closes;
+    bool m_needsFresh;
+    bool m_isReused;
+  } cases[] = {
+    { "a whole answer", kWhole, "", false, false, true },
+    { "chunks", kChunked + "2\r\nok\r\n0\r\n\r\n", "", false, false, true },
+    { "a fresh one is needed", kWhole, "", false, true, false },
+    { "a second answer at once", kWhole + kWhole, "", false, false, false },
+    { "a second answer later", kWhole, kWhole, false, false, false },
+    { "the server closed", kWhole, "", true, false, false },
+    { "the server said so",
+      "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+      "",
+      false,
+      false,
+      false },
+  };
+  for (const auto& row : cases) {
+    ClientBench bench;
+    bench.Run([&]() -> Task<void> {
+      std::string first;
+      std::string second;
+      asio::co_spawn(
+        bench.m_context,
+        [&]() -> Task<void> {
+          const OutboundRequest request = bench.Request();
+          first = co_await Ask(bench, request);
+        },
+        asio::detached);
+      RawPeer server = co_await bench.m_listener.Accept();
+      co_await Reply(server, row.m_first);
+      co_await WaitUntil([&] { return first == "ok"; });
+      co_await server.Write(row.m_late);
+      if (row.m_closes) {
+        server.Close();
+      }
+      asio::co_spawn(
+        bench.m_context,
+        [&]() -> Task<void> {
+          OutboundRequest request = bench.Request();
+          request.m_needsFreshConnection = row.m_needsFresh;
+          second = co_await Ask(bench, request);
+        },
+        asio::detached);
+      const std::string answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew";
+      std::optional<RawPeer> fresh;
+      if (!row.m_isReused) {
+        fresh.emplace(co_await bench.m_listener.Accept());
+      }
+      co_await Reply(fresh ? *fresh : server, answer);
+      co_await WaitUntil([&] { return !second.empty(); });
+      CAPTURE(row.m_what);
+      CHECK(second == "new");
+    });
+  }
+}
+
+TEST_CASE("an exchange that is given up closes its connection")
+{
+  ClientBench bench;
+  bench.Run([&]() -> Task<void> {
+    asio::co_spawn(
+      bench.m_context,
+      [&]() -> Task<void> {
+        const OutboundRequest request = bench.Request();
+        const auto exchange = co_await bench.Send(request);
+        co_await exchange->ReadHead();
+      },
+      asio::detached);
+    RawPeer server = co_await bench.m_listener.Accept();
+    co_await Reply(server, kLength2);
+    const std::string rest = co_await server.ReadToEnd();
+    REQUIRE(rest.empty());
+    REQUIRE(bench.m_upstream.IdleConnections() == 0);
+  });
+}
+
+TEST_CASE("idle connections are bounded in number and in time")
+{
+  ClientBench bench(50ms);
+  bench.Run([&]() -> Task<void> {
+    std::vector<RawPeer> servers;
+    int answered = 0;
+    for (int i = 0; i < 3; ++i) {
+      asio::co_spawn(
+        bench.m_context,
+        [&]() -> Task<void> {
+          const OutboundRequest request = bench.Request();
+          co_await Ask(bench, request);
+          ++answered;
+        },
+        asio::detached);
+      servers.push_back(co_await bench.m_listener.Accept());
+    }
+    for (RawPeer& server : servers) {
+      co_await Reply(server, kWhole);
+    }
+    co_await WaitUntil([&] { return answered == 3; });
+    REQUIRE(bench.m_upstream.IdleConnections() <= 2);
+    for (RawPeer& server : servers) {
+      co_await server.ReadToEnd();
+    }
+    REQUIRE(bench.m_upstream.IdleConnections() == 0);
+  });
+}
+
+TEST_CASE("a server that takes no connection is given up on in time")
+{
+  ClientBench bench;
+  // The listener's queue is full, so that a further connect gets no answer.
+  asio::ip::tcp::acceptor full(bench.m_context);
+  full.open(asio::ip::tcp::v4());
+  full.bind({ asio::ip::address_v4::loopback(), 0 });
+  full.listen(0);
+  const Endpoint endpoint{ .m_address = "127.0.0.1",
+                           .m_port = full.local_endpoint().port() };
+  bench.Run([&]() -> Task<void> {
+    const RawPeer first = co_await RawPeer::Connect(bench.m_context, endpoint);
+    const OutboundRequest request = bench.Request();
+    const auto error = co_await ErrorOf([&]() -> Task<void> {
+      co_await bench.m_upstream.Send(endpoint, request, bench.m_cancel);
+    });
+    REQUIRE(error);
+    REQUIRE(error->Code() == ResultCode::BackendConnectFailed);
+    REQUIRE(error->HasRun() == Ran::No);
+  });
+}
+
+TEST_CASE("an answer given before the whole body was taken is not lost")
+{
+  ClientBench bench;
+  bench.Run([&]() -> Task<void> {
+    unsigned status = 0;
+    asio::co_spawn(
+      bench.m_context,
+      [&]() -> Task<void> {
+        std::string body;
+        body.resize(30'000'000, 'b');
+        const OutboundRequest request = bench.Request(body);
+        const auto exchange = co_await bench.Send(request);
+        const AnswerHead head = co_await exchange->ReadHead();
+        status = head.m_status;
+      },
+      asio::detached);
+    RawPeer server = co_await bench.m_listener.Accept();
+    co_await Reply(server,
+                   "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\n"
+                   "Content-Length: 0\r\n\r\n");
+    server.Close();
+    co_await WaitUntil([&] { return status == 503; });
+  });
+}
+
+} // namespace
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/connection/http_server/http_server_bounds_test.cc
@@ -0,0 +1,220 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "testing/server_bench/server_bench.h"
+
+#include <catch2/catch.hpp>
+
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+TEST_CASE("timeouts end each wait for the caller")
+{
+  const struct
+  {
+    std::string m_what;
+    std::string m_sent;
+    std::string m_result;
+  } cases[] = {
+    { "idle", "", "" },
+    { "a slow header", "GET / HT", "103" },
+    { "a slow body", Post("Content-Length: 5\r\n", "abc"), "103" },
+  };
+  for (const auto& row : cases) {
+    CallerLimits limits = ServerBench::SmallLimits();
+    limits.m_idleTimeout = 20ms;
+    limits.m_readTimeout = 20ms;
+    ServerBench bench(limits);
+    bench.Run([&]() -> Task<void> {
+      RawPeer caller = co_await bench.Connect();
+      co_await caller.Write(row.m_sent);
+      const std::string answer = co_await caller.ReadToEnd();
+      CAPTURE(row.m_what, answer);
+      CHECK(ResultIn(answer) == row.m_result);
+    });
+  }
+}
+
+TEST_CASE("a caller that takes no byte of its answer is given up on")
+{
+  CallerLimits limits = ServerBench::SmallLimits();
+  limits.m_writeTimeout = 20ms;
+  ServerBench bench(limits);
+  bench.m_handler.m_scripts["/endless"] =
+    [](const InboundRequest&, AnswerSink& aSink, CancelSource&) -> Task<void> {
+    co_await aSink.WriteHead(Head("text/plain"));
+    for (;;) {
+      co_await aSink.WriteChunk(std::string(65'536, 'x'));
+    }
+  };
+  bench.Run([&]() -> Task<void> {
+    RawPeer caller = co_await bench.Connect();
+    co_await caller.Write(Get("/endless"));
+    co_await WaitUntil([&] { return !bench.m_errors.empty(); });
+    REQUIRE(bench.m_errors[0] == ResultCode::CallerTooSlow);
+    co_await WaitUntil([&] { return bench.m_server.Connections() == 0; });
+  });
+}
+
+TEST_CASE("a caller that closes cancels its request")
+{
+  const struct
+  {
+    std::string m_what;
+    std::string m_pipelined;
+    bool m_resets;
+  } cases[] = { { "close", "", false },
+                { "reset", "", true },
+                { "close after pipelined bytes", Get("/next"), false } };
+  for (const auto& row : cases) {
+    ServerBench bench;
+    std::optional<ResultCode> reason;
+    bench.m_handler.m_scripts["/wait"] =
+      [&](const InboundRequest&,
+          AnswerSink& aSink,
+          CancelSource& aCancel) -> Task<void> {
+      co_await aSink.WriteHead(Head("text/plain"));
+      co_await WaitUntil([&] { return aCancel.Reason().has_value(); });
+      reason = aCancel.Reason();
+      throw RequestError(*reason, "cancelled");
+    };
+    bench.Run([&]() -> Task<void> {
+      RawPeer caller = co_await bench.Connect();
+      co_await caller.Write(Get("/wait"));
+      co_await caller.ReadUntil("\r\n\r\n");
+      co_await caller.Write(row.m_pipelined);
+      row.m_resets ? caller.Reset() : caller.Close();
+      co_await WaitUntil([&] { return bench.m_server.Connections() == 0; });
+      CAPTURE(row.m_what);
+      CHECK(reason == ResultCode::CallerGone);
+      CHECK(bench.m_handler.m_seen.size() == 1);
+    });
+  }
+}
+
+// Answers once `m_mayEnd` is set.
+struct Gate
+{
+  ScriptedHandler::Script Script()
+  {
+    return [this](const InboundRequest&,
+                  AnswerSink& aSink,
+                  CancelSource&) -> Task<void> {
+      co_await aSink.WriteHead(Head("text/plain"));
+      co_await WaitUntil([this] { return m_mayEnd; });
+      co_await aSink.WriteChunk("end");
+      co_await aSink.Finish();
+    };
+  }
+  bool m_mayEnd = false;
+};
+
+TEST_CASE("bounds on connections, requests and bodies are answered at once")
+{
+  ServerBench bench(ServerBench::SmallLimits(), ByteCount(100));
+  Gate gate;
+  bench.m_handler.m_scripts["/gate"] = gate.Script();
+  bench.Run([&]() -> Task<void> {
+    RawPeer first = co_await bench.Connect();
+    RawPeer second = co_await bench.Connect();
+    RawPeer third = co_await bench.Connect();
+    co_await first.Write(Get("/gate"));
+    co_await first.ReadUntil("\r\n\r\n");
+    co_await second.Write(Post("Content-Length: 60\r\n", "incomplete"));
+    co_await WaitUntil([&] { return bench.m_server.Connections() == 3; });
+
+    RawPeer over = co_await bench.Connect();
+    const std::string refused = co_await over.ReadToEnd();
+    REQUIRE(ResultIn(refused) == "201");
+    REQUIRE_FALSE(over.WasReset());
+
+    co_await third.Write(Post("Content-Length: 60\r\n", ""));
+    const std::string noRoom = co_await third.ReadToEnd();
+    REQUIRE(ResultIn(noRoom) == "202");
+    second.Close();
+    third.Close();
+    co_await WaitUntil([&] { return bench.m_server.Connections() == 1; });
+
+    RawPeer fourth = co_await bench.Connect();
+    RawPeer fifth = co_await bench.Connect();
+    co_await fourth.Write(Get("/gate"));
+    co_await fourth.ReadUntil("\r\n\r\n");
+    co_await fifth.Write(Get("/gate"));
+    const std::string busy = co_await fifth.ReadUntil("}\n");
+    REQUIRE(ResultIn(busy) == "202");
+    gate.m_mayEnd = true;
+    co_await fourth.ReadUntil("end");
+    // A refused request leaves its connection open, and the room comes back.
+    co_await fifth.Write(Get("/gate"));
+    const std::string answer = co_await fifth.ReadUntil("end");
+    REQUIRE(answer.starts_with("HTTP/1.1 200"));
+  });
+}
+
+TEST_CASE("draining ends idle connections, finishes running ones, takes none")
+{
+  ServerBench bench;
+  Gate gate;
+  bench.m_handler.m_scripts["/gate"] = gate.Script();
+  bench.Run([&]() -> Task<void> {
+    RawPeer running = co_await bench.Connect();
+    co_await running.Write(Get("/gate"));
+    co_await running.ReadUntil("\r\n\r\n");
+    RawPeer idle = co_await bench.Connect();
+    co_await idle.Write(Get("/"));
+    co_await idle.ReadUntil("GET ");
+    // In the listener's queue with its request, and not yet accepted.
+    RawPeer waiting = co_await bench.Connect();
+    co_await waiting.Write(Get("/"));
+
+    bench.m_server.Drain();
+    const std::string rest = co_await idle.ReadToEnd();
+    REQUIRE(rest.empty());
+    const std::string served = co_await waiting.ReadToEnd();
+    REQUIRE(served.starts_with("HTTP/1.1 200"));
+    REQUIRE(served.find("Connection: close") != std::string::npos);
+    bool isRefused = false;
+    try {
+      co_await bench.Connect();
+    } catch (const boost::system::system_error&) {
+      isRefused = true;
+    }
+    REQUIRE(isRefused);
+
+    REQUIRE(bench.m_server.RequestsInFlight() == 1);
+    gate.m_mayEnd = true;
+    const std::string whole = co_await running.ReadToEnd();
+    REQUIRE(whole.ends_with("0\r\n\r\n"));
+    running.Close();
+    idle.Close();
+    waiting.Close();
+    co_await bench.m_server.WaitUntilDone();
+    REQUIRE(bench.m_server.Connections() == 0);
+  });
+}
+
+TEST_CASE("an abort cancels what runs and tells its caller")
+{
+  ServerBench bench;
+  bench.m_handler.m_scripts["/wait"] = [](const InboundRequest&,
+                                          AnswerSink&,
+                                          CancelSource& aCancel) -> Task<void> {
+    co_await WaitUntil([&] { return aCancel.Reason().has_value(); });
+    throw RequestError(*aCancel.Reason(), "cancelled", Ran::Maybe);
+  };
+  bench.Run([&]() -> Task<void> {
+    RawPeer caller = co_await bench.Connect();
+    co_await caller.Write(Get("/wait"));
+    co_await WaitUntil([&] { return bench.m_server.RequestsInFlight() == 1; });
+    bench.m_server.Abort();
+    const std::string answer = co_await caller.ReadToEnd();
+    REQUIRE(ResultIn(answer) == "204");
+    REQUIRE(answer.find("rattanweir-ran: maybe") != std::string::npos);
+    caller.Close();
+    co_await bench.m_server.WaitUntilDone();
+  });
+}
+
+} // namespace
+} // namespace rattanweir
--- /dev/null
+++ b/testing/client_bench/client_bench.h
@@ -0,0 +1,114 @@
+// An HttpUpstream and the listener that it talks to, for contract tests.
+//
+//   ClientBench bench;
+//   bench.Run([&]() -> Task<void> { ... });
+
+#pragma once
+
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/connection/http_client/http_client.h"
+#include "rattanweir/request/exchange/header_fields.h"
+#include "testing/raw_peer/raw_peer.h"
+
+#include <boost/asio/detached.hpp>
+
+#include <optional>
+
+namespace rattanweir {
+
+using namespace std::chrono_literals;
+
+inline const std::string kLength2 =
+  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n";
+inline const std::string kChunked =
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+inline const std::string kWhole = kLength2 + "ok";
+
+// A client and the listener that it talks to.
+struct ClientBench
+{
+  explicit ClientBench(std::chrono::nanoseconds aIdleTimeout = 10s)
+    : m_listener(m_context)
+    , m_upstream({ .m_executor = m_context.get_executor(),
+                   .m_connectTimeout = 200ms,
+                   .m_headerBytes = ByteCount(1024),
+                   .m_idlePerEndpoint = 2,
+                   .m_idleTimeout = aIdleTimeout })
+  {
+  }
+
+  OutboundRequest Request(const std::string& aBody = "") const
+  {
+    return OutboundRequest{
+      .m_method = "POST",
+      .m_target = "/t?q=1",
+      .m_headers = { { "x-request-id", "r" } },
+      .m_body = std::make_shared<const std::string>(aBody),
+      .m_deadline = SystemClock().SteadyNow() + m_timeout,
+    };
+  }
+
+  Task<std::unique_ptr<UpstreamExchange>> Send(OutboundRequest aRequest)
+  {
+    return m_upstream.Send(
+      m_listener.LocalEndpoint(), std::move(aRequest), m_cancel);
+  }
+
+  void Run(std::function<Task<void>()> aTask)
+  {
+    RunTask(m_context, std::move(aTask));
+  }
+
+  asio::io_context m_context;
+  RawListener m_listener;
+  CancelSource m_cancel;
+  std::chrono::nanoseconds m_timeout = 10s;
+  HttpUpstream m_upstream;
+};
+
+// Reads the body of an answer to its end.
+inline Task<std::string>
+ReadBody(UpstreamExchange& aExchange)
+{
+  std::string body;
+  for (;;) {
+    const std::optional<std::string> chunk = co_await aExchange.ReadChunk();
+    if (!chunk) {
+      co_return body;
+    }
+    body += *chunk;
+  }
+}
+
+// The error that ends a task, or nothing.
+inline Task<std::optional<RequestError>>
+ErrorOf(std::function<Task<void>()> aTask)
+{
+  try {
+    co_await aTask();
+  } catch (const RequestError& error) {
+    co_return error;
+  }
+  co_return std::nullopt;
+}
+
+// One request and its whole answer.
+inline Task<std::string>
+Ask(ClientBench& aBench, OutboundRequest aRequest)
+{
+  const auto exchange = co_await aBench.Send(aRequest);
+  co_await exchange->ReadHead();
+  std::string body = co_await ReadBody(*exchange);
+  co_return body;
+}
+
+// Takes one request of a connection and writes these bytes.
+inline Task<void>
+Reply(RawPeer& aPeer, std::string aAnswer)
+{
+  co_await aPeer.ReadUntil("\r\n\r\n");
+  co_await aPeer.Write(aAnswer);
+}
+
+} // namespace rattanweir
