End attempts at a peer that falls silent

A forwarded request over a link that was cut waited for its deadline, since its connection stays open. The tick now ends attempts at peers that are silent or unlisted with peer_lost, and idempotent ones go elsewhere at once. Retries are counted when they are made, not when they are decided: the row /west had counted one that found no place. Attempts are split into place question, dispatch and loop; membership gains IsSilent.

--- a/programs/rattanweird/daemon.cc
+++ b/programs/rattanweird/daemon.cc
@@ -112,6 +112,7 @@
            .m_keys = m_keys,
            .m_backends = m_backends,
            .m_inFlight = m_inFlight,
+           .m_peerAttempts = m_peerAttempts,
            .m_retries = m_retries,
            .m_metrics = m_metrics,
            .m_upstream = m_upstream,
@@ -309,6 +310,7 @@
   CancelSource never;
   while (!m_isStopped) {
     m_keys.Tick();
+    EndAttemptsAtLostPeers(m_serving);
     UpdateReadiness();
     co_await WaitFor(m_context.get_executor(), kTickInterval, never);
   }
--- a/programs/rattanweird/daemon.h
+++ b/programs/rattanweird/daemon.h
@@ -73,6 +73,7 @@
   IdempotencyLedger m_keys;
   BackendView m_backends;
   RunningRequests m_inFlight;
+  PeerAttempts m_peerAttempts;
   RetryBudget m_retries;
 
   HttpUpstream m_upstream;
--- a/rattanweir/process/in_flight/in_flight_test.cc
+++ b/rattanweir/process/in_flight/in_flight_test.cc
@@ -1,4 +1,5 @@
 #include "rattanweir/process/in_flight/in_flight.h"
+#include "rattanweir/process/in_flight/peer_attempts.h"
 
 #include <catch2/catch.hpp>
 
@@ -53,5 +54,25 @@
   REQUIRE(running.Count() == 1);
 }
 
+TEST_CASE("only the attempts at a lost peer end, while they are waited for")
+{
+  PeerAttempts attempts;
+  const InstanceId lost("lost");
+  CancelSource first;
+  CancelSource second;
+  CancelSource elsewhere;
+  const auto firstEntry = attempts.Add(lost, first);
+  const auto otherEntry = attempts.Add(InstanceId("other"), elsewhere);
+  {
+    const auto secondEntry = attempts.Add(lost, second);
+    REQUIRE(attempts.Peers().size() == 2);
+  }
+  attempts.EndThoseAt(lost);
+  attempts.EndThoseAt(InstanceId("unknown"));
+  REQUIRE(first.Reason() == ResultCode::PeerLost);
+  REQUIRE_FALSE(second.Reason());
+  REQUIRE_FALSE(elsewhere.Reason());
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/process/membership/membership.cc
+++ b/rattanweir/process/membership/membership.cc
@@ -82,9 +82,17 @@
   if (aPeer.m_heartbeat->m_isDraining || !aPeer.m_heartbeat->m_isReady) {
     return false;
   }
+  return !IsSilent(aPeer);
+}
+
+bool
+Membership::IsSilent(const PeerView& aPeer) const
+{
+  if (!aPeer.m_heartbeat) {
+    return false;
+  }
   const auto silence = m_options.m_clock.SteadyNow() - aPeer.m_heardAt;
-  return silence <=
-         m_options.m_missedHeartbeats * aPeer.m_heartbeat->m_interval;
+  return silence > m_options.m_missedHeartbeats * aPeer.m_heartbeat->m_interval;
 }
 
 std::vector<PeerView>
--- a/rattanweir/process/membership/membership.h
+++ b/rattanweir/process/membership/membership.h
@@ -96,6 +96,9 @@
 
   bool IsUsable(const PeerView& aPeer) const;
 
+  // Heard before, but not for as long as it would take to miss its heartbeats.
+  bool IsSilent(const PeerView& aPeer) const;
+
   // This instance's own row, if the list has it.
   std::optional<InstanceRecord> Self() const;
 
--- a/rattanweir/request/pipeline/attempts.cc
+++ b/rattanweir/request/pipeline/attempts.cc
@@ -2,6 +2,7 @@
 
 #include "rattanweir/base/random/random.h"
 #include "rattanweir/request/pipeline/admission.h"
+#include "rattanweir/request/pipeline/dispatch.h"
 #include "rattanweir/request/wait/wait.h"
 
 #include <algorithm>
@@ -18,8 +19,6 @@
 // Before a place is tried again: doubled for each attempt, with as much again
 // at random.
 constexpr milliseconds kFirstRetryDelay(10);
-// A server that gave no whole answer in this time counts as hung.
-constexpr std::chrono::seconds kHungAfter(20);
 
 std::optional<BackendServer>
 FindLocalServer(const Serving& aServing,
@@ -35,57 +34,6 @@
   return std::nullopt;
 }
 
-// Holds a dispatch at a backend server in the view until its end is known.
-class Dispatch
-{
-public:
-  Dispatch(BackendView& aView, BackendServerId aId)
-    : m_view(aView)
-    , m_id(std::move(aId))
-  {
-    m_view.AddDispatch(m_id);
-  }
-  ~Dispatch() { m_view.EndDispatch(m_id, m_verdict); }
-  Dispatch(const Dispatch&) = delete;
-  Dispatch& operator=(const Dispatch&) = delete;
-
-  void SetVerdict(AttemptVerdict aVerdict) { m_verdict = aVerdict; }
-
-  void TakeSignals(const AnswerHead& aHead)
-  {
-    const BackendSignals signals = SignalsOf(aHead);
-    if (signals.m_load) {
-      m_view.ReportLoad(m_id, *signals.m_load);
-    }
-    if (signals.m_isDraining) {
-      m_view.MarkLeaving(m_id);
-    }
-  }
-
-private:
-  BackendView& m_view;
-  BackendServerId m_id;
-  AttemptVerdict m_verdict = AttemptVerdict::Neutral;
-};
-
-AttemptVerdict
-VerdictOf(ResultCode aCode, nanoseconds aLasted)
-{
-  switch (aCode) {
-    // A deadline tells of the server only if it had time enough.
-    case ResultCode::DeadlineExceeded:
-      return aLasted >= kHungAfter ? AttemptVerdict::Failed
-                                   : AttemptVerdict::Neutral;
-    case ResultCode::BackendConnectFailed:
-    case ResultCode::BackendReset:
-    case ResultCode::AnswerIncomplete:
-    case ResultCode::AnswerMismatch:
-      return AttemptVerdict::Failed;
-    default:
-      return AttemptVerdict::Neutral;
-  }
-}
-
 // The error of an exchange with a peer in the words for peers.
 RequestError
 AsPeerError(const RequestError& aError)
@@ -101,51 +49,8 @@
   }
 }
 
-BackendCandidate
-CandidateOf(const Serving& aServing, const BackendServer& aServer)
-{
-  return { .m_id = aServer.m_id,
-           .m_maximumInFlight = aServer.m_maximumInFlight,
-           .m_isLeaving = aServer.m_isLeaving,
-           .m_state = aServing.m_backends.StateOf(aServer.m_id) };
-}
-
 } // namespace
 
-PlaceQuestion
-AskForPlace(const Serving& aServing,
-            const RequestPlan& aPlan,
-            const TriedPlaces& aTried,
-            bool aResumesStream)
-{
-  const Catalog& catalog = aServing.m_catalog;
-  const PoolId& pool = aPlan.m_route.m_pool;
-  PlaceQuestion question{
-    .m_regions = RegionsInForce(catalog, aPlan.m_route, aPlan.m_clientAccount),
-    .m_ownRegion = aServing.m_region,
-  };
-  for (const BackendServer* server :
-       catalog.BackendServersOf(pool, aServing.m_region)) {
-    const bool isUnfit = aResumesStream && !server->m_resumesStreams;
-    if (isUnfit || aTried.m_backendServers.contains(server->m_id)) {
-      continue;
-    }
-    question.m_candidates.push_back(CandidateOf(aServing, *server));
-  }
-  // A forwarded request goes no further.
-  if (aPlan.m_forwardedBy) {
-    return question;
-  }
-  for (const RegionId& region : catalog.RegionsOf(pool)) {
-    for (PeerView& peer : aServing.m_membership.UsablePeersIn(region)) {
-      if (!aTried.m_peers.contains(peer.m_record.m_id)) {
-        question.m_peers.push_back(std::move(peer));
-      }
-    }
-  }
-  return question;
-}
-
 Attempts::Attempts(const AttemptsOptions& aOptions)
   : m_options(aOptions)
   , m_serving(aOptions.m_serving)
@@ -173,6 +78,9 @@
     }
     // The wait before a repeated place may have changed things.
     CheckBeforeDispatch();
+    if (m_lastFailure) {
+      m_serving.m_metrics.CountRetry(m_lastFailure->Code());
+    }
     Failure failure = co_await Attempt(std::move(place));
     if (!failure) {
       co_return;
@@ -288,19 +196,18 @@
     FromBackendServer{ .m_attempt = attempt,
                        .m_kind = server->m_kind,
                        .m_echoesAttemptId = server->m_echoesAttemptId };
-  const SteadyTime begin = m_serving.m_clock.SteadyNow();
-  Dispatch dispatch(m_serving.m_backends, aId);
+  Dispatch dispatch(m_serving.m_backends, m_serving.m_clock, aId);
   try {
-    const auto exchange = co_await Send(server->m_endpoint, std::move(fields));
+    const auto exchange =
+      co_await Send(server->m_endpoint, std::move(fields), m_options.m_cancel);
     const AnswerHead head = co_await exchange->ReadHead();
     if (!IsCrossed(head, origin)) {
       dispatch.TakeSignals(head);
     }
     co_await Relay(*exchange, head, origin);
-    dispatch.SetVerdict(AttemptVerdict::Answered);
+    dispatch.EndWith(ResultCode::Ok);
   } catch (const RequestError& error) {
-    const auto lasted = m_serving.m_clock.SteadyNow() - begin;
-    dispatch.SetVerdict(VerdictOf(error.Code(), lasted));
+    dispatch.EndWith(error.Code());
     throw;
   }
 }
@@ -328,9 +235,14 @@
   m_serving.m_metrics.Count("rattanweir_forwarded_total");
   const InstanceRecord& record = aPeer.m_record;
   const AnswerOrigin origin = FromPeer{ .m_request = m_plan.m_id };
+  // Ends with the request, or alone when the peer is lost.
+  CancelSource cancel;
+  const auto linked = m_options.m_cancel.OnCancel(
+    [&] { cancel.Cancel(*m_options.m_cancel.Reason()); });
+  const auto entry = m_serving.m_peerAttempts.Add(record.m_id, cancel);
   try {
     const auto exchange =
-      co_await Send(record.m_peerAddress, std::move(fields));
+      co_await Send(record.m_peerAddress, std::move(fields), cancel);
     const AnswerHead head = co_await exchange->ReadHead();
     co_await Relay(*exchange, head, origin);
   } catch (const RequestError& error) {
@@ -342,7 +254,7 @@
 }
 
 Task<std::unique_ptr<UpstreamExchange>>
-Attempts::Send(Endpoint aEndpoint, HeaderFields aFields)
+Attempts::Send(Endpoint aEndpoint, HeaderFields aFields, CancelSource& aCancel)
 {
   m_serving.m_metrics.Count("rattanweir_attempts_total");
   OutboundRequest outbound{
@@ -356,7 +268,7 @@
   std::move(
     aFields.begin(), aFields.end(), std::back_inserter(outbound.m_headers));
   co_return co_await m_serving.m_upstream.Send(
-    std::move(aEndpoint), std::move(outbound), m_options.m_cancel);
+    std::move(aEndpoint), std::move(outbound), aCancel);
 }
 
 Task<void>
@@ -397,7 +309,6 @@
     throw WithRan(aFailure);
   }
   m_lastFailure = aFailure;
-  m_serving.m_metrics.CountRetry(aFailure.Code());
 }
 
 RequestError
--- a/rattanweir/request/pipeline/attempts.h
+++ b/rattanweir/request/pipeline/attempts.h
@@ -10,31 +10,16 @@
 
 #pragma once
 
+#include "rattanweir/request/pipeline/place_question.h"
 #include "rattanweir/request/pipeline/request_plan.h"
 #include "rattanweir/request/pipeline/serving.h"
 #include "rattanweir/request/relay/answer_relay.h"
 #include "rattanweir/request/routing/place_choice.h"
 
 #include <optional>
-#include <set>
 
 namespace rattanweir {
 
-// The places that were tried without success.
-struct TriedPlaces
-{
-  std::set<BackendServerId> m_backendServers;
-  std::set<InstanceId> m_peers;
-};
-
-// What the choice of a place is made from. With `aResumesStream` only backend
-// servers that resume streams count.
-PlaceQuestion
-AskForPlace(const Serving& aServing,
-            const RequestPlan& aPlan,
-            const TriedPlaces& aTried,
-            bool aResumesStream);
-
 struct AttemptsOptions
 {
   Serving& m_serving;
@@ -75,7 +60,8 @@
   Task<void> AttemptHere(BackendServerId aId);
   Task<void> AttemptAtPeer(PeerView aPeer);
   Task<std::unique_ptr<UpstreamExchange>> Send(Endpoint aEndpoint,
-                                               HeaderFields aFields);
+                                               HeaderFields aFields,
+                                               CancelSource& aCancel);
   Task<void> Relay(UpstreamExchange& aExchange,
                    AnswerHead aHead,
                    AnswerOrigin aOrigin);
--- /dev/null
+++ b/rattanweir/request/pipeline/dispatch.cc
@@ -0,0 +1,68 @@
+#include "rattanweir/request/pipeline/dispatch.h"
+
+#include "rattanweir/request/relay/answer_relay.h"
+
+#include <chrono>
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+// A server that gave no whole answer in this time counts as hung.
+constexpr std::chrono::seconds kHungAfter(20);
+
+AttemptVerdict
+VerdictOf(ResultCode aCode, std::chrono::nanoseconds aLasted)
+{
+  switch (aCode) {
+    case ResultCode::Ok:
+      return AttemptVerdict::Answered;
+    // A deadline tells of the server only if it had time enough.
+    case ResultCode::DeadlineExceeded:
+      return aLasted >= kHungAfter ? AttemptVerdict::Failed
+                                   : AttemptVerdict::Neutral;
+    case ResultCode::BackendConnectFailed:
+    case ResultCode::BackendReset:
+    case ResultCode::AnswerIncomplete:
+    case ResultCode::AnswerMismatch:
+      return AttemptVerdict::Failed;
+    default:
+      return AttemptVerdict::Neutral;
+  }
+}
+
+} // namespace
+
+Dispatch::Dispatch(BackendView& aView, const Clock& aClock, BackendServerId aId)
+  : m_view(aView)
+  , m_clock(aClock)
+  , m_id(std::move(aId))
+  , m_begin(aClock.SteadyNow())
+{
+  m_view.AddDispatch(m_id);
+}
+
+Dispatch::~Dispatch()
+{
+  m_view.EndDispatch(m_id, m_verdict);
+}
+
+void
+Dispatch::TakeSignals(const AnswerHead& aHead)
+{
+  const BackendSignals signals = SignalsOf(aHead);
+  if (signals.m_load) {
+    m_view.ReportLoad(m_id, *signals.m_load);
+  }
+  if (signals.m_isDraining) {
+    m_view.MarkLeaving(m_id);
+  }
+}
+
+void
+Dispatch::EndWith(ResultCode aCode)
+{
+  m_verdict = VerdictOf(aCode, m_clock.SteadyNow() - m_begin);
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/pipeline/dispatch.h
@@ -0,0 +1,40 @@
+// One dispatch at a backend server, held in the view until it has ended.
+//
+//   Dispatch dispatch(view, clock, server.m_id);
+//   ... dispatch.TakeSignals(head); ...
+//   dispatch.EndWith(ResultCode::Ok);
+
+#pragma once
+
+#include "rattanweir/base/clock/clock.h"
+#include "rattanweir/base/result/result_code.h"
+#include "rattanweir/process/backend_view/backend_view.h"
+#include "rattanweir/request/exchange/exchange.h"
+
+namespace rattanweir {
+
+class Dispatch
+{
+public:
+  // View and clock must outlive it.
+  Dispatch(BackendView& aView, const Clock& aClock, BackendServerId aId);
+  // Without EndWith it says nothing about the server's health.
+  ~Dispatch();
+  Dispatch(const Dispatch&) = delete;
+  Dispatch& operator=(const Dispatch&) = delete;
+
+  // Takes load and draining from an answer of this server.
+  void TakeSignals(const AnswerHead& aHead);
+
+  // How the attempt ended, for the server's health.
+  void EndWith(ResultCode aCode);
+
+private:
+  BackendView& m_view;
+  const Clock& m_clock;
+  BackendServerId m_id;
+  SteadyTime m_begin;
+  AttemptVerdict m_verdict = AttemptVerdict::Neutral;
+};
+
+} // namespace rattanweir
--- a/rattanweir/request/pipeline/pipeline_test.cc
+++ b/rattanweir/request/pipeline/pipeline_test.cc
@@ -476,6 +476,38 @@
   REQUIRE(outcome.m_ran == Ran::Maybe);
 }
 
+TEST_CASE("an attempt at a peer that falls silent ends before its deadline")
+{
+  struct Row
+  {
+    const char* m_target;
+    Code m_code;
+    Ran m_ran;
+  };
+  const Row rows[] = {
+    // Tried again, as the region's engines answer now.
+    { "/ask", Code::Ok, Ran::Yes },
+    { "/west", Code::PeerLost, Ran::Maybe },
+    { "/book-west", Code::PeerLost, Ran::Maybe },
+  };
+  for (const Row& row : rows) {
+    INFO(row.m_target);
+    PipelineWorld world;
+    world.Script(kWestPeer, { .m_kind = AnswerKind::Holds });
+    FailEngines(world, kConnectFails);
+    Outcome& outcome = world.Start(world.m_entry, { .m_target = row.m_target });
+    EndAttemptsAtLostPeers(world.m_serving);
+    REQUIRE_FALSE(outcome.m_isDone);
+    world.Advance(seconds(5));
+    EndAttemptsAtLostPeers(world.m_serving);
+    world.RunUntil([&] { return outcome.m_isDone; });
+    CHECK(outcome.m_code == row.m_code);
+    CHECK(outcome.m_ran == row.m_ran);
+    CHECK(world.m_metrics.Retries(Code::PeerLost) ==
+          (row.m_code == Code::Ok ? 1 : 0));
+  }
+}
+
 TEST_CASE("a broken stream goes on elsewhere at its offset")
 {
   const std::string whole =
@@ -791,11 +823,8 @@
     PipelineWorld world;
     world.m_borrower.m_answer = hasBorrowed;
     world.m_borrower.m_onAsked = [&] {
-      // What a lease would bring.
-      for (int tick = 0; tick < 60; ++tick) {
-        world.m_clock.Advance(milliseconds(400));
-        world.m_rates.Tick();
-      }
+      // As much as a lease would bring.
+      world.Advance(seconds(24));
     };
     const Outcome& outcome = world.Ask(short20);
     CHECK(world.m_borrower.m_asked == 1);
--- /dev/null
+++ b/rattanweir/request/pipeline/place_question.cc
@@ -0,0 +1,55 @@
+#include "rattanweir/request/pipeline/place_question.h"
+
+#include "rattanweir/request/pipeline/admission.h"
+
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+BackendCandidate
+CandidateOf(const Serving& aServing, const BackendServer& aServer)
+{
+  return { .m_id = aServer.m_id,
+           .m_maximumInFlight = aServer.m_maximumInFlight,
+           .m_isLeaving = aServer.m_isLeaving,
+           .m_state = aServing.m_backends.StateOf(aServer.m_id) };
+}
+
+} // namespace
+
+PlaceQuestion
+AskForPlace(const Serving& aServing,
+            const RequestPlan& aPlan,
+            const TriedPlaces& aTried,
+            bool aResumesStream)
+{
+  const Catalog& catalog = aServing.m_catalog;
+  const PoolId& pool = aPlan.m_route.m_pool;
+  PlaceQuestion question{
+    .m_regions = RegionsInForce(catalog, aPlan.m_route, aPlan.m_clientAccount),
+    .m_ownRegion = aServing.m_region,
+  };
+  for (const BackendServer* server :
+       catalog.BackendServersOf(pool, aServing.m_region)) {
+    const bool isUnfit = aResumesStream && !server->m_resumesStreams;
+    if (isUnfit || aTried.m_backendServers.contains(server->m_id)) {
+      continue;
+    }
+    question.m_candidates.push_back(CandidateOf(aServing, *server));
+  }
+  // A forwarded request goes no further.
+  if (aPlan.m_forwardedBy) {
+    return question;
+  }
+  for (const RegionId& region : catalog.RegionsOf(pool)) {
+    for (PeerView& peer : aServing.m_membership.UsablePeersIn(region)) {
+      if (!aTried.m_peers.contains(peer.m_record.m_id)) {
+        question.m_peers.push_back(std::move(peer));
+      }
+    }
+  }
+  return question;
+}
+
+} // namespace rattanweir
--- a/rattanweir/request/pipeline/serving.cc
+++ b/rattanweir/request/pipeline/serving.cc
@@ -14,6 +14,17 @@
   }
 }
 
+void
+EndAttemptsAtLostPeers(const Serving& aServing)
+{
+  for (const InstanceId& id : aServing.m_peerAttempts.Peers()) {
+    const auto peer = aServing.m_membership.Find(id);
+    if (!peer || aServing.m_membership.IsSilent(*peer)) {
+      aServing.m_peerAttempts.EndThoseAt(id);
+    }
+  }
+}
+
 bool
 IsStillEntitled(const Catalog& aCatalog, const RunningRequest& aRequest)
 {
--- a/rattanweir/request/pipeline/serving.h
+++ b/rattanweir/request/pipeline/serving.h
@@ -16,6 +16,7 @@
 #include "rattanweir/process/backend_view/backend_view.h"
 #include "rattanweir/process/idempotency/idempotency_ledger.h"
 #include "rattanweir/process/in_flight/in_flight.h"
+#include "rattanweir/process/in_flight/peer_attempts.h"
 #include "rattanweir/process/membership/membership.h"
 #include "rattanweir/process/metrics/metrics.h"
 #include "rattanweir/process/rate/rate_ledger.h"
@@ -39,6 +40,7 @@
   IdempotencyLedger& m_keys;
   BackendView& m_backends;
   RunningRequests& m_inFlight;
+  PeerAttempts& m_peerAttempts;
   RetryBudget& m_retries;
   Metrics& m_metrics;
   Upstream& m_upstream;
@@ -56,6 +58,10 @@
 void
 CheckTakesRequests(const Serving& aServing);
 
+// Ends the attempts at peers that are silent or not listed any more.
+void
+EndAttemptsAtLostPeers(const Serving& aServing);
+
 // Whether a request in flight still has its rights: its key is granted and
 // its client account exists. For RunningRequests::CancelWithdrawn.
 bool
--- a/testing/pipeline_world/pipeline_world.cc
+++ b/testing/pipeline_world/pipeline_world.cc
@@ -285,6 +285,7 @@
                .m_keys = m_keys,
                .m_backends = m_backends,
                .m_inFlight = m_inFlight,
+               .m_peerAttempts = m_peerAttempts,
                .m_retries = m_retries,
                .m_metrics = m_metrics,
                .m_upstream = m_upstream,
@@ -310,14 +311,15 @@
   HearPeer("east-2", Incarnation(2));
   HearPeer("west-1", Incarnation(3));
   m_rates.Configure(m_catalog.ClientAccounts());
-  FillBuckets();
+  // Fills the buckets.
+  Advance(std::chrono::seconds(2));
 }
 
 void
-PipelineWorld::FillBuckets()
+PipelineWorld::Advance(std::chrono::nanoseconds aDuration)
 {
-  m_rates.Tick();
-  for (int tick = 0; tick < 4; ++tick) {
+  const SteadyTime end = m_clock.SteadyNow() + aDuration;
+  while (m_clock.SteadyNow() < end) {
     m_clock.Advance(kTick);
     m_rates.Tick();
   }
@@ -403,11 +405,12 @@
 void
 PipelineWorld::HearPeer(const std::string& aId, Incarnation aIncarnation)
 {
-  REQUIRE(m_membership.ApplyHeartbeat({ .m_from = InstanceId(aId),
-                                        .m_incarnation = aIncarnation,
-                                        .m_sequence = ++m_nextVersion,
-                                        .m_isReady = true,
-                                        .m_interval = std::chrono::hours(1) }));
+  REQUIRE(
+    m_membership.ApplyHeartbeat({ .m_from = InstanceId(aId),
+                                  .m_incarnation = aIncarnation,
+                                  .m_sequence = ++m_nextVersion,
+                                  .m_isReady = true,
+                                  .m_interval = std::chrono::seconds(1) }));
 }
 
 std::string
--- a/testing/pipeline_world/pipeline_world.h
+++ b/testing/pipeline_world/pipeline_world.h
@@ -151,9 +151,12 @@
   // Runs until the condition holds. Fails the test if it never can.
   void RunUntil(const std::function<bool()>& aCondition);
 
+  // Lets time pass as it does for a process that runs.
+  void Advance(std::chrono::nanoseconds aDuration);
+
   void Offer(SectionKind aKind, const std::string& aText);
   void OfferKeys(const std::vector<std::string>& aNames);
-  // As the peer's heartbeat tells it.
+  // As the peer's heartbeat tells it; the next one is due in a second.
   void HearPeer(const std::string& aId, Incarnation aIncarnation);
   // Issues an idempotency key for the route `book`.
   std::string IssueKey();
@@ -168,6 +171,7 @@
   IdempotencyLedger m_keys;
   BackendView m_backends{ { .m_clock = m_clock } };
   RunningRequests m_inFlight;
+  PeerAttempts m_peerAttempts;
   RetryBudget m_retries{ {} };
   Metrics m_metrics;
   ScriptedUpstream m_upstream{ m_context };
@@ -178,8 +182,6 @@
   PeerHandler m_peer;
 
 private:
-  void FillBuckets();
-
   std::uint64_t m_nextVersion = 1;
   std::uint64_t m_nextRequest = 1;
   std::deque<Outcome> m_outcomes;
