--- /dev/null
+++ b/rattanweir/request/pipeline/keyed_runs_test.cc
@@ -0,0 +1,186 @@
+#include "testing/pipeline_world/pipeline_world.h"
+
+#include "rattanweir/request/exchange/header_fields.h"
+
+#include <catch2/catch.hpp>
+
+namespace rattanweir {
+namespace {
+
+using Code = ResultCode;
+
+TEST_CASE("a key's request runs at most once and repeats get its answer")
+{
+  PipelineWorld world;
+  const std::string key = world.IssueKey();
+  world.Script(kDesk,
+               { .m_kind = AnswerKind::Holds,
+                 .m_headers = { { "x-place", "1" } },
+                 .m_pieces = { "booked" } });
+  Outcome& first = world.Start(world.m_entry, Booking(key));
+  Outcome& repeat = world.Start(world.m_entry, Booking(key));
+  Outcome& gone = world.Start(world.m_entry, Booking(key));
+  first.m_cancel.Cancel(Code::CallerGone);
+  world.RunUntil([&] { return first.m_isDone; });
+  REQUIRE(first.m_code == Code::CallerGone);
+  REQUIRE(first.m_ran == Ran::Maybe);
+  REQUIRE_FALSE(repeat.m_isDone);
+  REQUIRE(world.m_keyedRuns.RunningCount() == 1);
+  world.m_upstream.ReleaseHeld();
+  world.RunUntil([&] { return repeat.m_isDone && gone.m_isDone; });
+  Outcome& after = world.Ask(Booking(key));
+  for (const Outcome* outcome : { &repeat, &gone, &after }) {
+    REQUIRE(outcome->m_code == Code::Ok);
+    REQUIRE(outcome->m_body == "booked");
+    REQUIRE(outcome->m_isWhole);
+    REQUIRE(*FindHeader(outcome->m_head->m_headers, "x-place") == "1");
+  }
+  REQUIRE(*FindHeader(after.m_head->m_headers, "rattanweir-request") == "r4");
+  REQUIRE(world.Ask(Booking(key, "{}")).m_code == Code::IdempotencyKeyMismatch);
+  REQUIRE(world.m_upstream.m_sent.size() == 1);
+  REQUIRE(SentField(world, 0, "x-request-id") == key);
+  REQUIRE(world.m_keyedRuns.RunningCount() == 0);
+}
+
+TEST_CASE("a key whose request failed is used again only if it did not run")
+{
+  struct Row
+  {
+    const char* m_name;
+    ScriptedAnswer m_answer;
+    Code m_first;
+    Ran m_ran;
+    Code m_repeat;
+    std::size_t m_sent;
+  };
+  const std::vector<ScriptedAnswer> failing(
+    4, { .m_kind = AnswerKind::ConnectFails });
+  const Row rows[] = {
+    { "reset after bytes",
+      { .m_kind = AnswerKind::Resets },
+      Code::BackendReset,
+      Ran::Maybe,
+      Code::BackendReset,
+      1 },
+    { "broken answer",
+      { .m_pieces = { "boo" }, .m_isWhole = false },
+      Code::AnswerIncomplete,
+      Ran::Maybe,
+      Code::AnswerIncomplete,
+      1 },
+    { "answer to another attempt",
+      { .m_attemptId = "other" },
+      Code::AnswerMismatch,
+      Ran::Maybe,
+      Code::AnswerMismatch,
+      1 },
+    { "no connection",
+      { .m_kind = AnswerKind::ConnectFails },
+      Code::BackendConnectFailed,
+      Ran::No,
+      Code::Ok,
+      1 },
+    { "not run by its own word",
+      { .m_status = 503, .m_headers = { { "x-not-run", "1" } } },
+      Code::BackendRefused,
+      Ran::No,
+      Code::Ok,
+      2 },
+  };
+  for (const Row& row : rows) {
+    INFO(row.m_name);
+    PipelineWorld world;
+    // Without a budget the first failure is the outcome.
+    while (world.m_retries.Take()) {
+    }
+    const std::string key = world.IssueKey();
+    world.Script(kDesk, row.m_answer);
+    const Outcome& first = world.Ask(Booking(key));
+    CHECK(first.m_code == row.m_first);
+    CHECK(first.m_ran == row.m_ran);
+    const Outcome& repeat = world.Ask(Booking(key));
+    CHECK(repeat.m_code == row.m_repeat);
+    CHECK(world.m_upstream.m_sent.size() == row.m_sent);
+  }
+}
+
+TEST_CASE("a key of another instance goes to its owner or nowhere")
+{
+  const auto keyOf = [](const char* aOwner, std::uint64_t aIncarnation) {
+    return IdempotencyKey{ InstanceId(aOwner),
+                           Incarnation(aIncarnation),
+                           "0123456789abcdef0123456789abcdef" }
+      .ToString();
+  };
+  struct Row
+  {
+    const char* m_name;
+    std::string m_key;
+    ScriptedAnswer m_answer;
+    Code m_code;
+    Ran m_ran;
+    std::size_t m_sent;
+  };
+  const Row rows[] = {
+    { "owner answers", keyOf("west-1", 3), {}, Code::Ok, Ran::Yes, 1 },
+    { "owner replaced",
+      keyOf("west-1", 4),
+      {},
+      Code::IdempotencyOutcomeUnknown,
+      Ran::Maybe,
+      0 },
+    { "owner not listed",
+      keyOf("north-1", 1),
+      {},
+      Code::IdempotencyOutcomeUnknown,
+      Ran::Maybe,
+      0 },
+    { "own earlier incarnation",
+      keyOf("east-1", 9),
+      {},
+      Code::IdempotencyOutcomeUnknown,
+      Ran::Maybe,
+      0 },
+    { "owner not reached",
+      keyOf("west-1", 3),
+      { .m_kind = AnswerKind::ConnectFails },
+      Code::PeerLost,
+      Ran::Maybe,
+      0 },
+    { "owner lost",
+      keyOf("west-1", 3),
+      { .m_kind = AnswerKind::Resets },
+      Code::PeerLost,
+      Ran::Maybe,
+      1 },
+  };
+  for (const Row& row : rows) {
+    INFO(row.m_name);
+    PipelineWorld world;
+    world.Script(kWestPeer, row.m_answer);
+    const Outcome& outcome = world.Ask(Booking(row.m_key));
+    CHECK(outcome.m_code == row.m_code);
+    CHECK(outcome.m_ran == row.m_ran);
+    CHECK(world.m_upstream.m_sent.size() == row.m_sent);
+    for (const auto& sent : world.m_upstream.m_sent) {
+      CHECK(sent.m_endpoint == kWestPeer);
+    }
+  }
+}
+
+TEST_CASE("a non-idempotent request without a key is dispatched once")
+{
+  PipelineWorld world;
+  world.Script(kDesk, { .m_kind = AnswerKind::ConnectFails });
+  const Outcome& retried = world.Ask({ .m_target = "/book" });
+  REQUIRE(retried.m_code == Code::Ok);
+  REQUIRE(world.m_upstream.m_connects == 2);
+  REQUIRE(world.m_upstream.m_sent.at(0).m_request.m_needsFreshConnection);
+  world.Script(kDesk, { .m_pieces = { "boo" }, .m_isWhole = false });
+  const Outcome& broken = world.Ask({ .m_target = "/book" });
+  REQUIRE(broken.m_code == Code::AnswerIncomplete);
+  REQUIRE(world.m_upstream.m_sent.size() == 2);
+}
+
+} // namespace
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/pipeline/refusals_test.cc
@@ -0,0 +1,275 @@
+#include "testing/pipeline_world/pipeline_world.h"
+
+#include <catch2/catch.hpp>
+
+namespace rattanweir {
+namespace {
+
+using Code = ResultCode;
+using Arrange = std::function<void(PipelineWorld&)>;
+
+struct RefusalRow
+{
+  const char* m_name;
+  Arrange m_arrange;
+  Question m_question;
+  Code m_code;
+  Ran m_ran;
+  std::size_t m_sent = 0;
+};
+
+void
+CheckRefusals(const std::vector<RefusalRow>& aRows, bool aIsFromPeer)
+{
+  for (const RefusalRow& row : aRows) {
+    INFO(row.m_name);
+    PipelineWorld world;
+    if (row.m_arrange) {
+      row.m_arrange(world);
+    }
+    const Outcome& outcome =
+      aIsFromPeer ? world.AskAsPeer(row.m_question) : world.Ask(row.m_question);
+    CHECK(outcome.m_code == row.m_code);
+    CHECK(outcome.m_ran == row.m_ran);
+    CHECK(world.m_upstream.m_sent.size() == row.m_sent);
+    CHECK(outcome.m_comeBackAfter.has_value() ==
+          InfoOf(row.m_code).m_comeBackAfter.has_value());
+    // What says "not run" was seen by nobody, or refused by who saw it.
+    CHECK((row.m_ran != Ran::No || row.m_sent == 0 ||
+           row.m_code == Code::BackendRefused));
+    CHECK_FALSE(outcome.m_isWhole);
+    CHECK(world.m_inFlight.Count() == 0);
+  }
+}
+
+TEST_CASE("every refusal of a caller's request says truly whether it ran")
+{
+  const Question ask;
+  const Question book{ .m_target = "/book" };
+  const auto to = [](const char* aTarget) {
+    return Question{ .m_target = aTarget };
+  };
+  CheckRefusals(
+    {
+      { "not ready",
+        [](PipelineWorld& aWorld) { aWorld.m_serving.m_isReady = false; },
+        ask,
+        Code::InstanceNotReady,
+        Ran::No },
+      { "paused", PauseProcess, ask, Code::InstancePaused, Ran::No },
+      { "no such path", {}, to("/nothing"), Code::UnknownRoute, Ran::No },
+      { "an instance's own path",
+        {},
+        to("/rattanweir/control"),
+        Code::UnknownRoute,
+        Ran::No },
+      { "no key", {}, { .m_headers = {} }, Code::KeyMissing, Ran::No },
+      { "unknown key",
+        {},
+        { .m_headers = { { "x-api-key", "key-x" } } },
+        Code::KeyNotGranted,
+        Ran::No },
+      { "account gone",
+        {},
+        { .m_headers = { { "x-api-key", "key-lost" } } },
+        Code::ClientAccountUnknown,
+        Ran::No },
+      { "two keys",
+        {},
+        { .m_headers = With(kKeyA, { { "x-api-key", "key-b" } }) },
+        Code::MalformedRequest,
+        Ran::No },
+      { "bad body", {}, { .m_body = "{" }, Code::MalformedRequest, Ran::No },
+      { "HEAD", {}, { .m_method = "HEAD" }, Code::MalformedRequest, Ran::No },
+      { "bad deadline",
+        {},
+        { .m_headers = With(kKeyA, { { "rattanweir-deadline-ms", "x" } }) },
+        Code::MalformedRequest,
+        Ran::No },
+      { "no time",
+        {},
+        { .m_headers = With(kKeyA, { { "rattanweir-deadline-ms", "0" } }) },
+        Code::DeadlineTooShort,
+        Ran::No },
+      { "no home",
+        {},
+        { .m_target = "/home", .m_headers = { { "x-api-key", "key-b" } } },
+        Code::ResidencyUnavailable,
+        Ran::No },
+      { "home cut off",
+        [](PipelineWorld& aWorld) {
+          aWorld.m_membership.MarkUnreachable(InstanceId("west-1"));
+        },
+        to("/west"),
+        Code::ResidencyUnavailable,
+        Ran::No },
+      { "no backend server", {}, to("/none"), Code::NoBackendServer, Ran::No },
+      { "over the burst",
+        {},
+        { .m_headers = { { "x-api-key", "key-tiny" } },
+          .m_body = R"({"prompt":"","max_tokens":21})" },
+        Code::RequestExceedsBurst,
+        Ran::No },
+      { "over the rate",
+        {},
+        { .m_headers = { { "x-api-key", "key-tiny" } },
+          .m_body = R"({"prompt":"","max_tokens":20})" },
+        Code::RateExceeded,
+        Ran::No },
+      { "key withdrawn while short of tokens",
+        [](PipelineWorld& aWorld) {
+          aWorld.m_borrower.m_onAsked = [&] { aWorld.OfferKeys({ "a" }); };
+        },
+        { .m_headers = { { "x-api-key", "key-tiny" } },
+          .m_body = R"({"prompt":"","max_tokens":20})" },
+        Code::KeyWithdrawn,
+        Ran::No },
+      { "paused while short of tokens",
+        [](PipelineWorld& aWorld) {
+          aWorld.m_borrower.m_onAsked = [&] { PauseProcess(aWorld); };
+        },
+        { .m_headers = { { "x-api-key", "key-tiny" } },
+          .m_body = R"({"prompt":"","max_tokens":20})" },
+        Code::RateExceeded,
+        Ran::No },
+      { "no engine and no peer connects",
+        [](PipelineWorld& aWorld) {
+          FailEngines(aWorld, AnswerKind::ConnectFails, 4);
+          aWorld.Script(kWestPeer, { .m_kind = AnswerKind::ConnectFails });
+        },
+        ask,
+        Code::BackendConnectFailed,
+        Ran::No },
+      { "engines reset",
+        [](PipelineWorld& aWorld) {
+          FailEngines(aWorld, AnswerKind::Resets, 4);
+          aWorld.Script(kWestPeer, { .m_kind = AnswerKind::Resets });
+        },
+        ask,
+        Code::BackendReset,
+        Ran::Maybe,
+        4 },
+      { "deadline at the engine",
+        [](PipelineWorld& aWorld) {
+          FailEngines(aWorld, AnswerKind::DeadlinePasses);
+        },
+        ask,
+        Code::DeadlineExceeded,
+        Ran::Maybe,
+        1 },
+      { "desk does not connect",
+        [](PipelineWorld& aWorld) {
+          for (int time = 0; time < 4; ++time) {
+            aWorld.Script(kDesk, { .m_kind = AnswerKind::ConnectFails });
+          }
+        },
+        book,
+        Code::BackendConnectFailed,
+        Ran::No },
+      { "desk resets",
+        [](PipelineWorld& aWorld) {
+          aWorld.Script(kDesk, { .m_kind = AnswerKind::Resets });
+        },
+        book,
+        Code::BackendReset,
+        Ran::Maybe,
+        1 },
+      { "desk did not run it by its own word",
+        [](PipelineWorld& aWorld) {
+          aWorld.Script(
+            kDesk, { .m_status = 503, .m_headers = { { "x-not-run", "1" } } });
+        },
+        book,
+        Code::BackendRefused,
+        Ran::No,
+        1 },
+      { "malformed idempotency key",
+        {},
+        { .m_target = "/book",
+          .m_headers = With(kKeyA, { { "idempotency-key", "x" } }) },
+        Code::IdempotencyKeyMalformed,
+        Ran::No },
+    },
+    false);
+}
+
+TEST_CASE("a peer's request is judged by this instance's own configuration")
+{
+  const auto forwarded = [](const char* aRoute, const HeaderFields& aMore) {
+    return Question{ .m_headers = With(aMore, FromWest(aRoute)) };
+  };
+  const auto withHop = [](const char* aHop) {
+    HeaderFields fields = FromWest("ask");
+    fields.front().m_value = aHop;
+    return Question{ .m_headers = fields };
+  };
+  CheckRefusals(
+    {
+      { "itself in the hops",
+        {},
+        withHop("east-1"),
+        Code::LoopRefused,
+        Ran::No },
+      { "two hops", {}, withHop("west-1,west-2"), Code::LoopRefused, Ran::No },
+      { "no hop", {}, withHop(""), Code::MalformedRequest, Ran::No },
+      { "no route", {}, forwarded("x", {}), Code::UnknownRoute, Ran::No },
+      { "key withdrawn here",
+        [](PipelineWorld& aWorld) { aWorld.OfferKeys({ "b" }); },
+        forwarded("ask", {}),
+        Code::KeyNotGranted,
+        Ran::No },
+      { "another account's key",
+        {},
+        forwarded("ask", { { "rattanweir-key", "b" } }),
+        Code::KeyNotGranted,
+        Ran::No },
+      { "home is elsewhere by this version",
+        [](PipelineWorld& aWorld) {
+          aWorld.Offer(SectionKind::ClientAccounts, R"(version: 1
+maximum_instances: 1
+client_accounts:
+  - { id: a, rate_tokens_per_second: 1, burst_tokens: 20, home_region: west }
+)");
+        },
+        forwarded("home", {}),
+        Code::ResidencyRefused,
+        Ran::No },
+      { "route is bound elsewhere",
+        {},
+        forwarded("west", {}),
+        Code::ResidencyRefused,
+        Ran::No },
+      { "not ready",
+        [](PipelineWorld& aWorld) { aWorld.m_serving.m_isReady = false; },
+        forwarded("ask", {}),
+        Code::InstanceNotReady,
+        Ran::No },
+      { "paused",
+        PauseProcess,
+        forwarded("ask", {}),
+        Code::InstancePaused,
+        Ran::No },
+      // It is never sent on, although west-1 has backend servers.
+      { "no engine connects here",
+        [](PipelineWorld& aWorld) {
+          FailEngines(aWorld, AnswerKind::ConnectFails, 4);
+        },
+        forwarded("ask", {}),
+        Code::BackendConnectFailed,
+        Ran::No },
+      { "an idempotency key of a third instance",
+        {},
+        forwarded("book",
+                  { { "idempotency-key",
+                      IdempotencyKey{ InstanceId("north-1"),
+                                      Incarnation(1),
+                                      "0123456789abcdef0123456789abcdef" }
+                        .ToString() } }),
+        Code::IdempotencyOutcomeUnknown,
+        Ran::Maybe },
+    },
+    true);
+}
+
+} // namespace
+} // namespace rattanweir
--- a/testing/pipeline_world/pipeline_world.h
+++ b/testing/pipeline_world/pipeline_world.h
@@ -13,7 +13,7 @@
 #include "rattanweir/base/clock/manual_clock.h"
 #include "rattanweir/request/pipeline/entry_handler.h"
 #include "rattanweir/request/pipeline/peer_handler.h"
-#include "rattanweir/request/wait/wait.h"
+#include "testing/pipeline_world/scripted_upstream.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -24,79 +24,6 @@
 
 namespace rattanweir {
 
-inline constexpr const char* kEngineOne = "10.0.0.1:1";
-inline constexpr const char* kEngineTwo = "10.0.0.1:2";
-inline constexpr const char* kDesk = "10.0.0.1:3";
-inline constexpr const char* kEastPeer = "10.0.1.2:2";
-inline constexpr const char* kWestPeer = "10.0.2.1:2";
-
-enum class AnswerKind
-{
-  Answers,
-  // No byte is sent.
-  ConnectFails,
-  // After the request was sent, before a head.
-  Resets,
-  DeadlinePasses,
-  // Waits for its cancellation or for ReleaseHeld.
-  Holds,
-};
-
-// What an endpoint does with one request.
-struct ScriptedAnswer
-{
-  AnswerKind m_kind = AnswerKind::Answers;
-  unsigned m_status = 200;
-  HeaderFields m_headers;
-  std::vector<std::string> m_pieces = { "{}" };
-  // Without it the body breaks off after its pieces.
-  bool m_isWhole = true;
-  // Waits after the pieces as Holds does before them.
-  bool m_holdsAfterPieces = false;
-  // In place of the attempt id that was sent.
-  std::string m_attemptId;
-};
-
-// The events of an engine's stream, and its end.
-std::string
-StreamEventText(int aOffset);
-inline constexpr const char* kStreamEnd = "data: [DONE]\n\n";
-
-// A stream that carries these events.
-ScriptedAnswer
-ScriptedStream(int aFirst, int aCount, bool aHasEnd);
-
-// Answers as scripted and records what was sent.
-class ScriptedUpstream final : public Upstream
-{
-public:
-  struct Sent
-  {
-    std::string m_endpoint;
-    OutboundRequest m_request;
-  };
-
-  explicit ScriptedUpstream(asio::io_context& aContext);
-
-  Task<std::unique_ptr<UpstreamExchange>> Send(Endpoint aEndpoint,
-                                               OutboundRequest aRequest,
-                                               CancelSource& aCancel) override;
-
-  // Lets everything that is held go on.
-  void ReleaseHeld();
-
-  std::map<std::string, std::deque<ScriptedAnswer>> m_scripts;
-  // Requests of which a byte was sent, in their order.
-  std::vector<Sent> m_sent;
-  unsigned m_connects = 0;
-
-private:
-  class Exchange;
-
-  asio::io_context& m_context;
-  std::vector<std::weak_ptr<WakeUp>> m_held;
-};
-
 // What a caller sees of one request.
 struct Outcome
 {
@@ -187,4 +114,31 @@
   std::deque<Outcome> m_outcomes;
 };
 
+// The first fields and then the others.
+HeaderFields
+With(HeaderFields aFields, const HeaderFields& aMore);
+
+// The field that shows the key of client account a.
+extern const HeaderFields kKeyA;
+
+// What west-1 sends with a request of client account a.
+HeaderFields
+FromWest(const char* aRoute);
+
+// A booking under this idempotency key.
+Question
+Booking(const std::string& aKey, const char* aBody = R"({"place":1})");
+
+// Lets the rate ledger see a gap as after a pause of the process.
+void
+PauseProcess(PipelineWorld& aWorld);
+
+// Both engines of the region do this, so many times.
+void
+FailEngines(PipelineWorld& aWorld, AnswerKind aKind, int aTimes = 1);
+
+// A header field of a request that was sent; fails the test without one.
+const std::string&
+SentField(const PipelineWorld& aWorld, std::size_t aIndex, const char* aName);
+
 } // namespace rattanweir
--- /dev/null
+++ b/testing/pipeline_world/scripted_upstream.cc
@@ -0,0 +1,161 @@
+#include "testing/pipeline_world/scripted_upstream.h"
+
+#include "rattanweir/request/exchange/header_fields.h"
+
+#include <chrono>
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+constexpr std::chrono::seconds kHeldAtMost(30);
+
+} // namespace
+
+std::string
+StreamEventText(int aOffset)
+{
+  const std::string offset = std::to_string(aOffset);
+  return "id: " + offset + "\ndata: {\"offset\":" + offset + "}\n\n";
+}
+
+ScriptedAnswer
+ScriptedStream(int aFirst, int aCount, bool aHasEnd)
+{
+  ScriptedAnswer answer{
+    .m_headers = { { "content-type", "text/event-stream" } }, .m_pieces = {}
+  };
+  for (int offset = aFirst; offset < aFirst + aCount; ++offset) {
+    answer.m_pieces.push_back(StreamEventText(offset));
+  }
+  if (aHasEnd) {
+    answer.m_pieces.emplace_back(kStreamEnd);
+  }
+  return answer;
+}
+
+class ScriptedUpstream::Exchange final : public UpstreamExchange
+{
+public:
+  Exchange(ScriptedAnswer aAnswer,
+           std::string aAttemptId,
+           std::shared_ptr<WakeUp> aHold,
+           CancelSource& aCancel)
+    : m_answer(std::move(aAnswer))
+    , m_attemptId(std::move(aAttemptId))
+    , m_hold(std::move(aHold))
+    , m_cancel(aCancel)
+  {
+  }
+
+  Task<AnswerHead> ReadHead() override
+  {
+    if (m_answer.m_kind == AnswerKind::Holds) {
+      co_await Hold();
+    }
+    if (m_answer.m_kind == AnswerKind::Resets) {
+      throw RequestError(ResultCode::BackendReset, "reset");
+    }
+    if (m_answer.m_kind == AnswerKind::DeadlinePasses) {
+      throw RequestError(ResultCode::DeadlineExceeded, "deadline");
+    }
+    AnswerHead head{ .m_status = m_answer.m_status,
+                     .m_headers = m_answer.m_headers };
+    if (!m_attemptId.empty()) {
+      head.m_headers.push_back({ "x-attempt-id", m_attemptId });
+    }
+    if (m_answer.m_isWhole && !m_answer.m_holdsAfterPieces &&
+        !HasMediaType(head.m_headers, "text/event-stream")) {
+      head.m_contentLength = 0;
+      for (const std::string& piece : m_answer.m_pieces) {
+        *head.m_contentLength += piece.size();
+      }
+    }
+    co_return head;
+  }
+
+  Task<std::optional<std::string>> ReadChunk() override
+  {
+    ThrowIfCancelled();
+    if (m_next < m_answer.m_pieces.size()) {
+      co_return m_answer.m_pieces[m_next++];
+    }
+    if (std::exchange(m_answer.m_holdsAfterPieces, false)) {
+      co_await Hold();
+    }
+    if (!m_answer.m_isWhole) {
+      throw RequestError(ResultCode::AnswerIncomplete, "broke off");
+    }
+    co_return std::nullopt;
+  }
+
+private:
+  Task<void> Hold()
+  {
+    co_await m_hold->WaitFor(kHeldAtMost, m_cancel);
+    ThrowIfCancelled();
+  }
+  void ThrowIfCancelled()
+  {
+    if (const auto reason = m_cancel.Reason()) {
+      throw RequestError(*reason, "cancelled");
+    }
+  }
+
+  ScriptedAnswer m_answer;
+  std::string m_attemptId;
+  std::shared_ptr<WakeUp> m_hold;
+  CancelSource& m_cancel;
+  std::size_t m_next = 0;
+};
+
+ScriptedUpstream::ScriptedUpstream(asio::io_context& aContext)
+  : m_context(aContext)
+{
+}
+
+Task<std::unique_ptr<UpstreamExchange>>
+ScriptedUpstream::Send(Endpoint aEndpoint,
+                       OutboundRequest aRequest,
+                       CancelSource& aCancel)
+{
+  ++m_connects;
+  const std::string endpoint = aEndpoint.ToString();
+  ScriptedAnswer answer;
+  auto& script = m_scripts[endpoint];
+  if (!script.empty()) {
+    answer = std::move(script.front());
+    script.pop_front();
+  }
+  if (answer.m_kind == AnswerKind::ConnectFails) {
+    throw RequestError(
+      ResultCode::BackendConnectFailed, "no connection", Ran::No);
+  }
+  std::string attemptId = answer.m_attemptId;
+  const std::string* sent = FindHeader(aRequest.m_headers, "x-attempt-id");
+  if (attemptId.empty() && sent != nullptr) {
+    attemptId = *sent;
+  }
+  const std::string* request =
+    FindHeader(aRequest.m_headers, "rattanweir-request");
+  if (request != nullptr) {
+    answer.m_headers.push_back({ "rattanweir-request", *request });
+  }
+  m_sent.push_back({ endpoint, std::move(aRequest) });
+  auto hold = std::make_shared<WakeUp>(m_context.get_executor());
+  m_held.push_back(hold);
+  co_return std::make_unique<Exchange>(
+    std::move(answer), std::move(attemptId), std::move(hold), aCancel);
+}
+
+void
+ScriptedUpstream::ReleaseHeld()
+{
+  for (const auto& held : std::exchange(m_held, {})) {
+    if (const auto hold = held.lock()) {
+      hold->Wake();
+    }
+  }
+}
+
+} // namespace rattanweir
