--- a/rattanweir/request/routing/backend_choice.cc
+++ b/rattanweir/request/routing/backend_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace rattanweir {
 
@@ -24,16 +25,27 @@
   if (usable.empty()) {
     return AllBackendsFull{};
   }
-  const std::size_t first = UniformIndex(m_options.m_random, usable.size());
-  std::swap(usable[first], usable.back());
-  if (usable.size() == 1) {
-    return ChosenBackend{ usable.back() };
+  return ChosenBackend{ CheapestDrawn(aCandidates, std::move(usable)) };
+}
+
+std::size_t
+BackendChoice::CheapestDrawn(std::span<const BackendCandidate> aCandidates,
+                             std::vector<std::size_t> aUsable)
+{
+  const std::size_t draws = std::min(m_options.m_draws, aUsable.size());
+  std::size_t best = 0;
+  double bestCost = 0;
+  for (std::size_t drawn = 0; drawn < draws; ++drawn) {
+    const std::size_t left = aUsable.size() - drawn;
+    std::swap(aUsable[drawn],
+              aUsable[drawn + UniformIndex(m_options.m_random, left)]);
+    const double cost = CostOf(aCandidates[aUsable[drawn]].m_state);
+    if (drawn == 0 || cost < bestCost) {
+      best = aUsable[drawn];
+      bestCost = cost;
+    }
   }
-  const std::size_t second =
-    UniformIndex(m_options.m_random, usable.size() - 1);
-  const bool isSecondCheaper = CostOf(aCandidates[usable[second]].m_state) <
-                               CostOf(aCandidates[usable.back()].m_state);
-  return ChosenBackend{ isSecondCheaper ? usable[second] : usable.back() };
+  return best;
 }
 
 double
--- a/rattanweir/request/routing/backend_choice.h
+++ b/rattanweir/request/routing/backend_choice.h
@@ -53,6 +53,8 @@
 {
   const Clock& m_clock;
   RandomEngine& m_random;
+  // Candidates drawn at random for one choice.
+  std::size_t m_draws = 2;
   // A report of this age counts for half.
   std::chrono::nanoseconds m_loadHalfLife{ std::chrono::seconds(2) };
 };
@@ -68,6 +70,8 @@
   double CostOf(const BackendState& aState) const;
 
 private:
+  std::size_t CheapestDrawn(std::span<const BackendCandidate> aCandidates,
+                            std::vector<std::size_t> aUsable);
   std::vector<std::size_t> TakingWork(
     std::span<const BackendCandidate> aCandidates) const;
 
--- a/rattanweir/request/routing/routing_test.cc
+++ b/rattanweir/request/routing/routing_test.cc
@@ -50,6 +50,21 @@
   REQUIRE(counts.at(2) > 500);
 }
 
+TEST_CASE("with as many draws as candidates the cheapest is always chosen")
+{
+  ManualClock clock;
+  RandomEngine random(kSeed);
+  BackendChoice choice({ .m_clock = clock, .m_random = random, .m_draws = 9 });
+  const Choosing choosing;
+  const std::vector<BackendCandidate> candidates = { choosing.Candidate(2),
+                                                     choosing.Candidate(0),
+                                                     choosing.Candidate(1) };
+  for (int draw = 0; draw < 100; ++draw) {
+    const auto result = choice.Choose(candidates);
+    REQUIRE(std::get<ChosenBackend>(result).m_index == 1);
+  }
+}
+
 TEST_CASE("reported load counts for less with age, own requests do not")
 {
   Choosing choosing;
