Test late wakers and the rate over all instances end to end

An instance paused past the bound gets requests under a withdrawn key and for a leaving server the moment it wakes; three instances of one account under overload are paused and killed in turn.

--- a/testing/end_to_end/soak_test.cc
+++ b/testing/end_to_end/soak_test.cc
@@ -222,8 +222,8 @@
                fleet.VersionOf(aInstance, "keys") == version;
       });
   });
-  std::cout << "seed " << aSeed << ": " << fleet.CallCount() << " calls"
-            << std::endl;
+  std::cout << "seed " << aSeed << ": " << fleet.CallCount() << " calls, "
+            << fleet.ServedCount() << " served" << std::endl;
   return Describe(fleet.Judge());
 }
 
--- a/testing/end_to_end/three_regions_test.cc
+++ b/testing/end_to_end/three_regions_test.cc
@@ -7,7 +7,8 @@
 #include <catch2/catch.hpp>
 
 #include <csignal>
-#include <functional>
+#include <latch>
+#include <stop_token>
 #include <thread>
 
 namespace rattanweir::testing {
@@ -171,6 +172,71 @@
   CHECK(Describe(fleet.Judge()) == "");
 }
 
+TEST_CASE("An instance that wakes late does not act on what it knew before")
+{
+  constexpr int kCallers = 4;
+  Fleet fleet(kThreeRegions);
+  WaitUntilAllServe(fleet);
+  fleet.Instance("ostland-1").Signal(SIGSTOP);
+  fleet.WithdrawKey("teachers-key");
+  fleet.MarkLeaving("engine-ostland");
+  const std::int64_t published = WallMicroseconds();
+  WaitUntil("the bound has passed", [&] {
+    return WallMicroseconds() > published + kChangeBound.count();
+  });
+  // Sent while it still sleeps, so that it finds them first.
+  std::latch started(kCallers + 1);
+  std::vector<std::jthread> callers;
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&, i] {
+      started.arrive_and_wait();
+      Caller(fleet, "ostland-1")
+        .Call({ .m_clientAccount = i % 2 == 0 ? "teachers" : "parents" });
+    });
+  }
+  started.arrive_and_wait();
+  fleet.Instance("ostland-1").Signal(SIGCONT);
+  callers.clear();
+  WaitUntilServed(fleet, "ostland-1", {});
+  CHECK(Describe(fleet.Judge()) == "");
+}
+
+TEST_CASE("An account gets no more than its rate and burst over all instances")
+{
+  constexpr std::size_t kServedEachStep = 60;
+  Fleet fleet(kThreeRegions);
+  WaitUntilAllServe(fleet);
+  const auto waitForServed = [&] {
+    const std::size_t before = fleet.ServedCount();
+    WaitUntil("served under load",
+              [&] { return fleet.ServedCount() >= before + kServedEachStep; });
+  };
+  std::vector<std::jthread> callers;
+  callers.reserve(6);
+  for (const std::string& instance : fleet.Instances()) {
+    for (int i = 0; i < 2; ++i) {
+      callers.emplace_back([&fleet, instance](const std::stop_token& aStop) {
+        Caller caller(fleet, instance);
+        while (!aStop.stop_requested()) {
+          caller.Call({ .m_kind = CallKind::Text, .m_clientAccount = "small" });
+        }
+      });
+    }
+  }
+  waitForServed();
+  fleet.Instance("nordland-1").Signal(SIGSTOP);
+  waitForServed();
+  fleet.Instance("nordland-1").Signal(SIGCONT);
+  fleet.Instance("vestland-1").Signal(SIGKILL);
+  fleet.Restart("vestland-1");
+  waitForServed();
+  waitForServed();
+  callers.clear();
+  CHECK(fleet.CallCount() > fleet.ServedCount());
+  CHECK(Describe(fleet.Judge()) == "");
+}
+
 TEST_CASE("A leaving server gets no new work, also from other regions")
 {
   Fleet fleet(kThreeRegions);
--- a/testing/harness/caller.cc
+++ b/testing/harness/caller.cc
@@ -8,7 +8,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto kCallTimeout = 30s;
+// Above the deadlines of all routes.
+constexpr auto kCallTimeout = 10s;
 constexpr std::uint64_t kBytesPerToken = 4;
 
 std::string
--- a/testing/harness/fleet.cc
+++ b/testing/harness/fleet.cc
@@ -1,5 +1,6 @@
 #include "testing/harness/fleet.h"
 
+#include <algorithm>
 #include <csignal>
 #include <sstream>
 
@@ -267,6 +268,18 @@
   return m_history.m_calls.size();
 }
 
+std::size_t
+Fleet::ServedCount() const
+{
+  const std::lock_guard lock(m_mutex);
+  return static_cast<std::size_t>(
+    std::count_if(m_history.m_calls.begin(),
+                  m_history.m_calls.end(),
+                  [](const CallerRecord& aCall) {
+                    return aCall.m_status == 200 && aCall.m_isWhole;
+                  }));
+}
+
 std::string
 Fleet::FreshMarker()
 {
--- a/testing/harness/fleet.h
+++ b/testing/harness/fleet.h
@@ -83,6 +83,8 @@
 
   void Record(const CallerRecord& aCall);
   std::size_t CallCount() const;
+  // Calls that got status 200 and a whole answer.
+  std::size_t ServedCount() const;
   std::string FreshMarker();
 
   // Stops all processes and judges everything recorded.
--- a/testing/history/history.cc
+++ b/testing/history/history.cc
@@ -145,13 +145,11 @@
 }
 
 std::optional<std::int64_t>
-EndOfBound(const std::vector<PublishedChange>& aChanges,
-           const std::string& aId,
-           std::chrono::microseconds aBound)
+EndOfBound(const std::vector<PublishedChange>& aChanges, const std::string& aId)
 {
   for (const PublishedChange& change : aChanges) {
     if (change.m_id == aId) {
-      return change.m_at + aBound.count();
+      return change.m_at + kChangeBound.count();
     }
   }
   return std::nullopt;
@@ -163,8 +161,7 @@
 CheckWithdrawnKeys(const History& aHistory, Violations& aOut)
 {
   for (const CallerRecord& call : aHistory.m_calls) {
-    const auto end = EndOfBound(
-      aHistory.m_withdrawnKeys, call.m_keyId, aHistory.m_changeBound);
+    const auto end = EndOfBound(aHistory.m_withdrawnKeys, call.m_keyId);
     if (!end || call.m_status != kOkStatus) {
       continue;
     }
@@ -181,8 +178,7 @@
 CheckLeavingServers(const History& aHistory, Violations& aOut)
 {
   for (const RunRecord& run : aHistory.m_runs) {
-    const auto end = EndOfBound(
-      aHistory.m_leavingServers, run.m_server, aHistory.m_changeBound);
+    const auto end = EndOfBound(aHistory.m_leavingServers, run.m_server);
     if (end && run.m_at > *end) {
       Add(aOut,
           Promise::LeavingGetsNoWork,
--- a/testing/history/history.h
+++ b/testing/history/history.h
@@ -115,10 +115,12 @@
   // Instances that were told to shut down and not killed.
   std::set<std::string> m_drainedInstances;
   std::map<std::string, AccountRights> m_accounts;
-  // How soon a change must be in force.
-  std::chrono::microseconds m_changeBound{ std::chrono::seconds(5) };
 };
 
+// How soon a published change must be in force everywhere.
+inline constexpr std::chrono::microseconds kChangeBound{ std::chrono::seconds(
+  5) };
+
 enum class Promise
 {
   RunsAtMostOnce,
