Count own dispatches in the unit of the load reports

A model engine reports its load in tokens; a dispatch since that report counted as 1. A report of 80,000 tokens so outweighed any number of own dispatches, and the choice followed stale reports alone. A dispatch now counts its reserved tokens at a model engine, 1 at a plain service.

--- a/bench/backend_choice/choosers.cc
+++ b/bench/backend_choice/choosers.cc
@@ -95,14 +95,14 @@
                                .m_maximumInFlight = 1'000 });
     }
   }
-  std::size_t Choose(const ModelRequest& /*aRequest*/) override
+  std::size_t Choose(const ModelRequest& aRequest) override
   {
     for (BackendCandidate& candidate : m_candidates) {
       candidate.m_state = m_view.StateOf(candidate.m_id);
     }
     const auto result = m_choice.Choose(m_candidates);
     const std::size_t engine = std::get<ChosenBackend>(result).m_index;
-    m_view.AddDispatch(m_candidates[engine].m_id);
+    m_view.AddDispatch(m_candidates[engine].m_id, LoadOf(aRequest));
     return engine;
   }
   void Begin(std::size_t aEngine, double aReportedLoad) override
@@ -110,12 +110,18 @@
     m_view.ReportLoad(m_candidates[aEngine].m_id,
                       static_cast<std::uint64_t>(aReportedLoad));
   }
-  void End(std::size_t aEngine, const ModelRequest& /*aRequest*/) override
+  void End(std::size_t aEngine, const ModelRequest& aRequest) override
   {
-    m_view.EndDispatch(m_candidates[aEngine].m_id, AttemptVerdict::Answered);
+    m_view.EndDispatch(
+      m_candidates[aEngine].m_id, LoadOf(aRequest), AttemptVerdict::Answered);
   }
 
 private:
+  static std::uint64_t LoadOf(const ModelRequest& aRequest)
+  {
+    return static_cast<std::uint64_t>(aRequest.LoadTokens());
+  }
+
   BackendView m_view;
   BackendChoice m_choice;
   std::vector<BackendCandidate> m_candidates;
--- a/rattanweir/process/backend_view/backend_view.cc
+++ b/rattanweir/process/backend_view/backend_view.cc
@@ -10,18 +10,22 @@
 }
 
 void
-BackendView::AddDispatch(const BackendServerId& aId)
+BackendView::AddDispatch(const BackendServerId& aId, std::uint64_t aLoad)
 {
   BackendState& state = m_entries[aId].m_state;
   ++state.m_inFlight;
-  ++state.m_dispatchedSince;
+  state.m_loadInFlight += aLoad;
+  state.m_dispatchedSince += aLoad;
 }
 
 void
-BackendView::EndDispatch(const BackendServerId& aId, AttemptVerdict aVerdict)
+BackendView::EndDispatch(const BackendServerId& aId,
+                         std::uint64_t aLoad,
+                         AttemptVerdict aVerdict)
 {
   Entry& entry = m_entries[aId];
   --entry.m_state.m_inFlight;
+  entry.m_state.m_loadInFlight -= aLoad;
   switch (aVerdict) {
     case AttemptVerdict::Answered:
       entry.m_failures = 0;
--- a/rattanweir/process/backend_view/backend_view.h
+++ b/rattanweir/process/backend_view/backend_view.h
@@ -1,15 +1,17 @@
 // What this instance knows of each backend server from its own traffic.
 //
 //   BackendView view({ .m_clock = clock });
-//   view.AddDispatch(id);
-//   view.ReportLoad(id, 12);
-//   view.EndDispatch(id, AttemptVerdict::Answered);
+//   view.AddDispatch(id, 1'200);
+//   view.ReportLoad(id, 30'000);
+//   view.EndDispatch(id, 1'200, AttemptVerdict::Answered);
 //   const BackendState state = view.StateOf(id);
 //
 // Load reports come with answers and age; dispatches made since the newest
-// report are counted beside it. Consecutive failures eject a server for a
-// back-off that doubles. A server known to leave gets no new work: by the
-// published list, by its own signal, or by a peer's word. For one thread.
+// report are counted beside it. Both are in the unit in which the server
+// reports: tokens for a model engine, calls for a plain service. Consecutive
+// failures eject a server for a back-off that doubles. A server known to leave
+// gets no new work: by the published list, by its own signal, or by a peer's
+// word. For one thread.
 
 #pragma once
 
@@ -43,11 +45,12 @@
 
 struct BackendState
 {
-  // Requests of this instance that it holds now.
+  // Requests of this instance that it holds now, and their load.
   std::uint32_t m_inFlight = 0;
+  std::uint64_t m_loadInFlight = 0;
   std::optional<ReportedLoad> m_load;
-  // Dispatches of this instance since that report.
-  std::uint32_t m_dispatchedSince = 0;
+  // The load that this instance dispatched to it since that report.
+  std::uint64_t m_dispatchedSince = 0;
   bool m_isLeaving = false;
   // Gets no work before this, unless too much of its pool is ejected.
   std::optional<SteadyTime> m_ejectedUntil;
@@ -69,8 +72,11 @@
 public:
   explicit BackendView(const BackendViewOptions& aOptions);
 
-  void AddDispatch(const BackendServerId& aId);
-  void EndDispatch(const BackendServerId& aId, AttemptVerdict aVerdict);
+  // A request of this load goes there, and comes to its end.
+  void AddDispatch(const BackendServerId& aId, std::uint64_t aLoad);
+  void EndDispatch(const BackendServerId& aId,
+                   std::uint64_t aLoad,
+                   AttemptVerdict aVerdict);
 
   void ReportLoad(const BackendServerId& aId, std::uint64_t aLoad);
 
--- a/rattanweir/process/backend_view/backend_view_test.cc
+++ b/rattanweir/process/backend_view/backend_view_test.cc
@@ -16,14 +16,15 @@
 {
   ManualClock clock;
   BackendView view({ .m_clock = clock });
-  view.AddDispatch(kServer);
-  view.AddDispatch(kServer);
+  view.AddDispatch(kServer, 100);
+  view.AddDispatch(kServer, 20);
   view.ReportLoad(kServer, 9);
-  view.AddDispatch(kServer);
-  view.EndDispatch(kServer, AttemptVerdict::Answered);
+  view.AddDispatch(kServer, 3);
+  view.EndDispatch(kServer, 100, AttemptVerdict::Answered);
   const BackendState state = view.StateOf(kServer);
   REQUIRE(state.m_inFlight == 2);
-  REQUIRE(state.m_dispatchedSince == 1);
+  REQUIRE(state.m_loadInFlight == 23);
+  REQUIRE(state.m_dispatchedSince == 3);
   REQUIRE(state.m_load->m_load == 9);
   REQUIRE(state.m_load->m_at == clock.SteadyNow());
 }
@@ -33,8 +34,8 @@
   ManualClock clock;
   BackendView view({ .m_clock = clock });
   const auto end = [&](AttemptVerdict aVerdict) {
-    view.AddDispatch(kServer);
-    view.EndDispatch(kServer, aVerdict);
+    view.AddDispatch(kServer, 1);
+    view.EndDispatch(kServer, 1, aVerdict);
     return view.StateOf(kServer).m_ejectedUntil;
   };
   REQUIRE_FALSE(end(AttemptVerdict::Failed));
@@ -74,11 +75,11 @@
 {
   ManualClock clock;
   BackendView view({ .m_clock = clock });
-  view.AddDispatch(kServer);
+  view.AddDispatch(kServer, 1);
   view.ReportLoad(kServer, 3);
   view.KeepOnly({});
   REQUIRE(view.StateOf(kServer).m_load);
-  view.EndDispatch(kServer, AttemptVerdict::Answered);
+  view.EndDispatch(kServer, 1, AttemptVerdict::Answered);
   view.KeepOnly({ kServer });
   REQUIRE(view.StateOf(kServer).m_load);
   view.KeepOnly({});
--- a/rattanweir/request/pipeline/attempts.cc
+++ b/rattanweir/request/pipeline/attempts.cc
@@ -39,13 +39,14 @@
 class Dispatch
 {
 public:
-  Dispatch(BackendView& aView, BackendServerId aId)
+  Dispatch(BackendView& aView, BackendServerId aId, std::uint64_t aLoad)
     : m_view(aView)
     , m_id(std::move(aId))
+    , m_load(aLoad)
   {
-    m_view.AddDispatch(m_id);
+    m_view.AddDispatch(m_id, m_load);
   }
-  ~Dispatch() { m_view.EndDispatch(m_id, m_verdict); }
+  ~Dispatch() { m_view.EndDispatch(m_id, m_load, m_verdict); }
   Dispatch(const Dispatch&) = delete;
   Dispatch& operator=(const Dispatch&) = delete;
 
@@ -65,9 +66,18 @@
 private:
   BackendView& m_view;
   BackendServerId m_id;
+  std::uint64_t m_load;
   AttemptVerdict m_verdict = AttemptVerdict::Neutral;
 };
 
+// What the request adds to the load that the server reports.
+std::uint64_t
+LoadOf(const RequestPlan& aPlan, BackendServerKind aKind)
+{
+  const std::int64_t tokens = aPlan.m_cost.Value();
+  return aKind == BackendServerKind::ModelEngine && tokens > 0 ? tokens : 1;
+}
+
 AttemptVerdict
 VerdictOf(ResultCode aCode, nanoseconds aLasted)
 {
@@ -289,7 +299,7 @@
                        .m_kind = server->m_kind,
                        .m_echoesAttemptId = server->m_echoesAttemptId };
   const SteadyTime begin = m_serving.m_clock.SteadyNow();
-  Dispatch dispatch(m_serving.m_backends, aId);
+  Dispatch dispatch(m_serving.m_backends, aId, LoadOf(m_plan, server->m_kind));
   try {
     const auto exchange = co_await Send(server->m_endpoint, std::move(fields));
     const AnswerHead head = co_await exchange->ReadHead();
--- a/rattanweir/request/routing/backend_choice.cc
+++ b/rattanweir/request/routing/backend_choice.cc
@@ -39,9 +39,9 @@
 double
 BackendChoice::CostOf(const BackendState& aState) const
 {
-  const double inFlight = aState.m_inFlight;
+  const auto own = static_cast<double>(aState.m_loadInFlight);
   if (!aState.m_load) {
-    return inFlight;
+    return own;
   }
   const auto age = m_options.m_clock.SteadyNow() - aState.m_load->m_at;
   const double halvings =
@@ -50,7 +50,8 @@
   const double reported =
     static_cast<double>(aState.m_load->m_load) * std::exp2(-halvings);
   // What this instance has there itself is known without a report.
-  return std::max(reported + aState.m_dispatchedSince, inFlight);
+  return std::max(reported + static_cast<double>(aState.m_dispatchedSince),
+                  own);
 }
 
 std::vector<std::size_t>
--- a/rattanweir/request/routing/backend_choice.h
+++ b/rattanweir/request/routing/backend_choice.h
@@ -64,7 +64,7 @@
 
   BackendChoiceResult Choose(std::span<const BackendCandidate> aCandidates);
 
-  // What sending one more request there costs, in requests.
+  // The load it probably has, in the unit of the reports.
   double CostOf(const BackendState& aState) const;
 
 private:
--- a/rattanweir/request/routing/routing_test.cc
+++ b/rattanweir/request/routing/routing_test.cc
@@ -24,7 +24,8 @@
   {
     return { .m_id = BackendServerId(std::to_string(aInFlight)),
              .m_maximumInFlight = 4,
-             .m_state = { .m_inFlight = aInFlight } };
+             .m_state = { .m_inFlight = aInFlight,
+                          .m_loadInFlight = aInFlight } };
   }
 
   // How often each index is chosen.
@@ -53,7 +54,9 @@
 TEST_CASE("reported load counts for less with age, own requests do not")
 {
   Choosing choosing;
-  BackendState state{ .m_inFlight = 2, .m_dispatchedSince = 1 };
+  BackendState state{ .m_inFlight = 1,
+                      .m_loadInFlight = 2,
+                      .m_dispatchedSince = 1 };
   REQUIRE(choosing.m_backends.CostOf(state) == 2);
   state.m_load = { .m_load = 8, .m_at = choosing.m_clock.SteadyNow() };
   REQUIRE(choosing.m_backends.CostOf(state) == 9);
