--- a/rattanweir/request/pipeline/attempts.cc
+++ b/rattanweir/request/pipeline/attempts.cc
@@ -34,6 +34,16 @@
   return std::nullopt;
 }
 
+// What the request adds to the load that the server reports.
+std::uint64_t
+LoadOf(const RequestPlan& aPlan, BackendServerKind aKind)
+{
+  const std::int64_t tokens = aPlan.m_cost.Value();
+  const bool countsTokens =
+    aKind == BackendServerKind::ModelEngine && tokens > 0;
+  return countsTokens ? static_cast<std::uint64_t>(tokens) : 1;
+}
+
 // The error of an exchange with a peer in the words for peers.
 RequestError
 AsPeerError(const RequestError& aError)
@@ -196,7 +206,10 @@
     FromBackendServer{ .m_attempt = attempt,
                        .m_kind = server->m_kind,
                        .m_echoesAttemptId = server->m_echoesAttemptId };
-  Dispatch dispatch(m_serving.m_backends, m_serving.m_clock, aId);
+  Dispatch dispatch(m_serving.m_backends,
+                    m_serving.m_clock,
+                    aId,
+                    LoadOf(m_plan, server->m_kind));
   try {
     const auto exchange =
       co_await Send(server->m_endpoint, std::move(fields), m_options.m_cancel);
--- a/rattanweir/request/pipeline/dispatch.cc
+++ b/rattanweir/request/pipeline/dispatch.cc
@@ -33,18 +33,22 @@
 
 } // namespace
 
-Dispatch::Dispatch(BackendView& aView, const Clock& aClock, BackendServerId aId)
+Dispatch::Dispatch(BackendView& aView,
+                   const Clock& aClock,
+                   BackendServerId aId,
+                   std::uint64_t aLoad)
   : m_view(aView)
   , m_clock(aClock)
   , m_id(std::move(aId))
+  , m_load(aLoad)
   , m_begin(aClock.SteadyNow())
 {
-  m_view.AddDispatch(m_id);
+  m_view.AddDispatch(m_id, m_load);
 }
 
 Dispatch::~Dispatch()
 {
-  m_view.EndDispatch(m_id, m_verdict);
+  m_view.EndDispatch(m_id, m_load, m_verdict);
 }
 
 void
--- a/rattanweir/request/pipeline/dispatch.h
+++ b/rattanweir/request/pipeline/dispatch.h
@@ -1,6 +1,6 @@
 // One dispatch at a backend server, held in the view until it has ended.
 //
-//   Dispatch dispatch(view, clock, server.m_id);
+//   Dispatch dispatch(view, clock, server.m_id, load);
 //   ... dispatch.TakeSignals(head); ...
 //   dispatch.EndWith(ResultCode::Ok);
 
@@ -16,8 +16,12 @@
 class Dispatch
 {
 public:
-  // View and clock must outlive it.
-  Dispatch(BackendView& aView, const Clock& aClock, BackendServerId aId);
+  // View and clock must outlive it. `aLoad` is what the request adds to the
+  // load that the server reports, in the unit of its reports.
+  Dispatch(BackendView& aView,
+           const Clock& aClock,
+           BackendServerId aId,
+           std::uint64_t aLoad);
   // Without EndWith it says nothing about the server's health.
   ~Dispatch();
   Dispatch(const Dispatch&) = delete;
@@ -33,6 +37,7 @@
   BackendView& m_view;
   const Clock& m_clock;
   BackendServerId m_id;
+  std::uint64_t m_load;
   SteadyTime m_begin;
   AttemptVerdict m_verdict = AttemptVerdict::Neutral;
 };
