--- a/rattanweir/connection/http_server/http_server_bounds_test.cc
+++ b/rattanweir/connection/http_server/http_server_bounds_test.cc
@@ -165,10 +165,15 @@
     co_await idle.Write(Get("/"));
     co_await idle.ReadUntil("GET ");
     // In the listener's queue with its request, and not yet accepted.
-    RawPeer waiting = co_await bench.Connect();
-    co_await waiting.Write(Get("/"));
-
+    // No other task runs between its connect and the drain.
+    asio::ip::tcp::socket socket(bench.m_context);
+    const Endpoint endpoint = bench.m_server.LocalEndpoint();
+    socket.connect(
+      { asio::ip::make_address(endpoint.m_address), endpoint.m_port });
+    const std::string request = Get("/");
+    socket.write_some(asio::buffer(request));
     bench.m_server.Drain();
+    RawPeer waiting(std::move(socket));
     const std::string rest = co_await idle.ReadToEnd();
     REQUIRE(rest.empty());
     const std::string served = co_await waiting.ReadToEnd();
