Say not run under an idempotency key only where its uses are known

A repeat under a key that had run was told 'not run' when it was refused before the key's owner was asked (not ready, paused, key withdrawn, no time left), so a caller could take a new key and book twice. Such refusals now say maybe, at the entry and at the owner; a request that is malformed or has no route never ran and says no.

--- a/rattanweir/request/pipeline/admission.cc
+++ b/rattanweir/request/pipeline/admission.cc
@@ -95,6 +95,26 @@
   }
 }
 
+bool
+IsIssuedKey(const std::string& aText)
+{
+  try {
+    ParseIdempotencyKey(aText);
+    return true;
+  } catch (const RequestError&) {
+    return false;
+  }
+}
+
+// Whether the same request may have been taken before; one that is malformed
+// or has no route never was.
+bool
+IsAboutTheMoment(const RequestError& aError)
+{
+  return aError.Code() != ResultCode::MalformedRequest &&
+         aError.Code() != ResultCode::UnknownRoute;
+}
+
 // Fills in what callers' and peers' requests have in common.
 void
 FillIn(RequestPlan& aPlan, const Route& aRoute, InboundRequest& aRequest)
@@ -190,6 +210,19 @@
   return plan;
 }
 
+RequestError
+AsSaidUnderKey(const RequestError& aError, const HeaderFields& aHeaders)
+{
+  const std::string* key = FindHeader(aHeaders, kIdempotencyKeyField);
+  if (key == nullptr || !IsIssuedKey(*key) || !IsAboutTheMoment(aError)) {
+    return aError;
+  }
+  return { aError.Code(),
+           aError.what(),
+           std::max(aError.HasRun(), Ran::Maybe),
+           aError.ComeBackAfter() };
+}
+
 InstanceId
 CheckHop(const Serving& aServing, const HeaderFields& aHeaders)
 {
--- a/rattanweir/request/pipeline/admission.h
+++ b/rattanweir/request/pipeline/admission.h
@@ -30,6 +30,12 @@
 RequestPlan
 AdmitFromPeer(const Serving& aServing, InboundRequest aRequest);
 
+// The refusal as it has to be said to a request with these fields. Under an
+// idempotency key that was issued, "not run" is for the key's owner to say: an
+// earlier use of the key may have run.
+RequestError
+AsSaidUnderKey(const RequestError& aError, const HeaderFields& aHeaders);
+
 // The peer that sent this request. Throws LoopRefused if the request was at
 // this instance before or took more than one hop, and MalformedRequest if it
 // names no sender.
--- a/rattanweir/request/pipeline/entry_handler.cc
+++ b/rattanweir/request/pipeline/entry_handler.cc
@@ -14,9 +14,9 @@
 constexpr const char* kEntriesPath = "/v1/entries";
 constexpr const char* kKeysPath = "/v1/idempotency-keys";
 
-// The key's owner could not be asked, so an earlier use may have run.
+// What is said when the key's owner was asked in vain.
 RequestError
-OwnerNotAsked(const RequestError& aError)
+AsOwnerLost(const RequestError& aError)
 {
   if (aError.Code() != ResultCode::PeerUnreachable) {
     return aError;
@@ -81,7 +81,13 @@
                          CancelSource& aCancel,
                          RequestRecord& aRecord)
 {
-  RequestPlan plan = AdmitFromCaller(m_serving, std::move(aRequest));
+  const HeaderFields headers = aRequest.m_headers;
+  RequestPlan plan;
+  try {
+    plan = AdmitFromCaller(m_serving, std::move(aRequest));
+  } catch (const RequestError& error) {
+    throw AsSaidUnderKey(error, headers);
+  }
   aRecord.m_route = plan.m_route.m_id;
   aRecord.m_clientAccount = plan.m_clientAccount;
   if (plan.m_idempotencyKey) {
@@ -105,13 +111,16 @@
       std::move(aPlan), std::move(key), aSink, aCancel, aReport);
     co_return;
   }
-  // The owner reserves the rate, once for all uses of the key.
-  const RunOptions options{ .m_reservesRate = false,
-                            .m_onlyPeer = OwnerOf(key, aPlan) };
+  const HeaderFields headers = { { kIdempotencyKeyField,
+                                   *aPlan.m_idempotencyKey } };
   try {
+    // The owner reserves the rate, once for all uses of the key.
+    const RunOptions options{ .m_reservesRate = false,
+                              .m_onlyPeer = OwnerOf(key, aPlan) };
     co_await RunRequest(m_serving, aPlan, options, aSink, aCancel, aReport);
   } catch (const RequestError& error) {
-    throw OwnerNotAsked(error);
+    const bool wasAsked = aReport.m_attempts > 0;
+    throw wasAsked ? AsOwnerLost(error) : AsSaidUnderKey(error, headers);
   }
 }
 
--- a/rattanweir/request/pipeline/keyed_runs_test.cc
+++ b/rattanweir/request/pipeline/keyed_runs_test.cc
@@ -168,6 +168,57 @@
   }
 }
 
+TEST_CASE("not run is only said under a key by who knows its earlier uses")
+{
+  const auto unready = [](PipelineWorld& aWorld) {
+    aWorld.m_serving.m_isReady = false;
+  };
+  const auto withdrawn = [](PipelineWorld& aWorld) { aWorld.OfferKeys({}); };
+  const auto west = IdempotencyKey{ InstanceId("west-1"),
+                                    Incarnation(3),
+                                    "0123456789abcdef0123456789abcdef" }
+                      .ToString();
+  Question late = Booking(west);
+  late.m_headers.push_back({ "rattanweir-deadline-ms", "0" });
+  Question lost = Booking(west);
+  lost.m_target = "/nothing";
+  struct Row
+  {
+    std::function<void(PipelineWorld&)> m_arrange;
+    Question m_question;
+    Code m_code;
+    Ran m_ran;
+  };
+  const Row rows[] = {
+    { unready, Booking(west), Code::InstanceNotReady, Ran::Maybe },
+    { PauseProcess, Booking(west), Code::InstancePaused, Ran::Maybe },
+    { withdrawn, Booking(west), Code::KeyNotGranted, Ran::Maybe },
+    { {}, late, Code::DeadlineTooShort, Ran::Maybe },
+    // Neither can have been taken before.
+    { {}, lost, Code::UnknownRoute, Ran::No },
+    { unready, Booking("no-key"), Code::InstanceNotReady, Ran::No },
+  };
+  for (const Row& row : rows) {
+    PipelineWorld world;
+    if (row.m_arrange) {
+      row.m_arrange(world);
+    }
+    const Outcome& outcome = world.Ask(row.m_question);
+    CHECK(outcome.m_code == row.m_code);
+    CHECK(outcome.m_ran == row.m_ran);
+  }
+  // On the way to the owner as well.
+  PipelineWorld world;
+  const std::string own = world.IssueKey();
+  unready(world);
+  const HeaderFields fields =
+    With(FromWest("book"), { { "idempotency-key", own } });
+  const Outcome& refused =
+    world.AskAsPeer({ .m_target = "/book", .m_headers = fields });
+  CHECK(refused.m_code == Code::InstanceNotReady);
+  CHECK(refused.m_ran == Ran::Maybe);
+}
+
 TEST_CASE("a non-idempotent request without a key is dispatched once")
 {
   PipelineWorld world;
--- a/rattanweir/request/pipeline/peer_handler.cc
+++ b/rattanweir/request/pipeline/peer_handler.cc
@@ -59,7 +59,13 @@
                             CancelSource& aCancel,
                             RequestRecord& aRecord)
 {
-  RequestPlan plan = AdmitFromPeer(m_serving, std::move(aRequest));
+  const HeaderFields headers = aRequest.m_headers;
+  RequestPlan plan;
+  try {
+    plan = AdmitFromPeer(m_serving, std::move(aRequest));
+  } catch (const RequestError& error) {
+    throw AsSaidUnderKey(error, headers);
+  }
   aRecord.m_route = plan.m_route.m_id;
   aRecord.m_clientAccount = plan.m_clientAccount;
   co_await Run(std::move(plan), aSink, aCancel, aRecord.m_report);
