Wake a paused instance cut off from the platform

Each instance now has a link of its own to the platform, cut while it sleeps, so that it can only learn from its peers before it acts.

--- a/testing/end_to_end/three_regions_test.cc
+++ b/testing/end_to_end/three_regions_test.cc
@@ -175,9 +175,13 @@
 TEST_CASE("An instance that wakes late does not act on what it knew before")
 {
   constexpr int kCallers = 4;
-  Fleet fleet(kThreeRegions);
+  FleetOptions options = kThreeRegions;
+  options.m_hasPlatform = true;
+  Fleet fleet(options);
   WaitUntilAllServe(fleet);
   fleet.Instance("ostland-1").Signal(SIGSTOP);
+  // Only its peers can tell it what was published meanwhile.
+  fleet.PlatformLink("ostland-1").Set(LinkState::Cut);
   fleet.WithdrawKey("teachers-key");
   fleet.MarkLeaving("engine-ostland");
   const std::int64_t published = WallMicroseconds();
--- a/testing/harness/fleet.cc
+++ b/testing/harness/fleet.cc
@@ -40,6 +40,8 @@
     StartPlatform();
   }
   for (auto& [id, node] : m_nodes) {
+    node.m_platformLink = std::make_unique<LinkCutter>();
+    node.m_platformLink->SetTarget(m_platformAddress);
     StartNode(id);
   }
   WriteInstances();
@@ -73,12 +75,12 @@
 }
 
 std::string
-Fleet::PlatformSetting() const
+Fleet::PlatformSetting(const Node& aNode) const
 {
   if (!m_options.m_hasPlatform) {
     return "{ directory: " + m_files.Directory() + " }";
   }
-  const std::string address = m_platformAddress.ToString();
+  const std::string address = aNode.m_platformLink->Address().ToString();
   return "{ configuration_service: \"" + address + "\", instance_list: \"" +
          address + "\" }";
 }
@@ -88,7 +90,7 @@
 {
   Node& node = m_nodes.at(aInstance);
   const std::string settings =
-    m_files.WriteSettings(aInstance, node.m_region, PlatformSetting());
+    m_files.WriteSettings(aInstance, node.m_region, PlatformSetting(node));
   const ProcessOptions options{ .m_path = RATTANWEIR_DAEMON,
                                 .m_arguments = { "--settings", settings } };
   node.m_process = std::make_unique<Process>(options);
@@ -197,6 +199,12 @@
   return *m_nodes.at(aInstance).m_link;
 }
 
+LinkCutter&
+Fleet::PlatformLink(const std::string& aInstance)
+{
+  return *m_nodes.at(aInstance).m_platformLink;
+}
+
 Endpoint
 Fleet::CallerAddress(const std::string& aInstance) const
 {
--- a/testing/harness/fleet.h
+++ b/testing/harness/fleet.h
@@ -56,7 +56,10 @@
   std::vector<std::string> Instances() const;
   Process& Instance(const std::string& aInstance);
   Process& Server(const std::string& aServer);
+  // Between its peers and the instance.
   LinkCutter& Link(const std::string& aInstance);
+  // Between the instance and the platform.
+  LinkCutter& PlatformLink(const std::string& aInstance);
   Endpoint CallerAddress(const std::string& aInstance) const;
 
   // Sets switches of a backend server, or of `platform`.
@@ -96,6 +99,7 @@
     std::string m_region;
     std::unique_ptr<Process> m_process;
     std::unique_ptr<LinkCutter> m_link;
+    std::unique_ptr<LinkCutter> m_platformLink;
     Endpoint m_callerAddress;
     Endpoint m_adminAddress;
   };
@@ -112,7 +116,7 @@
   void StartNode(const std::string& aInstance);
   void WriteInstances() const;
   void WriteServers();
-  std::string PlatformSetting() const;
+  std::string PlatformSetting(const Node& aNode) const;
 
   FleetOptions m_options;
   ConfigurationFiles m_files;
