Bound the answer that an instance holds for the repeats of a key

The answer under an idempotency key is collected whole, since repeats wait for it, and nothing bounded it but the backend server. Over 4 MiB the request now ends with answer_too_large (411, may have run).

--- a/rattanweir/base/result/result_code.cc
+++ b/rattanweir/base/result/result_code.cc
@@ -148,6 +148,7 @@
     Ran::Maybe,
     milliseconds(1000) },
   { ResultCode::PeerLost, "peer_lost", 502, Ran::Maybe, milliseconds(1000) },
+  { ResultCode::AnswerTooLarge, "answer_too_large", 502, Ran::Maybe, kNever },
   { ResultCode::InternalError,
     "internal_error",
     500,
--- a/rattanweir/base/result/result_code.h
+++ b/rattanweir/base/result/result_code.h
@@ -77,6 +77,7 @@
   CallerGone = 408,
   CallerTooSlow = 409,
   PeerLost = 410,
+  AnswerTooLarge = 411,
 
   InternalError = 500,
 };
--- a/rattanweir/request/pipeline/keyed_runs.cc
+++ b/rattanweir/request/pipeline/keyed_runs.cc
@@ -31,6 +31,9 @@
 
 namespace {
 
+// The largest answer that is held for those who wait for it.
+constexpr std::size_t kMostAnswerBytes = std::size_t{ 4 } << 20U;
+
 // Keeps a whole answer instead of passing it on.
 class KeepingSink final : public AnswerSink
 {
@@ -51,6 +54,10 @@
 
   Task<void> WriteChunk(std::string aChunk) override
   {
+    if (m_answer.m_body.size() + aChunk.size() > kMostAnswerBytes) {
+      throw RequestError(ResultCode::AnswerTooLarge,
+                         "the answer is larger than an instance keeps");
+    }
     m_answer.m_body += aChunk;
     co_return;
   }
