--- a/testing/history/history.cc
+++ b/testing/history/history.cc
@@ -356,7 +356,6 @@
     { .m_server = aServer,
       .m_region = aRegion,
       .m_marker = body["marker"].asString(),
-      .m_request = record["request"].asString(),
       .m_clientAccount = record["client_account"].asString(),
       .m_at = record["at_us"].asInt64() });
 }
--- a/testing/history/history.h
+++ b/testing/history/history.h
@@ -64,7 +64,6 @@
   std::string m_server;
   std::string m_region;
   std::string m_marker;
-  std::string m_request;
   std::string m_clientAccount;
   std::int64_t m_at = 0;
 };
