--- a/testing/history/history.cc
+++ b/testing/history/history.cc
@@ -3,7 +3,7 @@
 #include "testing/stand_in/stand_in.h"
 
 #include <algorithm>
-#include <functional>
+#include <array>
 #include <optional>
 #include <sstream>
 
@@ -363,33 +363,16 @@
 std::string_view
 PromiseName(Promise aPromise)
 {
-  switch (aPromise) {
-    case Promise::RunsAtMostOnce:
-      return "runs_at_most_once";
-    case Promise::NotRunIsTrue:
-      return "not_run_is_true";
-    case Promise::OwnWholeAnswer:
-      return "own_whole_answer";
-    case Promise::OwnClientAccountOnly:
-      return "own_client_account_only";
-    case Promise::KeysStayInside:
-      return "keys_stay_inside";
-    case Promise::StaysInRegion:
-      return "stays_in_region";
-    case Promise::NeverLoops:
-      return "never_loops";
-    case Promise::WithdrawnKeyStops:
-      return "withdrawn_key_stops";
-    case Promise::RateAndBurst:
-      return "rate_and_burst";
-    case Promise::LeavingGetsNoWork:
-      return "leaving_gets_no_work";
-    case Promise::VersionNeverReverts:
-      return "version_never_reverts";
-    case Promise::ShutdownCutsNothing:
-      return "shutdown_cuts_nothing";
-  }
-  return "unknown";
+  // In the order of the enumeration.
+  constexpr std::array<std::string_view, 12> kNames = {
+    "runs_at_most_once",     "not_run_is_true",
+    "own_whole_answer",      "own_client_account_only",
+    "keys_stay_inside",      "stays_in_region",
+    "never_loops",           "withdrawn_key_stops",
+    "rate_and_burst",        "leaving_gets_no_work",
+    "version_never_reverts", "shutdown_cuts_nothing",
+  };
+  return kNames.at(static_cast<std::size_t>(aPromise));
 }
 
 std::string
