--- a/bench/fleet_cost/fleet_cost.cc
+++ b/bench/fleet_cost/fleet_cost.cc
@@ -9,7 +9,7 @@
 // between peers alone. The processes end with the program.
 
 #include "bench/fleet_cost/fleet_files.h"
-#include "bench/fleet_cost/process_usage.h"
+#include "bench/usage/process_usage.h"
 #include "testing/harness/process.h"
 
 #include <gflags/gflags.h>
--- a/bench/fleet_cost/process_usage.cc
+++ b/bench/usage/process_usage.cc
@@ -1,4 +1,4 @@
-#include "bench/fleet_cost/process_usage.h"
+#include "bench/usage/process_usage.h"
 
 #include <unistd.h>
 
--- a/testing/harness/fleet.cc
+++ b/testing/harness/fleet.cc
@@ -212,6 +212,12 @@
   return m_nodes.at(aInstance).m_callerAddress;
 }
 
+Endpoint
+Fleet::ServerAddress(const std::string& aServer) const
+{
+  return m_servers.at(aServer).m_address;
+}
+
 void
 Fleet::Switch(const std::string& aServer, const std::string& aJson)
 {
--- a/testing/harness/fleet.h
+++ b/testing/harness/fleet.h
@@ -61,6 +61,7 @@
   // Between the instance and the platform.
   LinkCutter& PlatformLink(const std::string& aInstance);
   Endpoint CallerAddress(const std::string& aInstance) const;
+  Endpoint ServerAddress(const std::string& aServer) const;
 
   // Sets switches of a backend server, or of `platform`.
   void Switch(const std::string& aServer, const std::string& aJson);
