--- a/rattanweir/base/random/random.cc
+++ b/rattanweir/base/random/random.cc
@@ -2,17 +2,48 @@
 
 #include <openssl/rand.h>
 
+#include <array>
 #include <stdexcept>
+#include <utility>
 #include <vector>
 
 namespace rattanweir {
 namespace {
 
+// Drawn from OpenSSL at once, since each call costs far more than its bytes.
+constexpr std::size_t kDrawnBytes = 1'024;
+
+class DrawnBytes
+{
+public:
+  unsigned char Next()
+  {
+    if (m_used == m_bytes.size()) {
+      Draw();
+    }
+    // Not kept: whoever reads this memory later learns nothing of past ids.
+    return std::exchange(m_bytes[m_used++], 0);
+  }
+
+private:
+  void Draw()
+  {
+    if (RAND_bytes(m_bytes.data(), static_cast<int>(m_bytes.size())) != 1) {
+      throw std::runtime_error("the system has no random bytes");
+    }
+    m_used = 0;
+  }
+
+  std::array<unsigned char, kDrawnBytes> m_bytes{};
+  std::size_t m_used = kDrawnBytes;
+};
+
 void
 FillRandom(unsigned char* aBytes, std::size_t aSize)
 {
-  if (RAND_bytes(aBytes, static_cast<int>(aSize)) != 1) {
-    throw std::runtime_error("the system has no random bytes");
+  thread_local DrawnBytes drawn;
+  for (std::size_t index = 0; index < aSize; ++index) {
+    aBytes[index] = drawn.Next();
   }
 }
 
--- a/rattanweir/request/body/request_body.cc
+++ b/rattanweir/request/body/request_body.cc
@@ -1,9 +1,8 @@
 #include "rattanweir/request/body/request_body.h"
 
+#include "rattanweir/base/json/json.h"
 #include "rattanweir/request/exchange/header_fields.h"
 
-#include <json/json.h>
-
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -16,8 +15,6 @@
 constexpr std::array<const char*, 3> kKeyParameters = { "key",
                                                         "api_key",
                                                         "access_token" };
-// Deeper documents are refused, so that no text exhausts the stack.
-constexpr int kMaximumDepth = 200;
 
 [[noreturn]] void
 ThrowMalformed(const std::string& aDetail)
@@ -35,35 +32,6 @@
   return first != std::string::npos && aText[first] == '{';
 }
 
-Json::Value
-ParseJson(const std::string& aText)
-{
-  Json::CharReaderBuilder builder;
-  Json::CharReaderBuilder::strictMode(&builder.settings_);
-  builder["strictRoot"] = false;
-  builder["stackLimit"] = kMaximumDepth;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  std::string errors;
-  try {
-    const char* const begin = aText.data();
-    if (reader->parse(begin, begin + aText.size(), &value, &errors)) {
-      return value;
-    }
-  } catch (const Json::Exception&) {
-    ThrowMalformed("the body is nested too deeply");
-  }
-  ThrowMalformed("the body is not valid JSON");
-}
-
-std::string
-WriteJson(const Json::Value& aValue)
-{
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, aValue);
-}
-
 bool
 RemoveKeyFields(Json::Value& aObject)
 {
@@ -173,11 +141,15 @@
   }
   body.m_promptBytes = aText.size();
   if (ClaimsJson(aHeaders, aText)) {
-    Json::Value value = ParseJson(aText);
+    std::optional<Json::Value> parsed = ParseJson(aText);
+    if (!parsed) {
+      ThrowMalformed("the body is not valid JSON, or nested too deeply");
+    }
+    Json::Value value = *std::move(parsed);
     if (value.isObject()) {
       ReadFields(value, body);
       if (RemoveKeyFields(value)) {
-        aText = WriteJson(value);
+        aText = JsonText(value);
       }
     }
   }
--- a/rattanweir/request/pipeline/json_answer.cc
+++ b/rattanweir/request/pipeline/json_answer.cc
@@ -1,8 +1,7 @@
 #include "rattanweir/request/pipeline/json_answer.h"
 
-#include <json/json.h>
-
-#include <memory>
+#include <optional>
+#include <utility>
 
 namespace rattanweir {
 namespace {
@@ -17,32 +16,14 @@
 
 } // namespace
 
-std::string
-JsonText(const Json::Value& aValue)
-{
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, aValue);
-}
-
 Json::Value
 RequireJsonObject(const std::string& aText)
 {
-  Json::CharReaderBuilder builder;
-  Json::CharReaderBuilder::strictMode(&builder.settings_);
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  std::string errors;
-  const char* const begin = aText.data();
-  try {
-    if (reader->parse(begin, begin + aText.size(), &value, &errors) &&
-        value.isObject()) {
-      return value;
-    }
-  } catch (const Json::Exception&) {
-    ThrowMalformed("the body is nested too deeply");
+  std::optional<Json::Value> value = ParseJson(aText);
+  if (!value || !value->isObject()) {
+    ThrowMalformed("the body is no JSON object");
   }
-  ThrowMalformed("the body is no JSON object");
+  return *std::move(value);
 }
 
 std::string
--- a/rattanweir/request/pipeline/json_answer.h
+++ b/rattanweir/request/pipeline/json_answer.h
@@ -2,16 +2,11 @@
 
 #pragma once
 
+#include "rattanweir/base/json/json.h"
 #include "rattanweir/request/exchange/exchange.h"
 
-#include <json/value.h>
-
 namespace rattanweir {
 
-// The text of a JSON value, without line breaks.
-std::string
-JsonText(const Json::Value& aValue);
-
 // The JSON object in a request's body. Throws RequestError with
 // MalformedRequest.
 Json::Value
--- a/rattanweir/request/pipeline/serving.h
+++ b/rattanweir/request/pipeline/serving.h
@@ -22,6 +22,7 @@
 #include "rattanweir/process/rate/rate_ledger.h"
 #include "rattanweir/request/exchange/exchange.h"
 #include "rattanweir/request/pipeline/share_borrower.h"
+#include "rattanweir/request/rate_queue/rate_queue.h"
 #include "rattanweir/request/retry/retry.h"
 #include "rattanweir/version/catalog/catalog.h"
 
@@ -37,6 +38,7 @@
   Catalog& m_catalog;
   Membership& m_membership;
   RateLedger& m_rates;
+  RateQueue& m_rateQueue;
   IdempotencyLedger& m_keys;
   BackendView& m_backends;
   RunningRequests& m_inFlight;
--- a/rattanweir/request/refusal/refusal.cc
+++ b/rattanweir/request/refusal/refusal.cc
@@ -2,7 +2,7 @@
 
 #include "rattanweir/request/refusal/refusal.h"
 
-#include <json/json.h>
+#include "rattanweir/base/json/json.h"
 
 namespace rattanweir {
 namespace {
@@ -18,9 +18,7 @@
     value["retry_after_ms"] = Json::Int64(comeBackAfter->count());
   }
   value["detail"] = aError.what();
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, value);
+  return JsonText(value);
 }
 
 } // namespace
--- a/rattanweir/request/relay/answer_relay.cc
+++ b/rattanweir/request/relay/answer_relay.cc
@@ -1,11 +1,10 @@
 #include "rattanweir/request/relay/answer_relay.h"
 
+#include "rattanweir/base/json/json.h"
 #include "rattanweir/request/exchange/header_fields.h"
 #include "rattanweir/request/refusal/parse_refusal.h"
 #include "rattanweir/request/relay/event_splitter.h"
 
-#include <json/json.h>
-
 #include <array>
 #include <memory>
 #include <string_view>
@@ -98,16 +97,11 @@
 std::optional<std::int64_t>
 TokensIn(const std::string& aBody)
 {
-  Json::CharReaderBuilder builder;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  std::string errors;
-  const char* const begin = aBody.data();
-  if (!reader->parse(begin, begin + aBody.size(), &value, &errors) ||
-      !value.isObject() || !value["tokens"].isInt64()) {
+  const std::optional<Json::Value> value = ParseJson(aBody);
+  if (!value || !value->isObject() || !(*value)["tokens"].isInt64()) {
     return std::nullopt;
   }
-  return value["tokens"].asInt64();
+  return (*value)["tokens"].asInt64();
 }
 
 [[noreturn]] void
--- a/testing/pipeline_world/pipeline_world.h
+++ b/testing/pipeline_world/pipeline_world.h
@@ -100,6 +100,7 @@
   RunningRequests m_inFlight;
   PeerAttempts m_peerAttempts;
   RetryBudget m_retries{ {} };
+  RateQueue m_rateQueue;
   Metrics m_metrics;
   ScriptedUpstream m_upstream{ m_context };
   ScriptedBorrower m_borrower;
