--- a/programs/rattanweirctl/admin_commands.cc
+++ b/programs/rattanweirctl/admin_commands.cc
@@ -2,13 +2,13 @@
 
 #include "programs/rattanweirctl/admin_client.h"
 #include "programs/rattanweirctl/text_form.h"
+#include "rattanweir/base/json/json.h"
 #include "rattanweir/base/result/result_code.h"
 
-#include <json/json.h>
+#include <json/value.h>
 
 #include <algorithm>
 #include <array>
-#include <memory>
 #include <optional>
 #include <string_view>
 
@@ -113,19 +113,6 @@
   return query;
 }
 
-std::optional<Json::Value>
-ParseJson(const std::string& aText)
-{
-  const std::unique_ptr<Json::CharReader> reader(
-    Json::CharReaderBuilder().newCharReader());
-  Json::Value value;
-  if (!reader->parse(
-        aText.data(), aText.data() + aText.size(), &value, nullptr)) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 } // namespace
 
 bool
--- a/rattanweir/process/membership/membership.cc
+++ b/rattanweir/process/membership/membership.cc
@@ -86,9 +86,23 @@
   if (aPeer.m_heartbeat->m_isDraining || !aPeer.m_heartbeat->m_isReady) {
     return false;
   }
+  return !IsSilentAt(aPeer, aNow);
+}
+
+bool
+Membership::IsSilent(const PeerView& aPeer) const
+{
+  return IsSilentAt(aPeer, m_options.m_clock.SteadyNow());
+}
+
+bool
+Membership::IsSilentAt(const PeerView& aPeer, SteadyTime aNow) const
+{
+  if (!aPeer.m_heartbeat) {
+    return false;
+  }
   const auto silence = aNow - aPeer.m_heardAt;
-  return silence <=
-         m_options.m_missedHeartbeats * aPeer.m_heartbeat->m_interval;
+  return silence > m_options.m_missedHeartbeats * aPeer.m_heartbeat->m_interval;
 }
 
 std::vector<PeerView>
--- a/rattanweir/process/membership/membership.h
+++ b/rattanweir/process/membership/membership.h
@@ -101,6 +101,9 @@
 
   bool IsUsable(const PeerView& aPeer) const;
 
+  // Heard before, but not for as long as it would take to miss its heartbeats.
+  bool IsSilent(const PeerView& aPeer) const;
+
   // This instance's own row, if the list has it.
   std::optional<InstanceRecord> Self() const;
 
@@ -113,6 +116,7 @@
 
   // Ready, staying and not silent.
   bool IsHeard(const PeerView& aPeer, SteadyTime aNow) const;
+  bool IsSilentAt(const PeerView& aPeer, SteadyTime aNow) const;
 
   MembershipOptions m_options;
   std::map<InstanceId, Entry> m_peers;
--- a/rattanweir/request/refusal/parse_refusal.cc
+++ b/rattanweir/request/refusal/parse_refusal.cc
@@ -1,8 +1,6 @@
 #include "rattanweir/request/refusal/parse_refusal.h"
 
-#include <json/json.h>
-
-#include <memory>
+#include "rattanweir/base/json/json.h"
 
 namespace rattanweir {
 namespace {
@@ -10,14 +8,8 @@
 std::optional<Json::Value>
 ParseObject(const std::string& aJson)
 {
-  Json::CharReaderBuilder builder;
-  Json::CharReaderBuilder::strictMode(&builder.settings_);
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  std::string errors;
-  const char* const begin = aJson.data();
-  if (!reader->parse(begin, begin + aJson.size(), &value, &errors) ||
-      !value.isObject()) {
+  std::optional<Json::Value> value = ParseJson(aJson);
+  if (!value || !value->isObject()) {
     return std::nullopt;
   }
   return value;
--- a/rattanweir/request/routing/backend_choice.h
+++ b/rattanweir/request/routing/backend_choice.h
@@ -53,6 +53,8 @@
 {
   const Clock& m_clock;
   RandomEngine& m_random;
+  // Candidates drawn at random for one choice.
+  std::size_t m_draws = 2;
   // A report of this age counts for half.
   std::chrono::nanoseconds m_loadHalfLife{ std::chrono::seconds(2) };
 };
@@ -64,10 +66,12 @@
 
   BackendChoiceResult Choose(std::span<const BackendCandidate> aCandidates);
 
-  // What sending one more request there costs, in requests.
+  // The load it probably has, in the unit of the reports.
   double CostOf(const BackendState& aState) const;
 
 private:
+  std::size_t CheapestDrawn(std::span<const BackendCandidate> aCandidates,
+                            std::vector<std::size_t> aUsable);
   std::vector<std::size_t> TakingWork(
     std::span<const BackendCandidate> aCandidates) const;
 
--- a/testing/harness/fleet.cc
+++ b/testing/harness/fleet.cc
@@ -1,5 +1,6 @@
 #include "testing/harness/fleet.h"
 
+#include <algorithm>
 #include <csignal>
 #include <sstream>
 
@@ -39,6 +40,8 @@
     StartPlatform();
   }
   for (auto& [id, node] : m_nodes) {
+    node.m_platformLink = std::make_unique<LinkCutter>();
+    node.m_platformLink->SetTarget(m_platformAddress);
     StartNode(id);
   }
   WriteInstances();
@@ -72,12 +75,12 @@
 }
 
 std::string
-Fleet::PlatformSetting() const
+Fleet::PlatformSetting(const Node& aNode) const
 {
   if (!m_options.m_hasPlatform) {
     return "{ directory: " + m_files.Directory() + " }";
   }
-  const std::string address = m_platformAddress.ToString();
+  const std::string address = aNode.m_platformLink->Address().ToString();
   return "{ configuration_service: \"" + address + "\", instance_list: \"" +
          address + "\" }";
 }
@@ -87,7 +90,7 @@
 {
   Node& node = m_nodes.at(aInstance);
   const std::string settings =
-    m_files.WriteSettings(aInstance, node.m_region, PlatformSetting());
+    m_files.WriteSettings(aInstance, node.m_region, PlatformSetting(node));
   const ProcessOptions options{ .m_path = RATTANWEIR_DAEMON,
                                 .m_arguments = { "--settings", settings } };
   node.m_process = std::make_unique<Process>(options);
@@ -196,6 +199,12 @@
   return *m_nodes.at(aInstance).m_link;
 }
 
+LinkCutter&
+Fleet::PlatformLink(const std::string& aInstance)
+{
+  return *m_nodes.at(aInstance).m_platformLink;
+}
+
 Endpoint
 Fleet::CallerAddress(const std::string& aInstance) const
 {
@@ -203,6 +212,12 @@
   return m_nodes.at(aInstance).m_callerAddress;
 }
 
+Endpoint
+Fleet::ServerAddress(const std::string& aServer) const
+{
+  return m_servers.at(aServer).m_address;
+}
+
 void
 Fleet::Switch(const std::string& aServer, const std::string& aJson)
 {
@@ -276,6 +291,18 @@
   return m_history.m_calls.size();
 }
 
+std::size_t
+Fleet::ServedCount() const
+{
+  const std::lock_guard lock(m_mutex);
+  return static_cast<std::size_t>(
+    std::count_if(m_history.m_calls.begin(),
+                  m_history.m_calls.end(),
+                  [](const CallerRecord& aCall) {
+                    return aCall.m_status == 200 && aCall.m_isWhole;
+                  }));
+}
+
 std::string
 Fleet::FreshMarker()
 {
--- a/testing/history/history.cc
+++ b/testing/history/history.cc
@@ -3,7 +3,7 @@
 #include "testing/stand_in/stand_in.h"
 
 #include <algorithm>
-#include <functional>
+#include <array>
 #include <optional>
 #include <sstream>
 
@@ -145,13 +145,11 @@
 }
 
 std::optional<std::int64_t>
-EndOfBound(const std::vector<PublishedChange>& aChanges,
-           const std::string& aId,
-           std::chrono::microseconds aBound)
+EndOfBound(const std::vector<PublishedChange>& aChanges, const std::string& aId)
 {
   for (const PublishedChange& change : aChanges) {
     if (change.m_id == aId) {
-      return change.m_at + aBound.count();
+      return change.m_at + kChangeBound.count();
     }
   }
   return std::nullopt;
@@ -163,8 +161,7 @@
 CheckWithdrawnKeys(const History& aHistory, Violations& aOut)
 {
   for (const CallerRecord& call : aHistory.m_calls) {
-    const auto end = EndOfBound(
-      aHistory.m_withdrawnKeys, call.m_keyId, aHistory.m_changeBound);
+    const auto end = EndOfBound(aHistory.m_withdrawnKeys, call.m_keyId);
     if (!end || call.m_status != kOkStatus) {
       continue;
     }
@@ -181,8 +178,7 @@
 CheckLeavingServers(const History& aHistory, Violations& aOut)
 {
   for (const RunRecord& run : aHistory.m_runs) {
-    const auto end = EndOfBound(
-      aHistory.m_leavingServers, run.m_server, aHistory.m_changeBound);
+    const auto end = EndOfBound(aHistory.m_leavingServers, run.m_server);
     if (end && run.m_at > *end) {
       Add(aOut,
           Promise::LeavingGetsNoWork,
@@ -360,7 +356,6 @@
     { .m_server = aServer,
       .m_region = aRegion,
       .m_marker = body["marker"].asString(),
-      .m_request = record["request"].asString(),
       .m_clientAccount = record["client_account"].asString(),
       .m_at = record["at_us"].asInt64() });
 }
@@ -368,33 +363,16 @@
 std::string_view
 PromiseName(Promise aPromise)
 {
-  switch (aPromise) {
-    case Promise::RunsAtMostOnce:
-      return "runs_at_most_once";
-    case Promise::NotRunIsTrue:
-      return "not_run_is_true";
-    case Promise::OwnWholeAnswer:
-      return "own_whole_answer";
-    case Promise::OwnClientAccountOnly:
-      return "own_client_account_only";
-    case Promise::KeysStayInside:
-      return "keys_stay_inside";
-    case Promise::StaysInRegion:
-      return "stays_in_region";
-    case Promise::NeverLoops:
-      return "never_loops";
-    case Promise::WithdrawnKeyStops:
-      return "withdrawn_key_stops";
-    case Promise::RateAndBurst:
-      return "rate_and_burst";
-    case Promise::LeavingGetsNoWork:
-      return "leaving_gets_no_work";
-    case Promise::VersionNeverReverts:
-      return "version_never_reverts";
-    case Promise::ShutdownCutsNothing:
-      return "shutdown_cuts_nothing";
-  }
-  return "unknown";
+  // In the order of the enumeration.
+  constexpr std::array<std::string_view, 12> kNames = {
+    "runs_at_most_once",     "not_run_is_true",
+    "own_whole_answer",      "own_client_account_only",
+    "keys_stay_inside",      "stays_in_region",
+    "never_loops",           "withdrawn_key_stops",
+    "rate_and_burst",        "leaving_gets_no_work",
+    "version_never_reverts", "shutdown_cuts_nothing",
+  };
+  return kNames.at(static_cast<std::size_t>(aPromise));
 }
 
 std::string
