--- a/testing/harness/fleet.cc
+++ b/testing/harness/fleet.cc
@@ -225,8 +225,17 @@
 HttpAnswer
 Fleet::Admin(const std::string& aInstance, const std::string& aPath)
 {
-  HttpConnection connection(m_nodes.at(aInstance).m_adminAddress, kCallTimeout);
-  return connection.Send({ .m_method = "GET", .m_target = aPath });
+  try {
+    HttpConnection connection(m_nodes.at(aInstance).m_adminAddress,
+                              kCallTimeout);
+    return connection.Send({ .m_method = "GET", .m_target = aPath });
+  } catch (const HttpError& error) {
+    std::string message = aInstance + ": " + error.what();
+    for (const std::string& line : Instance(aInstance).Lines()) {
+      message += "\n  " + line;
+    }
+    throw HttpError(message);
+  }
 }
 
 std::uint64_t
