--- a/bench/gateway_cost/gateway_cost.cc
+++ b/bench/gateway_cost/gateway_cost.cc
@@ -218,13 +218,24 @@
   std::printf("resident bytes a running stream: %.0f\n", grown / FLAGS_streams);
 }
 
-void
-Run()
+// A fresh instance for each part, so that no part finds memory that another
+// left behind.
+std::unique_ptr<testing::Fleet>
+StartFleet()
 {
-  testing::Fleet fleet({ .m_tokenInterval = "5ms" });
-  fleet.WaitUntilReady();
+  auto fleet = std::make_unique<testing::Fleet>(
+    testing::FleetOptions{ .m_tokenInterval = "5ms" });
+  fleet->WaitUntilReady();
   // Past the first fill of the bucket.
   std::this_thread::sleep_for(std::chrono::seconds(1));
+  return fleet;
+}
+
+void
+Run()
+{
+  MeasureIdleConnections(*StartFleet());
+  MeasureStreams(*StartFleet());
   std::printf("%-28s %7s %5s %9s %9s %9s %9s %9s %9s\n",
               "us",
               "calls",
@@ -235,10 +246,9 @@
               "first95",
               "gap50",
               "gap95");
-  MeasureIdleConnections(fleet);
-  Compare(fleet, "service-ostland", "small request", SmallRequest());
-  Compare(fleet, "engine-ostland", "stream of 32 events", StreamRequest(32));
-  MeasureStreams(fleet);
+  const auto fleet = StartFleet();
+  Compare(*fleet, "service-ostland", "small request", SmallRequest());
+  Compare(*fleet, "engine-ostland", "stream of 32 events", StreamRequest(32));
 }
 
 } // namespace
--- a/testing/harness/fleet.cc
+++ b/testing/harness/fleet.cc
@@ -240,8 +240,17 @@
              const std::string& aPath,
              const std::string& aMethod)
 {
-  HttpConnection connection(m_nodes.at(aInstance).m_adminAddress, kCallTimeout);
-  return connection.Send({ .m_method = aMethod, .m_target = aPath });
+  try {
+    HttpConnection connection(m_nodes.at(aInstance).m_adminAddress,
+                              kCallTimeout);
+    return connection.Send({ .m_method = aMethod, .m_target = aPath });
+  } catch (const HttpError& error) {
+    std::string message = aInstance + ": " + error.what();
+    for (const std::string& line : Instance(aInstance).Lines()) {
+      message += "\n  " + line;
+    }
+    throw HttpError(message);
+  }
 }
 
 std::uint64_t
