Weigh own requests that wait for their answers to begin

The time to the first token is spent behind other prompts, while the load of an engine is mostly answers being generated. Choosing by it sent prompts behind each other: worse than round robin. An instance knows exactly, without a lag, which of its own requests have no answer yet; their load now counts 16 times more.

--- a/bench/backend_choice/choosers.cc
+++ b/bench/backend_choice/choosers.cc
@@ -20,7 +20,11 @@
   {
     return UniformIndex(m_options.m_random, m_options.m_engines);
   }
-  void Begin(std::size_t /*aEngine*/, double /*aReportedLoad*/) override {}
+  void Begin(std::size_t /*aEngine*/,
+             const ModelRequest& /*aRequest*/,
+             double /*aReportedLoad*/) override
+  {
+  }
   void End(std::size_t /*aEngine*/, const ModelRequest& /*aRequest*/) override
   {
   }
@@ -41,7 +45,11 @@
   {
     return m_next++ % m_engines;
   }
-  void Begin(std::size_t /*aEngine*/, double /*aReportedLoad*/) override {}
+  void Begin(std::size_t /*aEngine*/,
+             const ModelRequest& /*aRequest*/,
+             double /*aReportedLoad*/) override
+  {
+  }
   void End(std::size_t /*aEngine*/, const ModelRequest& /*aRequest*/) override
   {
   }
@@ -70,7 +78,9 @@
     }
     return best;
   }
-  void Begin(std::size_t aEngine, double aReportedLoad) override
+  void Begin(std::size_t aEngine,
+             const ModelRequest& /*aRequest*/,
+             double aReportedLoad) override
   {
     m_loads[aEngine] = aReportedLoad;
   }
@@ -105,15 +115,20 @@
     m_view.AddDispatch(m_candidates[engine].m_id, LoadOf(aRequest));
     return engine;
   }
-  void Begin(std::size_t aEngine, double aReportedLoad) override
+  void Begin(std::size_t aEngine,
+             const ModelRequest& aRequest,
+             double aReportedLoad) override
   {
+    m_view.BeginAnswer(m_candidates[aEngine].m_id, LoadOf(aRequest));
     m_view.ReportLoad(m_candidates[aEngine].m_id,
                       static_cast<std::uint64_t>(aReportedLoad));
   }
   void End(std::size_t aEngine, const ModelRequest& aRequest) override
   {
-    m_view.EndDispatch(
-      m_candidates[aEngine].m_id, LoadOf(aRequest), AttemptVerdict::Answered);
+    m_view.EndDispatch(m_candidates[aEngine].m_id,
+                       { .m_load = LoadOf(aRequest),
+                         .m_hasBegun = true,
+                         .m_verdict = AttemptVerdict::Answered });
   }
 
 private:
--- a/bench/backend_choice/choosers.h
+++ b/bench/backend_choice/choosers.h
@@ -33,7 +33,9 @@
   // Chooses an engine and counts the dispatch.
   virtual std::size_t Choose(const ModelRequest& aRequest) = 0;
   // The answer has begun and carried this load.
-  virtual void Begin(std::size_t aEngine, double aReportedLoad) = 0;
+  virtual void Begin(std::size_t aEngine,
+                     const ModelRequest& aRequest,
+                     double aReportedLoad) = 0;
   virtual void End(std::size_t aEngine, const ModelRequest& aRequest) = 0;
 };
 
--- a/bench/backend_choice/pool_model.cc
+++ b/bench/backend_choice/pool_model.cc
@@ -125,7 +125,7 @@
     Schedule(seconds, AnswerEnd{ aEnd.m_engine, aEnd.m_request });
     const double lag = m_options.m_lagSeconds;
     m_choosers[aEnd.m_request.m_instance]->Begin(
-      aEnd.m_engine, engine.LoadAt(m_now - lag, lag));
+      aEnd.m_engine, aEnd.m_request, engine.LoadAt(m_now - lag, lag));
     Advance(aEnd.m_engine);
   }
 
--- a/rattanweir/process/backend_view/backend_view.cc
+++ b/rattanweir/process/backend_view/backend_view.cc
@@ -15,18 +15,27 @@
   BackendState& state = m_entries[aId].m_state;
   ++state.m_inFlight;
   state.m_loadInFlight += aLoad;
+  state.m_loadUnanswered += aLoad;
   state.m_dispatchedSince += aLoad;
 }
 
+void
+BackendView::BeginAnswer(const BackendServerId& aId, std::uint64_t aLoad)
+{
+  m_entries[aId].m_state.m_loadUnanswered -= aLoad;
+}
+
 void
 BackendView::EndDispatch(const BackendServerId& aId,
-                         std::uint64_t aLoad,
-                         AttemptVerdict aVerdict)
+                         const EndedDispatch& aDispatch)
 {
   Entry& entry = m_entries[aId];
   --entry.m_state.m_inFlight;
-  entry.m_state.m_loadInFlight -= aLoad;
-  switch (aVerdict) {
+  entry.m_state.m_loadInFlight -= aDispatch.m_load;
+  if (!aDispatch.m_hasBegun) {
+    entry.m_state.m_loadUnanswered -= aDispatch.m_load;
+  }
+  switch (aDispatch.m_verdict) {
     case AttemptVerdict::Answered:
       entry.m_failures = 0;
       entry.m_state.m_ejectedUntil.reset();
--- a/rattanweir/process/backend_view/backend_view.h
+++ b/rattanweir/process/backend_view/backend_view.h
@@ -3,7 +3,8 @@
 //   BackendView view({ .m_clock = clock });
 //   view.AddDispatch(id, 1'200);
 //   view.ReportLoad(id, 30'000);
-//   view.EndDispatch(id, 1'200, AttemptVerdict::Answered);
+//   view.BeginAnswer(id, 1'200);
+//   view.EndDispatch(id, { .m_load = 1'200, .m_hasBegun = true });
 //   const BackendState state = view.StateOf(id);
 //
 // Load reports come with answers and age; dispatches made since the newest
@@ -48,6 +49,8 @@
   // Requests of this instance that it holds now, and their load.
   std::uint32_t m_inFlight = 0;
   std::uint64_t m_loadInFlight = 0;
+  // The part of that load whose answers have not begun.
+  std::uint64_t m_loadUnanswered = 0;
   std::optional<ReportedLoad> m_load;
   // The load that this instance dispatched to it since that report.
   std::uint64_t m_dispatchedSince = 0;
@@ -56,6 +59,15 @@
   std::optional<SteadyTime> m_ejectedUntil;
 };
 
+// A dispatch at its end.
+struct EndedDispatch
+{
+  std::uint64_t m_load = 0;
+  // BeginAnswer was called for it.
+  bool m_hasBegun = false;
+  AttemptVerdict m_verdict = AttemptVerdict::Neutral;
+};
+
 struct BackendViewOptions
 {
   const Clock& m_clock;
@@ -72,11 +84,11 @@
 public:
   explicit BackendView(const BackendViewOptions& aOptions);
 
-  // A request of this load goes there, and comes to its end.
+  // A request of this load goes there.
   void AddDispatch(const BackendServerId& aId, std::uint64_t aLoad);
-  void EndDispatch(const BackendServerId& aId,
-                   std::uint64_t aLoad,
-                   AttemptVerdict aVerdict);
+  // The head of its answer has come; at most once for a dispatch.
+  void BeginAnswer(const BackendServerId& aId, std::uint64_t aLoad);
+  void EndDispatch(const BackendServerId& aId, const EndedDispatch& aDispatch);
 
   void ReportLoad(const BackendServerId& aId, std::uint64_t aLoad);
 
--- a/rattanweir/process/backend_view/backend_view_test.cc
+++ b/rattanweir/process/backend_view/backend_view_test.cc
@@ -20,10 +20,16 @@
   view.AddDispatch(kServer, 20);
   view.ReportLoad(kServer, 9);
   view.AddDispatch(kServer, 3);
-  view.EndDispatch(kServer, 100, AttemptVerdict::Answered);
+  REQUIRE(view.StateOf(kServer).m_loadUnanswered == 123);
+  view.BeginAnswer(kServer, 100);
+  REQUIRE(view.StateOf(kServer).m_loadUnanswered == 23);
+  REQUIRE(view.StateOf(kServer).m_loadInFlight == 123);
+  view.EndDispatch(kServer, { .m_load = 100, .m_hasBegun = true });
+  view.EndDispatch(kServer, { .m_load = 20 });
   const BackendState state = view.StateOf(kServer);
-  REQUIRE(state.m_inFlight == 2);
-  REQUIRE(state.m_loadInFlight == 23);
+  REQUIRE(state.m_inFlight == 1);
+  REQUIRE(state.m_loadInFlight == 3);
+  REQUIRE(state.m_loadUnanswered == 3);
   REQUIRE(state.m_dispatchedSince == 3);
   REQUIRE(state.m_load->m_load == 9);
   REQUIRE(state.m_load->m_at == clock.SteadyNow());
@@ -35,7 +41,7 @@
   BackendView view({ .m_clock = clock });
   const auto end = [&](AttemptVerdict aVerdict) {
     view.AddDispatch(kServer, 1);
-    view.EndDispatch(kServer, 1, aVerdict);
+    view.EndDispatch(kServer, { .m_load = 1, .m_verdict = aVerdict });
     return view.StateOf(kServer).m_ejectedUntil;
   };
   REQUIRE_FALSE(end(AttemptVerdict::Failed));
@@ -79,7 +85,7 @@
   view.ReportLoad(kServer, 3);
   view.KeepOnly({});
   REQUIRE(view.StateOf(kServer).m_load);
-  view.EndDispatch(kServer, 1, AttemptVerdict::Answered);
+  view.EndDispatch(kServer, { .m_load = 1 });
   view.KeepOnly({ kServer });
   REQUIRE(view.StateOf(kServer).m_load);
   view.KeepOnly({});
--- a/rattanweir/request/pipeline/attempts.cc
+++ b/rattanweir/request/pipeline/attempts.cc
@@ -46,12 +46,24 @@
   {
     m_view.AddDispatch(m_id, m_load);
   }
-  ~Dispatch() { m_view.EndDispatch(m_id, m_load, m_verdict); }
+  ~Dispatch()
+  {
+    m_view.EndDispatch(
+      m_id,
+      { .m_load = m_load, .m_hasBegun = m_hasBegun, .m_verdict = m_verdict });
+  }
   Dispatch(const Dispatch&) = delete;
   Dispatch& operator=(const Dispatch&) = delete;
 
   void SetVerdict(AttemptVerdict aVerdict) { m_verdict = aVerdict; }
 
+  // Once, when the head of the answer has come.
+  void BeginAnswer()
+  {
+    m_hasBegun = true;
+    m_view.BeginAnswer(m_id, m_load);
+  }
+
   void TakeSignals(const AnswerHead& aHead)
   {
     const BackendSignals signals = SignalsOf(aHead);
@@ -67,6 +79,7 @@
   BackendView& m_view;
   BackendServerId m_id;
   std::uint64_t m_load;
+  bool m_hasBegun = false;
   AttemptVerdict m_verdict = AttemptVerdict::Neutral;
 };
 
@@ -303,6 +316,7 @@
   try {
     const auto exchange = co_await Send(server->m_endpoint, std::move(fields));
     const AnswerHead head = co_await exchange->ReadHead();
+    dispatch.BeginAnswer();
     if (!IsCrossed(head, origin)) {
       dispatch.TakeSignals(head);
     }
--- a/rattanweir/request/routing/backend_choice.cc
+++ b/rattanweir/request/routing/backend_choice.cc
@@ -40,8 +40,10 @@
 BackendChoice::CostOf(const BackendState& aState) const
 {
   const auto own = static_cast<double>(aState.m_loadInFlight);
+  const double unanswered =
+    m_options.m_unansweredWeight * static_cast<double>(aState.m_loadUnanswered);
   if (!aState.m_load) {
-    return own;
+    return own + unanswered;
   }
   const auto age = m_options.m_clock.SteadyNow() - aState.m_load->m_at;
   const double halvings =
@@ -51,7 +53,8 @@
     static_cast<double>(aState.m_load->m_load) * std::exp2(-halvings);
   // What this instance has there itself is known without a report.
   return std::max(reported + static_cast<double>(aState.m_dispatchedSince),
-                  own);
+                  own) +
+         unanswered;
 }
 
 std::vector<std::size_t>
--- a/rattanweir/request/routing/backend_choice.h
+++ b/rattanweir/request/routing/backend_choice.h
@@ -53,6 +53,8 @@
 {
   const Clock& m_clock;
   RandomEngine& m_random;
+  // How many times over load counts whose answer has not begun.
+  double m_unansweredWeight = 16;
   // A report of this age counts for half.
   std::chrono::nanoseconds m_loadHalfLife{ std::chrono::seconds(2) };
 };
@@ -64,7 +66,8 @@
 
   BackendChoiceResult Choose(std::span<const BackendCandidate> aCandidates);
 
-  // The load it probably has, in the unit of the reports.
+  // The load it probably has, in the unit of the reports, with extra weight on
+  // what waits for its answer to begin.
   double CostOf(const BackendState& aState) const;
 
 private:
--- a/rattanweir/request/routing/routing_test.cc
+++ b/rattanweir/request/routing/routing_test.cc
@@ -64,6 +64,9 @@
   REQUIRE(choosing.m_backends.CostOf(state) == 5);
   choosing.m_clock.Advance(seconds(60));
   REQUIRE(choosing.m_backends.CostOf(state) == 2);
+  // What waits for its answer to begin counts 16 times more.
+  state.m_loadUnanswered = 1;
+  REQUIRE(choosing.m_backends.CostOf(state) == 18);
 }
 
 TEST_CASE("leaving, full and ejected servers get no work")
