Prefer the server that holds the beginning of the prompt, below overload

process/prefix_view keeps, bounded and fading, which server this instance last sent each prompt block to. The choice compares the server with the largest saving as a third candidate; the saving counts as load that waits for its answer, and for nothing where the load is over 1.25 times the pool's mean.

Seen failing first: with the limit applied to the third candidate only, a server loaded above the pool still won 319 of 1000 draws as one of the two random ones.

The pipeline does not pass hints yet: it has to fill m_savedLoad.

--- a/bench/backend_choice/choosers.cc
+++ b/bench/backend_choice/choosers.cc
@@ -1,8 +1,10 @@
 #include "bench/backend_choice/choosers.h"
 
 #include "rattanweir/process/backend_view/backend_view.h"
+#include "rattanweir/process/prefix_view/prefix_view.h"
 #include "rattanweir/request/routing/backend_choice.h"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -98,6 +100,7 @@
 public:
   explicit ProductChooser(const ChooserOptions& aOptions)
     : m_view({ .m_clock = aOptions.m_clock })
+    , m_prefixes({ .m_clock = aOptions.m_clock })
     , m_choice({ .m_clock = aOptions.m_clock, .m_random = aOptions.m_random })
   {
     for (std::size_t engine = 0; engine < aOptions.m_engines; ++engine) {
@@ -110,9 +113,12 @@
     for (BackendCandidate& candidate : m_candidates) {
       candidate.m_state = m_view.StateOf(candidate.m_id);
     }
+    const PromptPrefix prefix = PrefixOf(aRequest);
+    SetSavedLoads(m_candidates, m_prefixes.HoldersOf(prefix));
     const auto result = m_choice.Choose(m_candidates);
     const std::size_t engine = std::get<ChosenBackend>(result).m_index;
     m_view.AddDispatch(m_candidates[engine].m_id, LoadOf(aRequest));
+    m_prefixes.AddDispatch(prefix, m_candidates[engine].m_id);
     return engine;
   }
   void Begin(std::size_t aEngine,
@@ -137,7 +143,21 @@
     return static_cast<std::uint64_t>(aRequest.LoadTokens());
   }
 
+  // The document's whole blocks, told apart by its number.
+  static PromptPrefix PrefixOf(const ModelRequest& aRequest)
+  {
+    const auto bytes = static_cast<std::size_t>(4 * aRequest.m_documentTokens);
+    const std::size_t blocks =
+      std::min(bytes / kPrefixBlockBytes, kPrefixBlocks);
+    PromptPrefix prefix;
+    for (std::size_t block = 0; block < blocks; ++block) {
+      prefix.m_hashes.push_back(aRequest.m_document * kPrefixBlocks + block);
+    }
+    return prefix;
+  }
+
   BackendView m_view;
+  PrefixView m_prefixes;
   BackendChoice m_choice;
   std::vector<BackendCandidate> m_candidates;
 };
--- /dev/null
+++ b/rattanweir/process/prefix_view/prefix_view.cc
@@ -0,0 +1,95 @@
+#include "rattanweir/process/prefix_view/prefix_view.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <xxhash.h>
+
+namespace rattanweir {
+
+PromptPrefix
+HashPrefix(std::string_view aScope, std::string_view aPrompt)
+{
+  PromptPrefix prefix;
+  const std::size_t blocks =
+    std::min(aPrompt.size() / kPrefixBlockBytes, kPrefixBlocks);
+  std::uint64_t hash = XXH64(aScope.data(), aScope.size(), 0);
+  for (std::size_t block = 0; block < blocks; ++block) {
+    const char* begin = aPrompt.data() + block * kPrefixBlockBytes;
+    hash = XXH64(begin, kPrefixBlockBytes, hash);
+    prefix.m_hashes.push_back(hash);
+  }
+  return prefix;
+}
+
+PrefixView::PrefixView(const PrefixViewOptions& aOptions)
+  : m_options(aOptions)
+{
+}
+
+void
+PrefixView::AddDispatch(const PromptPrefix& aPrefix, const BackendServerId& aId)
+{
+  const SteadyTime now = m_options.m_clock.SteadyNow();
+  // From the longest part to the shortest, so that the longest go first.
+  for (auto at = aPrefix.m_hashes.rbegin(); at != aPrefix.m_hashes.rend();
+       ++at) {
+    const std::uint64_t hash = *at;
+    const auto found = m_byHash.find(hash);
+    if (found != m_byHash.end()) {
+      m_entries.splice(m_entries.begin(), m_entries, found->second);
+    } else {
+      m_entries.emplace_front();
+      m_byHash.emplace(hash, m_entries.begin());
+    }
+    m_entries.front() = { .m_hash = hash, .m_id = aId, .m_at = now };
+  }
+  while (m_entries.size() > m_options.m_maximumEntries) {
+    m_byHash.erase(m_entries.back().m_hash);
+    m_entries.pop_back();
+  }
+}
+
+std::vector<PrefixHolder>
+PrefixView::HoldersOf(const PromptPrefix& aPrefix) const
+{
+  const SteadyTime now = m_options.m_clock.SteadyNow();
+  std::vector<PrefixHolder> holders;
+  for (std::size_t block = 0; block < aPrefix.m_hashes.size(); ++block) {
+    const auto found = m_byHash.find(aPrefix.m_hashes[block]);
+    if (found == m_byHash.end() ||
+        now - found->second->m_at > m_options.m_oldest) {
+      continue;
+    }
+    const double halvings =
+      std::chrono::duration<double>(now - found->second->m_at) /
+      std::chrono::duration<double>(m_options.m_halfLife);
+    const double bytes = static_cast<double>((block + 1) * kPrefixBlockBytes) *
+                         std::exp2(-halvings);
+    const auto known = std::find_if(
+      holders.begin(), holders.end(), [&](const PrefixHolder& aHolder) {
+        return aHolder.m_id == found->second->m_id;
+      });
+    if (known == holders.end()) {
+      holders.push_back({ .m_id = found->second->m_id, .m_bytes = bytes });
+    } else {
+      known->m_bytes = std::max(known->m_bytes, bytes);
+    }
+  }
+  return holders;
+}
+
+void
+PrefixView::Forget(const BackendServerId& aId)
+{
+  for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+    if (entry->m_id != aId) {
+      ++entry;
+      continue;
+    }
+    m_byHash.erase(entry->m_hash);
+    entry = m_entries.erase(entry);
+  }
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/process/prefix_view/prefix_view_test.cc
@@ -0,0 +1,101 @@
+#include "rattanweir/process/prefix_view/prefix_view.h"
+
+#include "rattanweir/base/clock/manual_clock.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::seconds;
+
+const BackendServerId kFirst("a");
+const BackendServerId kSecond("b");
+
+std::string
+Blocks(const std::string& aLetters)
+{
+  std::string text;
+  for (const char letter : aLetters) {
+    text += std::string(kPrefixBlockBytes, letter);
+  }
+  return text;
+}
+
+TEST_CASE("a hash stands for a scope and all the text before it")
+{
+  struct Row
+  {
+    std::string m_scope;
+    std::string m_prompt;
+    std::size_t m_blocks;
+    std::size_t m_shared;
+  };
+  const Row rows[] = {
+    { "p", Blocks("xyz"), 3, 3 },
+    { "p", Blocks("xyz") + "question", 3, 3 },
+    { "p", Blocks("xyw"), 3, 2 },
+    { "p", Blocks("wyz"), 3, 0 },
+    { "q", Blocks("xyz"), 3, 0 },
+    { "p", "short", 0, 0 },
+    { "p", Blocks("xyz" + std::string(40, 'v')), kPrefixBlocks, 3 },
+  };
+  const auto whole = HashPrefix("p", Blocks("xyz")).m_hashes;
+  for (const Row& row : rows) {
+    CAPTURE(row.m_scope, row.m_prompt.size());
+    const auto hashes = HashPrefix(row.m_scope, row.m_prompt).m_hashes;
+    REQUIRE(hashes.size() == row.m_blocks);
+    for (std::size_t block = 0; block < std::min(row.m_blocks, whole.size());
+         ++block) {
+      REQUIRE((hashes[block] == whole[block]) == (block < row.m_shared));
+    }
+  }
+}
+
+TEST_CASE("holders are those last sent there, and fade with age")
+{
+  ManualClock clock;
+  PrefixView view({ .m_clock = clock, .m_halfLife = seconds(10) });
+  const auto longer = HashPrefix("p", Blocks("xyz"));
+  const auto shorter = HashPrefix("p", Blocks("xw"));
+  REQUIRE(view.HoldersOf(longer).empty());
+  view.AddDispatch(longer, kFirst);
+  clock.Advance(seconds(10));
+  view.AddDispatch(shorter, kSecond);
+  const auto holders = view.HoldersOf(longer);
+  REQUIRE(holders.size() == 2);
+  REQUIRE(holders[0].m_id == kSecond);
+  REQUIRE(holders[0].m_bytes == kPrefixBlockBytes);
+  REQUIRE(holders[1].m_id == kFirst);
+  REQUIRE(holders[1].m_bytes == 1.5 * kPrefixBlockBytes);
+  clock.Advance(seconds(291));
+  REQUIRE(view.HoldersOf(longer).size() == 1);
+  view.Forget(kSecond);
+  REQUIRE(view.HoldersOf(longer).empty());
+  REQUIRE(view.EntryCount() == 2);
+}
+
+TEST_CASE("entries are bounded, the least recently used go first")
+{
+  ManualClock clock;
+  PrefixView view({ .m_clock = clock, .m_maximumEntries = 3 });
+  const auto prefix = [](char aLetter) {
+    return HashPrefix("p", Blocks(std::string(1, aLetter)));
+  };
+  for (const char letter : { 'a', 'b', 'c', 'a', 'd', 'e' }) {
+    view.AddDispatch(prefix(letter), kFirst);
+    REQUIRE(view.EntryCount() <= 3);
+  }
+  for (const char letter : { 'a', 'd', 'e' }) {
+    REQUIRE(view.HoldersOf(prefix(letter)).size() == 1);
+  }
+  REQUIRE(view.HoldersOf(prefix('b')).empty());
+  REQUIRE(view.HoldersOf(prefix('c')).empty());
+  view.AddDispatch(HashPrefix("p", Blocks("vwxyz")), kFirst);
+  REQUIRE(view.EntryCount() == 3);
+}
+
+} // namespace
+} // namespace rattanweir
--- a/rattanweir/request/routing/backend_choice.cc
+++ b/rattanweir/request/routing/backend_choice.cc
@@ -4,6 +4,25 @@
 #include <cmath>
 
 namespace rattanweir {
+namespace {
+
+constexpr double kBytesPerToken = 4;
+
+} // namespace
+
+void
+SetSavedLoads(std::span<BackendCandidate> aCandidates,
+              std::span<const PrefixHolder> aHolders)
+{
+  for (BackendCandidate& candidate : aCandidates) {
+    candidate.m_savedLoad = 0;
+    for (const PrefixHolder& holder : aHolders) {
+      if (holder.m_id == candidate.m_id) {
+        candidate.m_savedLoad = holder.m_bytes / kBytesPerToken;
+      }
+    }
+  }
+}
 
 BackendChoice::BackendChoice(const BackendChoiceOptions& aOptions)
   : m_options(aOptions)
@@ -24,26 +43,57 @@
   if (usable.empty()) {
     return AllBackendsFull{};
   }
-  const std::size_t first = UniformIndex(m_options.m_random, usable.size());
-  std::swap(usable[first], usable.back());
-  if (usable.size() == 1) {
-    return ChosenBackend{ usable.back() };
+  const double meanLoad = MeanLoad(aCandidates, usable);
+  const auto isCheaper = [&](std::size_t aLeft, std::size_t aRight) {
+    return CostOf(aCandidates[aLeft], meanLoad) <
+           CostOf(aCandidates[aRight], meanLoad);
+  };
+  const std::size_t holder = *std::max_element(
+    usable.begin(), usable.end(), [&](std::size_t aLeft, std::size_t aRight) {
+      return SavingOf(aCandidates[aLeft], meanLoad) <
+             SavingOf(aCandidates[aRight], meanLoad);
+    });
+  std::size_t chosen = DrawOne(usable);
+  if (!usable.empty()) {
+    const std::size_t second = DrawOne(usable);
+    chosen = isCheaper(second, chosen) ? second : chosen;
   }
-  const std::size_t second =
-    UniformIndex(m_options.m_random, usable.size() - 1);
-  const bool isSecondCheaper = CostOf(aCandidates[usable[second]].m_state) <
-                               CostOf(aCandidates[usable.back()].m_state);
-  return ChosenBackend{ isSecondCheaper ? usable[second] : usable.back() };
+  const bool isHolderBetter =
+    SavingOf(aCandidates[holder], meanLoad) > 0 && isCheaper(holder, chosen);
+  return ChosenBackend{ isHolderBetter ? holder : chosen };
 }
 
 double
 BackendChoice::CostOf(const BackendState& aState) const
+{
+  return LoadOf(aState) + m_options.m_unansweredWeight *
+                            static_cast<double>(aState.m_loadUnanswered);
+}
+
+double
+BackendChoice::CostOf(const BackendCandidate& aCandidate,
+                      double aMeanLoad) const
+{
+  // What is saved would have waited for the answer to begin.
+  return CostOf(aCandidate.m_state) -
+         m_options.m_unansweredWeight * SavingOf(aCandidate, aMeanLoad);
+}
+
+double
+BackendChoice::SavingOf(const BackendCandidate& aCandidate,
+                        double aMeanLoad) const
+{
+  const double most =
+    m_options.m_mostLoadForCache * aMeanLoad + aCandidate.m_savedLoad;
+  return LoadOf(aCandidate.m_state) > most ? 0 : aCandidate.m_savedLoad;
+}
+
+double
+BackendChoice::LoadOf(const BackendState& aState) const
 {
   const auto own = static_cast<double>(aState.m_loadInFlight);
-  const double unanswered =
-    m_options.m_unansweredWeight * static_cast<double>(aState.m_loadUnanswered);
   if (!aState.m_load) {
-    return own + unanswered;
+    return own;
   }
   const auto age = m_options.m_clock.SteadyNow() - aState.m_load->m_at;
   const double halvings =
@@ -53,8 +103,28 @@
     static_cast<double>(aState.m_load->m_load) * std::exp2(-halvings);
   // What this instance has there itself is known without a report.
   return std::max(reported + static_cast<double>(aState.m_dispatchedSince),
-                  own) +
-         unanswered;
+                  own);
+}
+
+double
+BackendChoice::MeanLoad(std::span<const BackendCandidate> aCandidates,
+                        const std::vector<std::size_t>& aUsable) const
+{
+  double load = 0;
+  for (const std::size_t index : aUsable) {
+    load += LoadOf(aCandidates[index].m_state);
+  }
+  return load / static_cast<double>(aUsable.size());
+}
+
+std::size_t
+BackendChoice::DrawOne(std::vector<std::size_t>& aIndices)
+{
+  std::swap(aIndices[UniformIndex(m_options.m_random, aIndices.size())],
+            aIndices.back());
+  const std::size_t drawn = aIndices.back();
+  aIndices.pop_back();
+  return drawn;
 }
 
 std::vector<std::size_t>
--- a/rattanweir/request/routing/backend_choice.h
+++ b/rattanweir/request/routing/backend_choice.h
@@ -6,7 +6,9 @@
 //
 // Two candidates are drawn at random and the cheaper one is taken. The cost is
 // the load that a server reported, which counts for less the older it is, and
-// the dispatches made since. No I/O; for one thread.
+// the dispatches made since. The server that probably holds most of the
+// prompt's beginning in its cache is compared as a third one, as long as its
+// load is not above the pool's. No I/O; for one thread.
 
 #pragma once
 
@@ -14,6 +16,7 @@
 #include "rattanweir/base/ids/ids.h"
 #include "rattanweir/base/random/random.h"
 #include "rattanweir/process/backend_view/backend_view.h"
+#include "rattanweir/process/prefix_view/prefix_view.h"
 
 #include <chrono>
 #include <cstdint>
@@ -30,8 +33,17 @@
   // Published as leaving.
   bool m_isLeaving = false;
   BackendState m_state;
+  // The load that the request does not add there, since the server probably
+  // holds the beginning of its prompt in its cache.
+  double m_savedLoad = 0;
 };
 
+// Sets what each candidate saves from the hints of a PrefixView. A hint about
+// a server that is no candidate is left out.
+void
+SetSavedLoads(std::span<BackendCandidate> aCandidates,
+              std::span<const PrefixHolder> aHolders);
+
 // The candidate at this index.
 struct ChosenBackend
 {
@@ -55,6 +67,9 @@
   RandomEngine& m_random;
   // How many times over load counts whose answer has not begun.
   double m_unansweredWeight = 16;
+  // A server whose load is this many times the pool's mean is not preferred
+  // for its cache.
+  double m_mostLoadForCache = 1.25;
   // A report of this age counts for half.
   std::chrono::nanoseconds m_loadHalfLife{ std::chrono::seconds(2) };
 };
@@ -71,6 +86,14 @@
   double CostOf(const BackendState& aState) const;
 
 private:
+  double LoadOf(const BackendState& aState) const;
+  double CostOf(const BackendCandidate& aCandidate, double aMeanLoad) const;
+  // What the request saves there, nothing if its load is above the pool's.
+  double SavingOf(const BackendCandidate& aCandidate, double aMeanLoad) const;
+  double MeanLoad(std::span<const BackendCandidate> aCandidates,
+                  const std::vector<std::size_t>& aUsable) const;
+  // Takes one of the indices out at random.
+  std::size_t DrawOne(std::vector<std::size_t>& aIndices);
   std::vector<std::size_t> TakingWork(
     std::span<const BackendCandidate> aCandidates) const;
 
--- a/rattanweir/request/routing/routing_test.cc
+++ b/rattanweir/request/routing/routing_test.cc
@@ -100,6 +100,90 @@
   REQUIRE(choosing.Draw({ ejected }).size() == 1);
 }
 
+TEST_CASE("a cache is preferred until its server has more load")
+{
+  struct Row
+  {
+    const char* m_name;
+    std::uint64_t m_holderReported;
+    std::uint64_t m_holderUnanswered;
+    std::uint64_t m_othersReported;
+    double m_savedLoad;
+    std::size_t m_othersInFlight;
+    // Of 1000 draws from a pool of six.
+    int m_least;
+    int m_most;
+  };
+  const Row rows[] = {
+    { "equal loads", 100, 0, 100, 50, 1, 1000, 1000 },
+    { "nothing saved", 100, 0, 100, 0, 1, 120, 220 },
+    { "more is waiting there than is saved", 100, 60, 100, 50, 1, 0, 0 },
+    { "less is waiting there than is saved", 100, 40, 100, 50, 1, 1000, 1000 },
+    { "loaded above the pool", 400, 0, 100, 50, 1, 0, 0 },
+    { "loaded above the pool, large saving", 9000, 0, 100, 900, 1, 0, 0 },
+    { "a little above the pool", 130, 0, 100, 50, 1, 1000, 1000 },
+    { "the others are full", 400, 0, 100, 50, 4, 1000, 1000 },
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.m_name, kSeed);
+    Choosing choosing;
+    const auto report = [&](std::uint64_t aLoad) {
+      return ReportedLoad{ .m_load = aLoad,
+                           .m_at = choosing.m_clock.SteadyNow() };
+    };
+    BackendCandidate other = choosing.Candidate(row.m_othersInFlight);
+    other.m_state.m_load = report(row.m_othersReported);
+    std::vector<BackendCandidate> candidates(6, other);
+    candidates[3].m_id = BackendServerId("holder");
+    candidates[3].m_state = { .m_inFlight = 1,
+                              .m_loadInFlight = 1,
+                              .m_loadUnanswered = row.m_holderUnanswered,
+                              .m_load = report(row.m_holderReported) };
+    const std::vector<PrefixHolder> holders{
+      { BackendServerId("gone"), 4000 },
+      { BackendServerId("holder"), 4 * row.m_savedLoad },
+    };
+    SetSavedLoads(candidates, holders);
+    const auto counts = choosing.Draw(candidates);
+    const int toHolder = counts.contains(3) ? counts.at(3) : 0;
+    REQUIRE(toHolder >= row.m_least);
+    REQUIRE(toHolder <= row.m_most);
+  }
+}
+
+TEST_CASE("no cache brings work to a server that takes none")
+{
+  Choosing choosing;
+  const BackendCandidate idle = choosing.Candidate(0);
+  const auto holder = [&](auto aSpoil) {
+    BackendCandidate candidate = choosing.Candidate(0);
+    candidate.m_savedLoad = 1e6;
+    aSpoil(candidate);
+    return candidate;
+  };
+  const BackendCandidate spoilt[] = {
+    holder([](auto& aIt) { aIt.m_isLeaving = true; }),
+    holder([](auto& aIt) { aIt.m_state.m_isLeaving = true; }),
+    holder([](auto& aIt) { aIt.m_state.m_inFlight = aIt.m_maximumInFlight; }),
+    holder([&](auto& aIt) {
+      aIt.m_state.m_ejectedUntil = choosing.m_clock.SteadyNow() + seconds(1);
+    }),
+  };
+  for (const BackendCandidate& candidate : spoilt) {
+    REQUIRE_FALSE(choosing.Draw({ idle, candidate, idle }).contains(1));
+  }
+  // With most of the pool ejected, half of it stays in use, and the cache
+  // decides within that half only.
+  BackendCandidate later = spoilt[3];
+  *later.m_state.m_ejectedUntil += seconds(1);
+  BackendCandidate latest = later;
+  *latest.m_state.m_ejectedUntil += seconds(1);
+  latest.m_savedLoad = 2e6;
+  later.m_savedLoad = 0;
+  const auto counts = choosing.Draw({ latest, spoilt[3], latest, later });
+  REQUIRE(counts == std::map<std::size_t, int>{ { 1, 1000 } });
+}
+
 PeerView
 Peer(const char* aId, const char* aRegion, std::uint32_t aInFlight)
 {
