Let an old load report fade into the mean of the pool's reports

It faded to zero, so the servers not heard of for longest looked idle: at 155 engines each instance hears of one about every 10 s. The pool's mean load was too low as well, which closed the limit for caches to nearly all servers.

--- a/rattanweir/request/routing/backend_choice.cc
+++ b/rattanweir/request/routing/backend_choice.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr double kBytesPerToken = 4;
+constexpr double kLeastFreshness = 1e-6;
 
 } // namespace
 
@@ -43,15 +44,14 @@
   if (usable.empty()) {
     return AllBackendsFull{};
   }
-  const double meanLoad = MeanLoad(aCandidates, usable);
+  const PoolLoad pool = LoadOfPool(aCandidates, usable);
   const auto isCheaper = [&](std::size_t aLeft, std::size_t aRight) {
-    return CostOf(aCandidates[aLeft], meanLoad) <
-           CostOf(aCandidates[aRight], meanLoad);
+    return CostOf(aCandidates[aLeft], pool) < CostOf(aCandidates[aRight], pool);
   };
   const std::size_t holder = *std::max_element(
     usable.begin(), usable.end(), [&](std::size_t aLeft, std::size_t aRight) {
-      return SavingOf(aCandidates[aLeft], meanLoad) <
-             SavingOf(aCandidates[aRight], meanLoad);
+      return SavingOf(aCandidates[aLeft], pool) <
+             SavingOf(aCandidates[aRight], pool);
     });
   std::size_t chosen = DrawOne(usable);
   if (!usable.empty()) {
@@ -59,62 +59,79 @@
     chosen = isCheaper(second, chosen) ? second : chosen;
   }
   const bool isHolderBetter =
-    SavingOf(aCandidates[holder], meanLoad) > 0 && isCheaper(holder, chosen);
+    SavingOf(aCandidates[holder], pool) > 0 && isCheaper(holder, chosen);
   return ChosenBackend{ isHolderBetter ? holder : chosen };
 }
 
 double
-BackendChoice::CostOf(const BackendState& aState) const
+BackendChoice::CostOf(const BackendState& aState, double aReportedMean) const
 {
-  return LoadOf(aState) + m_options.m_unansweredWeight *
-                            static_cast<double>(aState.m_loadUnanswered);
+  return LoadOf(aState, aReportedMean) +
+         m_options.m_unansweredWeight *
+           static_cast<double>(aState.m_loadUnanswered);
 }
 
 double
 BackendChoice::CostOf(const BackendCandidate& aCandidate,
-                      double aMeanLoad) const
+                      const PoolLoad& aPool) const
 {
   // What is saved would have waited for the answer to begin.
-  return CostOf(aCandidate.m_state) -
-         m_options.m_unansweredWeight * SavingOf(aCandidate, aMeanLoad);
+  return CostOf(aCandidate.m_state, aPool.m_reportedMean) -
+         m_options.m_unansweredWeight * SavingOf(aCandidate, aPool);
 }
 
 double
 BackendChoice::SavingOf(const BackendCandidate& aCandidate,
-                        double aMeanLoad) const
+                        const PoolLoad& aPool) const
 {
   const double most =
-    m_options.m_mostLoadForCache * aMeanLoad + aCandidate.m_savedLoad;
-  return LoadOf(aCandidate.m_state) > most ? 0 : aCandidate.m_savedLoad;
+    m_options.m_mostLoadForCache * aPool.m_mean + aCandidate.m_savedLoad;
+  const double load = LoadOf(aCandidate.m_state, aPool.m_reportedMean);
+  return load > most ? 0 : aCandidate.m_savedLoad;
 }
 
 double
-BackendChoice::LoadOf(const BackendState& aState) const
+BackendChoice::LoadOf(const BackendState& aState, double aReportedMean) const
 {
+  // What this instance has there itself is known without a report.
   const auto own = static_cast<double>(aState.m_loadInFlight);
   if (!aState.m_load) {
-    return own;
+    return std::max(aReportedMean, own);
   }
-  const auto age = m_options.m_clock.SteadyNow() - aState.m_load->m_at;
-  const double halvings =
-    std::chrono::duration<double>(age) /
-    std::chrono::duration<double>(m_options.m_loadHalfLife);
-  const double reported =
-    static_cast<double>(aState.m_load->m_load) * std::exp2(-halvings);
-  // What this instance has there itself is known without a report.
-  return std::max(reported + static_cast<double>(aState.m_dispatchedSince),
-                  own);
+  const double freshness = FreshnessOf(*aState.m_load);
+  const double known = static_cast<double>(aState.m_load->m_load) +
+                       static_cast<double>(aState.m_dispatchedSince);
+  return std::max(freshness * known + (1 - freshness) * aReportedMean, own);
 }
 
 double
-BackendChoice::MeanLoad(std::span<const BackendCandidate> aCandidates,
-                        const std::vector<std::size_t>& aUsable) const
+BackendChoice::FreshnessOf(const ReportedLoad& aLoad) const
+{
+  const auto age = m_options.m_clock.SteadyNow() - aLoad.m_at;
+  return std::exp2(-std::chrono::duration<double>(age) /
+                   std::chrono::duration<double>(m_options.m_loadHalfLife));
+}
+
+BackendChoice::PoolLoad
+BackendChoice::LoadOfPool(std::span<const BackendCandidate> aCandidates,
+                          const std::vector<std::size_t>& aUsable) const
 {
-  double load = 0;
+  // Above zero, so that the oldest reports leave a mean of zero.
+  double freshness = kLeastFreshness;
+  double reported = 0;
+  for (const std::size_t index : aUsable) {
+    const auto& load = aCandidates[index].m_state.m_load;
+    if (load) {
+      freshness += FreshnessOf(*load);
+      reported += FreshnessOf(*load) * static_cast<double>(load->m_load);
+    }
+  }
+  PoolLoad pool{ .m_reportedMean = reported / freshness };
   for (const std::size_t index : aUsable) {
-    load += LoadOf(aCandidates[index].m_state);
+    pool.m_mean += LoadOf(aCandidates[index].m_state, pool.m_reportedMean) /
+                   static_cast<double>(aUsable.size());
   }
-  return load / static_cast<double>(aUsable.size());
+  return pool;
 }
 
 std::size_t
--- a/rattanweir/request/routing/backend_choice.h
+++ b/rattanweir/request/routing/backend_choice.h
@@ -5,10 +5,12 @@
 //   if (const auto* chosen = std::get_if<ChosenBackend>(&result)) ...
 //
 // Two candidates are drawn at random and the cheaper one is taken. The cost is
-// the load that a server reported, which counts for less the older it is, and
-// the dispatches made since. The server that probably holds most of the
-// prompt's beginning in its cache is compared as a third one, as long as its
-// load is not above the pool's. No I/O; for one thread.
+// the load that a server reported and the dispatches made since, which fade
+// into the mean of the pool's reports as the report gets old, and the own
+// requests whose answers have not begun, many times over. The server that
+// probably holds most of the prompt's beginning in its cache is compared as a
+// third one, as long as its load is not above the pool's. No I/O; for one
+// thread.
 
 #pragma once
 
@@ -82,16 +84,28 @@
   BackendChoiceResult Choose(std::span<const BackendCandidate> aCandidates);
 
   // The load it probably has, in the unit of the reports, with extra weight on
-  // what waits for its answer to begin.
-  double CostOf(const BackendState& aState) const;
+  // what waits for its answer to begin. The mean is that of the pool's reports.
+  double CostOf(const BackendState& aState, double aReportedMean) const;
 
 private:
-  double LoadOf(const BackendState& aState) const;
-  double CostOf(const BackendCandidate& aCandidate, double aMeanLoad) const;
+  struct PoolLoad
+  {
+    // Of the reports, the fresh ones counting most.
+    double m_reportedMean = 0;
+    // Of the loads that the servers probably have.
+    double m_mean = 0;
+  };
+
+  PoolLoad LoadOfPool(std::span<const BackendCandidate> aCandidates,
+                      const std::vector<std::size_t>& aUsable) const;
+  double CostOf(const BackendCandidate& aCandidate,
+                const PoolLoad& aPool) const;
   // What the request saves there, nothing if its load is above the pool's.
-  double SavingOf(const BackendCandidate& aCandidate, double aMeanLoad) const;
-  double MeanLoad(std::span<const BackendCandidate> aCandidates,
-                  const std::vector<std::size_t>& aUsable) const;
+  double SavingOf(const BackendCandidate& aCandidate,
+                  const PoolLoad& aPool) const;
+  double LoadOf(const BackendState& aState, double aReportedMean) const;
+  // 1 for a new report, less the older it is.
+  double FreshnessOf(const ReportedLoad& aLoad) const;
   // Takes one of the indices out at random.
   std::size_t DrawOne(std::vector<std::size_t>& aIndices);
   std::vector<std::size_t> TakingWork(
