Let all instances prefer the same server for a prompt's beginning

The server that all prefer is found by rendezvous hash of the first four blocks over the servers that take work, with no message, and is expected to hold 80% of the known beginning, or the first four blocks of one not seen before. It gives way to load as any holder does.

--- a/bench/backend_choice/backend_choice.cc
+++ b/bench/backend_choice/backend_choice.cc
@@ -24,13 +24,17 @@
   std::size_t m_engines;
   std::size_t m_instances;
   double m_endSeconds;
+  std::size_t m_documentsPerEngine = 10;
+  double m_documentSkew = 0.8;
 };
 
-// One region of each; the largest runs for a shorter time.
+// One region of each; the largest runs for a shorter time. In the last one
+// hardly a prompt begins like another.
 const std::vector<Size> kSizes{
   { "4 engines, 3 instances", 4, 3, 330 },
   { "3 engines, 3 instances", 3, 3, 330 },
   { "155 engines, 34 instances", 155, 34, 90 },
+  { "4 and 3, prompts unlike", 4, 3, 330, 100'000, 0 },
 };
 
 const std::vector<double> kLagsSeconds{ 0.1, 0.5, 1, 2, 5 };
@@ -78,12 +82,15 @@
   Spread hits;
   Spread herding;
   for (std::uint64_t seed = 1; seed <= aSeeds; ++seed) {
-    const PoolFigures figures = RunPool({ .m_seed = seed,
-                                          .m_chooser = aWay.m_kind,
-                                          .m_engines = aSize.m_engines,
-                                          .m_instances = aSize.m_instances,
-                                          .m_lagSeconds = aLag,
-                                          .m_endSeconds = aSize.m_endSeconds });
+    const PoolFigures figures =
+      RunPool({ .m_seed = seed,
+                .m_chooser = aWay.m_kind,
+                .m_engines = aSize.m_engines,
+                .m_instances = aSize.m_instances,
+                .m_lagSeconds = aLag,
+                .m_documentsPerEngine = aSize.m_documentsPerEngine,
+                .m_documentSkew = aSize.m_documentSkew,
+                .m_endSeconds = aSize.m_endSeconds });
     p50.Add(1'000 * figures.m_p50);
     p95.Add(1'000 * figures.m_p95);
     p99.Add(1'000 * figures.m_p99);
--- a/bench/backend_choice/choosers.cc
+++ b/bench/backend_choice/choosers.cc
@@ -114,7 +114,7 @@
       candidate.m_state = m_view.StateOf(candidate.m_id);
     }
     const PromptPrefix prefix = PrefixOf(aRequest);
-    SetSavedLoads(m_candidates, m_prefixes.HoldersOf(prefix));
+    SetSavedLoads(m_candidates, m_prefixes, prefix);
     const auto result = m_choice.Choose(m_candidates);
     const std::size_t engine = std::get<ChosenBackend>(result).m_index;
     m_view.AddDispatch(m_candidates[engine].m_id, LoadOf(aRequest));
--- a/bench/backend_choice/pool_model.cc
+++ b/bench/backend_choice/pool_model.cc
@@ -9,8 +9,6 @@
 namespace rattanweir {
 namespace {
 
-constexpr double kDocumentSkew = 0.8;
-
 struct Arrival
 {};
 struct PrefillEnd
@@ -59,7 +57,7 @@
     for (std::size_t document = 0; document < documents; ++document) {
       m_documentTokens.push_back(std::floor(tokens(m_traffic)));
       weights.push_back(
-        std::pow(static_cast<double>(document + 1), -kDocumentSkew));
+        std::pow(static_cast<double>(document + 1), -aOptions.m_documentSkew));
     }
     m_documents = { weights.begin(), weights.end() };
   }
--- a/bench/backend_choice/pool_model.h
+++ b/bench/backend_choice/pool_model.h
@@ -23,6 +23,8 @@
   double m_lagSeconds = 0;
   double m_requestsPerSecondPerEngine = 3.0;
   std::size_t m_documentsPerEngine = 10;
+  // The exponent of the documents' demand by rank.
+  double m_documentSkew = 0.8;
   double m_warmUpSeconds = 30;
   double m_endSeconds = 150;
 };
--- a/rattanweir/process/prefix_view/prefix_view.cc
+++ b/rattanweir/process/prefix_view/prefix_view.cc
@@ -56,22 +56,20 @@
   const SteadyTime now = m_options.m_clock.SteadyNow();
   std::vector<PrefixHolder> holders;
   for (std::size_t block = 0; block < aPrefix.m_hashes.size(); ++block) {
-    const auto found = m_byHash.find(aPrefix.m_hashes[block]);
-    if (found == m_byHash.end() ||
-        now - found->second->m_at > m_options.m_oldest) {
+    const Entry* entry = Find(aPrefix.m_hashes[block]);
+    if (entry == nullptr) {
       continue;
     }
-    const double halvings =
-      std::chrono::duration<double>(now - found->second->m_at) /
-      std::chrono::duration<double>(m_options.m_halfLife);
+    const double halvings = std::chrono::duration<double>(now - entry->m_at) /
+                            std::chrono::duration<double>(m_options.m_halfLife);
     const double bytes = static_cast<double>((block + 1) * kPrefixBlockBytes) *
                          std::exp2(-halvings);
     const auto known = std::find_if(
       holders.begin(), holders.end(), [&](const PrefixHolder& aHolder) {
-        return aHolder.m_id == found->second->m_id;
+        return aHolder.m_id == entry->m_id;
       });
     if (known == holders.end()) {
-      holders.push_back({ .m_id = found->second->m_id, .m_bytes = bytes });
+      holders.push_back({ .m_id = entry->m_id, .m_bytes = bytes });
     } else {
       known->m_bytes = std::max(known->m_bytes, bytes);
     }
@@ -79,6 +77,28 @@
   return holders;
 }
 
+std::size_t
+PrefixView::KnownBlocks(const PromptPrefix& aPrefix) const
+{
+  std::size_t known = aPrefix.m_hashes.size();
+  while (known > 0 && Find(aPrefix.m_hashes[known - 1]) == nullptr) {
+    --known;
+  }
+  return known;
+}
+
+const PrefixView::Entry*
+PrefixView::Find(std::uint64_t aHash) const
+{
+  const auto found = m_byHash.find(aHash);
+  if (found == m_byHash.end() ||
+      m_options.m_clock.SteadyNow() - found->second->m_at >
+        m_options.m_oldest) {
+    return nullptr;
+  }
+  return &*found->second;
+}
+
 void
 PrefixView::Forget(const BackendServerId& aId)
 {
--- a/rattanweir/process/prefix_view/prefix_view.h
+++ b/rattanweir/process/prefix_view/prefix_view.h
@@ -72,6 +72,10 @@
   // shorter parts; each once, at its largest value.
   std::vector<PrefixHolder> HoldersOf(const PromptPrefix& aPrefix) const;
 
+  // How many of the prompt's blocks were in one that was dispatched before,
+  // wherever to.
+  std::size_t KnownBlocks(const PromptPrefix& aPrefix) const;
+
   // Forgets a server that left or failed: its cache is gone.
   void Forget(const BackendServerId& aId);
 
@@ -85,6 +89,9 @@
     SteadyTime m_at;
   };
 
+  // The entry of that block unless it is too old.
+  const Entry* Find(std::uint64_t aHash) const;
+
   PrefixViewOptions m_options;
   // Most recently used first.
   std::list<Entry> m_entries;
--- a/rattanweir/process/prefix_view/prefix_view_test.cc
+++ b/rattanweir/process/prefix_view/prefix_view_test.cc
@@ -61,7 +61,10 @@
   const auto longer = HashPrefix("p", Blocks("xyz"));
   const auto shorter = HashPrefix("p", Blocks("xw"));
   REQUIRE(view.HoldersOf(longer).empty());
+  REQUIRE(view.KnownBlocks(longer) == 0);
   view.AddDispatch(longer, kFirst);
+  REQUIRE(view.KnownBlocks(longer) == 3);
+  REQUIRE(view.KnownBlocks(shorter) == 1);
   clock.Advance(seconds(10));
   view.AddDispatch(shorter, kSecond);
   const auto holders = view.HoldersOf(longer);
@@ -72,6 +75,7 @@
   REQUIRE(holders[1].m_bytes == 1.5 * kPrefixBlockBytes);
   clock.Advance(seconds(291));
   REQUIRE(view.HoldersOf(longer).size() == 1);
+  REQUIRE(view.KnownBlocks(longer) == 1);
   view.Forget(kSecond);
   REQUIRE(view.HoldersOf(longer).empty());
   REQUIRE(view.EntryCount() == 2);
--- a/rattanweir/request/routing/backend_choice.cc
+++ b/rattanweir/request/routing/backend_choice.cc
@@ -3,26 +3,75 @@
 #include <algorithm>
 #include <cmath>
 
+#include <xxhash.h>
+
 namespace rattanweir {
 namespace {
 
 constexpr double kBytesPerToken = 4;
 constexpr double kLeastFreshness = 1e-6;
 
+// The server preferred for a beginning depends on this many blocks of it.
+constexpr std::size_t kHomeBlocks = 4;
+// Part of a beginning that its preferred server is expected to hold.
+constexpr double kHomeShare = 0.8;
+
+bool
+TakesWork(const BackendCandidate& aCandidate)
+{
+  return !aCandidate.m_isLeaving && !aCandidate.m_state.m_isLeaving &&
+         !aCandidate.m_state.m_ejectedUntil;
+}
+
+// The candidate that all instances prefer for this hash, if one takes work.
+BackendCandidate*
+FindHome(std::span<BackendCandidate> aCandidates, std::uint64_t aHash)
+{
+  BackendCandidate* home = nullptr;
+  std::uint64_t highest = 0;
+  for (BackendCandidate& candidate : aCandidates) {
+    if (!TakesWork(candidate)) {
+      continue;
+    }
+    const std::string& id = candidate.m_id.Value();
+    const std::uint64_t weight = XXH64(id.data(), id.size(), aHash);
+    if (home == nullptr || weight > highest) {
+      home = &candidate;
+      highest = weight;
+    }
+  }
+  return home;
+}
+
 } // namespace
 
 void
 SetSavedLoads(std::span<BackendCandidate> aCandidates,
-              std::span<const PrefixHolder> aHolders)
+              const PrefixView& aView,
+              const PromptPrefix& aPrefix)
 {
+  const std::vector<PrefixHolder> holders = aView.HoldersOf(aPrefix);
   for (BackendCandidate& candidate : aCandidates) {
     candidate.m_savedLoad = 0;
-    for (const PrefixHolder& holder : aHolders) {
+    for (const PrefixHolder& holder : holders) {
       if (holder.m_id == candidate.m_id) {
         candidate.m_savedLoad = holder.m_bytes / kBytesPerToken;
       }
     }
   }
+  // Without evidence the first blocks only.
+  const std::size_t known = std::max(
+    aView.KnownBlocks(aPrefix), std::min(aPrefix.m_hashes.size(), kHomeBlocks));
+  if (known == 0) {
+    return;
+  }
+  const std::uint64_t hash = aPrefix.m_hashes[std::min(known, kHomeBlocks) - 1];
+  BackendCandidate* home = FindHome(aCandidates, hash);
+  if (home != nullptr) {
+    const double bytes = static_cast<double>(known * kPrefixBlockBytes);
+    home->m_savedLoad =
+      std::max(home->m_savedLoad, kHomeShare * bytes / kBytesPerToken);
+  }
 }
 
 BackendChoice::BackendChoice(const BackendChoiceOptions& aOptions)
--- a/rattanweir/request/routing/backend_choice.h
+++ b/rattanweir/request/routing/backend_choice.h
@@ -40,11 +40,15 @@
   double m_savedLoad = 0;
 };
 
-// Sets what each candidate saves from the hints of a PrefixView. A hint about
-// a server that is no candidate is left out.
+// Sets what each candidate saves: those that this instance sent the prompt's
+// beginning to, and the server that all instances of the region prefer for
+// it. That one is found by rendezvous hash over the candidates that take
+// work, so that the instances agree without a message; of a beginning not seen
+// before it is expected to hold the first blocks.
 void
 SetSavedLoads(std::span<BackendCandidate> aCandidates,
-              std::span<const PrefixHolder> aHolders);
+              const PrefixView& aView,
+              const PromptPrefix& aPrefix);
 
 // The candidate at this index.
 struct ChosenBackend
--- a/rattanweir/request/routing/routing_test.cc
+++ b/rattanweir/request/routing/routing_test.cc
@@ -4,7 +4,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
+#include <optional>
+#include <string>
+#include <vector>
 
 namespace rattanweir {
 namespace {
@@ -173,11 +177,7 @@
                               .m_loadInFlight = 1,
                               .m_loadUnanswered = row.m_holderUnanswered,
                               .m_load = report(row.m_holderReported) };
-    const std::vector<PrefixHolder> holders{
-      { BackendServerId("gone"), 4000 },
-      { BackendServerId("holder"), 4 * row.m_savedLoad },
-    };
-    SetSavedLoads(candidates, holders);
+    candidates[3].m_savedLoad = row.m_savedLoad;
     const auto counts = choosing.Draw(candidates);
     const int toHolder = counts.contains(3) ? counts.at(3) : 0;
     REQUIRE(toHolder >= row.m_least);
@@ -185,6 +185,59 @@
   }
 }
 
+TEST_CASE("instances prefer the same server for a beginning, without a message")
+{
+  Choosing choosing;
+  std::vector<BackendCandidate> pool;
+  pool.reserve(8);
+  for (int server = 0; server < 8; ++server) {
+    pool.push_back({ .m_id = BackendServerId("s" + std::to_string(server)) });
+  }
+  const auto home = [&](const PromptPrefix& aPrefix, const char* aSentTo) {
+    PrefixView view({ .m_clock = choosing.m_clock });
+    view.AddDispatch(aPrefix, BackendServerId(aSentTo));
+    SetSavedLoads(pool, view, aPrefix);
+    const auto best = std::max_element(
+      pool.begin(), pool.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.m_savedLoad < aRight.m_savedLoad;
+      });
+    REQUIRE(best->m_savedLoad > 0);
+    return best - pool.begin();
+  };
+  std::map<std::ptrdiff_t, int> homes;
+  for (int prompt = 0; prompt < 400; ++prompt) {
+    const auto prefix =
+      HashPrefix(std::to_string(prompt), std::string(6'000, 'x'));
+    // The two instances sent it to servers that have gone since.
+    const auto first = home(prefix, "gone");
+    REQUIRE(home(prefix, "away") == first);
+    ++homes[first];
+    // Its home leaves or fails: another one, the same for all; and back.
+    pool[first].m_isLeaving = prompt % 2 == 0;
+    if (prompt % 2 == 1) {
+      pool[first].m_state.m_ejectedUntil = choosing.m_clock.SteadyNow();
+    }
+    REQUIRE(home(prefix, "gone") != first);
+    REQUIRE(home(prefix, "gone") == home(prefix, "away"));
+    pool[first].m_isLeaving = false;
+    pool[first].m_state.m_ejectedUntil.reset();
+    REQUIRE(home(prefix, "gone") == first);
+  }
+  REQUIRE(homes.size() == 8);
+  // One that did not see the prompt yet expects its first four blocks there.
+  const auto unseen = HashPrefix("unseen", std::string(9'000, 'x'));
+  const auto server = home(unseen, "gone");
+  SetSavedLoads(pool, PrefixView({ .m_clock = choosing.m_clock }), unseen);
+  for (std::size_t index = 0; index < pool.size(); ++index) {
+    const double saved =
+      static_cast<std::ptrdiff_t>(index) == server ? 0.8 * 1024 : 0;
+    REQUIRE(pool[index].m_savedLoad == Approx(saved));
+  }
+  for (const auto& [server, count] : homes) {
+    REQUIRE(count > 25);
+  }
+}
+
 TEST_CASE("no cache brings work to a server that takes none")
 {
   Choosing choosing;
