--- a/bench/backend_choice/backend_choice.cc
+++ b/bench/backend_choice/backend_choice.cc
@@ -5,7 +5,8 @@
 //
 //   backend_choice [SEEDS [product]]
 //
-// With `product` only the product's own choice is run.
+// With `product` only the product's own choice is run. `unhinted` is the
+// product's choice without hints of prefixes.
 
 #include "bench/backend_choice/pool_model.h"
 
@@ -49,6 +50,7 @@
   { "random", ChooserKind::Random },
   { "round robin", ChooserKind::RoundRobin },
   { "least reported", ChooserKind::LeastReported },
+  { "unhinted", ChooserKind::Unhinted },
   { "product", ChooserKind::Product },
 };
 
--- a/bench/backend_choice/choosers.cc
+++ b/bench/backend_choice/choosers.cc
@@ -101,6 +101,7 @@
   explicit ProductChooser(const ChooserOptions& aOptions)
     : m_view({ .m_clock = aOptions.m_clock })
     , m_prefixes({ .m_clock = aOptions.m_clock })
+    , m_hasHints(aOptions.m_kind == ChooserKind::Product)
     , m_choice({ .m_clock = aOptions.m_clock, .m_random = aOptions.m_random })
   {
     for (std::size_t engine = 0; engine < aOptions.m_engines; ++engine) {
@@ -114,7 +115,9 @@
       candidate.m_state = m_view.StateOf(candidate.m_id);
     }
     const PromptPrefix prefix = PrefixOf(aRequest);
-    SetSavedLoads(m_candidates, m_prefixes, prefix);
+    if (m_hasHints) {
+      SetSavedLoads(m_candidates, m_prefixes, prefix);
+    }
     const auto result = m_choice.Choose(m_candidates);
     const std::size_t engine = std::get<ChosenBackend>(result).m_index;
     m_view.AddDispatch(m_candidates[engine].m_id, LoadOf(aRequest));
@@ -158,6 +161,7 @@
 
   BackendView m_view;
   PrefixView m_prefixes;
+  bool m_hasHints;
   BackendChoice m_choice;
   std::vector<BackendCandidate> m_candidates;
 };
@@ -174,6 +178,7 @@
       return std::make_unique<RoundRobinChooser>(aOptions);
     case ChooserKind::LeastReported:
       return std::make_unique<LeastReportedChooser>(aOptions);
+    case ChooserKind::Unhinted:
     case ChooserKind::Product:
       break;
   }
--- a/bench/backend_choice/choosers.h
+++ b/bench/backend_choice/choosers.h
@@ -22,6 +22,8 @@
   Random,
   RoundRobin,
   LeastReported,
+  // The product without hints of prefixes, and with them.
+  Unhinted,
   Product,
 };
 
