--- a/bench/backend_choice/choosers.cc
+++ b/bench/backend_choice/choosers.cc
@@ -1,8 +1,10 @@
 #include "bench/backend_choice/choosers.h"
 
 #include "rattanweir/process/backend_view/backend_view.h"
+#include "rattanweir/process/prefix_view/prefix_view.h"
 #include "rattanweir/request/routing/backend_choice.h"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -20,7 +22,11 @@
   {
     return UniformIndex(m_options.m_random, m_options.m_engines);
   }
-  void Begin(std::size_t /*aEngine*/, double /*aReportedLoad*/) override {}
+  void Begin(std::size_t /*aEngine*/,
+             const ModelRequest& /*aRequest*/,
+             double /*aReportedLoad*/) override
+  {
+  }
   void End(std::size_t /*aEngine*/, const ModelRequest& /*aRequest*/) override
   {
   }
@@ -41,7 +47,11 @@
   {
     return m_next++ % m_engines;
   }
-  void Begin(std::size_t /*aEngine*/, double /*aReportedLoad*/) override {}
+  void Begin(std::size_t /*aEngine*/,
+             const ModelRequest& /*aRequest*/,
+             double /*aReportedLoad*/) override
+  {
+  }
   void End(std::size_t /*aEngine*/, const ModelRequest& /*aRequest*/) override
   {
   }
@@ -70,7 +80,9 @@
     }
     return best;
   }
-  void Begin(std::size_t aEngine, double aReportedLoad) override
+  void Begin(std::size_t aEngine,
+             const ModelRequest& /*aRequest*/,
+             double aReportedLoad) override
   {
     m_loads[aEngine] = aReportedLoad;
   }
@@ -88,6 +100,8 @@
 public:
   explicit ProductChooser(const ChooserOptions& aOptions)
     : m_view({ .m_clock = aOptions.m_clock })
+    , m_prefixes({ .m_clock = aOptions.m_clock })
+    , m_hasHints(aOptions.m_kind == ChooserKind::Product)
     , m_choice({ .m_clock = aOptions.m_clock, .m_random = aOptions.m_random })
   {
     for (std::size_t engine = 0; engine < aOptions.m_engines; ++engine) {
@@ -100,20 +114,30 @@
     for (BackendCandidate& candidate : m_candidates) {
       candidate.m_state = m_view.StateOf(candidate.m_id);
     }
+    const PromptPrefix prefix = PrefixOf(aRequest);
+    if (m_hasHints) {
+      SetSavedLoads(m_candidates, m_prefixes, prefix);
+    }
     const auto result = m_choice.Choose(m_candidates);
     const std::size_t engine = std::get<ChosenBackend>(result).m_index;
     m_view.AddDispatch(m_candidates[engine].m_id, LoadOf(aRequest));
+    m_prefixes.AddDispatch(prefix, m_candidates[engine].m_id);
     return engine;
   }
-  void Begin(std::size_t aEngine, double aReportedLoad) override
+  void Begin(std::size_t aEngine,
+             const ModelRequest& aRequest,
+             double aReportedLoad) override
   {
+    m_view.BeginAnswer(m_candidates[aEngine].m_id, LoadOf(aRequest));
     m_view.ReportLoad(m_candidates[aEngine].m_id,
                       static_cast<std::uint64_t>(aReportedLoad));
   }
   void End(std::size_t aEngine, const ModelRequest& aRequest) override
   {
-    m_view.EndDispatch(
-      m_candidates[aEngine].m_id, LoadOf(aRequest), AttemptVerdict::Answered);
+    m_view.EndDispatch(m_candidates[aEngine].m_id,
+                       { .m_load = LoadOf(aRequest),
+                         .m_hasBegun = true,
+                         .m_verdict = AttemptVerdict::Answered });
   }
 
 private:
@@ -122,7 +146,22 @@
     return static_cast<std::uint64_t>(aRequest.LoadTokens());
   }
 
+  // The document's whole blocks, told apart by its number.
+  static PromptPrefix PrefixOf(const ModelRequest& aRequest)
+  {
+    const auto bytes = static_cast<std::size_t>(4 * aRequest.m_documentTokens);
+    const std::size_t blocks =
+      std::min(bytes / kPrefixBlockBytes, kPrefixBlocks);
+    PromptPrefix prefix;
+    for (std::size_t block = 0; block < blocks; ++block) {
+      prefix.m_hashes.push_back(aRequest.m_document * kPrefixBlocks + block);
+    }
+    return prefix;
+  }
+
   BackendView m_view;
+  PrefixView m_prefixes;
+  bool m_hasHints;
   BackendChoice m_choice;
   std::vector<BackendCandidate> m_candidates;
 };
@@ -139,6 +178,7 @@
       return std::make_unique<RoundRobinChooser>(aOptions);
     case ChooserKind::LeastReported:
       return std::make_unique<LeastReportedChooser>(aOptions);
+    case ChooserKind::Unhinted:
     case ChooserKind::Product:
       break;
   }
--- a/rattanweir/request/pipeline/attempts.cc
+++ b/rattanweir/request/pipeline/attempts.cc
@@ -214,6 +214,7 @@
     const auto exchange =
       co_await Send(server->m_endpoint, std::move(fields), m_options.m_cancel);
     const AnswerHead head = co_await exchange->ReadHead();
+    dispatch.BeginAnswer();
     if (!IsCrossed(head, origin)) {
       dispatch.TakeSignals(head);
     }
--- a/rattanweir/request/pipeline/dispatch.cc
+++ b/rattanweir/request/pipeline/dispatch.cc
@@ -48,7 +48,16 @@
 
 Dispatch::~Dispatch()
 {
-  m_view.EndDispatch(m_id, m_load, m_verdict);
+  m_view.EndDispatch(
+    m_id,
+    { .m_load = m_load, .m_hasBegun = m_hasBegun, .m_verdict = m_verdict });
+}
+
+void
+Dispatch::BeginAnswer()
+{
+  m_hasBegun = true;
+  m_view.BeginAnswer(m_id, m_load);
 }
 
 void
--- a/rattanweir/request/pipeline/dispatch.h
+++ b/rattanweir/request/pipeline/dispatch.h
@@ -1,7 +1,7 @@
 // One dispatch at a backend server, held in the view until it has ended.
 //
 //   Dispatch dispatch(view, clock, server.m_id, load);
-//   ... dispatch.TakeSignals(head); ...
+//   dispatch.BeginAnswer(); dispatch.TakeSignals(head); ...
 //   dispatch.EndWith(ResultCode::Ok);
 
 #pragma once
@@ -27,6 +27,9 @@
   Dispatch(const Dispatch&) = delete;
   Dispatch& operator=(const Dispatch&) = delete;
 
+  // Once, when the head of the answer has come.
+  void BeginAnswer();
+
   // Takes load and draining from an answer of this server.
   void TakeSignals(const AnswerHead& aHead);
 
@@ -39,6 +42,7 @@
   BackendServerId m_id;
   std::uint64_t m_load;
   SteadyTime m_begin;
+  bool m_hasBegun = false;
   AttemptVerdict m_verdict = AttemptVerdict::Neutral;
 };
 
--- a/rattanweir/request/routing/backend_choice.cc
+++ b/rattanweir/request/routing/backend_choice.cc
@@ -2,9 +2,77 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
+
+#include <xxhash.h>
 
 namespace rattanweir {
+namespace {
+
+constexpr double kBytesPerToken = 4;
+constexpr double kLeastFreshness = 1e-6;
+
+// The server preferred for a beginning depends on this many blocks of it.
+constexpr std::size_t kHomeBlocks = 4;
+// Part of a beginning that its preferred server is expected to hold.
+constexpr double kHomeShare = 0.8;
+
+bool
+TakesWork(const BackendCandidate& aCandidate)
+{
+  return !aCandidate.m_isLeaving && !aCandidate.m_state.m_isLeaving &&
+         !aCandidate.m_state.m_ejectedUntil;
+}
+
+// The candidate that all instances prefer for this hash, if one takes work.
+BackendCandidate*
+FindHome(std::span<BackendCandidate> aCandidates, std::uint64_t aHash)
+{
+  BackendCandidate* home = nullptr;
+  std::uint64_t highest = 0;
+  for (BackendCandidate& candidate : aCandidates) {
+    if (!TakesWork(candidate)) {
+      continue;
+    }
+    const std::string& id = candidate.m_id.Value();
+    const std::uint64_t weight = XXH64(id.data(), id.size(), aHash);
+    if (home == nullptr || weight > highest) {
+      home = &candidate;
+      highest = weight;
+    }
+  }
+  return home;
+}
+
+} // namespace
+
+void
+SetSavedLoads(std::span<BackendCandidate> aCandidates,
+              const PrefixView& aView,
+              const PromptPrefix& aPrefix)
+{
+  const std::vector<PrefixHolder> holders = aView.HoldersOf(aPrefix);
+  for (BackendCandidate& candidate : aCandidates) {
+    candidate.m_savedLoad = 0;
+    for (const PrefixHolder& holder : holders) {
+      if (holder.m_id == candidate.m_id) {
+        candidate.m_savedLoad = holder.m_bytes / kBytesPerToken;
+      }
+    }
+  }
+  // Without evidence the first blocks only.
+  const std::size_t known = std::max(
+    aView.KnownBlocks(aPrefix), std::min(aPrefix.m_hashes.size(), kHomeBlocks));
+  if (known == 0) {
+    return;
+  }
+  const std::uint64_t hash = aPrefix.m_hashes[std::min(known, kHomeBlocks) - 1];
+  BackendCandidate* home = FindHome(aCandidates, hash);
+  if (home != nullptr) {
+    const double bytes = static_cast<double>(known * kPrefixBlockBytes);
+    home->m_savedLoad =
+      std::max(home->m_savedLoad, kHomeShare * bytes / kBytesPerToken);
+  }
+}
 
 BackendChoice::BackendChoice(const BackendChoiceOptions& aOptions)
   : m_options(aOptions)
@@ -25,45 +93,104 @@
   if (usable.empty()) {
     return AllBackendsFull{};
   }
-  return ChosenBackend{ CheapestDrawn(aCandidates, std::move(usable)) };
+  const PoolLoad pool = LoadOfPool(aCandidates, usable);
+  const auto isCheaper = [&](std::size_t aLeft, std::size_t aRight) {
+    return CostOf(aCandidates[aLeft], pool) < CostOf(aCandidates[aRight], pool);
+  };
+  const std::size_t holder = *std::max_element(
+    usable.begin(), usable.end(), [&](std::size_t aLeft, std::size_t aRight) {
+      return SavingOf(aCandidates[aLeft], pool) <
+             SavingOf(aCandidates[aRight], pool);
+    });
+  std::size_t chosen = DrawOne(usable);
+  if (!usable.empty()) {
+    const std::size_t second = DrawOne(usable);
+    chosen = isCheaper(second, chosen) ? second : chosen;
+  }
+  const bool isHolderBetter =
+    SavingOf(aCandidates[holder], pool) > 0 && isCheaper(holder, chosen);
+  return ChosenBackend{ isHolderBetter ? holder : chosen };
 }
 
-std::size_t
-BackendChoice::CheapestDrawn(std::span<const BackendCandidate> aCandidates,
-                             std::vector<std::size_t> aUsable)
+double
+BackendChoice::CostOf(const BackendState& aState, double aReportedMean) const
 {
-  const std::size_t draws = std::min(m_options.m_draws, aUsable.size());
-  std::size_t best = 0;
-  double bestCost = 0;
-  for (std::size_t drawn = 0; drawn < draws; ++drawn) {
-    const std::size_t left = aUsable.size() - drawn;
-    std::swap(aUsable[drawn],
-              aUsable[drawn + UniformIndex(m_options.m_random, left)]);
-    const double cost = CostOf(aCandidates[aUsable[drawn]].m_state);
-    if (drawn == 0 || cost < bestCost) {
-      best = aUsable[drawn];
-      bestCost = cost;
-    }
-  }
-  return best;
+  return LoadOf(aState, aReportedMean) +
+         m_options.m_unansweredWeight *
+           static_cast<double>(aState.m_loadUnanswered);
 }
 
 double
-BackendChoice::CostOf(const BackendState& aState) const
+BackendChoice::CostOf(const BackendCandidate& aCandidate,
+                      const PoolLoad& aPool) const
 {
+  // What is saved would have waited for the answer to begin.
+  return CostOf(aCandidate.m_state, aPool.m_reportedMean) -
+         m_options.m_unansweredWeight * SavingOf(aCandidate, aPool);
+}
+
+double
+BackendChoice::SavingOf(const BackendCandidate& aCandidate,
+                        const PoolLoad& aPool) const
+{
+  const double most =
+    m_options.m_mostLoadForCache * aPool.m_mean + aCandidate.m_savedLoad;
+  const double load = LoadOf(aCandidate.m_state, aPool.m_reportedMean);
+  return load > most ? 0 : aCandidate.m_savedLoad;
+}
+
+double
+BackendChoice::LoadOf(const BackendState& aState, double aReportedMean) const
+{
+  // What this instance has there itself is known without a report.
   const auto own = static_cast<double>(aState.m_loadInFlight);
   if (!aState.m_load) {
-    return own;
+    return std::max(aReportedMean, own);
   }
-  const auto age = m_options.m_clock.SteadyNow() - aState.m_load->m_at;
-  const double halvings =
-    std::chrono::duration<double>(age) /
-    std::chrono::duration<double>(m_options.m_loadHalfLife);
-  const double reported =
-    static_cast<double>(aState.m_load->m_load) * std::exp2(-halvings);
-  // What this instance has there itself is known without a report.
-  return std::max(reported + static_cast<double>(aState.m_dispatchedSince),
-                  own);
+  const double freshness = FreshnessOf(*aState.m_load);
+  const double known = static_cast<double>(aState.m_load->m_load) +
+                       static_cast<double>(aState.m_dispatchedSince);
+  return std::max(freshness * known + (1 - freshness) * aReportedMean, own);
+}
+
+double
+BackendChoice::FreshnessOf(const ReportedLoad& aLoad) const
+{
+  const auto age = m_options.m_clock.SteadyNow() - aLoad.m_at;
+  return std::exp2(-std::chrono::duration<double>(age) /
+                   std::chrono::duration<double>(m_options.m_loadHalfLife));
+}
+
+BackendChoice::PoolLoad
+BackendChoice::LoadOfPool(std::span<const BackendCandidate> aCandidates,
+                          const std::vector<std::size_t>& aUsable) const
+{
+  // Above zero, so that the oldest reports leave a mean of zero.
+  double freshness = kLeastFreshness;
+  double reported = 0;
+  for (const std::size_t index : aUsable) {
+    const auto& load = aCandidates[index].m_state.m_load;
+    if (load) {
+      freshness += FreshnessOf(*load);
+      reported += FreshnessOf(*load) * static_cast<double>(load->m_load);
+    }
+  }
+  PoolLoad pool{ .m_reportedMean = reported / freshness };
+  for (const std::size_t index : aUsable) {
+    pool.m_mean += LoadOf(aCandidates[index].m_state, pool.m_reportedMean) /
+                   static_cast<double>(aUsable.size());
+  }
+  return pool;
+}
+
+std::size_t
+BackendChoice::DrawOne(std::vector<std::size_t>& aIndices)
+{
+  std::swap(aIndices[UniformIndex(m_options.m_random, aIndices.size())],
+            aIndices.back());
+  const std::size_t drawn = aIndices.back();
+  aIndices.pop_back();
+  return drawn;
 }
 
 std::vector<std::size_t>
