Send prompts that begin alike to the server that holds the beginning

The body's reader hashes the beginning of the prompt, the plan carries it, the choice is told what each candidate saves, and a dispatch is noted. A server that could not be reached or reset is forgotten.

Seen failing first: 20 equal prompts went to 2 servers (serving_test).

--- a/programs/rattanweird/daemon.cc
+++ b/programs/rattanweird/daemon.cc
@@ -51,6 +51,7 @@
              .m_self = m_settings.m_instance,
              .m_incarnation = m_incarnation })
   , m_backends({ .m_clock = m_clock })
+  , m_prefixes({ .m_clock = m_clock })
   , m_retries({})
   , m_rateQueue({ .m_executor = m_context.get_executor(),
                   .m_clock = m_clock,
@@ -116,6 +117,7 @@
            .m_rateQueue = m_rateQueue,
            .m_keys = m_keys,
            .m_backends = m_backends,
+           .m_prefixes = m_prefixes,
            .m_inFlight = m_inFlight,
            .m_peerAttempts = m_peerAttempts,
            .m_retries = m_retries,
--- a/programs/rattanweird/daemon.h
+++ b/programs/rattanweird/daemon.h
@@ -72,6 +72,7 @@
   RateLedger m_rates;
   IdempotencyLedger m_keys;
   BackendView m_backends;
+  PrefixView m_prefixes;
   RunningRequests m_inFlight;
   PeerAttempts m_peerAttempts;
   RetryBudget m_retries;
--- a/rattanweir/request/body/request_body.cc
+++ b/rattanweir/request/body/request_body.cc
@@ -54,7 +54,10 @@
   }
   const Json::Value& prompt = aObject["prompt"];
   if (prompt.isString()) {
-    aBody.m_promptBytes = prompt.asString().size();
+    const std::string text = prompt.asString();
+    aBody.m_promptBytes = text.size();
+    const ModelId scope = aBody.m_model.value_or(ModelId());
+    aBody.m_promptPrefix = HashPrefix(scope.Value(), text);
   }
   const Json::Value& maxTokens = aObject["max_tokens"];
   if (!maxTokens.isNull()) {
--- a/rattanweir/request/body/request_body.h
+++ b/rattanweir/request/body/request_body.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "rattanweir/base/ids/ids.h"
+#include "rattanweir/process/prefix_view/prefix_view.h"
 #include "rattanweir/request/exchange/exchange.h"
 
 #include <cstdint>
@@ -27,6 +28,8 @@
   std::optional<ModelId> m_model;
   // The length of the top-level `prompt`, or of the whole body without one.
   std::uint64_t m_promptBytes = 0;
+  // The beginning of the top-level `prompt`, told apart by the model.
+  PromptPrefix m_promptPrefix;
   // The top-level `max_tokens`.
   std::optional<std::int64_t> m_maxTokens;
 };
--- a/rattanweir/request/pipeline/admission.cc
+++ b/rattanweir/request/pipeline/admission.cc
@@ -171,6 +171,7 @@
   plan.m_body = body.m_text;
   plan.m_cost = TokensToReserve(route.m_cost, body);
   plan.m_promptTokens = PromptTokens(body);
+  plan.m_promptPrefix = body.m_promptPrefix;
   FillIn(plan, route, aRequest);
   return plan;
 }
@@ -205,6 +206,7 @@
   plan.m_body = body.m_text;
   plan.m_cost = TokensToReserve(route.m_cost, body);
   plan.m_promptTokens = PromptTokens(body);
+  plan.m_promptPrefix = body.m_promptPrefix;
   plan.m_resumeOffset = NumberField(headers, kResumeOffsetField).value_or(0);
   FillIn(plan, route, aRequest);
   return plan;
--- a/rattanweir/request/pipeline/attempts.cc
+++ b/rattanweir/request/pipeline/attempts.cc
@@ -44,6 +44,14 @@
   return countsTokens ? static_cast<std::uint64_t>(tokens) : 1;
 }
 
+// Whether the server probably runs anew, with an empty cache.
+bool
+LostItsCache(ResultCode aCode)
+{
+  return aCode == ResultCode::BackendConnectFailed ||
+         aCode == ResultCode::BackendReset;
+}
+
 // The error of an exchange with a peer in the words for peers.
 RequestError
 AsPeerError(const RequestError& aError)
@@ -213,6 +221,7 @@
   try {
     const auto exchange =
       co_await Send(server->m_endpoint, std::move(fields), m_options.m_cancel);
+    m_serving.m_prefixes.AddDispatch(m_plan.m_promptPrefix, aId);
     const AnswerHead head = co_await exchange->ReadHead();
     dispatch.BeginAnswer();
     if (!IsCrossed(head, origin)) {
@@ -222,6 +231,9 @@
     dispatch.EndWith(ResultCode::Ok);
   } catch (const RequestError& error) {
     dispatch.EndWith(error.Code());
+    if (LostItsCache(error.Code())) {
+      m_serving.m_prefixes.Forget(aId);
+    }
     throw;
   }
 }
--- a/rattanweir/request/pipeline/place_question.cc
+++ b/rattanweir/request/pipeline/place_question.cc
@@ -38,6 +38,8 @@
     }
     question.m_candidates.push_back(CandidateOf(aServing, *server));
   }
+  SetSavedLoads(
+    question.m_candidates, aServing.m_prefixes, aPlan.m_promptPrefix);
   // A forwarded request goes no further.
   if (aPlan.m_forwardedBy) {
     return question;
--- a/rattanweir/request/pipeline/request_plan.h
+++ b/rattanweir/request/pipeline/request_plan.h
@@ -11,6 +11,7 @@
 #include "rattanweir/base/ids/ids.h"
 #include "rattanweir/base/units/units.h"
 #include "rattanweir/process/in_flight/in_flight.h"
+#include "rattanweir/process/prefix_view/prefix_view.h"
 #include "rattanweir/request/exchange/exchange.h"
 #include "rattanweir/version/section/section.h"
 
@@ -35,6 +36,8 @@
   // The most tokens that it can use, and those of its prompt.
   Tokens m_cost;
   Tokens m_promptTokens;
+  // Empty for a request without a prompt, or with a short one.
+  PromptPrefix m_promptPrefix;
   SteadyTime m_receivedAt;
   SteadyTime m_deadline;
   // Only on routes that are not idempotent.
--- a/rattanweir/request/pipeline/serving.h
+++ b/rattanweir/request/pipeline/serving.h
@@ -19,6 +19,7 @@
 #include "rattanweir/process/in_flight/peer_attempts.h"
 #include "rattanweir/process/membership/membership.h"
 #include "rattanweir/process/metrics/metrics.h"
+#include "rattanweir/process/prefix_view/prefix_view.h"
 #include "rattanweir/process/rate/rate_ledger.h"
 #include "rattanweir/request/exchange/exchange.h"
 #include "rattanweir/request/pipeline/share_borrower.h"
@@ -41,6 +42,7 @@
   RateQueue& m_rateQueue;
   IdempotencyLedger& m_keys;
   BackendView& m_backends;
+  PrefixView& m_prefixes;
   RunningRequests& m_inFlight;
   PeerAttempts& m_peerAttempts;
   RetryBudget& m_retries;
--- a/rattanweir/request/pipeline/serving_test.cc
+++ b/rattanweir/request/pipeline/serving_test.cc
@@ -6,6 +6,7 @@
 
 #include <json/json.h>
 
+#include <set>
 #include <sstream>
 
 namespace rattanweir {
@@ -77,6 +78,34 @@
   REQUIRE(world.Ask({ .m_target = "/book" }).m_code == Code::NoBackendServer);
 }
 
+TEST_CASE("prompts that begin alike go to one server until it fails")
+{
+  PipelineWorld world;
+  const std::string prompt(4 * kPrefixBlockBytes, 'p');
+  const Question question{ .m_body = R"({"max_tokens":10,"prompt":")" + prompt +
+                                     "\"}" };
+  const auto endpointsOf = [&](std::size_t aFrom) {
+    std::set<std::string> endpoints;
+    for (std::size_t at = aFrom; at < world.m_upstream.m_sent.size(); ++at) {
+      endpoints.insert(world.m_upstream.m_sent[at].m_endpoint);
+    }
+    return endpoints;
+  };
+  for (int request = 0; request < 20; ++request) {
+    REQUIRE(world.Ask(question).m_code == Code::Ok);
+  }
+  REQUIRE(endpointsOf(0).size() == 1);
+  const bool wasFirst = *endpointsOf(0).begin() == kEngineOne;
+
+  // Its cache is gone with it.
+  world.Script(*endpointsOf(0).begin(), { .m_kind = AnswerKind::Resets });
+  REQUIRE(world.Ask(question).m_code == Code::Ok);
+  REQUIRE(endpointsOf(20).size() == 2);
+  const auto holders = world.m_prefixes.HoldersOf(HashPrefix("", prompt));
+  REQUIRE(holders.size() == 1);
+  REQUIRE(holders[0].m_id == BackendServerId(wasFirst ? "e2" : "e1"));
+}
+
 Json::Value
 JsonOf(const Outcome& aOutcome)
 {
--- a/testing/pipeline_world/pipeline_world.cc
+++ b/testing/pipeline_world/pipeline_world.cc
@@ -194,6 +194,7 @@
                .m_rateQueue = m_rateQueue,
                .m_keys = m_keys,
                .m_backends = m_backends,
+               .m_prefixes = m_prefixes,
                .m_inFlight = m_inFlight,
                .m_peerAttempts = m_peerAttempts,
                .m_retries = m_retries,
--- a/testing/pipeline_world/pipeline_world.h
+++ b/testing/pipeline_world/pipeline_world.h
@@ -97,6 +97,7 @@
   RateLedger m_rates;
   IdempotencyLedger m_keys;
   BackendView m_backends{ { .m_clock = m_clock } };
+  PrefixView m_prefixes{ { .m_clock = m_clock } };
   RunningRequests m_inFlight;
   PeerAttempts m_peerAttempts;
   RetryBudget m_retries{ {} };
