--- a/bench/gateway_cost/gateway_cost.cc
+++ b/bench/gateway_cost/gateway_cost.cc
@@ -127,6 +127,7 @@
 {
   const auto end = steady_clock::now() + std::chrono::seconds(FLAGS_seconds);
   std::vector<std::jthread> callers;
+  callers.reserve(static_cast<std::size_t>(FLAGS_callers));
   for (int caller = 0; caller < FLAGS_callers; ++caller) {
     callers.emplace_back([&] {
       HttpConnection connection(aEndpoint, kTimeout);
@@ -179,6 +180,7 @@
   const int pid = aFleet.Instance(kInstance).Pid();
   const std::uint64_t before = ResidentBytes(pid);
   std::vector<std::unique_ptr<HttpConnection>> connections;
+  connections.reserve(static_cast<std::size_t>(FLAGS_idle_connections));
   for (int number = 0; number < FLAGS_idle_connections; ++number) {
     connections.push_back(std::make_unique<HttpConnection>(
       aFleet.CallerAddress(kInstance), kTimeout));
@@ -201,6 +203,7 @@
   std::atomic<int> begun{ 0 };
   std::atomic<bool> isMeasured{ false };
   std::vector<std::jthread> callers;
+  callers.reserve(static_cast<std::size_t>(FLAGS_streams));
   for (int number = 0; number < FLAGS_streams; ++number) {
     callers.emplace_back([&] {
       HttpConnection connection(aFleet.CallerAddress(kInstance), kTimeout);
--- a/rattanweir/connection/control/control_plane.cc
+++ b/rattanweir/connection/control/control_plane.cc
@@ -4,8 +4,7 @@
 
 #include "rattanweir/connection/control_messages/control_messages.h"
 #include "rattanweir/process/logging/log.h"
-
-#include <boost/asio/steady_timer.hpp>
+#include "rattanweir/request/wait/wait.h"
 
 namespace rattanweir {
 namespace {
@@ -71,7 +70,7 @@
 void
 ControlPlane::Stop()
 {
-  m_isStopped = true;
+  m_stop.Cancel(ResultCode::InstanceDraining);
   m_heartbeats.Stop();
 }
 
@@ -114,15 +113,13 @@
 Task<void>
 ControlPlane::Watch()
 {
-  asio::steady_timer timer(m_options.m_executor);
-  while (!m_isStopped) {
+  while (!m_stop.Reason()) {
     m_lending.Return(m_options.m_rate.Tick());
     WatchForPause();
     if (!m_hasCaughtUp) {
       m_hasCaughtUp = IsInStepWithPeersSince(m_startedAt);
     }
-    timer.expires_after(kWatchInterval);
-    co_await timer.async_wait(asio::use_awaitable);
+    co_await WaitFor(m_options.m_executor, kWatchInterval, m_stop);
   }
 }
 
--- a/rattanweir/connection/control/control_plane.h
+++ b/rattanweir/connection/control/control_plane.h
@@ -84,7 +84,7 @@
   SteadyTime m_startedAt;
   std::optional<SteadyTime> m_pauseSeenAt;
   bool m_hasCaughtUp = false;
-  bool m_isStopped = false;
+  CancelSource m_stop;
 };
 
 } // namespace rattanweir
--- a/rattanweir/connection/control/heartbeat_exchange.cc
+++ b/rattanweir/connection/control/heartbeat_exchange.cc
@@ -5,9 +5,7 @@
 #include "rattanweir/connection/control/peer_call.h"
 #include "rattanweir/connection/control_messages/control_messages.h"
 #include "rattanweir/connection/rpc/rpc.h"
-
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include "rattanweir/request/wait/wait.h"
 
 #include <algorithm>
 #include <exception>
@@ -25,16 +23,6 @@
 
 constexpr char kListedField[] = "listed";
 
-// Waits, or returns early if the timer is cancelled.
-Task<void>
-WaitFor(asio::steady_timer& aTimer, std::chrono::nanoseconds aDuration)
-{
-  boost::system::error_code ignored;
-  aTimer.expires_after(aDuration);
-  co_await aTimer.async_wait(
-    asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 } // namespace
 
 // One peer that heartbeats are exchanged with. Lives as long as its task.
@@ -42,12 +30,12 @@
 {
   Target(InstanceId aId, const Executor& aExecutor)
     : m_id(std::move(aId))
-    , m_timer(aExecutor)
+    , m_wakeUp(aExecutor)
   {
   }
 
   InstanceId m_id;
-  asio::steady_timer m_timer;
+  WakeUp m_wakeUp;
   bool m_isEnded = false;
   // The newest call that has ended, and what came of it.
   std::optional<SteadyTime> m_startedAt;
@@ -74,17 +62,17 @@
 HeartbeatExchange::SendNow()
 {
   for (const auto& [id, target] : m_targets) {
-    target->m_timer.cancel();
+    target->m_wakeUp.Wake();
   }
 }
 
 void
 HeartbeatExchange::Stop()
 {
-  m_isStopped = true;
+  m_stop.Cancel(ResultCode::InstanceDraining);
   for (const auto& [id, target] : m_targets) {
     target->m_isEnded = true;
-    target->m_timer.cancel();
+    target->m_wakeUp.Wake();
   }
   m_targets.clear();
 }
@@ -92,10 +80,9 @@
 Task<void>
 HeartbeatExchange::FollowList()
 {
-  asio::steady_timer timer(m_options.m_executor);
-  while (!m_isStopped) {
+  while (!m_stop.Reason()) {
     UpdateTargets();
-    co_await WaitFor(timer, kFollowListInterval);
+    co_await WaitFor(m_options.m_executor, kFollowListInterval, m_stop);
   }
 }
 
@@ -117,7 +104,7 @@
       continue;
     }
     entry->second->m_isEnded = true;
-    entry->second->m_timer.cancel();
+    entry->second->m_wakeUp.Wake();
     entry = m_targets.erase(entry);
   }
   for (const InstanceId& id : wanted) {
@@ -136,7 +123,7 @@
   while (!aTarget->m_isEnded) {
     co_await ExchangeOnce(aTarget);
     if (!aTarget->m_isEnded) {
-      co_await WaitFor(aTarget->m_timer, m_currentInterval);
+      co_await aTarget->m_wakeUp.WaitFor(m_currentInterval, m_stop);
     }
   }
 }
--- a/rattanweir/connection/control/heartbeat_exchange.h
+++ b/rattanweir/connection/control/heartbeat_exchange.h
@@ -95,7 +95,7 @@
   std::map<InstanceId, std::shared_ptr<Target>> m_targets;
   std::chrono::nanoseconds m_currentInterval;
   std::uint64_t m_sequence = 0;
-  bool m_isStopped = false;
+  CancelSource m_stop;
 };
 
 } // namespace rattanweir
--- a/rattanweir/request/pipeline/peer_handler.cc
+++ b/rattanweir/request/pipeline/peer_handler.cc
@@ -39,18 +39,9 @@
   }
   RequestRecord record{ .m_request = aRequest.m_id,
                         .m_receivedAt = aRequest.m_receivedAt };
-  std::optional<RequestError> failure;
-  try {
-    co_await ServeForwarded(std::move(aRequest), aSink, aCancel, record);
-  } catch (const RequestError& error) {
-    failure = error;
-  } catch (const std::exception& error) {
-    failure = RequestError(ResultCode::InternalError, error.what());
-  }
-  RecordDone(m_serving, record, failure);
-  if (failure) {
-    throw RequestError(*failure);
-  }
+  Task<void> served =
+    ServeForwarded(std::move(aRequest), aSink, aCancel, record);
+  co_await RunRecorded(m_serving, record, std::move(served));
 }
 
 Task<void>
--- a/rattanweir/request/pipeline/request_record.cc
+++ b/rattanweir/request/pipeline/request_record.cc
@@ -3,8 +3,12 @@
 #include "rattanweir/process/logging/log.h"
 
 #include <chrono>
+#include <exception>
+#include <optional>
+#include <utility>
 
 namespace rattanweir {
+namespace {
 
 void
 RecordDone(const Serving& aServing,
@@ -32,4 +36,25 @@
       });
 }
 
+} // namespace
+
+Task<void>
+RunRecorded(const Serving& aServing,
+            const RequestRecord& aRecord,
+            Task<void> aServed)
+{
+  std::optional<RequestError> failure;
+  try {
+    co_await std::move(aServed);
+  } catch (const RequestError& error) {
+    failure = error;
+  } catch (const std::exception& error) {
+    failure = RequestError(ResultCode::InternalError, error.what());
+  }
+  RecordDone(aServing, aRecord, failure);
+  if (failure) {
+    throw RequestError(*failure);
+  }
+}
+
 } // namespace rattanweir
--- a/rattanweir/request/pipeline/request_record.h
+++ b/rattanweir/request/pipeline/request_record.h
@@ -4,7 +4,6 @@
 
 #include "rattanweir/request/pipeline/run_request.h"
 
-#include <optional>
 #include <string>
 
 namespace rattanweir {
@@ -19,10 +18,13 @@
   AttemptsReport m_report;
 };
 
-// Writes the record and the durations. Holds neither key nor body.
-void
-RecordDone(const Serving& aServing,
-           const RequestRecord& aRecord,
-           const std::optional<RequestError>& aFailure);
+// Awaits the task that serves a request, then logs how it ended and counts its
+// time; neither key nor body is logged. Throws the task's failure as a
+// RequestError, InternalError for any other exception. What `aServing` and
+// `aRecord` refer to must outlive the task.
+Task<void>
+RunRecorded(const Serving& aServing,
+            const RequestRecord& aRecord,
+            Task<void> aServed);
 
 } // namespace rattanweir
--- a/rattanweir/request/pipeline/serving_test.cc
+++ b/rattanweir/request/pipeline/serving_test.cc
@@ -68,6 +68,65 @@
   }
 }
 
+TEST_CASE("a request that the refill soon covers waits and is admitted")
+{
+  struct Row
+  {
+    const char* m_name;
+    std::int64_t m_taken;
+    const char* m_cost;
+    const char* m_deadlineMs;
+    Code m_code;
+  };
+  // Account b has 100 tokens a millisecond and a burst of 100,000; a request
+  // waits for 500 ms at most.
+  for (const Row& row : std::vector<Row>{
+         { "in time", 80'000, "50000", "5000", Code::Ok },
+         { "past the bound", 100'000, "60000", "5000", Code::RateExceeded },
+         { "past its deadline",
+           80'000,
+           "50000",
+           "200",
+           Code::RateExceeded } }) {
+    INFO(row.m_name);
+    PipelineWorld world;
+    REQUIRE(std::holds_alternative<Reservation>(
+      world.m_rates.Reserve(ClientAccountId("b"), Tokens(row.m_taken))));
+    Outcome& outcome = world.Start(
+      world.m_entry,
+      { .m_headers = { { "x-api-key", "key-b" },
+                       { "rattanweir-deadline-ms", row.m_deadlineMs } },
+        .m_body =
+          R"({"prompt":"","max_tokens":)" + std::string(row.m_cost) + "}" });
+    // What is refused is refused at once.
+    REQUIRE(outcome.m_isDone == (row.m_code != Code::Ok));
+    // A little longer than 300 ms: buckets fill slower by the clocks' drift.
+    world.m_clock.Advance(std::chrono::milliseconds(310));
+    world.RunUntil([&] { return outcome.m_isDone; });
+    CHECK(outcome.m_code == row.m_code);
+    CHECK(outcome.m_comeBackAfter.has_value() == (row.m_code != Code::Ok));
+    CHECK(world.m_inFlight.Count() == 0);
+  }
+}
+
+TEST_CASE("a request that waits for tokens ends with its withdrawn key")
+{
+  PipelineWorld world;
+  const ClientAccountId account("b");
+  REQUIRE(std::holds_alternative<Reservation>(
+    world.m_rates.Reserve(account, Tokens(100'000))));
+  Outcome& outcome =
+    world.Start(world.m_entry,
+                { .m_headers = { { "x-api-key", "key-b" } },
+                  .m_body = R"({"prompt":"","max_tokens":40000})" });
+  REQUIRE_FALSE(outcome.m_isDone);
+  world.OfferKeys({ "a" });
+  world.RunUntil([&] { return outcome.m_isDone; });
+  CHECK(outcome.m_code == Code::KeyWithdrawn);
+  CHECK(outcome.m_ran == Ran::No);
+  CHECK(world.m_rates.Status(account).m_tokensAtHand == 0);
+}
+
 TEST_CASE("a backend server that says it drains gets no new work")
 {
   PipelineWorld world;
