Tell peers of a newer section at once

Cause: each hop of the relay waited for the next heartbeat; at the target's 37 targets an interval is 4.6 s, so three hops would pass the 11 s. Ruled out: shorter intervals, which cost 26 KB/s from 2.8 s on.

Change: accepting a section wakes the heartbeats of all targets; one that is in a call sends again after it.

Seen failing first: connection_control_test with an interval of an hour, where the version did not arrive.

--- a/rattanweir/connection/control/control_plane.cc
+++ b/rattanweir/connection/control/control_plane.cc
@@ -40,6 +40,10 @@
                 .m_metrics = aOptions.m_metrics })
 {
   RegisterMethods();
+  // Peers hear of a newer version at once, so that a relay of several hops
+  // takes as many fetches and not as many heartbeat intervals.
+  m_options.m_catalog.OnAccepted(
+    [this](SectionKind) { m_heartbeats.SendNow(); });
 }
 
 void
--- a/rattanweir/connection/control/control_plane_test.cc
+++ b/rattanweir/connection/control/control_plane_test.cc
@@ -99,7 +99,10 @@
 class Node
 {
 public:
-  Node(asio::io_context& aContext, FakeNetwork& aNetwork, std::uint16_t aPort)
+  Node(asio::io_context& aContext,
+       FakeNetwork& aNetwork,
+       std::uint16_t aPort,
+       std::chrono::nanoseconds aInterval)
     : m_id(Record(aPort).m_id)
     , m_membership({ .m_clock = m_clock, .m_self = m_id })
     , m_rate({ .m_clock = m_clock,
@@ -112,7 +115,7 @@
                   .m_membership = m_membership,
                   .m_rate = m_rate,
                   .m_metrics = m_metrics,
-                  .m_heartbeatInterval = 20ms,
+                  .m_heartbeatInterval = aInterval,
                   .m_describe = [this] { return Describe(); },
                   .m_onLeaving =
                     [this](const std::vector<BackendServerId>& aIds) {
@@ -168,11 +171,13 @@
 class Fleet
 {
 public:
-  explicit Fleet(std::uint16_t aNodes)
+  explicit Fleet(std::uint16_t aNodes,
+                 std::chrono::nanoseconds aInterval = 20ms)
   {
     for (std::uint16_t port = 1; port <= aNodes; ++port) {
       m_list.push_back(Record(port));
-      m_nodes.push_back(std::make_unique<Node>(m_context, m_network, port));
+      m_nodes.push_back(
+        std::make_unique<Node>(m_context, m_network, port, aInterval));
     }
     for (const auto& node : m_nodes) {
       node->m_membership.ApplyList(m_list);
@@ -230,6 +235,20 @@
   REQUIRE(fleet.RunUntil([&] { return fleet.AllHaveAccounts(3); }));
 }
 
+TEST_CASE("a new version reaches all without waiting for an interval")
+{
+  Fleet fleet(5, 1h);
+  fleet.Start();
+  REQUIRE(fleet.RunUntil([&] {
+    return std::all_of(
+      fleet.m_nodes.begin(), fleet.m_nodes.end(), [](const auto& aNode) {
+        return aNode->m_control.HasCaughtUp();
+      });
+  }));
+  fleet.At(2).m_catalog.Offer(AccountsOffer(1));
+  REQUIRE(fleet.RunUntil([&] { return fleet.AllHaveAccounts(1); }));
+}
+
 TEST_CASE("an instance that starts from a stale source catches up first")
 {
   Fleet fleet(3);
--- a/rattanweir/connection/control/heartbeat_exchange.cc
+++ b/rattanweir/connection/control/heartbeat_exchange.cc
@@ -37,6 +37,8 @@
   InstanceId m_id;
   WakeUp m_wakeUp;
   bool m_isEnded = false;
+  // To be sent again without waiting for the interval.
+  bool m_isDue = false;
   // The newest call that has ended, and what came of it.
   std::optional<SteadyTime> m_startedAt;
   bool m_hasAnswered = false;
@@ -62,6 +64,7 @@
 HeartbeatExchange::SendNow()
 {
   for (const auto& [id, target] : m_targets) {
+    target->m_isDue = true;
     target->m_wakeUp.Wake();
   }
 }
@@ -121,8 +124,9 @@
 HeartbeatExchange::RunTarget(std::shared_ptr<Target> aTarget)
 {
   while (!aTarget->m_isEnded) {
+    aTarget->m_isDue = false;
     co_await ExchangeOnce(aTarget);
-    if (!aTarget->m_isEnded) {
+    if (!aTarget->m_isEnded && !aTarget->m_isDue) {
       co_await aTarget->m_wakeUp.WaitFor(m_currentInterval, m_stop);
     }
   }
