--- a/bench/control_slopes/control_slopes.cc
+++ b/bench/control_slopes/control_slopes.cc
@@ -8,6 +8,7 @@
 #include "bench/control_slopes/measure.h"
 #include "bench/control_slopes/message_costs.h"
 #include "bench/control_slopes/slope_table.h"
+#include "bench/control_slopes/view_costs.h"
 #include "rattanweir/base/clock/manual_clock.h"
 #include "rattanweir/base/random/random.h"
 #include "rattanweir/process/idempotency/idempotency_ledger.h"
@@ -322,5 +323,6 @@
 {
   rattanweir::PrintAll();
   rattanweir::PrintMessageCosts();
+  rattanweir::PrintViewCosts();
   return 0;
 }
