Look for usable peers of all regions of a pool in one pass

Each region of a pool walked the whole view and asked the clock for each peer: 42 ns a peer and region (control_slopes), so 16 us a region at 370 nodes. One pass over two regions takes 71 ns a peer, 26 us in place of 32. The rest is the copy of the peers that are found. process_membership_test, request_pipeline_test, connection_control_test and one_instance_test pass.

--- a/bench/control_slopes/view_costs.cc
+++ b/bench/control_slopes/view_costs.cc
@@ -72,10 +72,12 @@
 UsablePeersTime(std::size_t aCount)
 {
   const PeersFixture fixture(aCount);
+  const std::vector<RegionId> regions{ RegionId("region-1"),
+                                       RegionId("region-2") };
   std::size_t found = 0;
   const double time = TimeOf(kCalls, [&] {
     for (std::size_t call = 0; call < kCalls; ++call) {
-      found += fixture.m_membership->UsablePeersIn(RegionId("region-1")).size();
+      found += fixture.m_membership->UsablePeersIn(regions).size();
     }
   });
   return found > 0 ? time : 0;
@@ -133,7 +135,7 @@
               "item | at none | spread |\n"
               "| --- | --- | --- | --- | --- | --- | --- | --- |\n");
   PrintRow("peers, bytes", PeerBytes);
-  PrintRow("usable peers of one region of 11, peers, ns", UsablePeersTime);
+  PrintRow("usable peers of two regions of 11, peers, ns", UsablePeersTime);
   PrintRow("choice of heartbeat targets, peers, ns", TargetsTime);
   PrintRow("choice of a backend server, servers of its pool, ns", ChoiceTime);
 }
--- a/rattanweir/process/membership/membership.cc
+++ b/rattanweir/process/membership/membership.cc
@@ -1,5 +1,6 @@
 #include "rattanweir/process/membership/membership.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace rattanweir {
@@ -108,9 +109,18 @@
 std::vector<PeerView>
 Membership::UsablePeersIn(const RegionId& aRegion) const
 {
+  return UsablePeersIn(std::span(&aRegion, 1));
+}
+
+std::vector<PeerView>
+Membership::UsablePeersIn(std::span<const RegionId> aRegions) const
+{
+  const SteadyTime now = m_options.m_clock.SteadyNow();
   std::vector<PeerView> peers;
   for (const auto& [id, entry] : m_peers) {
-    if (entry.m_view.m_record.m_region != aRegion || !IsUsable(entry.m_view)) {
+    const RegionId& region = entry.m_view.m_record.m_region;
+    if (std::ranges::find(aRegions, region) == aRegions.end() ||
+        entry.m_isUnreachable || !IsHeard(entry.m_view, now)) {
       continue;
     }
     peers.push_back(entry.m_view);
--- a/rattanweir/process/membership/membership.h
+++ b/rattanweir/process/membership/membership.h
@@ -22,6 +22,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace rattanweir {
@@ -92,6 +93,9 @@
   // Listed and not leaving, draining, unready or silent.
   std::vector<PeerView> UsablePeersIn(const RegionId& aRegion) const;
 
+  // The same of several regions, in one pass.
+  std::vector<PeerView> UsablePeersIn(std::span<const RegionId> aRegions) const;
+
   // Shows the list's row of each peer that can be used, without a copy.
   void VisitUsablePeers(
     const std::function<void(const InstanceRecord&)>& aVisit) const;
--- a/rattanweir/request/pipeline/place_question.cc
+++ b/rattanweir/request/pipeline/place_question.cc
@@ -44,11 +44,10 @@
   if (aPlan.m_forwardedBy) {
     return question;
   }
-  for (const RegionId& region : catalog.RegionsOf(pool)) {
-    for (PeerView& peer : aServing.m_membership.UsablePeersIn(region)) {
-      if (!aTried.m_peers.contains(peer.m_record.m_id)) {
-        question.m_peers.push_back(std::move(peer));
-      }
+  const std::vector<RegionId> regions = catalog.RegionsOf(pool);
+  for (PeerView& peer : aServing.m_membership.UsablePeersIn(regions)) {
+    if (!aTried.m_peers.contains(peer.m_record.m_id)) {
+      question.m_peers.push_back(std::move(peer));
     }
   }
   return question;
