Say why a test connection could not be made

The machine held 19,797 sockets in TIME-WAIT a few minutes later, so exhausted ports are a guess that the message will settle.

--- a/testing/http/http.cc
+++ b/testing/http/http.cc
@@ -14,6 +14,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <system_error>
 #include <thread>
 #include <unistd.h>
 
@@ -322,7 +323,8 @@
   if (::connect(fd,
                 reinterpret_cast<const sockaddr*>(&address),
                 sizeof(address)) != 0) {
-    throw HttpError("cannot connect to " + aEndpoint.ToString());
+    throw HttpError("cannot connect to " + aEndpoint.ToString() + ": " +
+                    std::generic_category().message(errno));
   }
 }
 
