--- a/cmake/RattanweirPackage.cmake
+++ b/cmake/RattanweirPackage.cmake
@@ -3,8 +3,10 @@
 add_library(rattanweir_options INTERFACE)
 target_include_directories(rattanweir_options INTERFACE "${CMAKE_SOURCE_DIR}")
 target_compile_options(
-  rattanweir_options INTERFACE -Wall -Wextra -Wno-missing-field-initializers
-                               -Werror)
+  rattanweir_options INTERFACE -Wall -Wextra -Wno-missing-field-initializers)
+if(RATTANWEIR_WARNINGS_AS_ERRORS)
+  target_compile_options(rattanweir_options INTERFACE -Werror)
+endif()
 
 # rattanweir_library(NAME base_ids SOURCES a.cc HEADERS a.h DEPS x y)
 # declares the static library rattanweir_<NAME>. Without SOURCES it is an
@@ -31,6 +33,10 @@
   add_executable(${ARG_NAME} ${ARG_SOURCES})
   target_link_libraries(${ARG_NAME} PRIVATE rattanweir_options
                                             rattanweir_catch_main ${ARG_DEPS})
+  if(RATTANWEIR_ONLY_PROGRAMS)
+    set_target_properties(${ARG_NAME} PROPERTIES EXCLUDE_FROM_ALL ON)
+    return()
+  endif()
   add_test(NAME ${ARG_NAME} COMMAND ${ARG_NAME})
   set_tests_properties(${ARG_NAME} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
 endfunction()
--- a/cmake/check_layers.py
+++ b/cmake/check_layers.py
@@ -6,7 +6,7 @@
 import sys
 
 ORDER = ["base", "version", "process", "request", "connection"]
-INCLUDE = re.compile(r'#include\s+"(rattanweir/(\w+)/|programs/|testing/|bench/)')
+INCLUDE = re.compile(r'#include\s+"(rattanweir/(\w+)/|platform/|programs/|testing/|bench/)')
 
 
 def faults_in(path, rank):
--- /dev/null
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -0,0 +1,576 @@
+#include "programs/rattanweird/fleet_daemon.h"
+
+#include "platform/directory/directory.h"
+
+#include "rattanweir/base/json/json.h"
+#include "rattanweir/process/logging/log.h"
+#include "rattanweir/request/gateway/server_choices.h"
+#include "rattanweir/request/wait/wait.h"
+#include "rattanweir/version/text_file/text_file.h"
+
+#include <boost/asio/redirect_error.hpp>
+
+#include <csignal>
+#include <exception>
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kTickInterval{ 100 };
+// An instance that meets nobody goes on alone after this: about three rounds
+// of gossip with seeds that may be down.
+constexpr milliseconds kAloneAfter{ 1'500 };
+constexpr seconds kSettingsCheckInterval{ 1 };
+// A peer's demand is taken for old after this; gossip brings it about every
+// second.
+constexpr milliseconds kDemandLife{ 1'500 };
+// After SIGTERM new requests are still served for this long, since callers
+// keep what the directory said for up to 3 s.
+constexpr milliseconds kServeAfterStop{ 3'200 };
+// Kept free at the end of the time that a stop may take.
+constexpr milliseconds kStopMargin{ 500 };
+constexpr milliseconds kDrainPoll{ 20 };
+// Connects to a backend server of the own region, a few milliseconds away,
+// and to peers of all regions.
+constexpr milliseconds kBackendConnectTimeout{ 400 };
+constexpr milliseconds kPeerConnectTimeout{ 600 };
+// A server or peer that is gone without a word.
+constexpr SilenceLimits kSilence{
+  .m_unacknowledged = milliseconds(1'500),
+  .m_probeAfter = seconds(1),
+  .m_probeInterval = seconds(1),
+  .m_probes = 2,
+};
+// Connections kept open to one backend server: several instances share what
+// it accepts.
+constexpr std::size_t kIdlePerServer = 12;
+// Below the idle timeout of backend servers, as far as it is known.
+constexpr seconds kIdleAtServer{ 4 };
+// Memory for the bodies of all requests, out of about 200 MB.
+constexpr ByteCount kBodyBytesInAll{ 64UL * 1024 * 1024 };
+// Most bodies of unknown length are short.
+constexpr ByteCount kUnknownBodyBytes{ 64UL * 1024 };
+// Part of the tokens that may be admitted beyond the rate that is used: the
+// instances' views of each other are old by a moment.
+constexpr double kToleranceUsed = 0.5;
+constexpr unsigned kServiceUnavailable = 503;
+constexpr const char* kPlainText = "text/plain; version=0.0.4";
+
+template<class Function>
+void
+Spawn(asio::io_context& aContext, Function aFunction)
+{
+  asio::co_spawn(
+    aContext, std::move(aFunction), [](const std::exception_ptr& aError) {
+      if (aError) {
+        std::rethrow_exception(aError);
+      }
+    });
+}
+
+Incarnation
+IncarnationOf(const Clock& aClock)
+{
+  const auto sinceEpoch = aClock.WallNow().time_since_epoch();
+  return Incarnation(static_cast<std::uint64_t>(
+    duration_cast<milliseconds>(sinceEpoch).count()));
+}
+
+RetryLimits
+RetryLimitsOf(const FleetSettings& aFleet)
+{
+  return { .m_ratio = aFleet.m_retryRatio,
+           .m_extra = aFleet.m_retryExtra,
+           .m_window = aFleet.m_retryWindow };
+}
+
+Tokens
+ToleranceOf(const FleetSettings& aFleet)
+{
+  return Tokens(static_cast<std::int64_t>(
+    kToleranceUsed * static_cast<double>(aFleet.m_rateTolerance.Value())));
+}
+
+} // namespace
+
+FleetDaemon::FleetDaemon(const Settings& aSettings, std::string aSettingsPath)
+  : m_settings(aSettings)
+  , m_settingsPath(std::move(aSettingsPath))
+  , m_clock(SystemClock())
+  , m_startedAt(m_clock.SteadyNow())
+  , m_random(RandomNumber())
+  , m_fleet({ .m_clock = m_clock, .m_self = MakeSelf() })
+  , m_registry({ .m_clock = m_clock,
+                 .m_regionOfZone = m_settings.m_fleet->m_regionOfZone })
+  , m_backends({ .m_clock = m_clock })
+  , m_rates(
+      { .m_clock = m_clock, .m_tolerance = ToleranceOf(*m_settings.m_fleet) })
+  , m_retries(
+      { .m_clock = m_clock, .m_limits = RetryLimitsOf(*m_settings.m_fleet) })
+  , m_cold({ .m_clock = m_clock })
+  , m_lines(m_context.get_executor())
+  , m_feed({ .m_published = m_published,
+             .m_registry = m_registry,
+             .m_parts = m_parts,
+             .m_config = m_config,
+             .m_metrics = m_metrics })
+  , m_toBackends({ .m_executor = m_context.get_executor(),
+                   .m_clock = m_clock,
+                   .m_connectTimeout = kBackendConnectTimeout,
+                   .m_idlePerEndpoint = kIdlePerServer,
+                   .m_idleTimeout = kIdleAtServer,
+                   .m_takesUnframedAnswers = true,
+                   .m_silence = kSilence })
+  , m_toPeers({ .m_executor = m_context.get_executor(),
+                .m_clock = m_clock,
+                .m_connectTimeout = kPeerConnectTimeout,
+                .m_silence = kSilence })
+  , m_state(MakeState())
+  , m_gossip({ .m_executor = m_context.get_executor(),
+               .m_clock = m_clock,
+               .m_random = m_random,
+               .m_upstream = m_toPeers,
+               .m_fleet = m_fleet,
+               .m_published = m_published,
+               .m_metrics = m_metrics,
+               .m_updateSelf = [this] { UpdateSelf(); } })
+  , m_store({ .m_executor = m_context.get_executor(),
+              .m_clock = m_clock,
+              .m_random = m_random,
+              .m_store = m_settings.m_fleet->m_store,
+              .m_published = m_published,
+              .m_metrics = m_metrics })
+  , m_entryGate(m_state)
+  , m_peerGate(
+      m_state,
+      [this](const std::string& aCall) { return m_gossip.HandleCall(aCall); })
+  , m_callerServer(MakeCallerOptions())
+  , m_peerServer(MakePeerOptions())
+  , m_adminServer(MakeServerOptions(m_settings.m_adminAddress, m_adminRoutes))
+  , m_directoryServer(MakeServerOptions(m_settings.m_fleet->m_directoryAddress,
+                                        m_directoryRoutes))
+  , m_readinessServer(MakeServerOptions(m_settings.m_fleet->m_readinessAddress,
+                                        m_readinessRoutes))
+  , m_stopSignals(m_context, SIGTERM, SIGINT)
+  , m_reloadSignals(m_context, SIGHUP)
+{
+  m_fleet.SetSeeds(m_settings.m_fleet->m_seeds);
+  m_config.OnAccepted(
+    [this](const FleetConfig& aConfig) { TakeConfig(aConfig); });
+  RegisterGauges();
+  RegisterAdminRoutes();
+  platform::ServeDirectory(m_directoryRoutes, m_state);
+  platform::ServeReadiness(m_readinessRoutes, [this] {
+    const FleetMember& self = m_fleet.Self();
+    return self.m_isReady && !self.m_isDraining;
+  });
+  Log(LogLevel::Info,
+      "started",
+      { { "instance", m_settings.m_instance.Value() },
+        { "region", m_settings.m_region.Value() },
+        { "zone", m_settings.m_zone.Value() },
+        { "caller", m_callerServer.LocalEndpoint().ToString() },
+        { "peer", m_peerServer.LocalEndpoint().ToString() },
+        { "admin", m_adminServer.LocalEndpoint().ToString() },
+        { "store", m_settings.m_fleet->m_store.ToString() } });
+}
+
+void
+FleetDaemon::Run()
+{
+  for (HttpServer* server : { &m_callerServer,
+                              &m_peerServer,
+                              &m_adminServer,
+                              &m_directoryServer,
+                              &m_readinessServer }) {
+    server->Start();
+  }
+  m_store.Follow(TopicId(platform::kOperatorTopic));
+  m_store.Follow(TopicId(platform::kServersTopic));
+  m_gossip.Start();
+  Spawn(m_context, [this] { return TickUntilStopped(); });
+  Spawn(m_context, [this] { return AwaitStopSignals(); });
+  Spawn(m_context, [this] { return AwaitReloadSignals(); });
+  m_context.run();
+}
+
+FleetMember
+FleetDaemon::MakeSelf() const
+{
+  return { .m_id = m_settings.m_instance,
+           .m_incarnation = IncarnationOf(m_clock),
+           .m_region = m_settings.m_region,
+           .m_zone = m_settings.m_zone,
+           .m_callerAddress = m_settings.m_callerAddress,
+           .m_peerAddress = m_settings.m_peerAddress,
+           .m_capacity = m_settings.m_fleet->m_capacity };
+}
+
+GatewayState
+FleetDaemon::MakeState()
+{
+  return { .m_executor = m_context.get_executor(),
+           .m_clock = m_clock,
+           .m_random = m_random,
+           .m_protocol = m_protocol,
+           .m_config = m_config,
+           .m_fleet = m_fleet,
+           .m_registry = m_registry,
+           .m_backends = m_backends,
+           .m_parts = m_parts,
+           .m_rates = m_rates,
+           .m_retries = m_retries,
+           .m_cold = m_cold,
+           .m_lines = m_lines,
+           .m_metrics = m_metrics,
+           .m_toBackends = m_toBackends,
+           .m_toPeers = m_toPeers };
+}
+
+HttpServerOptions
+FleetDaemon::MakeServerOptions(const Endpoint& aAddress,
+                               RequestHandler& aHandler) const
+{
+  return {
+    .m_executor = const_cast<asio::io_context&>(m_context).get_executor(),
+    .m_address = aAddress,
+    .m_handler = aHandler,
+    .m_limits = m_settings.m_callerLimits,
+    .m_bodyBytesInAll = kBodyBytesInAll,
+    .m_clock = m_clock,
+    .m_unknownBodyBytes = kUnknownBodyBytes,
+    .m_answers = { .m_namesRequest = false, .m_sendsErrorEvents = false }
+  };
+}
+
+HttpServerOptions
+FleetDaemon::MakeCallerOptions()
+{
+  HttpServerOptions options =
+    MakeServerOptions(m_settings.m_callerAddress, m_entryGate);
+  options.m_answers.m_formatRefusal = [this](const RequestError& aError,
+                                             const RequestId&) {
+    return m_protocol.FormatRefusal(aError);
+  };
+  options.m_onError = [this](const RequestError& aError) {
+    m_metrics.CountRefusal(aError.Code());
+  };
+  return options;
+}
+
+HttpServerOptions
+FleetDaemon::MakePeerOptions()
+{
+  HttpServerOptions options =
+    MakeServerOptions(m_settings.m_peerAddress, m_peerGate);
+  options.m_answers.m_formatRefusal = [](const RequestError& aError,
+                                         const RequestId&) {
+    return FormatRefusalForPeer(aError);
+  };
+  options.m_onError = [this](const RequestError&) {
+    m_metrics.Count("rattanweir_peer_refusals_total");
+  };
+  return options;
+}
+
+void
+FleetDaemon::RegisterGauges()
+{
+  m_metrics.SetGauge("rattanweir_requests_in_flight", [this] {
+    return static_cast<double>(m_state.m_inFlight);
+  });
+  m_metrics.SetGauge("rattanweir_caller_connections", [this] {
+    return static_cast<double>(m_callerServer.Connections());
+  });
+  m_metrics.SetGauge("rattanweir_fleet_members_live", [this] {
+    return static_cast<double>(m_fleet.LivePeers().size() + 1);
+  });
+  m_metrics.SetGauge("rattanweir_backend_servers",
+                     [this] { return static_cast<double>(m_registry.Size()); });
+  m_metrics.SetGauge("rattanweir_store_in_touch",
+                     [this] { return m_store.IsInTouch() ? 1.0 : 0.0; });
+  m_metrics.SetGauge("rattanweir_ready",
+                     [this] { return m_fleet.Self().m_isReady ? 1.0 : 0.0; });
+  m_metrics.SetGauge("rattanweir_config_version", [this] {
+    const FleetConfigPtr config = m_config.InForce();
+    return config ? static_cast<double>(config->Version().Value()) : 0.0;
+  });
+}
+
+void
+FleetDaemon::RegisterAdminRoutes()
+{
+  m_adminRoutes.Register("GET", "/metrics", [this](const AdminQuery&) {
+    return AdminAnswer{ .m_contentType = kPlainText,
+                        .m_body = m_metrics.Exposition() };
+  });
+  m_adminRoutes.Register("GET", "/status", [this](const AdminQuery&) {
+    return AdminAnswer{ .m_body = StatusJson() };
+  });
+  m_adminRoutes.Register("GET", "/livez", [](const AdminQuery&) {
+    return AdminAnswer{ .m_body = R"({"live":true})" };
+  });
+  m_adminRoutes.Register("GET", "/readyz", [this](const AdminQuery&) {
+    const FleetMember& self = m_fleet.Self();
+    const bool isReady = self.m_isReady && !self.m_isDraining;
+    return AdminAnswer{ .m_status = isReady ? 200 : kServiceUnavailable,
+                        .m_body = isReady ? R"({"ready":true})"
+                                          : R"({"ready":false})" };
+  });
+}
+
+std::string
+FleetDaemon::StatusJson() const
+{
+  Json::Value status;
+  status["instance"] = m_settings.m_instance.Value();
+  status["ready"] = m_fleet.Self().m_isReady;
+  status["draining"] = m_fleet.Self().m_isDraining;
+  status["store_in_touch"] = m_store.IsInTouch();
+  const FleetConfigPtr config = m_config.InForce();
+  status["config"] = config ? Json::UInt64(config->Version().Value()) : 0;
+  status["in_flight"] = Json::UInt64(m_state.m_inFlight);
+  status["members"] = Json::Value(Json::arrayValue);
+  for (const FleetMember* member : m_fleet.PossiblyRunning()) {
+    Json::Value row;
+    row["id"] = member->m_id.Value();
+    row["region"] = member->m_region.Value();
+    row["live"] = m_fleet.IsLive(member->m_id);
+    row["ready"] = member->m_isReady;
+    row["config"] = Json::UInt64(member->m_configVersion.Value());
+    status["members"].append(std::move(row));
+  }
+  status["servers"] = Json::Value(Json::arrayValue);
+  if (!config) {
+    return JsonText(status);
+  }
+  for (const Pool& pool : config->Pools()) {
+    for (const KnownServer* server :
+         m_registry.ServersOf(pool.m_id, m_settings.m_region)) {
+      const BackendState state = m_backends.StateOf(server->m_incarnation);
+      Json::Value row;
+      row["incarnation"] = server->m_incarnation.Value();
+      row["pool"] = pool.m_id.Value();
+      row["leaving"] = server->m_record.m_isLeaving;
+      row["evacuated"] = server->m_isEvacuated;
+      row["cold"] = server->m_coldUntil > m_clock.SteadyNow();
+      row["ejected"] = state.m_ejectedUntil.has_value();
+      row["in_flight"] = state.m_inFlight;
+      row["failure_share"] = state.m_failureShare;
+      status["servers"].append(std::move(row));
+    }
+  }
+  return JsonText(status);
+}
+
+void
+FleetDaemon::TakeConfig(const FleetConfig& aConfig)
+{
+  m_rates.Configure(aConfig);
+  CallerLimits limits = m_settings.m_callerLimits;
+  limits.m_headerBytes = aConfig.Limits().m_headerBytes;
+  limits.m_bodyBytes = aConfig.Limits().m_bodyBytes;
+  limits.m_idleTimeout = aConfig.Limits().m_idleTimeout;
+  m_callerServer.SetLimits(limits);
+  UpdateReadiness();
+}
+
+void
+FleetDaemon::UpdateSelf()
+{
+  FleetMember& self = m_fleet.Self();
+  self.m_demand = m_rates.Demand();
+  self.m_publishedRevisions.clear();
+  for (const auto& [topic, revision] : m_published.Revisions()) {
+    self.m_publishedRevisions.emplace(topic.Value(), revision);
+  }
+  const FleetConfigPtr config = m_config.InForce();
+  if (!config) {
+    return;
+  }
+  self.m_configVersion = config->Version();
+  self.m_pools.clear();
+  for (const Pool& pool : config->Pools()) {
+    if (const auto delay = StartDelayHere(m_state, *config, pool.m_id)) {
+      self.m_pools[pool.m_id].m_startDelay = *delay;
+    }
+  }
+}
+
+// Divides what the fleet shares by what is known of the other instances.
+void
+FleetDaemon::UpdateShares()
+{
+  FleetDemand demand{ .m_instances = m_fleet.FleetSize() };
+  for (const FleetMember* member : m_fleet.PossiblyRunning()) {
+    auto& sum = m_fleet.AgeOf(member->m_id) <= kDemandLife
+                  ? demand.m_demandElsewhere
+                  : demand.m_demandOfSilent;
+    for (const auto& [account, tokens] : member->m_demand) {
+      sum[account] += tokens;
+    }
+  }
+  m_rates.SetFleet(std::move(demand));
+  m_retries.SetFleetSize(m_fleet.FleetSize());
+}
+
+void
+FleetDaemon::UpdateReadiness()
+{
+  FleetMember& self = m_fleet.Self();
+  const bool hasMet = m_gossip.HasMetSomeone() ||
+                      m_clock.SteadyNow() - m_startedAt >= kAloneAfter;
+  if (self.m_isReady || !m_config.InForce() || !hasMet) {
+    return;
+  }
+  self.m_isReady = true;
+  Log(LogLevel::Info,
+      "ready",
+      { { "config", std::to_string(m_config.InForce()->Version().Value()) },
+        { "members", std::to_string(m_fleet.LivePeers().size() + 1) },
+        { "servers", std::to_string(m_registry.Size()) } });
+  m_gossip.Announce();
+}
+
+Task<void>
+FleetDaemon::TickUntilStopped()
+{
+  CancelSource never;
+  while (!m_isStopped) {
+    m_registry.Tick();
+    UpdateShares();
+    UpdateReadiness();
+    if (HasSettingsChanged()) {
+      ReloadSettings("the file changed");
+    }
+    co_await WaitFor(m_context.get_executor(), kTickInterval, never);
+  }
+}
+
+bool
+FleetDaemon::HasSettingsChanged()
+{
+  const SteadyTime now = m_clock.SteadyNow();
+  if (now - m_settingsCheckedAt < kSettingsCheckInterval) {
+    return false;
+  }
+  m_settingsCheckedAt = now;
+  try {
+    const std::string text = ReadTextFile(m_settingsPath).m_text;
+    const bool isFirst = m_settingsText.empty();
+    if (text == m_settingsText) {
+      return false;
+    }
+    m_settingsText = text;
+    return !isFirst;
+  } catch (const TextFileError& error) {
+    Log(
+      LogLevel::Warning, "settings_unreadable", { { "detail", error.what() } });
+    return false;
+  }
+}
+
+// Takes over what can change while the process runs.
+void
+FleetDaemon::ReloadSettings(const char* aWhy)
+{
+  try {
+    const Settings settings = LoadSettings(m_settingsPath);
+    if (!settings.m_fleet) {
+      Log(LogLevel::Warning,
+          "settings_rejected",
+          { { "detail", "fleet: is missing" } });
+      return;
+    }
+    m_settings.m_fleet->m_seeds = settings.m_fleet->m_seeds;
+    m_settings.m_shutdownTimeout = settings.m_shutdownTimeout;
+    m_fleet.SetSeeds(settings.m_fleet->m_seeds);
+    ConfigureLog(settings.m_log);
+    Log(LogLevel::Info,
+        "settings_reloaded",
+        { { "why", aWhy },
+          { "seeds", std::to_string(settings.m_fleet->m_seeds.size()) } });
+  } catch (const SettingsError& error) {
+    for (const SectionFault& fault : error.Faults()) {
+      Log(LogLevel::Warning,
+          "settings_rejected",
+          { { "detail", fault.ToString() } });
+    }
+  }
+}
+
+Task<void>
+FleetDaemon::AwaitReloadSignals()
+{
+  while (!m_isStopped) {
+    boost::system::error_code error;
+    co_await m_reloadSignals.async_wait(
+      asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_return;
+    }
+    ReloadSettings("SIGHUP");
+  }
+}
+
+Task<void>
+FleetDaemon::AwaitStopSignals()
+{
+  boost::system::error_code error;
+  co_await m_stopSignals.async_wait(
+    asio::redirect_error(asio::use_awaitable, error));
+  if (!error) {
+    Spawn(m_context, [this] { return ShutDown(); });
+  }
+}
+
+Task<void>
+FleetDaemon::ShutDown()
+{
+  CancelSource never;
+  const SteadyTime end =
+    m_clock.SteadyNow() + m_settings.m_shutdownTimeout - kStopMargin;
+  m_fleet.Self().m_isDraining = true;
+  Log(LogLevel::Info,
+      "draining",
+      { { "in_flight", std::to_string(m_state.m_inFlight) } });
+  m_gossip.Announce();
+  m_callerServer.CloseAfterAnswers();
+  co_await WaitFor(
+    m_context.get_executor(),
+    std::min<nanoseconds>(kServeAfterStop, (end - m_clock.SteadyNow()) / 2),
+    never);
+  m_callerServer.Drain();
+  while (m_callerServer.Connections() + m_state.m_inFlight > 0 &&
+         m_clock.SteadyNow() < end) {
+    co_await WaitFor(m_context.get_executor(), kDrainPoll, never);
+  }
+  AbortAll();
+  Log(LogLevel::Info,
+      "stopped",
+      { { "in_flight", std::to_string(m_state.m_inFlight) } });
+  m_isStopped = true;
+  m_context.stop();
+}
+
+void
+FleetDaemon::AbortAll()
+{
+  m_store.Stop();
+  m_gossip.Stop();
+  for (HttpServer* server : { &m_callerServer,
+                              &m_peerServer,
+                              &m_adminServer,
+                              &m_directoryServer,
+                              &m_readinessServer }) {
+    server->Abort();
+  }
+}
+
+} // namespace rattanweir
--- a/programs/rattanweird/main.cc
+++ b/programs/rattanweird/main.cc
@@ -1,6 +1,7 @@
 // The gateway: one instance between callers and backend servers.
 
 #include "programs/rattanweird/daemon.h"
+#include "programs/rattanweird/fleet_daemon.h"
 
 #include "rattanweir/process/logging/log.h"
 
@@ -28,8 +29,14 @@
     rattanweir::ConfigureLog(settings.m_log);
     // Never destroyed: tasks that still wait refer to its members, and the
     // process ends with it.
-    auto* const daemon = new rattanweir::Daemon(settings);
-    daemon->Run();
+    if (settings.m_fleet) {
+      auto* const daemon =
+        new rattanweir::FleetDaemon(settings, FLAGS_settings);
+      daemon->Run();
+    } else {
+      auto* const daemon = new rattanweir::Daemon(settings);
+      daemon->Run();
+    }
     return 0;
   } catch (const rattanweir::SettingsError& error) {
     for (const rattanweir::SectionFault& fault : error.Faults()) {
--- a/rattanweir/connection/platform/internal/back_off.cc
+++ b/rattanweir/base/back_off/back_off.cc
@@ -1,4 +1,4 @@
-#include "rattanweir/connection/platform/internal/back_off.h"
+#include "rattanweir/base/back_off/back_off.h"
 
 #include <algorithm>
 #include <random>
--- a/rattanweir/connection/platform/internal/back_off.h
+++ b/rattanweir/base/back_off/back_off.h
@@ -1,4 +1,10 @@
-// How long to wait before a failed read is tried again.
+// How long to wait before something that failed is tried again.
+//
+//   BackOff backOff(engine, 100ms, 10s);
+//   co_await WaitFor(executor, backOff.Next(), cancel);
+//   backOff.Reset();
+//
+// For one thread.
 
 #pragma once
 
--- a/rattanweir/base/result/result_code.h
+++ b/rattanweir/base/result/result_code.h
@@ -78,6 +78,7 @@
   CallerTooSlow = 409,
   PeerLost = 410,
   AnswerTooLarge = 411,
+  BackendFailed = 412,
 
   InternalError = 500,
 };
--- /dev/null
+++ b/rattanweir/connection/gossip/gossip.cc
@@ -0,0 +1,195 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/connection/gossip/gossip.h"
+
+#include "rattanweir/connection/control/peer_call.h"
+#include "rattanweir/connection/gossip/gossip_messages.h"
+#include "rattanweir/process/logging/log.h"
+#include "rattanweir/request/wait/wait.h"
+
+#include <exception>
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+// A peer that takes longer is asked again in a later round.
+constexpr std::chrono::milliseconds kCallTimeout{ 1'000 };
+
+} // namespace
+
+Gossip::Gossip(const GossipOptions& aOptions)
+  : m_options(aOptions)
+{
+  m_dispatcher.Register(kGossipMethod, [this](const Json::Value& aParameters) {
+    return AnswerGossip(aParameters);
+  });
+  m_dispatcher.Register(kFetchTopicMethod,
+                        [this](const Json::Value& aParameters) {
+                          return AnswerFetchTopic(aParameters);
+                        });
+}
+
+void
+Gossip::Start()
+{
+  asio::co_spawn(m_options.m_executor, RunRounds(), asio::detached);
+}
+
+void
+Gossip::Stop()
+{
+  m_stop.Cancel(ResultCode::InstanceDraining);
+}
+
+Task<void>
+Gossip::RunRounds()
+{
+  for (unsigned round = 0; !m_stop.Reason(); ++round) {
+    const bool hasElsewhere = round % m_options.m_roundsForElsewhere == 0;
+    for (const Endpoint& target :
+         m_options.m_fleet.ChooseTargets(m_options.m_random, hasElsewhere)) {
+      asio::co_spawn(m_options.m_executor, Exchange(target), asio::detached);
+    }
+    co_await WaitFor(m_options.m_executor, m_options.m_interval, m_stop);
+  }
+}
+
+void
+Gossip::Announce()
+{
+  const RegionId own = m_options.m_fleet.Self().m_region;
+  std::set<RegionId> told;
+  for (const FleetMember* peer : m_options.m_fleet.LivePeers()) {
+    if (peer->m_region != own && !told.insert(peer->m_region).second) {
+      continue;
+    }
+    asio::co_spawn(
+      m_options.m_executor, Exchange(peer->m_peerAddress), asio::detached);
+  }
+}
+
+Json::Value
+Gossip::NextMessage()
+{
+  m_options.m_updateSelf();
+  return ToJson(m_options.m_fleet.NextMessage(m_options.m_random));
+}
+
+Task<void>
+Gossip::Exchange(Endpoint aTarget)
+{
+  // One that is slow is not asked twice at the same time.
+  if (!m_exchanging.insert(aTarget).second) {
+    co_return;
+  }
+  try {
+    PeerCall call;
+    call.m_endpoint = aTarget;
+    call.m_method = kGossipMethod;
+    call.m_parameters = NextMessage();
+    call.m_deadline = m_options.m_clock.SteadyNow() + kCallTimeout;
+    const Json::Value answer =
+      co_await CallPeer(m_options.m_upstream, std::move(call));
+    TakeRows(answer);
+    m_hasMetSomeone = true;
+    m_options.m_metrics.Count("rattanweir_gossip_exchanges_total");
+  } catch (const std::exception& error) {
+    // Silence is judged by the age of the rows; the cause is for operators.
+    m_options.m_metrics.Count("rattanweir_gossip_failures_total");
+    Log(LogLevel::Debug,
+        "gossip_failed",
+        { { "peer", aTarget.ToString() }, { "detail", error.what() } });
+  }
+  m_exchanging.erase(aTarget);
+}
+
+void
+Gossip::TakeRows(const Json::Value& aMessage)
+{
+  const std::vector<FleetMember> rows = FleetRowsFromJson(aMessage);
+  const FleetMember& sender = rows.front();
+  m_options.m_fleet.Merge(rows, sender.m_id);
+  FetchNewerTopics(sender);
+}
+
+void
+Gossip::FetchNewerTopics(const FleetMember& aPeer)
+{
+  for (const auto& [name, revision] : aPeer.m_publishedRevisions) {
+    const TopicId topic(name);
+    if (revision <= m_options.m_published.RevisionOf(topic) ||
+        !m_fetching.insert(topic).second) {
+      continue;
+    }
+    asio::co_spawn(m_options.m_executor,
+                   FetchTopic(aPeer.m_peerAddress, topic),
+                   asio::detached);
+  }
+}
+
+// A peer's copy is as good as the platform's own answer at that revision.
+Task<void>
+Gossip::FetchTopic(Endpoint aPeer, TopicId aTopic)
+{
+  try {
+    PeerCall call;
+    call.m_endpoint = aPeer;
+    call.m_method = kFetchTopicMethod;
+    call.m_parameters["topic"] = aTopic.Value();
+    call.m_deadline = m_options.m_clock.SteadyNow() + kCallTimeout;
+    const Json::Value answer =
+      co_await CallPeer(m_options.m_upstream, std::move(call));
+    TopicCopy copy = TopicCopyFromJson(answer);
+    const std::uint64_t known = m_options.m_published.RevisionOf(aTopic);
+    if (copy.m_revision > known) {
+      Log(LogLevel::Info,
+          "topic_taken_from_peer",
+          { { "topic", aTopic.Value() },
+            { "peer", aPeer.ToString() },
+            { "revision", std::to_string(copy.m_revision) },
+            { "known", std::to_string(known) } });
+      const std::uint64_t asOf = copy.m_revision;
+      m_options.m_published.Replace(
+        aTopic, std::move(copy), asOf, Removal::Published);
+      m_options.m_metrics.Count("rattanweir_topics_from_peers_total");
+    }
+  } catch (const std::exception& error) {
+    Log(LogLevel::Info,
+        "topic_fetch_failed",
+        { { "topic", aTopic.Value() },
+          { "peer", aPeer.ToString() },
+          { "detail", error.what() } });
+  }
+  m_fetching.erase(aTopic);
+}
+
+std::string
+Gossip::HandleCall(const std::string& aRequest)
+{
+  return m_dispatcher.Handle(aRequest);
+}
+
+Json::Value
+Gossip::AnswerGossip(const Json::Value& aParameters)
+{
+  TakeRows(aParameters);
+  m_hasMetSomeone = true;
+  return NextMessage();
+}
+
+Json::Value
+Gossip::AnswerFetchTopic(const Json::Value& aParameters) const
+{
+  if (!aParameters["topic"].isString()) {
+    throw RpcError("topic: expected a text");
+  }
+  const TopicId topic(aParameters["topic"].asString());
+  const TopicCopy* copy = m_options.m_published.Find(topic);
+  if (copy == nullptr) {
+    throw RpcError("topic: not known here");
+  }
+  return ToJson(*copy);
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/connection/gossip/gossip_messages.h
@@ -0,0 +1,35 @@
+// The messages of gossip between instances as JSON values.
+//
+//   Json::Value parameters = ToJson(rows);
+//   std::vector<FleetMember> same = FleetRowsFromJson(parameters);
+//
+// The readers take every field or none: a missing field or one of the wrong
+// type throws RpcError that names it.
+
+#pragma once
+
+#include "rattanweir/process/fleet/fleet_view.h"
+#include "rattanweir/process/published/published_items.h"
+
+#include <json/value.h>
+
+#include <vector>
+
+namespace rattanweir {
+
+// The names of the methods.
+inline constexpr char kGossipMethod[] = "gossip";
+inline constexpr char kFetchTopicMethod[] = "fetch_topic";
+
+// The first row is the sender's own.
+Json::Value
+ToJson(const std::vector<FleetMember>& aRows);
+std::vector<FleetMember>
+FleetRowsFromJson(const Json::Value& aValue);
+
+Json::Value
+ToJson(const TopicCopy& aCopy);
+TopicCopy
+TopicCopyFromJson(const Json::Value& aValue);
+
+} // namespace rattanweir
--- a/rattanweir/connection/http_client/http_client.cc
+++ b/rattanweir/connection/http_client/http_client.cc
@@ -93,8 +93,7 @@
 {
   CheckEnded();
   m_isReused = false;
-  m_stream = std::make_unique<ClientStream>(m_options.m_executor,
-                                            m_options.m_headerBytes);
+  m_stream = std::make_unique<ClientStream>(m_options);
   m_stream->Socket().ExpireAfter(std::min(Left(), m_options.m_connectTimeout));
   const ErrorCode error = co_await m_stream->Connect(m_endpoint);
   if (error) {
--- a/rattanweir/connection/http_client/http_client.h
+++ b/rattanweir/connection/http_client/http_client.h
@@ -14,7 +14,8 @@
 // - BackendReset: the connection broke after a byte was sent and before a head.
 // - AnswerIncomplete: the answer is no HTTP, its header is over the limit, its
 //   body broke off, or it has neither a length nor chunks, so that its end
-//   can't be told from a broken connection.
+//   can't be told from a broken connection; the latter is taken as whole at the
+//   orderly end of the connection where the options say so.
 // - DeadlineExceeded and the reason of the cancel source.
 // HasRun() is Ran::No until the first byte was sent, and speaks of this
 // exchange alone: who sends a request twice joins the two.
@@ -32,6 +33,19 @@
 
 namespace rattanweir {
 
+// When a connection whose other end is gone without a word counts as broken.
+struct SilenceLimits
+{
+  // Sent bytes that are not acknowledged for this long; 0 leaves it to the
+  // system.
+  std::chrono::milliseconds m_unacknowledged{ 0 };
+  // A connection without traffic for this long is probed at this interval, and
+  // broken after this many probes without an answer.
+  std::chrono::seconds m_probeAfter{ 5 };
+  std::chrono::seconds m_probeInterval{ 2 };
+  int m_probes = 3;
+};
+
 struct HttpUpstreamOptions
 {
   Executor m_executor;
@@ -44,6 +58,9 @@
   std::size_t m_idleInAll = 512;
   // Below the idle timeout of the servers, which then rarely close first.
   std::chrono::nanoseconds m_idleTimeout{ std::chrono::seconds(15) };
+  // Takes an answer without a length whose connection is closed in order.
+  bool m_takesUnframedAnswers = false;
+  SilenceLimits m_silence;
 };
 
 class ConnectionPool;
--- a/rattanweir/connection/http_client/internal/client_stream.cc
+++ b/rattanweir/connection/http_client/internal/client_stream.cc
@@ -2,6 +2,7 @@
 
 #include "rattanweir/connection/http_client/internal/client_stream.h"
 #include "rattanweir/connection/http_fields/http_fields.h"
+#include "rattanweir/request/exchange/header_fields.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
@@ -34,11 +35,6 @@
 constexpr std::size_t kFirstReadBytes = 4UL * 1024;
 constexpr std::size_t kMostReadBytes = 64UL * 1024;
 
-// A silent server is given up on after the first time and all the probes.
-constexpr int kKeepAliveIdleSeconds = 5;
-constexpr int kKeepAliveIntervalSeconds = 2;
-constexpr int kKeepAliveProbes = 3;
-
 // Methods whose requests carry a length even without a body.
 bool
 HasBody(const OutboundRequest& aRequest)
@@ -57,7 +53,9 @@
   message.version(11);
   message.method_string(aRequest.m_method);
   message.target(aRequest.m_target);
-  message.set(http::field::host, aEndpoint.ToString());
+  if (FindHeader(aRequest.m_headers, "host") == nullptr) {
+    message.set(http::field::host, aEndpoint.ToString());
+  }
   for (const HeaderField& field : aRequest.m_headers) {
     message.insert(field.m_name, field.m_value);
   }
@@ -73,15 +71,16 @@
 // Keeps the system asking, so that a server that is gone without a word is
 // found before the request's deadline.
 void
-SetOptions(tcp::socket& aSocket)
+SetOptions(tcp::socket& aSocket, const SilenceLimits& aLimits)
 {
   ErrorCode ignored;
   aSocket.set_option(tcp::no_delay(true), ignored);
   aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
   const std::pair<int, int> options[] = {
-    { TCP_KEEPIDLE, kKeepAliveIdleSeconds },
-    { TCP_KEEPINTVL, kKeepAliveIntervalSeconds },
-    { TCP_KEEPCNT, kKeepAliveProbes },
+    { TCP_KEEPIDLE, static_cast<int>(aLimits.m_probeAfter.count()) },
+    { TCP_KEEPINTVL, static_cast<int>(aLimits.m_probeInterval.count()) },
+    { TCP_KEEPCNT, aLimits.m_probes },
+    { TCP_USER_TIMEOUT, static_cast<int>(aLimits.m_unacknowledged.count()) },
   };
   for (const auto& [option, value] : options) {
     ::setsockopt(
@@ -113,9 +112,11 @@
 
 struct ClientStream::State
 {
-  State(const Executor& aExecutor, ByteCount aHeaderBytes)
-    : m_socket(tcp::socket(aExecutor))
-    , m_headerBytes(static_cast<std::uint32_t>(aHeaderBytes.Value()))
+  explicit State(const HttpUpstreamOptions& aOptions)
+    : m_socket(tcp::socket(aOptions.m_executor))
+    , m_headerBytes(static_cast<std::uint32_t>(aOptions.m_headerBytes.Value()))
+    , m_takesUnframed(aOptions.m_takesUnframedAnswers)
+    , m_silence(aOptions.m_silence)
     , m_buffer(std::max(kMostReadBytes, std::size_t(m_headerBytes)))
   {
   }
@@ -131,14 +132,18 @@
 
   TimedSocket m_socket;
   std::uint32_t m_headerBytes;
+  bool m_takesUnframed;
+  SilenceLimits m_silence;
   beast::flat_buffer m_buffer;
   std::optional<ResponseParser> m_parser;
   std::size_t m_readBytes = kFirstReadBytes;
   bool m_isHead = false;
+  // The server answered before it had the whole request.
+  bool m_isRequestCut = false;
 };
 
-ClientStream::ClientStream(const Executor& aExecutor, ByteCount aHeaderBytes)
-  : m_state(std::make_unique<State>(aExecutor, aHeaderBytes))
+ClientStream::ClientStream(const HttpUpstreamOptions& aOptions)
+  : m_state(std::make_unique<State>(aOptions))
 {
 }
 
@@ -159,7 +164,8 @@
   co_await socket.async_connect(
     endpoint, asio::redirect_error(asio::use_awaitable, error));
   if (!error) {
-    SetOptions(socket);
+    SetOptions(socket, m_state->m_silence);
+    socket.non_blocking(true, error);
   }
   co_return error;
 }
@@ -175,8 +181,18 @@
                                              body ? asio::buffer(*body)
                                                   : asio::const_buffer() };
   while (!outcome.m_error && rest[0].size() + rest[1].size() > 0) {
-    std::size_t taken = co_await m_state->m_socket.Get().async_write_some(
-      rest, asio::redirect_error(asio::use_awaitable, outcome.m_error));
+    std::size_t taken =
+      m_state->m_socket.Get().write_some(rest, outcome.m_error);
+    if (outcome.m_error == asio::error::would_block) {
+      outcome.m_error = {};
+      if (m_state->m_socket.HasExpired()) {
+        outcome.m_error = asio::error::operation_aborted;
+      } else if (!co_await WaitForRoom()) {
+        m_state->m_isRequestCut = true;
+        break;
+      }
+      continue;
+    }
     outcome.m_bytesSent += taken;
     for (asio::const_buffer& buffer : rest) {
       const std::size_t here = std::min(taken, buffer.size());
@@ -187,6 +203,34 @@
   co_return outcome;
 }
 
+// False if the server sent something before it took more of the request.
+Task<bool>
+ClientStream::WaitForRoom()
+{
+  struct Race
+  {
+    bool m_isOver = false;
+    bool m_isReadable = false;
+  };
+  tcp::socket& socket = m_state->m_socket.Get();
+  const auto race = std::make_shared<Race>();
+  socket.async_wait(tcp::socket::wait_read,
+                    [race, &socket](const ErrorCode& aError) {
+                      if (!aError && !race->m_isOver) {
+                        race->m_isReadable = true;
+                        socket.cancel();
+                      }
+                    });
+  ErrorCode error;
+  co_await socket.async_wait(tcp::socket::wait_write,
+                             asio::redirect_error(asio::use_awaitable, error));
+  race->m_isOver = true;
+  if (!race->m_isReadable) {
+    socket.cancel(error);
+  }
+  co_return !race->m_isReadable;
+}
+
 Task<HeadOutcome>
 ClientStream::ReadHead()
 {
@@ -212,7 +256,8 @@
     co_return outcome;
   }
   const ResponseParser& parser = *state.m_parser;
-  outcome.m_isUnusable = !parser.is_done() && parser.need_eof();
+  outcome.m_isUnusable =
+    !parser.is_done() && parser.need_eof() && !state.m_takesUnframed;
   outcome.m_head.m_status = parser.get().result_int();
   outcome.m_head.m_headers = FieldsOf(parser);
   if (const auto length = parser.content_length()) {
@@ -265,6 +310,7 @@
 ClientStream::IsReusable() const
 {
   return IsWhole() && m_state->m_parser->keep_alive() &&
+         !m_state->m_parser->need_eof() && !m_state->m_isRequestCut &&
          m_state->m_buffer.size() == 0;
 }
 
--- a/rattanweir/connection/http_client/internal/client_stream.h
+++ b/rattanweir/connection/http_client/internal/client_stream.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "rattanweir/base/asio/asio.h"
-#include "rattanweir/base/units/units.h"
+#include "rattanweir/connection/http_client/http_client.h"
 #include "rattanweir/connection/timed_socket/timed_socket.h"
 #include "rattanweir/request/exchange/exchange.h"
 
@@ -44,7 +44,7 @@
 class ClientStream
 {
 public:
-  ClientStream(const Executor& aExecutor, ByteCount aHeaderBytes);
+  explicit ClientStream(const HttpUpstreamOptions& aOptions);
   ~ClientStream();
   ClientStream(const ClientStream&) = delete;
   ClientStream& operator=(const ClientStream&) = delete;
@@ -53,6 +53,8 @@
   TimedSocket& Socket();
 
   Task<ErrorCode> Connect(Endpoint aEndpoint);
+  // Stops early, without an error, when the server answers before it has read
+  // all; the connection carries no other request then.
   Task<WriteOutcome> WriteRequest(Endpoint aEndpoint,
                                   const OutboundRequest& aRequest);
   Task<HeadOutcome> ReadHead();
@@ -69,6 +71,8 @@
   void Reset();
 
 private:
+  Task<bool> WaitForRoom();
+
   struct State;
   std::unique_ptr<State> m_state;
 };
--- a/rattanweir/connection/http_server/http_server.cc
+++ b/rattanweir/connection/http_server/http_server.cc
@@ -108,6 +108,18 @@
   co_spawn(m_state->m_options.m_executor, Accept(m_state), asio::detached);
 }
 
+void
+HttpServer::SetLimits(const CallerLimits& aLimits)
+{
+  m_state->m_options.m_limits = aLimits;
+}
+
+void
+HttpServer::CloseAfterAnswers()
+{
+  m_state->m_closesAfterAnswers = true;
+}
+
 void
 HttpServer::Drain()
 {
--- a/rattanweir/connection/http_server/http_server.h
+++ b/rattanweir/connection/http_server/http_server.h
@@ -34,13 +34,26 @@
 #include "rattanweir/base/endpoint/endpoint.h"
 #include "rattanweir/process/settings/settings.h"
 #include "rattanweir/request/exchange/exchange.h"
+#include "rattanweir/request/refusal/refusal.h"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace rattanweir {
 
+// How this side's own words are put into answers.
+struct AnswerStyle
+{
+  std::function<Refusal(const RequestError&, const RequestId&)>
+    m_formatRefusal = RefusalAnswer;
+  // Adds the request's id to the header of each answer.
+  bool m_namesRequest = true;
+  // Ends a stream that fails with an event that says why.
+  bool m_sendsErrorEvents = true;
+};
+
 struct HttpServerOptions
 {
   Executor m_executor;
@@ -54,6 +67,10 @@
   // Keeps the request id that the sender names. Only for the side that peers
   // use; every other request gets an id of its own.
   bool m_trustsRequestId = false;
+  // What the body of unknown length takes from the bound on all bodies until
+  // it was read; nothing takes the most that it may have.
+  std::optional<ByteCount> m_unknownBodyBytes;
+  AnswerStyle m_answers;
   // Runs for each request or connection that ends in an error, those of the
   // handler included. Must not throw.
   std::function<void(const RequestError&)> m_onError;
@@ -78,6 +95,14 @@
   // Begins to accept.
   void Start();
 
+  // For connections accepted from now on, but for the idle timeout, which
+  // holds from the next request of each connection.
+  void SetLimits(const CallerLimits& aLimits);
+
+  // Takes requests as before, but closes each connection after its next
+  // answer.
+  void CloseAfterAnswers();
+
   // Stops accepting, closes idle connections and lets running requests end;
   // each connection closes after its answer.
   void Drain();
--- a/rattanweir/connection/http_server/internal/answer_writer.cc
+++ b/rattanweir/connection/http_server/internal/answer_writer.cc
@@ -65,7 +65,8 @@
     throw std::logic_error("an answer has one head");
   }
   DropConnectionFields(aHead.m_headers);
-  if (!FindHeader(aHead.m_headers, kRequestField)) {
+  if (m_options.m_style.m_namesRequest &&
+      !FindHeader(aHead.m_headers, kRequestField)) {
     aHead.m_headers.push_back(
       { std::string(kRequestField), m_options.m_request.Value() });
   }
@@ -135,6 +136,9 @@
 Task<void>
 AnswerWriter::WriteErrorEvent(std::string aEvent)
 {
+  if (!m_options.m_style.m_sendsErrorEvents) {
+    co_return;
+  }
   const bool isBetweenEvents = m_tail.empty() || m_tail == kEventEnd;
   if (m_isEventStream && m_framing == Framing::Chunked && isBetweenEvents) {
     co_await WriteChunk(std::move(aEvent));
--- a/rattanweir/connection/http_server/internal/answer_writer.h
+++ b/rattanweir/connection/http_server/internal/answer_writer.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "rattanweir/base/asio/asio.h"
+#include "rattanweir/connection/http_server/http_server.h"
 #include "rattanweir/connection/http_server/internal/server_stream.h"
 #include "rattanweir/request/exchange/exchange.h"
 #include "rattanweir/request/refusal/refusal.h"
@@ -16,6 +17,7 @@
   RequestId m_request;
   // The request's method is HEAD: its answer has a header only.
   bool m_isHead = false;
+  const AnswerStyle& m_style;
   // Whether the connection takes another request; asked when the head is
   // written.
   std::function<bool()> m_keepsAlive;
--- a/rattanweir/connection/http_server/internal/server_connection.cc
+++ b/rattanweir/connection/http_server/internal/server_connection.cc
@@ -198,7 +198,12 @@
   if (aFrame.m_bodyBytes > limits.m_bodyBytes.Value()) {
     co_return co_await Refuse(ResultCode::BodyTooLarge, "the body is too long");
   }
-  BodyReservation reservation(*m_server, aFrame.m_bodyBytes);
+  const std::uint64_t reserved =
+    aFrame.m_isLengthUnknown
+      ? m_server->m_options.m_unknownBodyBytes.value_or(limits.m_bodyBytes)
+          .Value()
+      : aFrame.m_bodyBytes;
+  BodyReservation reservation(*m_server, reserved);
   if (!reservation.IsGranted()) {
     co_return co_await Refuse(ResultCode::TooManyRequests,
                               "no room for the body");
@@ -235,8 +240,12 @@
     .m_cancel = *m_cancel,
     .m_request = m_request,
     .m_isHead = aRequest.m_method == "HEAD",
+    .m_style = m_server->m_options.m_answers,
     .m_keepsAlive =
-      [this, aKeepsAlive] { return aKeepsAlive && !m_server->m_isDraining; },
+      [this, aKeepsAlive] {
+        return aKeepsAlive && !m_server->m_isDraining &&
+               !m_server->m_closesAfterAnswers;
+      },
   };
   AnswerWriter writer(options);
   std::optional<RequestError> error;
@@ -278,7 +287,8 @@
     Report(*aError);
     try {
       if (!aWriter.HasHead()) {
-        co_await aWriter.WriteRefusal(RefusalAnswer(*aError, m_request));
+        co_await aWriter.WriteRefusal(
+          m_server->m_options.m_answers.m_formatRefusal(*aError, m_request));
       } else if (!aWriter.IsWhole()) {
         co_await aWriter.WriteErrorEvent(RefusalEvent(*aError));
       }
@@ -301,9 +311,11 @@
   const AnswerWriterOptions options{ .m_stream = m_stream,
                                      .m_cancel = cancel,
                                      .m_request = m_request,
+                                     .m_style = m_server->m_options.m_answers,
                                      .m_keepsAlive = [] { return false; } };
   AnswerWriter writer(options);
-  Refusal refusal = RefusalAnswer(error, m_request);
+  Refusal refusal =
+    m_server->m_options.m_answers.m_formatRefusal(error, m_request);
   try {
     co_await writer.WriteRefusal(std::move(refusal));
   } catch (const RequestError&) {
@@ -323,7 +335,8 @@
   if (aState->m_options.m_onError) {
     aState->m_options.m_onError(error);
   }
-  const Refusal refusal = RefusalAnswer(error, NewRequestId());
+  const Refusal refusal =
+    aState->m_options.m_answers.m_formatRefusal(error, NewRequestId());
   const std::string head =
     FormatAnswerHead(refusal.m_head, Framing::Length, false);
   const Buffers buffers = { asio::buffer(head), asio::buffer(refusal.m_body) };
--- a/rattanweir/connection/http_server/internal/server_stream.cc
+++ b/rattanweir/connection/http_server/internal/server_stream.cc
@@ -112,6 +112,7 @@
     frame.m_bodyBytes = *length;
   } else if (m_parser->chunked()) {
     frame.m_bodyBytes = m_limits.m_bodyBytes.Value();
+    frame.m_isLengthUnknown = true;
   }
   const auto expectation = message[http::field::expect];
   frame.m_expectsContinue = beast::iequals(expectation, "100-continue");
--- a/rattanweir/connection/http_server/internal/server_stream.h
+++ b/rattanweir/connection/http_server/internal/server_stream.h
@@ -40,6 +40,8 @@
   HeaderFields m_headers;
   // The most bytes that its body can have.
   std::uint64_t m_bodyBytes = 0;
+  // It comes in chunks.
+  bool m_isLengthUnknown = false;
   // The caller waits for a word before it sends the body.
   bool m_expectsContinue = false;
   // It has an expectation that can't be met.
--- a/rattanweir/connection/platform/internal/service_reader.cc
+++ b/rattanweir/connection/platform/internal/service_reader.cc
@@ -1,7 +1,7 @@
 #include "rattanweir/base/asio/asio.h"
 
+#include "rattanweir/base/back_off/back_off.h"
 #include "rattanweir/connection/http_client/http_client.h"
-#include "rattanweir/connection/platform/internal/back_off.h"
 #include "rattanweir/connection/platform/internal/feed.h"
 #include "rattanweir/connection/platform/internal/service_reader.h"
 #include "rattanweir/request/exchange/header_fields.h"
--- a/rattanweir/connection/platform/platform_test.cc
+++ b/rattanweir/connection/platform/platform_test.cc
@@ -1,6 +1,6 @@
 #include "rattanweir/base/asio/asio.h"
 
-#include "rattanweir/connection/platform/internal/back_off.h"
+#include "rattanweir/base/back_off/back_off.h"
 #include "rattanweir/connection/platform/platform.h"
 #include "rattanweir/request/wait/wait.h"
 #include "testing/raw_peer/raw_peer.h"
--- a/rattanweir/process/backend_view/backend_view.cc
+++ b/rattanweir/process/backend_view/backend_view.cc
@@ -1,6 +1,7 @@
 #include "rattanweir/process/backend_view/backend_view.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace rattanweir {
 
@@ -17,6 +18,7 @@
   state.m_loadInFlight += aLoad;
   state.m_loadUnanswered += aLoad;
   state.m_dispatchedSince += aLoad;
+  ++state.m_dispatchesSinceQueue;
 }
 
 void
@@ -31,6 +33,7 @@
 {
   Entry& entry = m_entries[aId];
   --entry.m_state.m_inFlight;
+  ++entry.m_state.m_endsSinceQueue;
   entry.m_state.m_loadInFlight -= aDispatch.m_load;
   if (!aDispatch.m_hasBegun) {
     entry.m_state.m_loadUnanswered -= aDispatch.m_load;
@@ -39,9 +42,17 @@
     case AttemptVerdict::Answered:
       entry.m_failures = 0;
       entry.m_state.m_ejectedUntil.reset();
+      NoteOutcome(entry, 0);
       break;
     case AttemptVerdict::Failed:
       AddFailure(entry);
+      NoteOutcome(entry, 1);
+      break;
+    case AttemptVerdict::Unreachable:
+      entry.m_failures =
+        std::max(entry.m_failures, m_options.m_failuresToEject - 1);
+      AddFailure(entry);
+      NoteOutcome(entry, 1);
       break;
     case AttemptVerdict::Neutral:
       break;
@@ -57,6 +68,56 @@
   state.m_dispatchedSince = 0;
 }
 
+void
+BackendView::ReportQueue(const BackendServerId& aId,
+                         unsigned aRunning,
+                         unsigned aWaiting,
+                         unsigned aSlots)
+{
+  BackendState& state = m_entries[aId].m_state;
+  state.m_queue = ReportedQueue{ .m_running = aRunning,
+                                 .m_waiting = aWaiting,
+                                 .m_slots = aSlots,
+                                 .m_at = m_options.m_clock.SteadyNow() };
+  state.m_dispatchesSinceQueue = 0;
+  state.m_endsSinceQueue = 0;
+}
+
+void
+BackendView::ObserveStartDelay(const BackendServerId& aId,
+                               std::chrono::nanoseconds aDelay)
+{
+  Entry& entry = m_entries[aId];
+  const double kept =
+    (1 - m_options.m_newestWeight) * Remainder(entry.m_startDelayAt);
+  const double delay =
+    kept * static_cast<double>(entry.m_state.m_startDelay.count()) +
+    m_options.m_newestWeight * static_cast<double>(aDelay.count());
+  entry.m_state.m_startDelay =
+    std::chrono::nanoseconds(static_cast<std::int64_t>(delay));
+  entry.m_startDelayAt = m_options.m_clock.SteadyNow();
+}
+
+void
+BackendView::NoteOutcome(Entry& aEntry, double aFailure) const
+{
+  const double kept =
+    (1 - m_options.m_newestWeight) * Remainder(aEntry.m_failureShareAt);
+  aEntry.m_state.m_failureShare =
+    kept * aEntry.m_state.m_failureShare + m_options.m_newestWeight * aFailure;
+  aEntry.m_failureShareAt = m_options.m_clock.SteadyNow();
+}
+
+double
+BackendView::Remainder(SteadyTime aObservedAt) const
+{
+  const std::chrono::duration<double> age =
+    m_options.m_clock.SteadyNow() - aObservedAt;
+  const std::chrono::duration<double> halfLife =
+    m_options.m_observationHalfLife;
+  return std::exp2(-age / halfLife);
+}
+
 void
 BackendView::MarkLeaving(const BackendServerId& aId)
 {
@@ -77,6 +138,10 @@
     return {};
   }
   BackendState state = found->second.m_state;
+  state.m_failureShare *= Remainder(found->second.m_failureShareAt);
+  state.m_startDelay = std::chrono::nanoseconds(
+    static_cast<std::int64_t>(static_cast<double>(state.m_startDelay.count()) *
+                              Remainder(found->second.m_startDelayAt)));
   state.m_isLeaving = IsHeld(found->second.m_leavingByOwnSignal) ||
                       IsHeld(found->second.m_leavingByPeer);
   if (state.m_ejectedUntil &&
--- a/rattanweir/process/backend_view/backend_view.h
+++ b/rattanweir/process/backend_view/backend_view.h
@@ -33,6 +33,8 @@
 {
   Answered,
   Failed,
+  // No connection, or it went dead: ejects at once.
+  Unreachable,
   // Ended by us or the caller; says nothing about the server.
   Neutral,
 };
@@ -44,6 +46,16 @@
   SteadyTime m_at;
 };
 
+// The requests that a backend server said it has, from all callers together.
+struct ReportedQueue
+{
+  unsigned m_running = 0;
+  unsigned m_waiting = 0;
+  // How many it processes at once.
+  unsigned m_slots = 0;
+  SteadyTime m_at;
+};
+
 struct BackendState
 {
   // Requests of this instance that it holds now, and their load.
@@ -54,6 +66,15 @@
   std::optional<ReportedLoad> m_load;
   // The load that this instance dispatched to it since that report.
   std::uint64_t m_dispatchedSince = 0;
+  std::optional<ReportedQueue> m_queue;
+  // Requests dispatched by this instance since that report, and ended since.
+  std::uint32_t m_dispatchesSinceQueue = 0;
+  std::uint32_t m_endsSinceQueue = 0;
+  // By how much later than the request's own work explains recent answers
+  // began; fades with age.
+  std::chrono::nanoseconds m_startDelay{};
+  // Part of the recent attempts that failed, from 0 to 1; fades with age.
+  double m_failureShare = 0;
   bool m_isLeaving = false;
   // Gets no work before this, unless too much of its pool is ejected.
   std::optional<SteadyTime> m_ejectedUntil;
@@ -77,6 +98,11 @@
   // A signal of leaving holds this long after it was last heard. The server
   // may come back under the same id after that.
   std::chrono::nanoseconds m_leavingHold{ std::chrono::minutes(10) };
+  // The weight of the newest attempt in the failure share, and of the newest
+  // answer in the start delay.
+  double m_newestWeight = 0.2;
+  // What was observed counts for half after this time.
+  std::chrono::nanoseconds m_observationHalfLife{ std::chrono::seconds(2) };
 };
 
 class BackendView
@@ -92,6 +118,16 @@
 
   void ReportLoad(const BackendServerId& aId, std::uint64_t aLoad);
 
+  // The server's own count of its requests, as it came with an answer.
+  void ReportQueue(const BackendServerId& aId,
+                   unsigned aRunning,
+                   unsigned aWaiting,
+                   unsigned aSlots);
+
+  // An answer began this much later than its own work explains.
+  void ObserveStartDelay(const BackendServerId& aId,
+                         std::chrono::nanoseconds aDelay);
+
   // The server's own signal; told to peers.
   void MarkLeaving(const BackendServerId& aId);
   // A peer's word; not told on, so that it cannot circulate.
@@ -110,12 +146,17 @@
   {
     BackendState m_state;
     std::uint32_t m_failures = 0;
+    SteadyTime m_failureShareAt;
+    SteadyTime m_startDelayAt;
     std::optional<SteadyTime> m_leavingByOwnSignal;
     std::optional<SteadyTime> m_leavingByPeer;
   };
 
   bool IsHeld(const std::optional<SteadyTime>& aHeardAt) const;
   void AddFailure(Entry& aEntry) const;
+  void NoteOutcome(Entry& aEntry, double aFailure) const;
+  // What is left of an observation of that time: 1 now, 0.5 a half-life later.
+  double Remainder(SteadyTime aObservedAt) const;
 
   BackendViewOptions m_options;
   std::map<BackendServerId, Entry> m_entries;
--- a/rattanweir/process/backend_view/backend_view_test.cc
+++ b/rattanweir/process/backend_view/backend_view_test.cc
@@ -92,5 +92,48 @@
   REQUIRE_FALSE(view.StateOf(kServer).m_load);
 }
 
+TEST_CASE("an unreachable server is ejected at once")
+{
+  ManualClock clock;
+  BackendView view({ .m_clock = clock });
+  view.AddDispatch(kServer, 1);
+  view.EndDispatch(kServer,
+                   { .m_load = 1, .m_verdict = AttemptVerdict::Unreachable });
+  CHECK(view.StateOf(kServer).m_ejectedUntil == clock.SteadyNow() + seconds(1));
+}
+
+TEST_CASE("failures and late starts fade when nothing new is observed")
+{
+  ManualClock clock;
+  BackendView view({ .m_clock = clock,
+                     .m_newestWeight = 0.5,
+                     .m_observationHalfLife = seconds(2) });
+  view.AddDispatch(kServer, 1);
+  view.EndDispatch(kServer,
+                   { .m_load = 1, .m_verdict = AttemptVerdict::Failed });
+  view.ObserveStartDelay(kServer, seconds(4));
+  CHECK(view.StateOf(kServer).m_failureShare == Approx(0.5));
+  CHECK(view.StateOf(kServer).m_startDelay == seconds(2));
+  clock.Advance(seconds(2));
+  CHECK(view.StateOf(kServer).m_failureShare == Approx(0.25));
+  CHECK(view.StateOf(kServer).m_startDelay == seconds(1));
+}
+
+TEST_CASE("dispatches and ends are counted since the newest queue report")
+{
+  ManualClock clock;
+  BackendView view({ .m_clock = clock });
+  view.AddDispatch(kServer, 1);
+  view.ReportQueue(kServer, 3, 2, 6);
+  view.AddDispatch(kServer, 1);
+  view.EndDispatch(kServer, { .m_load = 1 });
+  const BackendState state = view.StateOf(kServer);
+  REQUIRE(state.m_queue);
+  CHECK(state.m_queue->m_running == 3);
+  CHECK(state.m_queue->m_waiting == 2);
+  CHECK(state.m_dispatchesSinceQueue == 1);
+  CHECK(state.m_endsSinceQueue == 1);
+}
+
 } // namespace
 } // namespace rattanweir
--- /dev/null
+++ b/rattanweir/process/fleet/fleet_view_test.cc
@@ -0,0 +1,184 @@
+#include "rattanweir/process/fleet/fleet_view.h"
+
+#include "rattanweir/base/clock/manual_clock.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Endpoint
+AddressOf(int aNumber)
+{
+  return { .m_address = "10.0.0." + std::to_string(aNumber), .m_port = 9 };
+}
+
+FleetMember
+Row(int aNumber, std::uint64_t aIncarnation = 1, std::uint64_t aSequence = 1)
+{
+  return { .m_id = InstanceId("i" + std::to_string(aNumber)),
+           .m_incarnation = Incarnation(aIncarnation),
+           .m_sequence = aSequence,
+           .m_region = RegionId(aNumber % 2 == 0 ? "north" : "south"),
+           .m_peerAddress = AddressOf(aNumber),
+           .m_isReady = true };
+}
+
+InstanceId
+IdOf(int aNumber)
+{
+  return Row(aNumber).m_id;
+}
+
+// One instance's view, and hearsay for it.
+struct View
+{
+  explicit View(int aNumber = 0)
+    : m_fleet({ .m_clock = m_clock, .m_self = Row(aNumber) })
+  {
+  }
+
+  void Hear(FleetMember aRow, const InstanceId& aSender)
+  {
+    const FleetMember rows[] = { std::move(aRow) };
+    m_fleet.Merge(rows, aSender);
+  }
+
+  ManualClock m_clock;
+  RandomEngine m_random{ 1 };
+  FleetView m_fleet;
+};
+
+bool
+Contains(const std::vector<Endpoint>& aAddresses, int aNumber)
+{
+  return std::count(aAddresses.begin(), aAddresses.end(), AddressOf(aNumber)) >
+         0;
+}
+
+TEST_CASE("a member is used while its sequence advances, whoever tells")
+{
+  View view;
+  view.Hear(Row(1), IdOf(1));
+  view.m_clock.Advance(seconds(2));
+  view.Hear(Row(1, 1, 2), IdOf(3));
+  view.m_clock.Advance(seconds(2));
+  CHECK(view.m_fleet.IsLive(IdOf(1)));
+  // The same row again says nothing new.
+  view.Hear(Row(1, 1, 2), IdOf(3));
+  view.m_clock.Advance(seconds(3));
+  CHECK_FALSE(view.m_fleet.IsLive(IdOf(1)));
+}
+
+TEST_CASE("rows of an earlier process do not come back")
+{
+  View view;
+  view.Hear(Row(1, 5, 100), IdOf(1));
+  view.Hear(Row(1, 6, 1), IdOf(1));
+  view.Hear(Row(1, 5, 200), IdOf(3));
+  CHECK(view.m_fleet.Find(IdOf(1))->m_incarnation == Incarnation(6));
+  // Its clock went back before it started again.
+  view.Hear(Row(1, 4, 1), IdOf(3));
+  CHECK(view.m_fleet.Find(IdOf(1))->m_incarnation == Incarnation(6));
+  view.Hear(Row(1, 4, 1), IdOf(1));
+  CHECK(view.m_fleet.Find(IdOf(1))->m_incarnation == Incarnation(4));
+  view.Hear(Row(1, 6, 300), IdOf(3));
+  CHECK(view.m_fleet.Find(IdOf(1))->m_incarnation == Incarnation(4));
+}
+
+TEST_CASE("an instance that knows nobody asks its seeds but not itself")
+{
+  View view(0);
+  view.m_fleet.SetSeeds({ AddressOf(0), AddressOf(1), AddressOf(2) });
+  const auto targets = view.m_fleet.ChooseTargets(view.m_random, false);
+  CHECK(targets == std::vector<Endpoint>{ AddressOf(1), AddressOf(2) });
+}
+
+TEST_CASE("silent members are asked again, so that a cut fleet rejoins")
+{
+  View view;
+  view.Hear(Row(1), IdOf(1));
+  view.Hear(Row(2), IdOf(2));
+  view.m_clock.Advance(seconds(10));
+  view.Hear(Row(2, 1, 2), IdOf(2));
+  bool wasAsked = false;
+  for (int round = 0; round < 20; ++round) {
+    wasAsked |= Contains(view.m_fleet.ChooseTargets(view.m_random, true), 1);
+  }
+  CHECK(wasAsked);
+}
+
+TEST_CASE("an unreachable member is not used until it speaks itself")
+{
+  View view;
+  view.Hear(Row(1), IdOf(1));
+  view.m_fleet.MarkUnreachable(IdOf(1));
+  view.Hear(Row(1, 1, 2), IdOf(3));
+  CHECK_FALSE(view.m_fleet.IsLive(IdOf(1)));
+  view.Hear(Row(1, 1, 3), IdOf(1));
+  CHECK(view.m_fleet.IsLive(IdOf(1)));
+}
+
+TEST_CASE("budgets are divided by all that may run, at least by the seeds")
+{
+  View view;
+  view.m_fleet.SetSeeds({ AddressOf(0), AddressOf(1), AddressOf(2) });
+  CHECK(view.m_fleet.FleetSize() == 3);
+  for (int number = 1; number <= 5; ++number) {
+    view.Hear(Row(number), IdOf(number));
+  }
+  CHECK(view.m_fleet.FleetSize() == 6);
+  FleetMember leaving = Row(5, 1, 2);
+  leaving.m_isDraining = true;
+  view.Hear(leaving, IdOf(5));
+  CHECK(view.m_fleet.FleetSize() == 6);
+  view.m_clock.Advance(seconds(5));
+  CHECK(view.m_fleet.LivePeers().empty());
+  CHECK(view.m_fleet.FleetSize() == 5);
+}
+
+TEST_CASE("rows spread over a large fleet within the silence time")
+{
+  constexpr int kInstances = 86;
+  constexpr milliseconds kRound{ 500 };
+  ManualClock clock;
+  RandomEngine random{ 7 };
+  std::vector<FleetView> fleet;
+  for (int number = 0; number < kInstances; ++number) {
+    fleet.emplace_back(
+      FleetViewOptions{ .m_clock = clock, .m_self = Row(number) });
+    fleet.back().SetSeeds({ AddressOf(0), AddressOf(1), AddressOf(2) });
+  }
+  const auto exchange = [&](int aFrom, int aTo) {
+    FleetView& from = fleet[static_cast<std::size_t>(aFrom)];
+    FleetView& to = fleet[static_cast<std::size_t>(aTo)];
+    to.Merge(from.NextMessage(random), IdOf(aFrom));
+    from.Merge(to.NextMessage(random), IdOf(aTo));
+  };
+  std::size_t fewest = kInstances;
+  for (int round = 0; round < 60; ++round) {
+    for (int from = 0; from < kInstances; ++from) {
+      for (const Endpoint& target :
+           fleet[static_cast<std::size_t>(from)].ChooseTargets(
+             random, round % 2 == 0)) {
+        exchange(from, std::stoi(target.m_address.substr(7)));
+      }
+    }
+    clock.Advance(kRound);
+    if (round < 20) {
+      continue;
+    }
+    for (const FleetView& view : fleet) {
+      fewest = std::min(fewest, view.LivePeers().size());
+    }
+  }
+  CHECK(fewest == kInstances - 1);
+}
+
+} // namespace
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/process/published/published_items.h
@@ -0,0 +1,80 @@
+// This instance's copy of what the platform publishes, topic by topic.
+//
+//   PublishedItems items({ .m_clock = clock });
+//   items.OnChange(topic, [](const ItemChange& aChange) { ... });
+//   items.Replace(topic, all, asOf, Removal::Published);
+//   items.Apply(topic, change, revision);
+//
+// Each instance reads the platform itself, and one that the platform turns away
+// takes over a peer's copy if that is newer: revisions only go forward. What
+// the values mean is decided by whoever listens. For one thread.
+
+#pragma once
+
+#include "rattanweir/base/clock/clock.h"
+#include "rattanweir/base/ids/ids.h"
+#include "rattanweir/process/backend_registry/backend_registry.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rattanweir {
+
+using TopicId = Id<struct TopicTag>;
+
+// One item as it is published now; without a value it was removed.
+struct ItemChange
+{
+  std::string m_key;
+  std::optional<std::string> m_value;
+  // How far a removal can be trusted.
+  Removal m_removal = Removal::Published;
+};
+
+// A whole topic.
+struct TopicCopy
+{
+  // The newest change of one of its items that is known. The platform counts
+  // all changes of all topics in one number.
+  std::uint64_t m_revision = 0;
+  std::map<std::string, std::string> m_items;
+};
+
+class PublishedItems
+{
+public:
+  // Runs for each item of the topic that changes.
+  void OnChange(const TopicId& aTopic,
+                std::function<void(const ItemChange&)> aFunction);
+
+  // Takes a whole topic over as it stood at the revision `aAsOf`. One that is
+  // older than the newest known change changes nothing.
+  void Replace(const TopicId& aTopic,
+               TopicCopy aCopy,
+               std::uint64_t aAsOf,
+               Removal aRemoval);
+
+  // Takes changes over that lead to the revision.
+  void Apply(const TopicId& aTopic,
+             const std::vector<ItemChange>& aChanges,
+             std::uint64_t aRevision);
+
+  // The topic's revision, or 0 before the first copy.
+  std::uint64_t RevisionOf(const TopicId& aTopic) const;
+
+  const TopicCopy* Find(const TopicId& aTopic) const;
+
+  std::map<TopicId, std::uint64_t> Revisions() const;
+
+private:
+  void Tell(const TopicId& aTopic, const ItemChange& aChange) const;
+
+  std::map<TopicId, TopicCopy> m_topics;
+  std::map<TopicId, std::function<void(const ItemChange&)>> m_listeners;
+};
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/process/published/published_items_test.cc
@@ -0,0 +1,81 @@
+#include "rattanweir/process/published/published_items.h"
+
+#include <catch2/catch.hpp>
+
+namespace rattanweir {
+namespace {
+
+const TopicId kTopic("servers");
+
+struct World
+{
+  World()
+  {
+    m_items.OnChange(kTopic, [this](const ItemChange& aChange) {
+      const std::string removed =
+        aChange.m_removal == Removal::Lapsed ? "lapsed" : "removed";
+      m_seen.push_back(aChange.m_key + "=" + aChange.m_value.value_or(removed));
+    });
+  }
+
+  std::vector<std::string> Seen() { return std::exchange(m_seen, {}); }
+
+  PublishedItems m_items;
+  std::vector<std::string> m_seen;
+};
+
+using Seen = std::vector<std::string>;
+
+TEST_CASE("a copy that is taken over tells only what differs")
+{
+  World world;
+  world.m_items.Replace(
+    kTopic,
+    { .m_revision = 5, .m_items = { { "a", "1" }, { "b", "1" } } },
+    5,
+    Removal::Published);
+  CHECK(world.Seen() == Seen{ "a=1", "b=1" });
+  world.m_items.Replace(
+    kTopic,
+    { .m_revision = 7, .m_items = { { "a", "2" }, { "c", "1" } } },
+    8,
+    Removal::Lapsed);
+  CHECK(world.Seen() == Seen{ "b=lapsed", "a=2", "c=1" });
+  CHECK(world.m_items.RevisionOf(kTopic) == 7);
+}
+
+TEST_CASE("an older copy changes nothing")
+{
+  World world;
+  world.m_items.Apply(kTopic, { { .m_key = "a", .m_value = "1" } }, 9);
+  world.Seen();
+  world.m_items.Replace(kTopic, { .m_revision = 8 }, 8, Removal::Published);
+  CHECK(world.Seen().empty());
+  CHECK(world.m_items.Find(kTopic)->m_items.size() == 1);
+}
+
+TEST_CASE("a newer read without the removed items keeps the revision")
+{
+  World world;
+  world.m_items.Apply(kTopic, { { .m_key = "a", .m_value = "1" } }, 4);
+  world.m_items.Apply(kTopic, { { .m_key = "b", .m_value = "1" } }, 9);
+  world.m_items.Replace(kTopic,
+                        { .m_revision = 4, .m_items = { { "a", "1" } } },
+                        20,
+                        Removal::Published);
+  CHECK(world.Seen() == Seen{ "a=1", "b=1", "b=removed" });
+  CHECK(world.m_items.RevisionOf(kTopic) == 9);
+}
+
+TEST_CASE("changes are told in their order")
+{
+  World world;
+  world.m_items.Apply(
+    kTopic, { { .m_key = "a", .m_value = "1" }, { .m_key = "a" } }, 3);
+  CHECK(world.Seen() == Seen{ "a=1", "a=removed" });
+  CHECK(world.m_items.RevisionOf(kTopic) == 3);
+  CHECK(world.m_items.Find(kTopic)->m_items.empty());
+}
+
+} // namespace
+} // namespace rattanweir
--- a/rattanweir/process/settings/settings.cc
+++ b/rattanweir/process/settings/settings.cc
@@ -22,6 +22,10 @@
 constexpr Range<nanoseconds> kTimeouts{ 10ms, 1h };
 constexpr Range<nanoseconds> kHeartbeatIntervals{ 50ms, 30s };
 constexpr Range<nanoseconds> kShutdownTimeouts{ 100ms, 1h };
+constexpr Range<double> kSeconds{ 0.001, 3'600 };
+constexpr Range<double> kCapacities{ 0.001, 1'000 };
+constexpr Range<double> kRatios{ 0, 100 };
+constexpr Range<double> kAmounts{ 0, 1e12 };
 
 // Adds a fault where two listeners would take the same port.
 void
@@ -91,6 +95,65 @@
   return source;
 }
 
+std::vector<Endpoint>
+ReadSeeds(MappingReader& aFleet)
+{
+  std::vector<Endpoint> seeds;
+  if (!aFleet.Has("seeds")) {
+    return seeds;
+  }
+  for (const std::string& text : aFleet.ReadIdList("seeds")) {
+    try {
+      seeds.push_back(ParseEndpoint(text));
+    } catch (const EndpointError& error) {
+      aFleet.AddFault("seeds", error.what());
+    }
+  }
+  return seeds;
+}
+
+nanoseconds
+ReadSeconds(MappingReader& aReader, std::string_view aField)
+{
+  return std::chrono::duration_cast<nanoseconds>(
+    std::chrono::duration<double>(aReader.ReadDecimal(aField, kSeconds)));
+}
+
+FleetSettings
+ReadFleet(MappingReader& aRoot)
+{
+  MappingReader reader = aRoot.ReadMapping("fleet");
+  FleetSettings fleet{
+    .m_store = ReadServiceAddress(reader, "store"),
+    .m_directoryAddress = reader.ReadEndpoint("directory_address"),
+    .m_readinessAddress = reader.ReadEndpoint("readiness_address"),
+    .m_seeds = ReadSeeds(reader),
+  };
+  reader.ReadRows("availability_zones", [&](MappingReader& aRow) {
+    const auto zone = aRow.ReadId<AvailabilityZoneId>("id");
+    fleet.m_regionOfZone.emplace(zone, aRow.ReadId<RegionId>("region"));
+    aRow.RefuseUnknownFields();
+  });
+  if (reader.Has("capacity")) {
+    fleet.m_capacity = reader.ReadDecimal("capacity", kCapacities);
+  }
+  if (reader.Has("retry_ratio")) {
+    fleet.m_retryRatio = reader.ReadDecimal("retry_ratio", kRatios);
+  }
+  if (reader.Has("retry_extra")) {
+    fleet.m_retryExtra = reader.ReadDecimal("retry_extra", kAmounts);
+  }
+  if (reader.Has("retry_window_seconds")) {
+    fleet.m_retryWindow = ReadSeconds(reader, "retry_window_seconds");
+  }
+  if (reader.Has("rate_tolerance_tokens")) {
+    fleet.m_rateTolerance = Tokens(static_cast<std::int64_t>(
+      reader.ReadDecimal("rate_tolerance_tokens", kAmounts)));
+  }
+  reader.RefuseUnknownFields();
+  return fleet;
+}
+
 std::uint32_t
 ReadCount(MappingReader& aReader,
           std::string_view aField,
@@ -159,13 +222,20 @@
     .m_zone = aRoot.ReadId<AvailabilityZoneId>("availability_zone"),
   };
   ReadAddresses(aRoot, settings);
-  settings.m_platform = ReadPlatform(aRoot, aFile);
+  if (aRoot.Has("fleet")) {
+    settings.m_fleet = ReadFleet(aRoot);
+  } else {
+    settings.m_platform = ReadPlatform(aRoot, aFile);
+  }
   settings.m_callerLimits = ReadLimits(aRoot);
   settings.m_log = ReadLog(aRoot);
   settings.m_heartbeatInterval = aRoot.ReadDuration(
     "heartbeat_interval", kHeartbeatIntervals, settings.m_heartbeatInterval);
-  settings.m_shutdownTimeout = aRoot.ReadDuration(
-    "shutdown_timeout", kShutdownTimeouts, settings.m_shutdownTimeout);
+  settings.m_shutdownTimeout =
+    aRoot.Has("shutdown_timeout_seconds")
+      ? ReadSeconds(aRoot, "shutdown_timeout_seconds")
+      : aRoot.ReadDuration(
+          "shutdown_timeout", kShutdownTimeouts, settings.m_shutdownTimeout);
   aRoot.RefuseUnknownFields();
   return settings;
 }
--- a/rattanweir/process/settings/settings.h
+++ b/rattanweir/process/settings/settings.h
@@ -13,6 +13,8 @@
 #include "rattanweir/version/section/section.h"
 
 #include <chrono>
+#include <map>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <variant>
@@ -36,6 +38,28 @@
 
 using PlatformSource = std::variant<DirectoryPlatform, ServicePlatform>;
 
+// Settings of an instance whose fleet finds itself by gossip and reads all else
+// from a store that can only be read.
+struct FleetSettings
+{
+  Endpoint m_store;
+  // Where callers ask which instances to use, and where readiness is asked.
+  Endpoint m_directoryAddress;
+  Endpoint m_readinessAddress;
+  // Peer addresses of some instances, which may be gone.
+  std::vector<Endpoint> m_seeds;
+  std::map<AvailabilityZoneId, RegionId> m_regionOfZone;
+  // How much traffic this instance can carry, relative to others.
+  double m_capacity = 1;
+  // In any window a pool gets at most the ratio times its requests, and the
+  // extra ones, as retries of the whole fleet.
+  double m_retryRatio = 0.1;
+  double m_retryExtra = 20;
+  std::chrono::nanoseconds m_retryWindow{ std::chrono::seconds(10) };
+  // Tokens that the fleet may admit beyond a client account's rate and burst.
+  Tokens m_rateTolerance;
+};
+
 // Bounds on what a caller may use up.
 struct CallerLimits
 {
@@ -79,7 +103,9 @@
   Endpoint m_callerAddress;
   Endpoint m_peerAddress;
   Endpoint m_adminAddress;
+  // Without a fleet: where configuration and instance list come from.
   PlatformSource m_platform;
+  std::optional<FleetSettings> m_fleet;
   CallerLimits m_callerLimits;
   LogSettings m_log;
   std::chrono::nanoseconds m_heartbeatInterval{ std::chrono::seconds(1) };
--- /dev/null
+++ b/rattanweir/request/gateway/entry_list.h
@@ -0,0 +1,36 @@
+// Chooses the instances that a caller should connect to.
+//
+//   const std::vector<Endpoint> entries =
+//     EntriesFor(fleet, { .m_region = region, .m_zone = zone }, random);
+//
+// Those of the caller's region that take new work; of all regions if it has
+// none. Where instances differ in what they can carry, the weaker ones are
+// named to a part of the callers only, since callers pick among the named ones
+// at random. No I/O.
+
+#pragma once
+
+#include "rattanweir/base/endpoint/endpoint.h"
+#include "rattanweir/base/ids/ids.h"
+#include "rattanweir/base/random/random.h"
+#include "rattanweir/process/fleet/fleet_view.h"
+
+#include <cstddef>
+#include <vector>
+
+namespace rattanweir {
+
+struct EntryQuestion
+{
+  // Where the caller is; both may be unknown.
+  RegionId m_region;
+  AvailabilityZoneId m_zone;
+  std::size_t m_mostEntries = 64;
+};
+
+std::vector<Endpoint>
+EntriesFor(const FleetView& aFleet,
+           const EntryQuestion& aQuestion,
+           RandomEngine& aRandom);
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/gateway/gates.h
@@ -0,0 +1,56 @@
+// Serve what callers and peers send.
+//
+//   EntryGate entry(state);
+//   PeerGate peer(state, control);
+//   HttpServer callers({ .m_handler = entry, ... });
+//
+// A request of a caller is admitted, placed and answered. One that a peer
+// passed on is only ever sent to a backend server of this region, so that no
+// request can loop.
+
+#pragma once
+
+#include "rattanweir/request/gateway/gateway_state.h"
+
+#include <functional>
+#include <string>
+
+namespace rattanweir {
+
+// The path on the peer side that takes control calls.
+inline constexpr const char* kGatewayControlPath = "/rattanweir/control";
+
+class EntryGate final : public RequestHandler
+{
+public:
+  explicit EntryGate(GatewayState& aState);
+
+  Task<void> Handle(InboundRequest aInbound,
+                    AnswerSink& aSink,
+                    CancelSource& aCancel) override;
+
+private:
+  GatewayState& m_state;
+};
+
+class PeerGate final : public RequestHandler
+{
+public:
+  // `aControl` answers one control call.
+  PeerGate(GatewayState& aState,
+           std::function<std::string(std::string)> aControl);
+
+  Task<void> Handle(InboundRequest aInbound,
+                    AnswerSink& aSink,
+                    CancelSource& aCancel) override;
+
+private:
+  GatewayState& m_state;
+  std::function<std::string(std::string)> m_control;
+};
+
+// The refusal of a forwarded request, for the peer that passed it on.
+Refusal
+FormatRefusalForPeer(const RequestError& aError);
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/gateway/gateway_admission.cc
@@ -0,0 +1,215 @@
+#include "rattanweir/request/gateway/gateway_admission.h"
+
+#include "rattanweir/request/exchange/header_fields.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+[[noreturn]] void
+RefuseRequest(ResultCode aCode, const char* aDetail)
+{
+  throw RequestError(aCode, aDetail, Ran::No);
+}
+
+FleetConfigPtr
+RequireConfig(const GatewayState& aState)
+{
+  FleetConfigPtr config = aState.m_config.InForce();
+  if (!config) {
+    RefuseRequest(ResultCode::InstanceNotReady,
+                  "this instance has no configuration yet");
+  }
+  return config;
+}
+
+void
+TakeRoute(AdmittedRequest& aRequest)
+{
+  const FleetRoute* route =
+    aRequest.m_config->FindRoute(aRequest.m_facts.m_host, aRequest.m_target);
+  if (route == nullptr) {
+    RefuseRequest(ResultCode::UnknownRoute, "no route has this host and path");
+  }
+  aRequest.m_route = *route;
+  aRequest.m_priority = route->m_priority;
+}
+
+// The account's homes and the route's bind both.
+void
+TakeRegions(AdmittedRequest& aRequest, const FleetAccount* aAccount)
+{
+  const auto bind = [&](const std::set<RegionId>& aHomes) {
+    if (aHomes.empty()) {
+      return;
+    }
+    if (!aRequest.m_permittedRegions) {
+      aRequest.m_permittedRegions = aHomes;
+      return;
+    }
+    std::erase_if(*aRequest.m_permittedRegions, [&](const RegionId& aRegion) {
+      return !aHomes.contains(aRegion);
+    });
+  };
+  bind(aRequest.m_route.m_homeRegions);
+  if (aAccount != nullptr) {
+    bind(aAccount->m_homeRegions);
+  }
+}
+
+Tokens
+CostOf(const RequestFacts& aFacts, const FleetAccount& aAccount)
+{
+  if (aAccount.m_unit == RateUnit::Requests) {
+    return Tokens(1);
+  }
+  return aFacts.m_promptTokens ? *aFacts.m_promptTokens + aFacts.m_outputTokens
+                               : aAccount.m_plainCost;
+}
+
+void
+TakeAccount(AdmittedRequest& aRequest, const FleetAccount* aAccount)
+{
+  if (aAccount != nullptr) {
+    aRequest.m_clientAccount = aAccount->m_id;
+    aRequest.m_priority = aAccount->m_priority.value_or(aRequest.m_priority);
+    aRequest.m_cost = CostOf(aRequest.m_facts, *aAccount);
+  }
+  TakeRegions(aRequest, aAccount);
+}
+
+const FleetAccount*
+RequireAccount(const AdmittedRequest& aRequest)
+{
+  if (aRequest.m_route.m_isOpenToAll || !aRequest.m_config->HasAccounts()) {
+    return nullptr;
+  }
+  if (!aRequest.m_facts.m_presentedKey) {
+    RefuseRequest(ResultCode::KeyMissing, "the route wants a key");
+  }
+  const FleetAccount* account =
+    aRequest.m_config->FindAccountOfKey(*aRequest.m_facts.m_presentedKey);
+  if (account == nullptr) {
+    RefuseRequest(ResultCode::KeyNotGranted, "the key is unknown or withdrawn");
+  }
+  return account;
+}
+
+// Drawn by weight where several pools share the route.
+PoolId
+DrawPool(const FleetRoute& aRoute, RandomEngine& aRandom)
+{
+  double sum = 0;
+  for (const PoolWeight& share : aRoute.m_pools) {
+    sum += share.m_weight;
+  }
+  double drawn = std::uniform_real_distribution<double>(0, sum)(aRandom);
+  for (const PoolWeight& share : aRoute.m_pools) {
+    drawn -= share.m_weight;
+    if (drawn < 0) {
+      return share.m_pool;
+    }
+  }
+  return aRoute.m_pools.back().m_pool;
+}
+
+void
+CountAgainstRate(GatewayState& aState, const AdmittedRequest& aRequest)
+{
+  if (aRequest.m_clientAccount.IsEmpty()) {
+    return;
+  }
+  const RateDecision decision =
+    aState.m_rates.Admit(aRequest.m_clientAccount, aRequest.m_cost);
+  if (const auto* over = std::get_if<OverRate>(&decision)) {
+    throw RequestError(ResultCode::RateExceeded,
+                       "the client account is over its rate",
+                       Ran::No,
+                       std::chrono::ceil<milliseconds>(over->m_comeBackAfter));
+  }
+}
+
+AdmittedRequest
+BeginAdmission(const GatewayState& aState, InboundRequest aInbound)
+{
+  AdmittedRequest request;
+  request.m_config = RequireConfig(aState);
+  request.m_facts = aState.m_protocol.ReadRequest(aInbound);
+  request.m_method = std::move(aInbound.m_method);
+  request.m_target = std::move(aInbound.m_target);
+  request.m_body =
+    std::make_shared<const std::string>(std::move(aInbound.m_body));
+  request.m_receivedAt = aInbound.m_receivedAt;
+  std::erase_if(request.m_facts.m_passedFields, [](const HeaderField& aField) {
+    return HeaderNameStartsWith(aField.m_name, kHopFieldPrefix);
+  });
+  TakeRoute(request);
+  request.m_chain =
+    ChainOf(request.m_facts.m_model.Value(), request.m_facts.m_parts);
+  return request;
+}
+
+const std::string&
+RequireField(const HeaderFields& aHeaders, const char* aName)
+{
+  const std::string* value = FindHeader(aHeaders, aName);
+  if (value == nullptr) {
+    RefuseRequest(ResultCode::MalformedRequest,
+                  "a field between instances is missing");
+  }
+  return *value;
+}
+
+} // namespace
+
+AdmittedRequest
+AdmitFromCaller(GatewayState& aState, InboundRequest aInbound)
+{
+  AdmittedRequest request = BeginAdmission(aState, std::move(aInbound));
+  TakeAccount(request, RequireAccount(request));
+  const nanoseconds patience =
+    request.m_facts.m_patience.value_or(request.m_route.m_timeout);
+  request.m_deadline =
+    request.m_receivedAt + std::min(patience, request.m_route.m_timeout);
+  if (request.m_deadline <= aState.m_clock.SteadyNow()) {
+    RefuseRequest(ResultCode::DeadlineTooShort, "no time is left");
+  }
+  request.m_pool = DrawPool(request.m_route, aState.m_random);
+  CountAgainstRate(aState, request);
+  return request;
+}
+
+AdmittedRequest
+AdmitFromPeer(GatewayState& aState, InboundRequest aInbound)
+{
+  const HeaderFields headers = aInbound.m_headers;
+  AdmittedRequest request = BeginAdmission(aState, std::move(aInbound));
+  request.m_forwardedBy = InstanceId(RequireField(headers, kHopFromField));
+  const ClientAccountId accountId(RequireField(headers, kHopAccountField));
+  const FleetAccount* account = request.m_config->FindAccount(accountId);
+  if (account == nullptr && !accountId.IsEmpty()) {
+    RefuseRequest(ResultCode::ClientAccountUnknown,
+                  "the client account is not in this configuration");
+  }
+  TakeAccount(request, account);
+  request.m_pool = PoolId(RequireField(headers, kHopPoolField));
+  const auto left = ParseDecimal(RequireField(headers, kHopTimeLeftField));
+  if (!left || request.m_config->FindPool(request.m_pool) == nullptr) {
+    RefuseRequest(ResultCode::MalformedRequest,
+                  "a field between instances has no known value");
+  }
+  request.m_deadline = request.m_receivedAt + milliseconds(*left);
+  if (!request.IsPermittedIn(aState.m_fleet.Self().m_region)) {
+    RefuseRequest(ResultCode::ResidencyRefused,
+                  "the request may not be served in this region");
+  }
+  return request;
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/gateway/gateway_state.h
@@ -0,0 +1,50 @@
+// What the request handlers of one process share.
+//
+//   GatewayState state{ .m_executor = executor, .m_clock = clock, ... };
+//   EntryGate entry(state);
+//   PeerGate peer(state, control);
+//
+// All of it belongs to the process and outlives the handlers. For one thread.
+
+#pragma once
+
+#include "rattanweir/base/asio/asio.h"
+#include "rattanweir/base/clock/clock.h"
+#include "rattanweir/base/random/random.h"
+#include "rattanweir/process/account_rate/account_rates.h"
+#include "rattanweir/process/backend_registry/backend_registry.h"
+#include "rattanweir/process/backend_view/backend_view.h"
+#include "rattanweir/process/fleet/fleet_view.h"
+#include "rattanweir/process/metrics/metrics.h"
+#include "rattanweir/process/part_cache/part_cache.h"
+#include "rattanweir/process/shared_budget/shared_budget.h"
+#include "rattanweir/request/exchange/exchange.h"
+#include "rattanweir/request/gateway/pool_lines.h"
+#include "rattanweir/request/gateway/wire_protocol.h"
+#include "rattanweir/version/fleet_config/fleet_config.h"
+
+namespace rattanweir {
+
+struct GatewayState
+{
+  Executor m_executor;
+  const Clock& m_clock;
+  RandomEngine& m_random;
+  const WireProtocol& m_protocol;
+  FleetConfigStore& m_config;
+  FleetView& m_fleet;
+  BackendRegistry& m_registry;
+  BackendView& m_backends;
+  PartCache& m_parts;
+  AccountRates& m_rates;
+  RetryAllowance& m_retries;
+  ColdAllowance& m_cold;
+  PoolLines& m_lines;
+  Metrics& m_metrics;
+  Upstream& m_toBackends;
+  Upstream& m_toPeers;
+  // Requests of callers and peers that are being served.
+  std::size_t m_inFlight = 0;
+};
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/gateway/request_run.cc
@@ -0,0 +1,524 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/request/gateway/request_run.h"
+
+#include "rattanweir/process/logging/log.h"
+#include "rattanweir/request/exchange/header_fields.h"
+#include "rattanweir/request/gateway/gateway_admission.h"
+#include "rattanweir/request/gateway/server_choices.h"
+#include "rattanweir/request/gateway/server_dispatch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+// While a request waits in line, the line is looked at this often even if
+// nothing is known to have changed: reports age and cold servers warm up.
+constexpr milliseconds kLookAgain{ 20 };
+// A request waits for a server for this part of its latency objective, so
+// that its answer can still be on time.
+constexpr double kWaitShare = 0.6;
+// Below this a repeated request has no chance.
+constexpr milliseconds kLeastTimeForRepeat{ 20 };
+// Dispatches that a server states not to have run, beyond the route's
+// attempts.
+constexpr unsigned kUnrunDispatches = 2;
+// Of the region's body bytes that cross to another one: 30 bytes cost about as
+// much as a microsecond of an answer's delay.
+constexpr double kTransferBytesPerMicrosecond = 30;
+constexpr unsigned kServerErrors = 500;
+
+std::string
+MillisecondsText(nanoseconds aDuration)
+{
+  return std::to_string(duration_cast<milliseconds>(aDuration).count());
+}
+
+// The error of an exchange with a peer in the words for peers.
+RequestError
+AsPeerError(const RequestError& aError)
+{
+  switch (aError.Code()) {
+    case ResultCode::BackendConnectFailed:
+      return { ResultCode::PeerUnreachable, aError.what(), aError.HasRun() };
+    case ResultCode::BackendReset:
+      return { ResultCode::PeerLost, aError.what(), aError.HasRun() };
+    default:
+      return aError;
+  }
+}
+
+// The refusal that a peer wrote, if the answer is one.
+std::optional<RequestError>
+PeerRefusal(const AnswerHead& aHead)
+{
+  const std::string* result = FindHeader(aHead.m_headers, kHopResultField);
+  if (result == nullptr) {
+    return std::nullopt;
+  }
+  const std::string* ranText = FindHeader(aHead.m_headers, kHopRanField);
+  const auto ran = ranText == nullptr ? std::nullopt : RanFromText(*ranText);
+  const auto number = ParseDecimal(*result);
+  const auto code = number
+                      ? ResultCodeFromNumber(static_cast<unsigned>(*number))
+                      : std::nullopt;
+  std::optional<milliseconds> comeBack;
+  if (const std::string* text =
+        FindHeader(aHead.m_headers, kHopComeBackField)) {
+    if (const auto parsed = ParseDecimal(*text)) {
+      comeBack = milliseconds(*parsed);
+    }
+  }
+  return RequestError(code.value_or(ResultCode::InternalError),
+                      "refused by the peer",
+                      ran.value_or(Ran::Maybe),
+                      comeBack);
+}
+
+} // namespace
+
+RequestRun::RequestRun(const RequestRunOptions& aOptions)
+  : m_state(aOptions.m_state)
+  , m_request(aOptions.m_request)
+  , m_sink(aOptions.m_sink)
+  , m_cancel(aOptions.m_cancel)
+{
+}
+
+Task<void>
+RequestRun::Run()
+{
+  m_state.m_retries.AddRequest(m_request.m_pool);
+  for (;;) {
+    CheckNotEnded();
+    co_await WaitForPlace();
+    const PlacementQuestion question = AskForPlace();
+    const Placement placement = DecidePlacement(question);
+    if (const auto* refusal = std::get_if<Refuse>(&placement)) {
+      ThrowRefusal(*refusal);
+    }
+    if (std::holds_alternative<StayInLine>(placement)) {
+      continue;
+    }
+    const Failure failure = co_await SendTo(question, placement);
+    if (!failure) {
+      co_return;
+    }
+    ThrowUnlessRepeated(*failure);
+  }
+}
+
+void
+RequestRun::ThrowRefusal(const Refuse& aRefusal) const
+{
+  if (m_lastFailure) {
+    throw WithRan(*m_lastFailure);
+  }
+  throw RequestError(aRefusal.m_hasServers ? ResultCode::DeadlineTooShort
+                                           : ResultCode::NoBackendServer,
+                     aRefusal.m_hasServers ? "no server could begin in time"
+                                           : "no backend server takes work",
+                     Ran::No,
+                     std::chrono::ceil<milliseconds>(aRefusal.m_comeBackAfter));
+}
+
+void
+RequestRun::CheckNotEnded() const
+{
+  if (const auto reason = m_cancel.Reason()) {
+    throw RequestError(*reason, "the request was ended", m_report.m_ran);
+  }
+  if (TimeLeft() < milliseconds(1)) {
+    throw RequestError(m_report.m_ran == Ran::No ? ResultCode::DeadlineTooShort
+                                                 : ResultCode::DeadlineExceeded,
+                       "no time is left before the deadline",
+                       m_report.m_ran);
+  }
+}
+
+// Returns once the request is due and there is something else to do than wait.
+Task<void>
+RequestRun::WaitForPlace()
+{
+  WaitingLine& line = m_state.m_lines.LineOf(m_request.m_pool);
+  const Rank rank{ .m_priority = m_request.m_priority,
+                   .m_arrivedAt = m_request.m_receivedAt };
+  const auto hasPlace = [this] {
+    return !std::holds_alternative<StayInLine>(DecidePlacement(AskForPlace()));
+  };
+  if (!line.HasBefore(rank) && hasPlace()) {
+    co_return;
+  }
+  const SteadyTime began = m_state.m_clock.SteadyNow();
+  const SteadyTime until = m_request.m_receivedAt + LongestWait();
+  const WaitingLine::Place place(line, rank);
+  while (!place.IsFirst() || !hasPlace()) {
+    if (m_state.m_clock.SteadyNow() >= until) {
+      ThrowWaitedTooLong();
+    }
+    co_await place.Wait(kLookAgain, m_cancel);
+    m_report.m_waited = m_state.m_clock.SteadyNow() - began;
+    CheckNotEnded();
+  }
+}
+
+void
+RequestRun::ThrowWaitedTooLong() const
+{
+  if (m_lastFailure) {
+    throw WithRan(*m_lastFailure);
+  }
+  throw RequestError(ResultCode::TooManyRequests,
+                     "every backend server is full",
+                     Ran::No,
+                     std::chrono::ceil<milliseconds>(
+                       m_state.m_lines.SlotTimeOf(m_request.m_pool)));
+}
+
+nanoseconds
+RequestRun::LongestWait() const
+{
+  return std::min<nanoseconds>(
+    nanoseconds(static_cast<std::int64_t>(
+      kWaitShare *
+      static_cast<double>(m_request.m_route.m_latencyObjective.count()))),
+    m_request.m_deadline - m_request.m_receivedAt);
+}
+
+PlacementQuestion
+RequestRun::AskForPlace() const
+{
+  const SteadyTime now = m_state.m_clock.SteadyNow();
+  PlacementQuestion question{ .m_now = now };
+  const FleetMember& self = m_state.m_fleet.Self();
+  if (m_request.IsPermittedIn(self.m_region)) {
+    question.m_servers = ServerChoicesOf(
+      m_state,
+      { .m_config = *m_request.m_config,
+        .m_pool = m_request.m_pool,
+        .m_chain = m_request.m_chain,
+        .m_promptTokens = m_request.m_facts.m_promptTokens.value_or(Tokens(0)),
+        .m_tried = m_triedServers });
+  }
+  if (!m_request.m_forwardedBy) {
+    question.m_regions = RegionChoices();
+  }
+  question.m_slotTime = m_state.m_lines.SlotTimeOf(m_request.m_pool);
+  question.m_instancesInRegion =
+    m_state.m_fleet.LivePeersIn(self.m_region).size() + 1;
+  question.m_untilLate =
+    m_request.m_receivedAt + m_request.m_route.m_latencyObjective - now;
+  question.m_untilDeadline = m_request.m_deadline - now;
+  question.m_transferCost = std::chrono::microseconds(
+    static_cast<std::int64_t>(static_cast<double>(m_request.m_body->size()) /
+                              kTransferBytesPerMicrosecond));
+  return question;
+}
+
+std::vector<RegionChoice>
+RequestRun::RegionChoices() const
+{
+  std::map<RegionId, RegionChoice> choices;
+  const RegionId& own = m_state.m_fleet.Self().m_region;
+  const std::set<RegionId> regions =
+    m_state.m_registry.RegionsOf(m_request.m_pool);
+  for (const FleetMember* peer : m_state.m_fleet.Serving()) {
+    const RegionId& region = peer->m_region;
+    if (region == own || !regions.contains(region) ||
+        !m_request.IsPermittedIn(region) || m_triedPeers.contains(peer->m_id)) {
+      continue;
+    }
+    const auto report = peer->m_pools.find(m_request.m_pool);
+    const nanoseconds delay = report == peer->m_pools.end()
+                                ? nanoseconds::zero()
+                                : report->second.m_startDelay;
+    const auto [entry, isNew] = choices.try_emplace(
+      region, RegionChoice{ .m_region = region, .m_startDelay = delay });
+    entry->second.m_startDelay = std::min(entry->second.m_startDelay, delay);
+  }
+  std::vector<RegionChoice> list;
+  for (auto& [region, choice] : choices) {
+    list.push_back(std::move(choice));
+  }
+  return list;
+}
+
+Task<RequestRun::Failure>
+RequestRun::SendTo(const PlacementQuestion& aQuestion,
+                   const Placement& aPlacement)
+{
+  m_report.m_began.reset();
+  ++m_report.m_sent;
+  try {
+    if (const auto* server =
+          std::get_if<rattanweir::SendToServer>(&aPlacement)) {
+      m_report.m_estimate = server->m_estimate;
+      co_await SendToServer(aQuestion.m_servers[server->m_index]);
+    } else {
+      const auto& region = std::get<rattanweir::SendToRegion>(aPlacement);
+      m_report.m_estimate = region.m_estimate;
+      co_await SendToRegion(aQuestion.m_regions[region.m_index].m_region);
+    }
+  } catch (const RequestError& error) {
+    m_report.m_ran = std::max(m_report.m_ran, error.HasRun());
+    m_report.m_runs += error.HasRun() == Ran::No ? 0 : 1;
+    co_return error;
+  }
+  m_report.m_ran = Ran::Yes;
+  ++m_report.m_runs;
+  co_return std::nullopt;
+}
+
+Task<void>
+RequestRun::SendToServer(ServerChoice aChoice)
+{
+  const KnownServer* known = m_state.m_registry.Find(aChoice.m_incarnation);
+  if (known == nullptr) {
+    throw RequestError(ResultCode::NoBackendServer, "it is gone", Ran::No);
+  }
+  const KnownServer server = *known;
+  m_triedServers.insert(server.m_incarnation);
+  m_report.m_place = server.m_incarnation.Value();
+  m_report.m_loadAge.reset();
+  if (aChoice.m_state.m_queue) {
+    m_report.m_loadAge =
+      m_state.m_clock.SteadyNow() - aChoice.m_state.m_queue->m_at;
+  }
+  if (server.m_coldUntil > m_state.m_clock.SteadyNow()) {
+    m_state.m_cold.Take(ColdQuestionFor(m_state, *m_request.m_config, server));
+  }
+  const Pool* pool = m_request.m_config->FindPool(m_request.m_pool);
+  ServerDispatch dispatch(m_state,
+                          { .m_server = server.m_incarnation,
+                            .m_pool = m_request.m_pool,
+                            .m_uncached = aChoice.m_uncached,
+                            .m_expected = m_report.m_estimate });
+  HeaderFields fields = m_state.m_protocol.BackendFields(
+    { .m_id = m_request.m_facts.m_id,
+      .m_server = server.m_record.m_id,
+      .m_clientAccount = m_request.m_clientAccount,
+      .m_timeLeft = TimeLeft(),
+      .m_priority = m_request.m_priority,
+      .m_isForEngine = pool != nullptr && pool->m_engine.has_value(),
+      .m_resumeAfter = ResumeAfter() });
+  OutboundRequest outbound = MakeOutbound(std::move(fields));
+  outbound.m_needsFreshConnection = !m_request.m_route.IsRepeatable();
+  try {
+    const auto exchange = co_await m_state.m_toBackends.Send(
+      server.m_record.m_endpoint, std::move(outbound), m_cancel);
+    if (pool != nullptr && pool->m_engine) {
+      m_state.m_parts.AddDispatch(
+        server.m_incarnation, m_request.m_chain, pool->m_engine->m_cacheTokens);
+    }
+    std::function<void()> onBegin = [&] {
+      m_report.m_began = dispatch.Begin();
+    };
+    co_await ReadAnswer(*exchange, server, std::move(onBegin));
+    dispatch.EndWith(ResultCode::Ok);
+  } catch (const RequestError& error) {
+    dispatch.EndWith(error.Code());
+    throw;
+  }
+}
+
+Task<void>
+RequestRun::ReadAnswer(UpstreamExchange& aExchange,
+                       const KnownServer& aServer,
+                       std::function<void()> aOnBegin)
+{
+  AnswerHead head = co_await aExchange.ReadHead();
+  const AnswerFacts facts = m_state.m_protocol.ReadAnswer(head);
+  NoteServerWords(aServer, facts);
+  CheckAnswer(head, facts);
+  AnswerPass pass({ .m_sink = m_sink,
+                    .m_progress = m_progress,
+                    .m_onBegin = std::move(aOnBegin) });
+  co_await pass.Run(aExchange, std::move(head));
+}
+
+void
+RequestRun::NoteServerWords(const KnownServer& aServer,
+                            const AnswerFacts& aFacts)
+{
+  if (aFacts.m_isOtherServer) {
+    m_state.m_registry.MarkReplaced(aServer.m_incarnation);
+    Log(LogLevel::Info,
+        "server_replaced",
+        { { "server", aServer.m_incarnation.Value() },
+          { "address", aServer.m_record.m_endpoint.ToString() } });
+    return;
+  }
+  if (aFacts.m_queue) {
+    m_state.m_backends.ReportQueue(aServer.m_incarnation,
+                                   aFacts.m_queue->m_running,
+                                   aFacts.m_queue->m_waiting,
+                                   aFacts.m_queue->m_slots);
+  }
+  if (aFacts.m_coldFor) {
+    m_state.m_registry.MarkCold(aServer.m_incarnation, *aFacts.m_coldFor);
+  }
+}
+
+// Throws what the head says other than an answer that is passed on.
+void
+RequestRun::CheckAnswer(const AnswerHead& aHead,
+                        const AnswerFacts& aFacts) const
+{
+  if (aFacts.m_request && *aFacts.m_request != m_request.m_facts.m_id) {
+    throw RequestError(ResultCode::AnswerMismatch,
+                       "the answer is to another request");
+  }
+  if (aFacts.m_isNotRun || aFacts.m_isOtherServer) {
+    throw RequestError(ResultCode::BackendRefused,
+                       "the server did not run it: status " +
+                         std::to_string(aHead.m_status),
+                       Ran::No);
+  }
+  const bool isSuccess = aHead.m_status >= 200 && aHead.m_status < 300;
+  if (isSuccess && (!aFacts.m_isSealed || aFacts.m_isEncoded)) {
+    throw RequestError(ResultCode::AnswerMismatch,
+                       "the answer is not a backend server's");
+  }
+  const bool mayRepeat = m_request.m_route.IsRepeatable() &&
+                         m_report.m_runs + 1 < m_request.m_route.m_attempts &&
+                         !m_request.m_forwardedBy;
+  if (aHead.m_status >= kServerErrors && mayRepeat) {
+    throw RequestError(ResultCode::BackendFailed,
+                       "the server answered " + std::to_string(aHead.m_status),
+                       Ran::Yes);
+  }
+}
+
+Task<void>
+RequestRun::SendToRegion(RegionId aRegion)
+{
+  std::vector<const FleetMember*> peers;
+  for (const FleetMember* peer : m_state.m_fleet.Serving()) {
+    if (peer->m_region == aRegion && !m_triedPeers.contains(peer->m_id)) {
+      peers.push_back(peer);
+    }
+  }
+  if (peers.empty()) {
+    throw RequestError(ResultCode::PeerUnreachable, "no peer there", Ran::No);
+  }
+  const FleetMember peer = *peers[UniformIndex(m_state.m_random, peers.size())];
+  m_triedPeers.insert(peer.m_id);
+  m_report.m_place = peer.m_id.Value();
+  m_report.m_loadAge.reset();
+  m_state.m_metrics.Count("rattanweir_forwarded_total");
+  HeaderFields fields = {
+    { kHopFromField, m_state.m_fleet.Self().m_id.Value() },
+    { kHopAccountField, m_request.m_clientAccount.Value() },
+    { kHopPoolField, m_request.m_pool.Value() },
+    { kHopTimeLeftField, MillisecondsText(TimeLeft()) },
+  };
+  const auto resumeAfter = ResumeAfter();
+  OutboundRequest outbound =
+    MakeOutbound(m_state.m_protocol.PeerFields(m_request.m_facts, resumeAfter));
+  std::move(
+    fields.begin(), fields.end(), std::back_inserter(outbound.m_headers));
+  const SteadyTime sentAt = m_state.m_clock.SteadyNow();
+  try {
+    const auto exchange = co_await m_state.m_toPeers.Send(
+      peer.m_peerAddress, std::move(outbound), m_cancel);
+    AnswerHead head = co_await exchange->ReadHead();
+    if (const auto refusal = PeerRefusal(head)) {
+      throw RequestError(*refusal);
+    }
+    CheckAnswer(head, m_state.m_protocol.ReadAnswer(head));
+    AnswerPass pass(
+      { .m_sink = m_sink, .m_progress = m_progress, .m_onBegin = [&] {
+         m_report.m_began = m_state.m_clock.SteadyNow() - sentAt;
+       } });
+    co_await pass.Run(*exchange, std::move(head));
+  } catch (const RequestError& error) {
+    if (error.Code() == ResultCode::BackendConnectFailed) {
+      m_state.m_fleet.MarkUnreachable(peer.m_id);
+      Log(LogLevel::Warning,
+          "peer_unreachable",
+          { { "peer", peer.m_id.Value() }, { "detail", error.what() } });
+    }
+    throw AsPeerError(error);
+  }
+}
+
+OutboundRequest
+RequestRun::MakeOutbound(HeaderFields aAddedFields) const
+{
+  OutboundRequest outbound{ .m_method = m_request.m_method,
+                            .m_target = m_request.m_target,
+                            .m_headers = m_request.m_facts.m_passedFields,
+                            .m_body = m_request.m_body,
+                            .m_deadline = m_request.m_deadline };
+  std::move(aAddedFields.begin(),
+            aAddedFields.end(),
+            std::back_inserter(outbound.m_headers));
+  return outbound;
+}
+
+std::optional<std::string>
+RequestRun::ResumeAfter() const
+{
+  return m_progress.m_lastEvent ? std::to_string(*m_progress.m_lastEvent)
+                                : m_request.m_facts.m_resumeAfter;
+}
+
+void
+RequestRun::ThrowUnlessRepeated(const RequestError& aFailure)
+{
+  const FleetRoute& route = m_request.m_route;
+  const bool hasRun = aFailure.HasRun() != Ran::No;
+  const bool isOurs = aFailure.Code() == ResultCode::CallerGone ||
+                      aFailure.Code() == ResultCode::CallerTooSlow ||
+                      aFailure.Code() == ResultCode::DeadlineExceeded ||
+                      aFailure.Code() == ResultCode::InstanceDraining;
+  const bool mayRunAgain = route.IsRepeatable() &&
+                           m_report.m_runs < route.m_attempts &&
+                           !m_request.m_forwardedBy &&
+                           (!m_progress.m_hasHead || route.m_resumesStreams) &&
+                           !m_progress.m_isUnnumbered;
+  const bool mayBeSent = m_report.m_sent < route.m_attempts + kUnrunDispatches;
+  const bool isPermitted = !isOurs && mayBeSent && (!hasRun || mayRunAgain) &&
+                           TimeLeft() >= kLeastTimeForRepeat;
+  // A request that reached no server is no repeat for the next one.
+  const bool isRepeat = aFailure.Code() != ResultCode::BackendConnectFailed &&
+                        aFailure.Code() != ResultCode::PeerUnreachable;
+  if (!isPermitted ||
+      (isRepeat && !m_state.m_retries.TakeRetry(m_request.m_pool))) {
+    throw WithRan(aFailure);
+  }
+  m_state.m_metrics.CountRetry(aFailure.Code());
+  Log(LogLevel::Info,
+      "request_repeated",
+      { { "request", m_request.m_facts.m_id.Value() },
+        { "reason", std::string(InfoOf(aFailure.Code()).m_name) },
+        { "ran", std::string(RanText(aFailure.HasRun())) },
+        { "place", m_report.m_place },
+        { "runs", std::to_string(m_report.m_runs) },
+        { "time_left_ms", MillisecondsText(TimeLeft()) },
+        { "detail", aFailure.what() } });
+  m_lastFailure = aFailure;
+}
+
+RequestError
+RequestRun::WithRan(const RequestError& aError) const
+{
+  return { aError.Code(),
+           aError.what(),
+           std::max(aError.HasRun(), m_report.m_ran),
+           aError.ComeBackAfter() };
+}
+
+nanoseconds
+RequestRun::TimeLeft() const
+{
+  return m_request.m_deadline - m_state.m_clock.SteadyNow();
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/gateway/server_choices.cc
@@ -0,0 +1,149 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/request/gateway/server_choices.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace rattanweir {
+namespace {
+
+// Part of a shared beginning that its preferred server is expected to hold
+// already.
+constexpr double kHomeShare = 0.8;
+// What a region with servers that take nothing now tells the others.
+constexpr std::chrono::seconds kNoRoomDelay{ 2 };
+// Of a request that other regions ask for: a short question.
+constexpr Tokens kTypicalUncached{ 300 };
+
+// Counts the chain's first part as held by the one server that all instances
+// prefer for it, found by rendezvous hash over those that take work.
+void
+PreferHome(std::vector<ServerChoice>& aChoices,
+           const PartChain& aChain,
+           Tokens aPromptTokens)
+{
+  const ChainLink& first = aChain.front();
+  ServerChoice* home = nullptr;
+  std::uint64_t highest = 0;
+  for (ServerChoice& choice : aChoices) {
+    if (choice.m_isHeldBack || choice.m_state.m_ejectedUntil) {
+      continue;
+    }
+    const std::string& id = choice.m_incarnation.Value();
+    const std::uint64_t weight = XXH64(id.data(), id.size(), first.m_hash);
+    if (home == nullptr || weight > highest) {
+      home = &choice;
+      highest = weight;
+    }
+  }
+  if (home == nullptr) {
+    return;
+  }
+  const auto expected = static_cast<std::int64_t>(
+    kHomeShare * static_cast<double>(first.m_tokens.Value()));
+  home->m_uncached =
+    std::min(home->m_uncached, aPromptTokens - Tokens(expected));
+}
+
+std::size_t
+InstancesInRegion(const GatewayState& aState)
+{
+  return aState.m_fleet.LivePeersIn(aState.m_fleet.Self().m_region).size() + 1;
+}
+
+} // namespace
+
+std::vector<ServerChoice>
+ServerChoicesOf(const GatewayState& aState, const ServerQuery& aQuery)
+{
+  const Pool* pool = aQuery.m_config.FindPool(aQuery.m_pool);
+  if (pool == nullptr) {
+    return {};
+  }
+  // One part of the connections stays free for instances that join.
+  const unsigned connections =
+    pool->m_maximumConnections /
+    static_cast<unsigned>(InstancesInRegion(aState) + 1);
+  std::vector<ServerChoice> choices;
+  for (const KnownServer* server : aState.m_registry.ServersOf(
+         aQuery.m_pool, aState.m_fleet.Self().m_region)) {
+    if (!server->TakesWork() ||
+        aQuery.m_tried.contains(server->m_incarnation)) {
+      continue;
+    }
+    ServerChoice choice{
+      .m_incarnation = server->m_incarnation,
+      .m_state = aState.m_backends.StateOf(server->m_incarnation),
+      .m_slots = std::max(1U, server->m_record.m_slots),
+      .m_mostInFlight = std::max(1U, connections),
+    };
+    if (pool->m_engine) {
+      choice.m_uncached = std::max(
+        Tokens(0),
+        aQuery.m_promptTokens -
+          aState.m_parts.HeldBy(server->m_incarnation, aQuery.m_chain));
+    }
+    if (pool->m_coldRequestsPerSecond > 0 &&
+        server->m_coldUntil > aState.m_clock.SteadyNow()) {
+      choice.m_isHeldBack = !aState.m_cold.Permits(
+        ColdQuestionFor(aState, aQuery.m_config, *server));
+    }
+    choices.push_back(std::move(choice));
+  }
+  if (pool->m_engine && !aQuery.m_chain.empty()) {
+    PreferHome(choices, aQuery.m_chain, aQuery.m_promptTokens);
+  }
+  return choices;
+}
+
+ColdQuestion
+ColdQuestionFor(const GatewayState& aState,
+                const FleetConfig& aConfig,
+                const KnownServer& aServer)
+{
+  const Pool* pool = aConfig.FindPool(aServer.m_record.m_pool);
+  const FleetMember& self = aState.m_fleet.Self();
+  ColdQuestion question{ .m_server = aServer.m_incarnation,
+                         .m_requestsPerSecond =
+                           pool == nullptr ? 0 : pool->m_coldRequestsPerSecond,
+                         .m_self = self.m_id,
+                         .m_instances = { self.m_id } };
+  for (const FleetMember* peer : aState.m_fleet.PossiblyRunning()) {
+    if (peer->m_region == self.m_region) {
+      question.m_instances.push_back(peer->m_id);
+    }
+  }
+  return question;
+}
+
+std::optional<std::chrono::nanoseconds>
+StartDelayHere(const GatewayState& aState,
+               const FleetConfig& aConfig,
+               const PoolId& aPool)
+{
+  const std::set<BackendServerId> tried;
+  const PartChain chain;
+  PlacementQuestion question{
+    .m_now = aState.m_clock.SteadyNow(),
+    .m_servers = ServerChoicesOf(aState,
+                                 { .m_config = aConfig,
+                                   .m_pool = aPool,
+                                   .m_chain = chain,
+                                   .m_promptTokens = kTypicalUncached,
+                                   .m_tried = tried }),
+    .m_slotTime = aState.m_lines.SlotTimeOf(aPool),
+    .m_instancesInRegion = InstancesInRegion(aState),
+    .m_untilDeadline = std::chrono::hours(1),
+  };
+  if (question.m_servers.empty()) {
+    return std::nullopt;
+  }
+  const Placement placement = DecidePlacement(question);
+  const auto* server = std::get_if<SendToServer>(&placement);
+  return server == nullptr ? std::chrono::nanoseconds(kNoRoomDelay)
+                           : server->m_estimate;
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/gateway/server_choices.h
@@ -0,0 +1,43 @@
+// Gathers what this instance knows of the servers that a request may go to.
+//
+//   question.m_servers = ServerChoicesOf(state, query);
+//   const auto delay = StartDelayHere(state, config, pool);
+
+#pragma once
+
+#include "rattanweir/request/gateway/gateway_state.h"
+#include "rattanweir/request/placement/placement.h"
+
+#include <set>
+#include <vector>
+
+namespace rattanweir {
+
+struct ServerQuery
+{
+  const FleetConfig& m_config;
+  PoolId m_pool;
+  const PartChain& m_chain;
+  Tokens m_promptTokens;
+  // Servers that were tried before.
+  const std::set<BackendServerId>& m_tried;
+};
+
+// The servers of this region that take work and were not tried.
+std::vector<ServerChoice>
+ServerChoicesOf(const GatewayState& aState, const ServerQuery& aQuery);
+
+// Who shares what a cold server takes.
+ColdQuestion
+ColdQuestionFor(const GatewayState& aState,
+                const FleetConfig& aConfig,
+                const KnownServer& aServer);
+
+// When a typical request that came to this region now would begin to be
+// answered; nothing if no server of the pool takes work here.
+std::optional<std::chrono::nanoseconds>
+StartDelayHere(const GatewayState& aState,
+               const FleetConfig& aConfig,
+               const PoolId& aPool);
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/gateway/server_dispatch.cc
@@ -0,0 +1,90 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/request/gateway/server_dispatch.h"
+
+#include <algorithm>
+
+namespace rattanweir {
+namespace {
+
+AttemptVerdict
+VerdictOf(ResultCode aCode)
+{
+  switch (aCode) {
+    case ResultCode::Ok:
+      return AttemptVerdict::Answered;
+    case ResultCode::BackendConnectFailed:
+      return AttemptVerdict::Unreachable;
+    case ResultCode::BackendReset:
+    case ResultCode::AnswerIncomplete:
+    case ResultCode::AnswerMismatch:
+    case ResultCode::BackendFailed:
+    case ResultCode::DeadlineExceeded:
+      return AttemptVerdict::Failed;
+    default:
+      return AttemptVerdict::Neutral;
+  }
+}
+
+} // namespace
+
+ServerDispatch::ServerDispatch(GatewayState& aState,
+                               ServerDispatchOptions aOptions)
+  : m_state(aState)
+  , m_options(std::move(aOptions))
+  , m_sentAt(aState.m_clock.SteadyNow())
+{
+  m_state.m_backends.AddDispatch(
+    m_options.m_server,
+    static_cast<std::uint64_t>(
+      std::max<std::int64_t>(0, m_options.m_uncached.Value())));
+}
+
+ServerDispatch::~ServerDispatch()
+{
+  m_state.m_backends.EndDispatch(
+    m_options.m_server,
+    { .m_load = static_cast<std::uint64_t>(
+        std::max<std::int64_t>(0, m_options.m_uncached.Value())),
+      .m_hasBegun = m_hasBegun,
+      .m_verdict = m_verdict });
+  if (m_isWhole) {
+    m_state.m_lines.ObserveSlotTime(m_options.m_pool,
+                                    m_state.m_clock.SteadyNow() - m_sentAt);
+  }
+  m_state.m_lines.LineOf(m_options.m_pool).Wake();
+}
+
+std::chrono::nanoseconds
+ServerDispatch::Begin()
+{
+  const auto took = m_state.m_clock.SteadyNow() - m_sentAt;
+  if (m_hasBegun) {
+    return took;
+  }
+  m_hasBegun = true;
+  m_state.m_backends.BeginAnswer(
+    m_options.m_server,
+    static_cast<std::uint64_t>(
+      std::max<std::int64_t>(0, m_options.m_uncached.Value())));
+  if (m_options.m_uncached > Tokens(0)) {
+    const std::chrono::duration<double, std::milli> reading(
+      static_cast<double>(m_options.m_uncached.Value()) /
+      kPromptTokensPerMillisecond);
+    m_state.m_backends.ObserveStartDelay(
+      m_options.m_server,
+      std::max(
+        std::chrono::nanoseconds::zero(),
+        took - std::chrono::duration_cast<std::chrono::nanoseconds>(reading)));
+  }
+  return took;
+}
+
+void
+ServerDispatch::EndWith(ResultCode aCode)
+{
+  m_verdict = VerdictOf(aCode);
+  m_isWhole = aCode == ResultCode::Ok;
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/placement/placement.cc
@@ -0,0 +1,144 @@
+#include "rattanweir/request/placement/placement.h"
+
+#include <algorithm>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+// A server's count of its requests is trusted for this long.
+constexpr std::chrono::seconds kQueueReportLife{ 2 };
+// What a failed attempt costs its caller: about a second attempt and its wait.
+constexpr milliseconds kFailureCost{ 1'000 };
+// Requests that wait at a server, in multiples of its slots, before it is
+// taken for full. Servers queue a few requests more than they process and turn
+// the others away.
+constexpr double kQueuePerSlot = 3;
+// By how much another region has to be better.
+constexpr milliseconds kRegionMargin{ 20 };
+// The least time to come back after.
+constexpr milliseconds kLeastComeBack{ 100 };
+
+nanoseconds
+Scale(nanoseconds aDuration, double aFactor)
+{
+  return nanoseconds(static_cast<std::int64_t>(
+    static_cast<double>(aDuration.count()) * aFactor));
+}
+
+bool
+IsFull(const PlacementQuestion& aQuestion, const ServerChoice& aServer)
+{
+  return aServer.m_state.m_inFlight >= aServer.m_mostInFlight ||
+         EstimateOccupancy(aQuestion, aServer) >=
+           aServer.m_slots * (1 + kQueuePerSlot);
+}
+
+struct Best
+{
+  std::optional<std::size_t> m_index;
+  nanoseconds m_estimate{};
+
+  void Consider(std::size_t aIndex, nanoseconds aEstimate)
+  {
+    if (!m_index || aEstimate < m_estimate) {
+      m_index = aIndex;
+      m_estimate = aEstimate;
+    }
+  }
+};
+
+Best
+BestServer(const PlacementQuestion& aQuestion)
+{
+  Best best;
+  for (std::size_t index = 0; index < aQuestion.m_servers.size(); ++index) {
+    const ServerChoice& server = aQuestion.m_servers[index];
+    if (server.m_isHeldBack || server.m_state.m_ejectedUntil ||
+        IsFull(aQuestion, server)) {
+      continue;
+    }
+    best.Consider(index, EstimateStart(aQuestion, server));
+  }
+  return best;
+}
+
+Best
+BestRegion(const PlacementQuestion& aQuestion)
+{
+  Best best;
+  for (std::size_t index = 0; index < aQuestion.m_regions.size(); ++index) {
+    const nanoseconds start = aQuestion.m_regions[index].m_startDelay;
+    best.Consider(index, start + kOtherRegionCost + aQuestion.m_transferCost);
+  }
+  return best;
+}
+
+} // namespace
+
+double
+EstimateOccupancy(const PlacementQuestion& aQuestion,
+                  const ServerChoice& aServer)
+{
+  const BackendState& state = aServer.m_state;
+  const double own = state.m_inFlight;
+  if (!state.m_queue ||
+      aQuestion.m_now - state.m_queue->m_at > kQueueReportLife) {
+    return own * static_cast<double>(aQuestion.m_instancesInRegion);
+  }
+  const double reported =
+    double(state.m_queue->m_running) + state.m_queue->m_waiting;
+  const double since =
+    double(state.m_dispatchesSinceQueue) - double(state.m_endsSinceQueue);
+  return std::max(own, reported + since);
+}
+
+nanoseconds
+EstimateStart(const PlacementQuestion& aQuestion, const ServerChoice& aServer)
+{
+  const BackendState& state = aServer.m_state;
+  const double waiting =
+    std::max(0.0, EstimateOccupancy(aQuestion, aServer) + 1 - aServer.m_slots);
+  const nanoseconds queue =
+    Scale(aQuestion.m_slotTime, waiting / aServer.m_slots);
+  const double tokens = static_cast<double>(aServer.m_uncached.Value()) +
+                        static_cast<double>(state.m_loadUnanswered);
+  const nanoseconds reading =
+    Scale(milliseconds(1), tokens / kPromptTokensPerMillisecond);
+  return queue + reading + state.m_startDelay +
+         Scale(kFailureCost, state.m_failureShare);
+}
+
+Placement
+DecidePlacement(const PlacementQuestion& aQuestion)
+{
+  const Best server = BestServer(aQuestion);
+  const Best region = BestRegion(aQuestion);
+  const bool hasServers =
+    !aQuestion.m_servers.empty() || !aQuestion.m_regions.empty();
+  if (!server.m_index && !region.m_index) {
+    if (hasServers) {
+      return StayInLine{};
+    }
+    return Refuse{ .m_comeBackAfter = kLeastComeBack };
+  }
+  const bool isElsewhereBetter =
+    region.m_index &&
+    (!server.m_index || region.m_estimate + kRegionMargin < server.m_estimate);
+  const Best& best = isElsewhereBetter ? region : server;
+  if (best.m_estimate >= aQuestion.m_untilDeadline) {
+    return Refuse{ .m_hasServers = true,
+                   .m_comeBackAfter =
+                     std::max<nanoseconds>(kLeastComeBack, best.m_estimate) };
+  }
+  if (isElsewhereBetter) {
+    return SendToRegion{ .m_index = *best.m_index,
+                         .m_estimate = best.m_estimate };
+  }
+  return SendToServer{ .m_index = *best.m_index,
+                       .m_estimate = best.m_estimate };
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/placement/placement.h
@@ -0,0 +1,122 @@
+// Decides where a request goes: to a backend server of this region, to another
+// region, back in line for a while, or nowhere.
+//
+//   const Placement placement = DecidePlacement(question);
+//   std::visit(Act{}, placement);
+//
+// Each choice is rated by the time until the request's answer would begin
+// there, as far as it is known here. A server's own count of its requests, from
+// its newest answer, is brought up to date by what this instance sent and saw
+// end since; what recent answers were late by, and the part of them that
+// failed, are added. An engine pays for the prompt tokens that its cache lacks.
+// Another region pays for the round trip and for the bytes between regions, and
+// is used only if it is better by a margin, so that requests do not swap
+// places.
+//
+// The load that it answers: one region at its peak while others are quiet,
+// servers that are lost, slow or failing, and requests that share long prompt
+// parts. A request that could only begin after its deadline is refused at once.
+// Plain values in and out; no I/O.
+
+#pragma once
+
+#include "rattanweir/base/ids/ids.h"
+#include "rattanweir/base/units/units.h"
+#include "rattanweir/process/backend_view/backend_view.h"
+
+#include <chrono>
+#include <optional>
+#include <span>
+#include <variant>
+#include <vector>
+
+namespace rattanweir {
+
+// A backend server of this region that takes work.
+struct ServerChoice
+{
+  BackendServerId m_incarnation;
+  BackendState m_state;
+  // Requests that it processes at once.
+  unsigned m_slots = 1;
+  // Prompt tokens that it would have to read; 0 at a plain server.
+  Tokens m_uncached;
+  // Connections that this instance may have open to it.
+  unsigned m_mostInFlight = 0;
+  // It is cold, and this instance's part of what it takes is used up.
+  bool m_isHeldBack = false;
+};
+
+// Another region in which the request may be served.
+struct RegionChoice
+{
+  RegionId m_region;
+  // When a request sent to a server there would begin to be answered, as the
+  // instances there told.
+  std::chrono::nanoseconds m_startDelay{};
+};
+
+struct PlacementQuestion
+{
+  SteadyTime m_now;
+  std::vector<ServerChoice> m_servers;
+  std::vector<RegionChoice> m_regions;
+  // How long one request holds a slot, on average.
+  std::chrono::nanoseconds m_slotTime{};
+  // Instances that send to the servers of this region.
+  std::size_t m_instancesInRegion = 1;
+  // Left until the answer would be late, and until nobody waits for it.
+  std::chrono::nanoseconds m_untilLate{};
+  std::chrono::nanoseconds m_untilDeadline{};
+  // What sending the request to another region costs beside the round trip.
+  std::chrono::nanoseconds m_transferCost{};
+};
+
+struct SendToServer
+{
+  // Index into m_servers.
+  std::size_t m_index = 0;
+  std::chrono::nanoseconds m_estimate{};
+};
+
+struct SendToRegion
+{
+  // Index into m_regions.
+  std::size_t m_index = 0;
+  std::chrono::nanoseconds m_estimate{};
+};
+
+// Some server takes work, but not now.
+struct StayInLine
+{};
+
+// There is no server, or none that could begin in time.
+struct Refuse
+{
+  bool m_hasServers = false;
+  // When it is worth asking again.
+  std::chrono::nanoseconds m_comeBackAfter{};
+};
+
+using Placement = std::variant<SendToServer, SendToRegion, StayInLine, Refuse>;
+
+// One region to another and back, with a margin for the hop.
+inline constexpr std::chrono::milliseconds kOtherRegionCost{ 125 };
+
+// Rate at which an engine reads prompts, where nothing better is known: a
+// large model on a current accelerator.
+inline constexpr double kPromptTokensPerMillisecond = 60;
+
+Placement
+DecidePlacement(const PlacementQuestion& aQuestion);
+
+// The time until an answer would begin at this server.
+std::chrono::nanoseconds
+EstimateStart(const PlacementQuestion& aQuestion, const ServerChoice& aServer);
+
+// The requests that a server probably has, from all instances.
+double
+EstimateOccupancy(const PlacementQuestion& aQuestion,
+                  const ServerChoice& aServer);
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/placement/placement_test.cc
@@ -0,0 +1,139 @@
+#include "rattanweir/request/placement/placement.h"
+
+#include <catch2/catch.hpp>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const SteadyTime kNow{ std::chrono::hours(1) };
+
+ServerChoice
+Server(const char* aId, unsigned aRunning = 0, unsigned aWaiting = 0)
+{
+  ServerChoice server{ .m_incarnation = BackendServerId(aId),
+                       .m_slots = 6,
+                       .m_mostInFlight = 40 };
+  server.m_state.m_queue = ReportedQueue{
+    .m_running = aRunning, .m_waiting = aWaiting, .m_slots = 6, .m_at = kNow
+  };
+  return server;
+}
+
+PlacementQuestion
+Question(std::vector<ServerChoice> aServers,
+         std::vector<RegionChoice> aRegions = {})
+{
+  return { .m_now = kNow,
+           .m_servers = std::move(aServers),
+           .m_regions = std::move(aRegions),
+           .m_slotTime = milliseconds(60),
+           .m_instancesInRegion = 3,
+           .m_untilLate = milliseconds(500),
+           .m_untilDeadline = seconds(3) };
+}
+
+// The chosen server, region ("r" and its number), or the kind of decision.
+std::string
+Decide(const PlacementQuestion& aQuestion)
+{
+  struct Name
+  {
+    const PlacementQuestion& m_question;
+    std::string operator()(const SendToServer& aServer) const
+    {
+      return m_question.m_servers[aServer.m_index].m_incarnation.Value();
+    }
+    std::string operator()(const SendToRegion& aRegion) const
+    {
+      return "r" + std::to_string(aRegion.m_index);
+    }
+    std::string operator()(const StayInLine&) const { return "line"; }
+    std::string operator()(const Refuse& aRefusal) const
+    {
+      return aRefusal.m_hasServers ? "too late" : "nowhere";
+    }
+  };
+  return std::visit(Name{ aQuestion }, DecidePlacement(aQuestion));
+}
+
+TEST_CASE("the server whose answer begins first is chosen")
+{
+  CHECK(Decide(Question({ Server("a", 6, 4), Server("b", 3) })) == "b");
+}
+
+TEST_CASE("what was sent since the report counts, and what ended since")
+{
+  ServerChoice sent = Server("a", 6, 0);
+  sent.m_state.m_inFlight = 6;
+  sent.m_state.m_dispatchesSinceQueue = 6;
+  ServerChoice ended = Server("b", 6, 3);
+  ended.m_state.m_endsSinceQueue = 3;
+  CHECK(Decide(Question({ sent, ended })) == "b");
+}
+
+TEST_CASE("an old report gives way to the own requests of all instances")
+{
+  ServerChoice old = Server("a", 0, 0);
+  old.m_state.m_queue->m_at = kNow - seconds(5);
+  old.m_state.m_inFlight = 4;
+  CHECK(EstimateOccupancy(Question({}), old) == 12);
+}
+
+TEST_CASE("an engine that holds the prompt is chosen until its queue is worse")
+{
+  ServerChoice holder = Server("holder");
+  ServerChoice other = Server("other");
+  other.m_uncached = Tokens(13'300);
+  CHECK(Decide(Question({ holder, other })) == "holder");
+  holder.m_state.m_loadUnanswered = 14'000;
+  CHECK(Decide(Question({ holder, other })) == "other");
+}
+
+TEST_CASE("failing, slow and ejected servers lose requests to others")
+{
+  ServerChoice failing = Server("failing");
+  failing.m_state.m_failureShare = 0.4;
+  ServerChoice slow = Server("slow");
+  slow.m_state.m_startDelay = milliseconds(300);
+  ServerChoice ejected = Server("ejected");
+  ejected.m_state.m_ejectedUntil = kNow + seconds(1);
+  CHECK(Decide(Question({ ejected, failing, slow, Server("sound", 6) })) ==
+        "sound");
+  CHECK(Decide(Question({ ejected, failing, slow })) == "slow");
+}
+
+TEST_CASE("another region is used when the wait here outweighs the way there")
+{
+  const RegionChoice idle{ .m_region = RegionId("south") };
+  CHECK(Decide(Question({ Server("a", 6, 6) }, { idle })) == "a");
+  CHECK(Decide(Question({ Server("a", 6, 17) }, { idle })) == "r0");
+  RegionChoice busy = idle;
+  busy.m_startDelay = milliseconds(400);
+  CHECK(Decide(Question({ Server("a", 6, 17) }, { busy })) == "a");
+  CHECK(Decide(Question({}, { busy, idle })) == "r1");
+}
+
+TEST_CASE("a request waits while servers are full or held back")
+{
+  ServerChoice cold = Server("cold");
+  cold.m_isHeldBack = true;
+  CHECK(Decide(Question({ cold, Server("full", 6, 18) })) == "line");
+  ServerChoice connected = Server("connected");
+  connected.m_state.m_inFlight = 40;
+  connected.m_state.m_queue.reset();
+  CHECK(Decide(Question({ connected })) == "line");
+}
+
+TEST_CASE("a request that cannot begin in time is refused at once")
+{
+  PlacementQuestion late = Question({ Server("a", 6, 17) });
+  late.m_untilDeadline = milliseconds(100);
+  CHECK(Decide(late) == "too late");
+  CHECK(Decide(Question({})) == "nowhere");
+}
+
+} // namespace
+} // namespace rattanweir
--- a/rattanweir/request/relay/event_splitter.h
+++ b/rattanweir/request/relay/event_splitter.h
@@ -35,6 +35,9 @@
   // AnswerIncomplete if one event grows beyond kMaximumEventBytes.
   std::vector<StreamEvent> Add(std::string_view aPiece);
 
+  // Whether the pieces ended within an event.
+  bool HasPending() const { return !m_pending.empty(); }
+
 private:
   std::string m_pending;
 };
--- /dev/null
+++ b/rattanweir/request/waiting_line/waiting_line.h
@@ -0,0 +1,80 @@
+// Requests that wait until a backend server can take them, in the order in
+// which they should be tried.
+//
+//   WaitingLine line(executor);
+//   WaitingLine::Place place(line, { .m_priority = 1, .m_arrivedAt = now });
+//   while (!place.IsFirst() || !TryToSend()) {
+//     co_await place.Wait(20ms, cancel);
+//   }
+//
+// The most urgent goes first, then the one that came first. Only the first is
+// woken; when it leaves the line, the next one is. For one thread.
+
+#pragma once
+
+#include "rattanweir/base/asio/asio.h"
+#include "rattanweir/base/cancel/cancel.h"
+#include "rattanweir/base/clock/clock.h"
+#include "rattanweir/request/wait/wait.h"
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <memory>
+
+namespace rattanweir {
+
+struct Rank
+{
+  // 0 goes first.
+  unsigned m_priority = 0;
+  SteadyTime m_arrivedAt;
+
+  friend auto operator<=>(const Rank&, const Rank&) = default;
+};
+
+class WaitingLine
+{
+public:
+  explicit WaitingLine(const Executor& aExecutor);
+
+  // A place in the line for as long as it lives.
+  class Place
+  {
+  public:
+    Place(WaitingLine& aLine, const Rank& aRank);
+    ~Place();
+    Place(const Place&) = delete;
+    Place& operator=(const Place&) = delete;
+
+    bool IsFirst() const;
+
+    // Returns after the duration, when the line is woken and this place is the
+    // first, or when `aCancel` is cancelled.
+    Task<void> Wait(std::chrono::nanoseconds aDuration,
+                    CancelSource& aCancel) const;
+
+  private:
+    friend class WaitingLine;
+
+    WaitingLine& m_line;
+    std::pair<Rank, std::uint64_t> m_key;
+    mutable WakeUp m_wakeUp;
+  };
+
+  // Something may have become free.
+  void Wake();
+
+  // Whether a request of this rank has to go behind others.
+  bool HasBefore(const Rank& aRank) const;
+
+  std::size_t Size() const { return m_places.size(); }
+
+private:
+  Executor m_executor;
+  std::map<std::pair<Rank, std::uint64_t>, const Place*> m_places;
+  std::uint64_t m_nextNumber = 0;
+};
+
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/waiting_line/waiting_line_test.cc
@@ -0,0 +1,66 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/request/waiting_line/waiting_line.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::seconds;
+
+SteadyTime
+At(int aSecond)
+{
+  return SteadyTime(seconds(aSecond));
+}
+
+TEST_CASE("the most urgent is first, then the one that came first")
+{
+  asio::io_context context;
+  WaitingLine line(context.get_executor());
+  CHECK_FALSE(line.HasBefore({ .m_priority = 9, .m_arrivedAt = At(1) }));
+  WaitingLine::Place early(line, { .m_priority = 1, .m_arrivedAt = At(1) });
+  WaitingLine::Place late(line, { .m_priority = 1, .m_arrivedAt = At(2) });
+  CHECK(early.IsFirst());
+  CHECK_FALSE(late.IsFirst());
+  const WaitingLine::Place urgent(line,
+                                  { .m_priority = 0, .m_arrivedAt = At(3) });
+  CHECK(urgent.IsFirst());
+  CHECK(line.HasBefore({ .m_priority = 0, .m_arrivedAt = At(4) }));
+  CHECK_FALSE(line.HasBefore({ .m_priority = 0, .m_arrivedAt = At(2) }));
+}
+
+Task<void>
+WaitInLine(WaitingLine& aLine, int aNumber, std::vector<int>& aLeft)
+{
+  WaitingLine::Place place(aLine,
+                           { .m_priority = 1, .m_arrivedAt = At(aNumber) });
+  CancelSource cancel;
+  co_await place.Wait(seconds(30), cancel);
+  aLeft.push_back(aNumber);
+}
+
+TEST_CASE("one wake-up empties the line in its order, as each leaves")
+{
+  asio::io_context context;
+  WaitingLine line(context.get_executor());
+  std::vector<int> left;
+  for (const int number : { 2, 1, 3 }) {
+    asio::co_spawn(context, WaitInLine(line, number, left), asio::detached);
+  }
+  context.poll();
+  CHECK(line.Size() == 3);
+  line.Wake();
+  context.restart();
+  context.run_for(seconds(5));
+  CHECK(left == std::vector<int>{ 1, 2, 3 });
+  CHECK(line.Size() == 0);
+}
+
+} // namespace
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/version/fleet_config/fleet_config_test.cc
@@ -0,0 +1,98 @@
+#include "rattanweir/version/fleet_config/fleet_config.h"
+
+#include <catch2/catch.hpp>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::seconds;
+
+FleetRoute
+RouteWith(const char* aId, const char* aHost, const char* aPrefix)
+{
+  return { .m_id = RouteId(aId),
+           .m_host = aHost,
+           .m_pathPrefix = aPrefix,
+           .m_pools = { { .m_pool = PoolId("p") } },
+           .m_timeout = seconds(1) };
+}
+
+FleetConfigRows
+Rows(std::uint64_t aVersion, std::vector<FleetRoute> aRoutes)
+{
+  return { .m_version = SectionVersion(aVersion),
+           .m_routes = std::move(aRoutes),
+           .m_pools = { { .m_id = PoolId("p") } } };
+}
+
+std::string
+Found(const FleetConfig& aConfig, const char* aHost, const char* aTarget)
+{
+  const FleetRoute* route = aConfig.FindRoute(aHost, aTarget);
+  return route == nullptr ? "" : route->m_id.Value();
+}
+
+TEST_CASE("the longest prefix of the host that begins the path is taken")
+{
+  const FleetConfig config(Rows(1,
+                                { RouteWith("root", "a.example", "/"),
+                                  RouteWith("deep", "a.example", "/x/y/"),
+                                  RouteWith("short", "a.example", "/x/"),
+                                  RouteWith("other", "b.example", "/x/") }));
+  CHECK(Found(config, "a.example", "/x/y/z") == "deep");
+  CHECK(Found(config, "a.example", "/x/y/") == "deep");
+  CHECK(Found(config, "a.example", "/x/y") == "short");
+  CHECK(Found(config, "a.example", "/q?/x/y/") == "root");
+  CHECK(Found(config, "A.Example:8080", "/x/1") == "short");
+  CHECK(Found(config, "b.example", "/x/y/z") == "other");
+  CHECK(Found(config, "b.example", "/xy").empty());
+  CHECK(Found(config, "c.example", "/x/").empty());
+}
+
+TEST_CASE("a configuration that contradicts itself is refused with its row")
+{
+  FleetRoute noPool = RouteWith("r", "a", "/x/");
+  noPool.m_pools = { { .m_pool = PoolId("gone") } };
+  CHECK_THROWS_WITH(FleetConfig(Rows(1, { noPool })),
+                    "route r: there is no pool gone");
+  CHECK_THROWS_AS(FleetConfig(Rows(1, { RouteWith("r", "a", "/x") })),
+                  FleetConfigError);
+  FleetRoute noTime = RouteWith("r", "a", "/x/");
+  noTime.m_timeout = seconds(0);
+  CHECK_THROWS_AS(FleetConfig(Rows(1, { noTime })), FleetConfigError);
+}
+
+TEST_CASE("a version in force never goes back")
+{
+  FleetConfigStore store;
+  std::vector<std::uint64_t> seen;
+  store.OnAccepted([&](const FleetConfig& aConfig) {
+    seen.push_back(aConfig.Version().Value());
+  });
+  const auto offer = [&](std::uint64_t aVersion) {
+    return store.Offer(std::make_shared<FleetConfig>(
+      Rows(aVersion, { RouteWith("r", "a", "/") })));
+  };
+  CHECK(offer(7));
+  CHECK_FALSE(offer(5));
+  CHECK_FALSE(offer(7));
+  CHECK(offer(9));
+  CHECK(seen == std::vector<std::uint64_t>{ 7, 9 });
+  CHECK(store.InForce()->Version() == SectionVersion(9));
+}
+
+TEST_CASE("a key that is left out of a version names no account")
+{
+  FleetConfigRows rows = Rows(1, { RouteWith("r", "a", "/") });
+  rows.m_accounts = { { .m_id = ClientAccountId("anna") } };
+  rows.m_keys = { { "k1", ClientAccountId("anna") },
+                  { "k2", ClientAccountId("nobody") } };
+  const FleetConfig config(rows);
+  REQUIRE(config.FindAccountOfKey("k1") != nullptr);
+  CHECK(config.FindAccountOfKey("k1")->m_id == ClientAccountId("anna"));
+  CHECK(config.FindAccountOfKey("k2") == nullptr);
+  CHECK(config.FindAccountOfKey("k3") == nullptr);
+}
+
+} // namespace
+} // namespace rattanweir
