--- /dev/null
+++ b/rattanweir/connection/gossip/gossip_test.cc
@@ -0,0 +1,245 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/connection/gossip/gossip.h"
+#include "rattanweir/connection/gossip/gossip_messages.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <memory>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TopicId kTopic("servers/");
+
+Endpoint
+AddressOf(int aNumber)
+{
+  return { .m_address = "10.0.0." + std::to_string(aNumber), .m_port = 9 };
+}
+
+// An answer that is there at once.
+class ReadyExchange final : public UpstreamExchange
+{
+public:
+  explicit ReadyExchange(std::string aBody)
+    : m_body(std::move(aBody))
+  {
+  }
+  Task<AnswerHead> ReadHead() override
+  {
+    co_return AnswerHead{ .m_status = 200 };
+  }
+  Task<std::optional<std::string>> ReadChunk() override
+  {
+    co_return std::exchange(m_body, std::nullopt);
+  }
+
+private:
+  std::optional<std::string> m_body;
+};
+
+// Hands each call to the instance at its address, unless the link is cut.
+class Wires final : public Upstream
+{
+public:
+  Task<std::unique_ptr<UpstreamExchange>> Send(Endpoint aEndpoint,
+                                               OutboundRequest aRequest,
+                                               CancelSource&) override
+  {
+    const auto found = m_gossips.find(aEndpoint);
+    if (m_isCut || found == m_gossips.end()) {
+      throw RequestError(ResultCode::BackendConnectFailed, "cut", Ran::No);
+    }
+    co_return std::make_unique<ReadyExchange>(
+      found->second->HandleCall(*aRequest.m_body));
+  }
+
+  std::map<Endpoint, Gossip*> m_gossips;
+  bool m_isCut = false;
+};
+
+struct Instance
+{
+  Instance(int aNumber, asio::io_context& aContext, Wires& aWires)
+    : m_fleet({ .m_clock = SystemClock(),
+                .m_self = { .m_id = InstanceId("i" + std::to_string(aNumber)),
+                            .m_incarnation = Incarnation(1),
+                            .m_region = RegionId("r"),
+                            .m_zone = AvailabilityZoneId("r-a"),
+                            .m_callerAddress = AddressOf(100 + aNumber),
+                            .m_peerAddress = AddressOf(aNumber),
+                            .m_isReady = true } })
+    , m_gossip({ .m_executor = aContext.get_executor(),
+                 .m_clock = SystemClock(),
+                 .m_random = m_random,
+                 .m_upstream = aWires,
+                 .m_fleet = m_fleet,
+                 .m_published = m_published,
+                 .m_metrics = m_metrics,
+                 .m_interval = milliseconds(5),
+                 .m_updateSelf = [this] {
+                   m_fleet.Self().m_publishedRevisions[kTopic.Value()] =
+                     m_published.RevisionOf(kTopic);
+                 } })
+  {
+    aWires.m_gossips.emplace(AddressOf(aNumber), &m_gossip);
+  }
+
+  RandomEngine m_random{ 1 };
+  FleetView m_fleet;
+  PublishedItems m_published;
+  Metrics m_metrics;
+  Gossip m_gossip;
+};
+
+struct World
+{
+  explicit World(int aInstances)
+  {
+    for (int number = 1; number <= aInstances; ++number) {
+      m_instances.push_back(
+        std::make_unique<Instance>(number, m_context, m_wires));
+      m_instances.back()->m_fleet.SetSeeds({ AddressOf(1) });
+    }
+  }
+
+  ~World()
+  {
+    for (const auto& instance : m_instances) {
+      instance->m_gossip.Stop();
+    }
+    m_context.restart();
+    m_context.run_for(seconds(5));
+  }
+
+  void Start()
+  {
+    for (const auto& instance : m_instances) {
+      instance->m_gossip.Start();
+    }
+  }
+
+  // Fails the test if the condition never holds.
+  void RunUntil(const std::function<bool()>& aCondition)
+  {
+    const SteadyTime end = SystemClock().SteadyNow() + seconds(20);
+    while (!aCondition()) {
+      REQUIRE(SystemClock().SteadyNow() < end);
+      m_context.restart();
+      m_context.run_for(milliseconds(5));
+    }
+  }
+
+  bool KnowEachOther() const
+  {
+    for (const auto& instance : m_instances) {
+      if (instance->m_fleet.LivePeers().size() + 1 != m_instances.size()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  asio::io_context m_context;
+  Wires m_wires;
+  std::vector<std::unique_ptr<Instance>> m_instances;
+};
+
+TEST_CASE("instances that know one seed find each other")
+{
+  World world(5);
+  world.Start();
+  world.RunUntil([&] { return world.KnowEachOther(); });
+  CHECK(world.m_instances[4]->m_gossip.HasMetSomeone());
+}
+
+TEST_CASE("an instance that the platform turns away follows its peers")
+{
+  World world(3);
+  world.m_instances[0]->m_published.Apply(
+    kTopic, { { .m_key = "servers/a", .m_value = "1" } }, 7);
+  world.Start();
+  world.RunUntil(
+    [&] { return world.m_instances[2]->m_published.RevisionOf(kTopic) == 7; });
+  world.m_instances[0]->m_published.Apply(
+    kTopic, { { .m_key = "servers/a" } }, 9);
+  world.RunUntil([&] {
+    const TopicCopy* copy = world.m_instances[2]->m_published.Find(kTopic);
+    return copy->m_revision == 9 && copy->m_items.empty();
+  });
+}
+
+TEST_CASE("a fleet that was cut finds itself again")
+{
+  World world(3);
+  world.Start();
+  world.RunUntil([&] { return world.KnowEachOther(); });
+  world.m_wires.m_isCut = true;
+  for (const auto& instance : world.m_instances) {
+    for (int number = 1; number <= 3; ++number) {
+      instance->m_fleet.MarkUnreachable(
+        InstanceId("i" + std::to_string(number)));
+    }
+  }
+  CHECK_FALSE(world.KnowEachOther());
+  world.m_wires.m_isCut = false;
+  world.RunUntil([&] { return world.KnowEachOther(); });
+}
+
+TEST_CASE("rows come back as they were sent")
+{
+  FleetMember row{ .m_id = InstanceId("i"),
+                   .m_incarnation = Incarnation(1'700'000'000'123),
+                   .m_sequence = 4,
+                   .m_region = RegionId("r"),
+                   .m_zone = AvailabilityZoneId("z"),
+                   .m_callerAddress = AddressOf(1),
+                   .m_peerAddress = AddressOf(2),
+                   .m_isReady = true,
+                   .m_isDraining = true,
+                   .m_capacity = 0.25,
+                   .m_configVersion = SectionVersion(8) };
+  row.m_publishedRevisions.emplace("op/", 3);
+  row.m_demand.emplace(ClientAccountId("anna"), 120.0);
+  row.m_pools[PoolId("p")].m_startDelay = milliseconds(40);
+  const std::vector<FleetMember> rows = FleetRowsFromJson(ToJson({ row }));
+  REQUIRE(rows.size() == 1);
+  CHECK(rows[0].m_incarnation == row.m_incarnation);
+  CHECK(rows[0].m_sequence == 4);
+  CHECK(rows[0].m_peerAddress == row.m_peerAddress);
+  CHECK(rows[0].m_isDraining);
+  CHECK(rows[0].m_capacity == 0.25);
+  CHECK(rows[0].m_configVersion == SectionVersion(8));
+  CHECK(rows[0].m_publishedRevisions.at("op/") == 3);
+  CHECK(rows[0].m_demand.at(ClientAccountId("anna")) == 120);
+  CHECK(rows[0].m_pools.at(PoolId("p")).m_startDelay == milliseconds(40));
+}
+
+TEST_CASE("a message that cannot be read names the field and changes nothing")
+{
+  Json::Value message = ToJson(std::vector<FleetMember>{ {
+    .m_id = InstanceId("i"),
+    .m_callerAddress = AddressOf(1),
+    .m_peerAddress = AddressOf(2),
+  } });
+  message["rows"][0].removeMember("seq");
+  CHECK_THROWS_WITH(FleetRowsFromJson(message), "seq: is missing");
+  message["rows"][0]["seq"] = "4";
+  CHECK_THROWS_WITH(FleetRowsFromJson(message), "seq: expected a whole number");
+  CHECK_THROWS_AS(FleetRowsFromJson(Json::Value(3)), RpcError);
+  World world(1);
+  const std::string answer = world.m_instances[0]->m_gossip.HandleCall(
+    EncodeRpcRequest(kGossipMethod, message));
+  CHECK(answer.find("seq: expected a whole number") != std::string::npos);
+  CHECK(world.m_instances[0]->m_fleet.LivePeers().empty());
+}
+
+} // namespace
+} // namespace rattanweir
--- /dev/null
+++ b/rattanweir/process/logging/internal/line_writer.cc
@@ -0,0 +1,55 @@
+#include "rattanweir/process/logging/internal/line_writer.h"
+
+#include <cerrno>
+#include <utility>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace rattanweir {
+namespace {
+
+// Bytes that were taken, 0 if there is no room or no reader.
+std::size_t
+WriteSome(int aDescriptor, const std::string& aText)
+{
+  ssize_t count = 0;
+  do {
+    count = ::write(aDescriptor, aText.data(), aText.size());
+  } while (count < 0 && errno == EINTR);
+  return count < 0 ? 0 : static_cast<std::size_t>(count);
+}
+
+} // namespace
+
+LineWriter::LineWriter(int aDescriptor)
+  : m_descriptor(aDescriptor)
+{
+  const int flags = ::fcntl(aDescriptor, F_GETFL);
+  if (flags >= 0) {
+    ::fcntl(aDescriptor, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+bool
+LineWriter::Write(std::string aLine)
+{
+  // A line that was begun is finished first, so that lines stay whole.
+  if (!m_rest.empty()) {
+    m_rest.erase(0, WriteSome(m_descriptor, m_rest));
+  }
+  if (!m_rest.empty()) {
+    ++m_lost;
+    return false;
+  }
+  aLine += '\n';
+  const std::size_t written = WriteSome(m_descriptor, aLine);
+  if (written == 0) {
+    ++m_lost;
+    return false;
+  }
+  m_rest = aLine.substr(written);
+  return true;
+}
+
+} // namespace rattanweir
--- a/rattanweir/process/logging/log.cc
+++ b/rattanweir/process/logging/log.cc
@@ -1,28 +1,28 @@
 #include "rattanweir/process/logging/log.h"
 
+#include "rattanweir/process/logging/internal/line_writer.h"
+#include "rattanweir/process/logging/internal/record_limit.h"
+
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
-#include <boost/shared_ptr.hpp>
-
 #include <json/writer.h>
 
 #include <array>
 #include <chrono>
 #include <ctime>
-#include <iostream>
+#include <mutex>
+
+#include <unistd.h>
 
 namespace rattanweir {
 namespace {
 
 namespace logging = boost::log;
 
-using TextSink =
-  logging::sinks::synchronous_sink<logging::sinks::text_ostream_backend>;
-
 // Set once before the first thread starts.
 LogSettings&
 CurrentSettings()
@@ -31,6 +31,38 @@
   return settings;
 }
 
+std::string
+LinesLostRecord(std::uint64_t aCount)
+{
+  const std::string count = std::to_string(aCount);
+  return CurrentSettings().m_format == LogFormat::Json
+           ? R"({"event":"log_lines_lost","count":)" + count + "}"
+           : "event=log_lines_lost count=" + count;
+}
+
+// Writes records to standard output; one that does not fit is lost.
+class StandardOutputBackend
+  : public logging::sinks::basic_formatted_sink_backend<char>
+{
+public:
+  void consume(const logging::record_view& /*aRecord*/, // NOLINT
+               const std::string& aLine)
+  {
+    const std::uint64_t lostBefore = m_writer.LinesLost();
+    if (lostBefore > m_lostTold &&
+        m_writer.Write(LinesLostRecord(lostBefore - m_lostTold))) {
+      m_lostTold = lostBefore;
+    }
+    m_writer.Write(aLine);
+  }
+
+private:
+  LineWriter m_writer{ STDOUT_FILENO };
+  std::uint64_t m_lostTold = 0;
+};
+
+using OutputSink = logging::sinks::synchronous_sink<StandardOutputBackend>;
+
 std::string_view
 LevelName(LogLevel aLevel)
 {
@@ -67,13 +99,9 @@
 }
 
 void
-AddStandardErrorSink()
+AddStandardOutputSink()
 {
-  const auto sink = boost::make_shared<TextSink>();
-  sink->locked_backend()->add_stream(
-    boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
-  sink->locked_backend()->auto_flush(true);
-  logging::core::get()->add_sink(sink);
+  logging::core::get()->add_sink(boost::make_shared<OutputSink>());
 }
 
 // The one logger; its sink is added at the first record.
@@ -81,7 +109,7 @@
 Logger()
 {
   static logging::sources::logger_mt logger = [] {
-    AddStandardErrorSink();
+    AddStandardOutputSink();
     return logging::sources::logger_mt();
   }();
   return logger;
@@ -126,6 +154,26 @@
   return text;
 }
 
+void
+WriteRecord(const LogSettings& aSettings, const std::string& aRecord)
+{
+  const std::string line =
+    aSettings.m_format == LogFormat::Json
+      ? "{\"time\":\"" + UtcTimeNow() + "\"," + aRecord + "}"
+      : "time=" + UtcTimeNow() + " " + aRecord;
+  BOOST_LOG(Logger()) << line;
+}
+
+// Whether the record is written, and how many were left out before it.
+std::optional<AdmittedRecord>
+AdmitRecord(std::string_view aEvent)
+{
+  static std::mutex mutex;
+  static RecordLimit limit({});
+  const std::lock_guard lock(mutex);
+  return limit.Admit(aEvent, SystemClock().SteadyNow());
+}
+
 } // namespace
 
 void
@@ -153,13 +201,21 @@
   if (aLevel < settings.m_level) {
     return;
   }
-  const std::string record =
-    FormatLogRecord(settings.m_format, aLevel, aEvent, aFields);
-  const std::string line =
-    settings.m_format == LogFormat::Json
-      ? "{\"time\":\"" + UtcTimeNow() + "\"," + record + "}"
-      : "time=" + UtcTimeNow() + " " + record;
-  BOOST_LOG(Logger()) << line;
+  const auto admitted = AdmitRecord(aEvent);
+  if (!admitted) {
+    return;
+  }
+  if (admitted->m_leftOut > 0) {
+    WriteRecord(
+      settings,
+      FormatLogRecord(settings.m_format,
+                      LogLevel::Info,
+                      "log_records_left_out",
+                      { { "of", std::string(aEvent) },
+                        { "count", std::to_string(admitted->m_leftOut) } }));
+  }
+  WriteRecord(settings,
+              FormatLogRecord(settings.m_format, aLevel, aEvent, aFields));
 }
 
 } // namespace rattanweir
--- a/rattanweir/process/logging/log.h
+++ b/rattanweir/process/logging/log.h
@@ -3,8 +3,11 @@
 //   ConfigureLog(settings.m_log);
 //   Log(LogLevel::Info, "request_done", { { "request", id.Value() } });
 //
-// Fields never hold a caller's key or a body. Records go to standard error,
-// since an instance has no disk. Safe from any thread once configured.
+// Fields never hold a caller's key or a body. Records go to standard output,
+// since an instance has no disk. Writing never waits: a record that its reader
+// leaves no room for is lost, and so are those of an event that comes too
+// often; both are counted in a record of their own. Safe from any thread once
+// configured.
 
 #pragma once
 
--- a/rattanweir/process/part_cache/part_cache_test.cc
+++ b/rattanweir/process/part_cache/part_cache_test.cc
@@ -9,7 +9,7 @@
 const Tokens kRoomy(10'000);
 
 PartChain
-Chain(std::vector<PromptPart> aParts)
+Chain(const std::vector<PromptPart>& aParts)
 {
   return ChainOf("m", aParts);
 }
--- a/rattanweir/process/settings/settings_test.cc
+++ b/rattanweir/process/settings/settings_test.cc
@@ -160,6 +160,67 @@
   REQUIRE(std::filesystem::exists(platform.m_directory + "/instances.yaml"));
 }
 
+constexpr const char* kFleet = R"(instance: north-1
+region: north
+availability_zone: north-a
+addresses: { caller: "10.0.0.1:1", peer: "10.0.0.1:2", admin: "10.0.0.1:3" }
+shutdown_timeout_seconds: 7.5
+fleet:
+  store: "10.9.0.1:8"
+  directory_address: "10.0.0.1:4"
+  readiness_address: "10.0.0.1:5"
+  seeds: ["10.0.0.1:2", "10.0.0.2:2"]
+  availability_zones:
+    - { id: north-a, region: north }
+    - { id: south-a, region: south }
+  capacity: 0.25
+  retry_ratio: 0.2
+  retry_extra: 56
+  retry_window_seconds: 10
+  rate_tolerance_tokens: 190000
+)";
+
+TEST_CASE("the settings of a fleet are read")
+{
+  const Settings settings = Parse(kFleet);
+  REQUIRE(settings.m_fleet);
+  const FleetSettings& fleet = *settings.m_fleet;
+  CHECK(fleet.m_store.ToString() == "10.9.0.1:8");
+  CHECK(fleet.m_seeds.size() == 2);
+  CHECK(fleet.m_regionOfZone.at(AvailabilityZoneId("south-a")) ==
+        RegionId("south"));
+  CHECK(fleet.m_retryExtra == 56);
+  CHECK(fleet.m_retryWindow == std::chrono::seconds(10));
+  CHECK(fleet.m_rateTolerance == Tokens(190'000));
+  CHECK(settings.m_shutdownTimeout == std::chrono::milliseconds(7'500));
+}
+
+TEST_CASE("faulty settings of a fleet are refused with their place")
+{
+  struct Row
+  {
+    const char* m_old;
+    const char* m_new;
+    const char* m_field;
+  };
+  const Row rows[] = {
+    { "\"10.0.0.2:2\"]", "\"nowhere\"]", "fleet.seeds" },
+    { "retry_ratio: 0.2", "retry_ratio: many", "fleet.retry_ratio" },
+    { "store: \"10.9.0.1:8\"", "store: \"10.9.0.1:0\"", "fleet.store" },
+    { "capacity: 0.25", "speed: 0.25", "fleet.speed" },
+  };
+  for (const Row& row : rows) {
+    INFO(row.m_new);
+    std::string found;
+    try {
+      Parse(Replaced(kFleet, row.m_old, row.m_new));
+    } catch (const SettingsError& error) {
+      found = error.Faults().at(0).m_field;
+    }
+    CHECK("fleet." + found.substr(found.rfind('.') + 1) == row.m_field);
+  }
+}
+
 TEST_CASE("a file that cannot be read is refused by its name")
 {
   const char* path = GENERATE("/nowhere/settings.yaml", "/tmp");
--- a/rattanweir/request/gateway/request_run.cc
+++ b/rattanweir/request/gateway/request_run.cc
@@ -243,6 +243,7 @@
     entry->second.m_startDelay = std::min(entry->second.m_startDelay, delay);
   }
   std::vector<RegionChoice> list;
+  list.reserve(choices.size());
   for (auto& [region, choice] : choices) {
     list.push_back(std::move(choice));
   }
@@ -424,11 +425,13 @@
   std::move(
     fields.begin(), fields.end(), std::back_inserter(outbound.m_headers));
   const SteadyTime sentAt = m_state.m_clock.SteadyNow();
+  bool isPeersWord = false;
   try {
     const auto exchange = co_await m_state.m_toPeers.Send(
       peer.m_peerAddress, std::move(outbound), m_cancel);
     AnswerHead head = co_await exchange->ReadHead();
     if (const auto refusal = PeerRefusal(head)) {
+      isPeersWord = true;
       throw RequestError(*refusal);
     }
     CheckAnswer(head, m_state.m_protocol.ReadAnswer(head));
@@ -444,6 +447,9 @@
           "peer_unreachable",
           { { "peer", peer.m_id.Value() }, { "detail", error.what() } });
     }
+    if (isPeersWord) {
+      throw;
+    }
     throw AsPeerError(error);
   }
 }
--- /dev/null
+++ b/testing/gateway_world/gateway_world.cc
@@ -0,0 +1,358 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "testing/gateway_world/gateway_world.h"
+
+#include "rattanweir/request/exchange/header_fields.h"
+
+#include <catch2/catch.hpp>
+
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const RegionId kNorth("north");
+const RegionId kSouth("south");
+const AvailabilityZoneId kNorthZone("north-a");
+const AvailabilityZoneId kSouthZone("south-a");
+const PoolId kPlain("plain");
+const PoolId kEngines("engines");
+
+std::string
+ValueOf(const HeaderFields& aFields, const char* aName)
+{
+  const std::string* value = FindHeader(aFields, aName);
+  return value == nullptr ? "" : *value;
+}
+
+FleetRoute
+RouteOf(const char* aName, RequestKind aKind, const PoolId& aPool)
+{
+  return { .m_id = RouteId(aName),
+           .m_host = "a.example",
+           .m_pathPrefix = std::string("/") + aName + "/",
+           .m_kind = aKind,
+           .m_pools = { { .m_pool = aPool } },
+           .m_attempts = 2,
+           .m_timeout = seconds(4),
+           .m_latencyObjective = milliseconds(500) };
+}
+
+FleetConfigRows
+Rows(std::uint64_t aVersion, bool aHasKey)
+{
+  FleetConfigRows rows{
+    .m_version = SectionVersion(aVersion),
+    .m_pools = { { .m_id = kPlain, .m_maximumConnections = 100 },
+                 { .m_id = kEngines,
+                   .m_maximumConnections = 100,
+                   .m_engine =
+                     EngineProfile{ .m_slots = 8,
+                                    .m_cacheTokens = Tokens(100'000) } } },
+    .m_accounts = { { .m_id = ClientAccountId("anna"),
+                      .m_ratePerSecond = 100,
+                      .m_burst = 100 } },
+    .m_hasAccounts = true,
+  };
+  if (aHasKey) {
+    rows.m_keys.emplace("key-anna", ClientAccountId("anna"));
+  }
+  rows.m_routes = {
+    RouteOf("read", RequestKind::Idempotent, kPlain),
+    RouteOf("write", RequestKind::NonIdempotent, kPlain),
+    RouteOf("stream", RequestKind::Stream, kEngines),
+    RouteOf("talk", RequestKind::Stream, kEngines),
+    RouteOf("south", RequestKind::NonIdempotent, kPlain),
+    RouteOf("open", RequestKind::Idempotent, kPlain),
+  };
+  rows.m_routes[2].m_resumesStreams = true;
+  rows.m_routes[4].m_homeRegions = { kSouth };
+  rows.m_routes[5].m_isOpenToAll = true;
+  return rows;
+}
+
+FleetMember
+Member(const char* aId, const RegionId& aRegion, const char* aPeerAddress)
+{
+  return { .m_id = InstanceId(aId),
+           .m_incarnation = Incarnation(1),
+           .m_sequence = 1,
+           .m_region = aRegion,
+           .m_callerAddress = ParseEndpoint("10.9.0.1:1"),
+           .m_peerAddress = ParseEndpoint(aPeerAddress),
+           .m_isReady = true };
+}
+
+} // namespace
+
+std::string
+PlainProtocol::IdOf(const InboundRequest& aRequest) const
+{
+  return ValueOf(aRequest.m_headers, "id");
+}
+
+RequestFacts
+PlainProtocol::ReadRequest(const InboundRequest& aRequest) const
+{
+  RequestFacts facts{ .m_id = RequestId(IdOf(aRequest)),
+                      .m_host = ValueOf(aRequest.m_headers, "host") };
+  if (const auto* key = FindHeader(aRequest.m_headers, "key")) {
+    facts.m_presentedKey = *key;
+  }
+  if (const auto* patience = FindHeader(aRequest.m_headers, "patience-ms")) {
+    facts.m_patience = milliseconds(std::stoll(*patience));
+  }
+  if (const auto* resume = FindHeader(aRequest.m_headers, "resume-after")) {
+    facts.m_resumeAfter = *resume;
+  }
+  for (const HeaderField& field : aRequest.m_headers) {
+    if (field.m_name != "key" && field.m_name != "resume-after") {
+      facts.m_passedFields.push_back(field);
+    }
+  }
+  return facts;
+}
+
+HeaderFields
+PlainProtocol::BackendFields(const DispatchFacts& aFacts) const
+{
+  HeaderFields fields = {
+    { "server", aFacts.m_server.Value() },
+    { "account", aFacts.m_clientAccount.Value() },
+    { "left-ms",
+      std::to_string(
+        std::chrono::duration_cast<milliseconds>(aFacts.m_timeLeft).count()) },
+  };
+  if (aFacts.m_resumeAfter) {
+    fields.push_back({ "resume-after", *aFacts.m_resumeAfter });
+  }
+  return fields;
+}
+
+HeaderFields
+PlainProtocol::PeerFields(const RequestFacts& /*aFacts*/,
+                          const std::optional<std::string>& aResumeAfter) const
+{
+  return aResumeAfter ? HeaderFields{ { "resume-after", *aResumeAfter } }
+                      : HeaderFields{};
+}
+
+AnswerFacts
+PlainProtocol::ReadAnswer(const AnswerHead& aHead) const
+{
+  AnswerFacts facts{
+    .m_isNotRun = FindHeader(aHead.m_headers, "not-run") != nullptr,
+    .m_isOtherServer = aHead.m_status == 421,
+    .m_isSealed = FindHeader(aHead.m_headers, "seal") != nullptr,
+  };
+  if (const auto* id = FindHeader(aHead.m_headers, "id")) {
+    facts.m_request = RequestId(*id);
+  }
+  return facts;
+}
+
+Refusal
+PlainProtocol::FormatRefusal(const RequestError& aError) const
+{
+  return RefusalAnswer(aError, RequestId());
+}
+
+ScriptedAnswer
+Sealed(std::string aBody, unsigned aStatus)
+{
+  return { .m_status = aStatus,
+           .m_headers = { { "seal", "s" } },
+           .m_pieces = { std::move(aBody) } };
+}
+
+ScriptedAnswer
+NotRun(unsigned aStatus)
+{
+  return { .m_status = aStatus, .m_headers = { { "not-run", "1" } } };
+}
+
+ScriptedAnswer
+SealedStream(int aFirst, int aCount, bool aIsWhole)
+{
+  ScriptedAnswer answer = ScriptedStream(aFirst, aCount, false);
+  answer.m_headers.push_back({ "seal", "s" });
+  answer.m_isWhole = aIsWhole;
+  return answer;
+}
+
+GatewayWorld::GatewayWorld()
+  : m_fleet(
+      { .m_clock = m_clock, .m_self = Member("north-1", kNorth, "10.1.0.9:9") })
+  , m_registry(
+      { .m_clock = m_clock,
+        .m_regionOfZone = { { kNorthZone, kNorth }, { kSouthZone, kSouth } } })
+  , m_retries({ .m_clock = m_clock,
+                .m_limits = { .m_ratio = 0.5, .m_extra = 20 },
+                .m_used = 1 })
+  , m_lines(m_context.get_executor())
+  , m_state{ .m_executor = m_context.get_executor(),
+             .m_clock = m_clock,
+             .m_random = m_random,
+             .m_protocol = m_protocol,
+             .m_config = m_config,
+             .m_fleet = m_fleet,
+             .m_registry = m_registry,
+             .m_backends = m_backends,
+             .m_parts = m_parts,
+             .m_rates = m_rates,
+             .m_retries = m_retries,
+             .m_cold = m_cold,
+             .m_lines = m_lines,
+             .m_metrics = m_metrics,
+             .m_toBackends = m_upstream,
+             .m_toPeers = m_upstream }
+  , m_peer(m_state, [](const std::string& aCall) { return aCall; })
+{
+  m_config.OnAccepted(
+    [this](const FleetConfig& aConfig) { m_rates.Configure(aConfig); });
+  Configure();
+  for (const char* id : { "s1", "s2", "e1", "e2", "t1", "t2" }) {
+    m_registry.Put(RecordOf(id));
+  }
+  const FleetMember rows[] = { Member("south-1", kSouth, kSouthPeer) };
+  m_fleet.Merge(rows, rows[0].m_id);
+}
+
+GatewayWorld::~GatewayWorld()
+{
+  for (Outcome& outcome : m_outcomes) {
+    outcome.m_cancel.Cancel(ResultCode::CallerGone);
+  }
+  m_context.restart();
+  m_context.poll();
+}
+
+ServerRecord
+GatewayWorld::RecordOf(const char* aId) const
+{
+  static const std::map<std::string, const char*> kAddresses = {
+    { "s1", kServerOne }, { "s2", kServerTwo },   { "e1", kEngineA },
+    { "e2", kEngineB },   { "t1", "10.2.0.1:1" }, { "t2", "10.2.0.1:2" },
+  };
+  const std::string id(aId);
+  const bool isEngine = id.front() == 'e' || id == "t2";
+  return { .m_id = BackendServerId(id),
+           .m_startedAtMs = 1,
+           .m_pool = isEngine ? kEngines : kPlain,
+           .m_endpoint = ParseEndpoint(kAddresses.at(id)),
+           .m_zone = id.front() == 't' ? kSouthZone : kNorthZone,
+           .m_slots = 4 };
+}
+
+void
+GatewayWorld::Configure(bool aHasKey)
+{
+  m_config.Offer(std::make_shared<FleetConfig>(Rows(++m_version, aHasKey)));
+}
+
+void
+GatewayWorld::Script(const std::string& aEndpoint, ScriptedAnswer aAnswer)
+{
+  m_upstream.m_scripts[aEndpoint].push_back(std::move(aAnswer));
+}
+
+void
+GatewayWorld::ScriptAll(const ScriptedAnswer& aAnswer, int aTimes)
+{
+  for (int time = 0; time < aTimes; ++time) {
+    for (const char* endpoint :
+         { kServerOne, kServerTwo, kEngineA, kEngineB }) {
+      Script(endpoint, aAnswer);
+    }
+  }
+}
+
+InboundRequest
+GatewayWorld::Inbound(const GatewayQuestion& aQuestion)
+{
+  InboundRequest request{ .m_method = aQuestion.m_method,
+                          .m_target = aQuestion.m_target,
+                          .m_headers = aQuestion.m_headers,
+                          .m_receivedAt = m_clock.SteadyNow() };
+  request.m_headers.push_back({ "host", aQuestion.m_host });
+  request.m_headers.push_back({ "id", std::to_string(++m_nextRequest) });
+  if (!aQuestion.m_key.empty()) {
+    request.m_headers.push_back({ "key", aQuestion.m_key });
+  }
+  return request;
+}
+
+Outcome&
+GatewayWorld::StartAt(RequestHandler& aGate, InboundRequest aRequest)
+{
+  Outcome& outcome = m_outcomes.emplace_back();
+  asio::co_spawn(
+    m_context, HandleInto(aGate, std::move(aRequest), outcome), asio::detached);
+  m_context.restart();
+  m_context.poll();
+  return outcome;
+}
+
+Outcome&
+GatewayWorld::Start(const GatewayQuestion& aQuestion)
+{
+  return StartAt(m_entry, Inbound(aQuestion));
+}
+
+Outcome&
+GatewayWorld::Finish(Outcome& aOutcome)
+{
+  REQUIRE(aOutcome.m_isDone);
+  return aOutcome;
+}
+
+Outcome&
+GatewayWorld::Ask(const GatewayQuestion& aQuestion)
+{
+  return Finish(Start(aQuestion));
+}
+
+Outcome&
+GatewayWorld::AskAsPeer(const GatewayQuestion& aQuestion,
+                        const HeaderFields& aHopFields)
+{
+  InboundRequest request = Inbound(aQuestion);
+  request.m_headers.insert(
+    request.m_headers.end(), aHopFields.begin(), aHopFields.end());
+  return Finish(StartAt(m_peer, std::move(request)));
+}
+
+void
+GatewayWorld::Advance(milliseconds aDuration)
+{
+  // Waiting requests look again at least this often.
+  constexpr milliseconds kStep{ 25 };
+  for (milliseconds passed{}; passed < aDuration; passed += kStep) {
+    m_clock.Advance(kStep);
+    m_lines.WakeAll();
+    m_context.restart();
+    m_context.poll();
+  }
+}
+
+std::size_t
+GatewayWorld::SentTo(const std::string& aEndpoint) const
+{
+  std::size_t count = 0;
+  for (const ScriptedUpstream::Sent& sent : m_upstream.m_sent) {
+    count += sent.m_endpoint == aEndpoint ? 1 : 0;
+  }
+  return count;
+}
+
+std::string
+GatewayWorld::SentField(std::size_t aIndex, const char* aName) const
+{
+  REQUIRE(aIndex < m_upstream.m_sent.size());
+  return ValueOf(m_upstream.m_sent[aIndex].m_request.m_headers, aName);
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/testing/pipeline_world/outcome.h
@@ -0,0 +1,38 @@
+// What a caller sees of one request that a handler serves.
+//
+//   Outcome outcome;
+//   asio::co_spawn(context, HandleInto(handler, request, outcome),
+//                  asio::detached);
+//   context.run();
+//   REQUIRE(outcome.m_isWhole);
+
+#pragma once
+
+#include "rattanweir/request/exchange/exchange.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace rattanweir {
+
+// What a caller sees of one request.
+struct Outcome
+{
+  bool m_isDone = false;
+  ResultCode m_code = ResultCode::Ok;
+  Ran m_ran = Ran::Yes;
+  std::optional<std::chrono::milliseconds> m_comeBackAfter;
+  std::optional<AnswerHead> m_head;
+  std::string m_body;
+  bool m_isWhole = false;
+  CancelSource m_cancel;
+};
+
+// Serves the request and records what its caller sees.
+Task<void>
+HandleInto(RequestHandler& aHandler,
+           InboundRequest aRequest,
+           Outcome& aOutcome);
+
+} // namespace rattanweir
--- a/testing/pipeline_world/pipeline_world.cc
+++ b/testing/pipeline_world/pipeline_world.cc
@@ -58,50 +58,6 @@
            .m_peerAddress = ParseEndpoint(aPeerAddress) };
 }
 
-class OutcomeSink final : public AnswerSink
-{
-public:
-  explicit OutcomeSink(Outcome& aOutcome)
-    : m_outcome(aOutcome)
-  {
-  }
-  Task<void> WriteHead(AnswerHead aHead) override
-  {
-    REQUIRE_FALSE(m_outcome.m_head);
-    m_outcome.m_head = std::move(aHead);
-    co_return;
-  }
-  Task<void> WriteChunk(std::string aChunk) override
-  {
-    REQUIRE(m_outcome.m_head);
-    m_outcome.m_body += aChunk;
-    co_return;
-  }
-  Task<void> Finish() override
-  {
-    m_outcome.m_isWhole = true;
-    co_return;
-  }
-  bool HasHead() const override { return m_outcome.m_head.has_value(); }
-
-private:
-  Outcome& m_outcome;
-};
-
-Task<void>
-HandleInto(RequestHandler& aHandler, InboundRequest aRequest, Outcome& aOutcome)
-{
-  OutcomeSink sink(aOutcome);
-  try {
-    co_await aHandler.Handle(std::move(aRequest), sink, aOutcome.m_cancel);
-  } catch (const RequestError& error) {
-    aOutcome.m_code = error.Code();
-    aOutcome.m_ran = error.HasRun();
-    aOutcome.m_comeBackAfter = error.ComeBackAfter();
-  }
-  aOutcome.m_isDone = true;
-}
-
 } // namespace
 
 const HeaderFields kKeyA = { { "authorization", "Bearer key-a" } };
--- a/testing/pipeline_world/pipeline_world.h
+++ b/testing/pipeline_world/pipeline_world.h
@@ -13,6 +13,7 @@
 #include "rattanweir/base/clock/manual_clock.h"
 #include "rattanweir/request/pipeline/entry_handler.h"
 #include "rattanweir/request/pipeline/peer_handler.h"
+#include "testing/pipeline_world/outcome.h"
 #include "testing/pipeline_world/scripted_upstream.h"
 
 #include <boost/asio/io_context.hpp>
@@ -24,19 +25,6 @@
 
 namespace rattanweir {
 
-// What a caller sees of one request.
-struct Outcome
-{
-  bool m_isDone = false;
-  ResultCode m_code = ResultCode::Ok;
-  Ran m_ran = Ran::Yes;
-  std::optional<std::chrono::milliseconds> m_comeBackAfter;
-  std::optional<AnswerHead> m_head;
-  std::string m_body;
-  bool m_isWhole = false;
-  CancelSource m_cancel;
-};
-
 struct Question
 {
   std::string m_method = "POST";
