--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -27,6 +27,9 @@
 // of gossip with seeds that may be down.
 constexpr milliseconds kAloneAfter{ 1'500 };
 constexpr seconds kSettingsCheckInterval{ 1 };
+// Every instance reads the store itself for this long after its start, until
+// it knows its peers.
+constexpr seconds kReadAtStart{ 3 };
 // After SIGTERM new requests are still served for this long, since callers
 // keep what the directory said for up to 3 s.
 constexpr milliseconds kServeAfterStop{ 3'200 };
@@ -383,6 +386,7 @@
 {
   FleetMember& self = m_fleet.Self();
   self.m_usages = m_rates.Usages();
+  self.m_readsStore = m_store.IsInTouch();
   self.m_publishedRevisions.clear();
   for (const auto& [topic, revision] : m_published.Revisions()) {
     self.m_publishedRevisions.emplace(topic.Value(), revision);
@@ -415,6 +419,23 @@
   m_retries.SetFleetSize(m_fleet.FleetSize());
 }
 
+// Leaves the store to a few members of the region once those are known.
+void
+FleetDaemon::UpdateReading()
+{
+  const SteadyTime now = m_clock.SteadyNow();
+  if (m_fleet.HasToReadStore() || now - m_startedAt < kReadAtStart) {
+    m_store.SetReading(true);
+  } else {
+    m_store.SetReading(false);
+  }
+  const auto revisions = m_published.Revisions();
+  if (m_store.IsInTouch() && revisions != m_toldRevisions) {
+    m_toldRevisions = revisions;
+    m_gossip.Announce();
+  }
+}
+
 void
 FleetDaemon::UpdateReadiness()
 {
@@ -440,6 +461,7 @@
   while (!m_isStopped) {
     m_registry.Tick();
     UpdateShares();
+    UpdateReading();
     UpdateReadiness();
     if (HasSettingsChanged()) {
       ReloadSettings("the file changed");
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -53,6 +53,7 @@
   void TakeConfig(const FleetConfig& aConfig);
   void UpdateSelf();
   void UpdateShares();
+  void UpdateReading();
   void UpdateReadiness();
   void ReloadSettings(const char* aWhy);
   bool HasSettingsChanged();
@@ -106,6 +107,8 @@
   asio::signal_set m_stopSignals;
   asio::signal_set m_reloadSignals;
   SteadyTime m_settingsCheckedAt;
+  // What peers were told of the store's revisions.
+  std::map<TopicId, std::uint64_t> m_toldRevisions;
   bool m_isStopped = false;
 };
 
--- a/rattanweir/connection/gossip/gossip.cc
+++ b/rattanweir/connection/gossip/gossip.cc
@@ -108,9 +108,11 @@
 Gossip::TakeRows(const Json::Value& aMessage)
 {
   const std::vector<FleetMember> rows = FleetRowsFromJson(aMessage);
-  const FleetMember& sender = rows.front();
-  m_options.m_fleet.Merge(rows, sender.m_id);
-  FetchNewerTopics(sender);
+  const InstanceId& sender = rows.front().m_id;
+  m_options.m_fleet.Merge(rows, sender);
+  if (const FleetMember* member = m_options.m_fleet.Find(sender)) {
+    FetchNewerTopics(*member);
+  }
 }
 
 void
@@ -128,31 +130,30 @@
   }
 }
 
-// A peer's copy is as good as the platform's own answer at that revision.
+// What a peer read is as good as the platform's own answer at that revision.
 Task<void>
 Gossip::FetchTopic(Endpoint aPeer, TopicId aTopic)
 {
+  const std::uint64_t known = m_options.m_published.RevisionOf(aTopic);
   try {
     PeerCall call;
     call.m_endpoint = aPeer;
     call.m_method = kFetchTopicMethod;
     call.m_parameters["topic"] = aTopic.Value();
+    call.m_parameters["since"] = Json::UInt64(known);
     call.m_deadline = m_options.m_clock.SteadyNow() + kCallTimeout;
     const Json::Value answer =
       co_await CallPeer(m_options.m_upstream, std::move(call));
-    TopicCopy copy = TopicCopyFromJson(answer);
-    const std::uint64_t known = m_options.m_published.RevisionOf(aTopic);
-    if (copy.m_revision > known) {
+    // The platform may have told this instance meanwhile.
+    if (m_options.m_published.RevisionOf(aTopic) == known) {
+      TakeTopic(aTopic, answer);
       Log(LogLevel::Info,
           "topic_taken_from_peer",
           { { "topic", aTopic.Value() },
             { "peer", aPeer.ToString() },
-            { "revision", std::to_string(copy.m_revision) },
+            { "revision",
+              std::to_string(m_options.m_published.RevisionOf(aTopic)) },
             { "known", std::to_string(known) } });
-      const std::uint64_t asOf = copy.m_revision;
-      m_options.m_published.Replace(
-        aTopic, std::move(copy), asOf, Removal::Published);
-      m_options.m_metrics.Count("rattanweir_topics_from_peers_total");
     }
   } catch (const std::exception& error) {
     Log(LogLevel::Info,
@@ -164,6 +165,20 @@
   m_fetching.erase(aTopic);
 }
 
+void
+Gossip::TakeTopic(const TopicId& aTopic, const Json::Value& aAnswer)
+{
+  m_options.m_metrics.Count("rattanweir_topics_from_peers_total");
+  if (aAnswer.isMember("changes")) {
+    m_options.m_published.Apply(aTopic, ChangesFromJson(aAnswer));
+    return;
+  }
+  TopicCopy copy = TopicCopyFromJson(aAnswer);
+  const std::uint64_t asOf = copy.m_revision;
+  m_options.m_published.Replace(
+    aTopic, std::move(copy), asOf, Removal::Published);
+}
+
 std::string
 Gossip::HandleCall(const std::string& aRequest)
 {
@@ -184,7 +199,14 @@
   if (!aParameters["topic"].isString()) {
     throw RpcError("topic: expected a text");
   }
+  if (!aParameters["since"].isUInt64()) {
+    throw RpcError("since: expected a whole number");
+  }
   const TopicId topic(aParameters["topic"].asString());
+  if (const auto changes = m_options.m_published.ChangesSince(
+        topic, aParameters["since"].asUInt64())) {
+    return ToJson(*changes);
+  }
   const TopicCopy* copy = m_options.m_published.Find(topic);
   if (copy == nullptr) {
     throw RpcError("topic: not known here");
--- a/rattanweir/connection/gossip/gossip.h
+++ b/rattanweir/connection/gossip/gossip.h
@@ -72,6 +72,7 @@
   Json::Value AnswerFetchTopic(const Json::Value& aParameters) const;
   void TakeRows(const Json::Value& aMessage);
   void FetchNewerTopics(const FleetMember& aPeer);
+  void TakeTopic(const TopicId& aTopic, const Json::Value& aAnswer);
   Json::Value NextMessage();
 
   GossipOptions m_options;
--- a/rattanweir/connection/gossip/gossip_messages.cc
+++ b/rattanweir/connection/gossip/gossip_messages.cc
@@ -77,6 +77,7 @@
   }
 }
 
+// Names are short: these messages are most of the bytes of control.
 Json::Value
 RowToJson(const FleetMember& aRow)
 {
@@ -84,23 +85,26 @@
   value["id"] = aRow.m_id.Value();
   value["run"] = Json::UInt64(aRow.m_incarnation.Value());
   value["seq"] = Json::UInt64(aRow.m_sequence);
-  value["region"] = aRow.m_region.Value();
-  value["zone"] = aRow.m_zone.Value();
-  value["caller"] = aRow.m_callerAddress.ToString();
-  value["peer"] = aRow.m_peerAddress.ToString();
   value["ready"] = aRow.m_isReady;
-  value["draining"] = aRow.m_isDraining;
-  value["capacity"] = aRow.m_capacity;
+  value["leaves"] = aRow.m_isDraining;
+  value["reads"] = aRow.m_readsStore;
   value["config"] = Json::UInt64(aRow.m_configVersion.Value());
+  if (!aRow.m_region.IsEmpty()) {
+    value["region"] = aRow.m_region.Value();
+    value["zone"] = aRow.m_zone.Value();
+    value["caller"] = aRow.m_callerAddress.ToString();
+    value["peer"] = aRow.m_peerAddress.ToString();
+    value["capacity"] = aRow.m_capacity;
+  }
   value["topics"] = Json::Value(Json::objectValue);
   for (const auto& [topic, revision] : aRow.m_publishedRevisions) {
     value["topics"][topic] = Json::UInt64(revision);
   }
   value["usage"] = Json::Value(Json::objectValue);
   for (const auto& [account, usage] : aRow.m_usages) {
-    Json::Value& entry = value["usage"][account.Value()];
-    entry["demand"] = Json::UInt64(static_cast<std::uint64_t>(usage.m_demand));
-    entry["admitted"] = Json::UInt64(usage.m_admitted);
+    Json::Value& pair = value["usage"][account.Value()];
+    pair.append(Json::UInt64(static_cast<std::uint64_t>(usage.m_demand)));
+    pair.append(Json::UInt64(usage.m_admitted));
   }
   value["delay_ms"] = Json::Value(Json::objectValue);
   for (const auto& [pool, report] : aRow.m_pools) {
@@ -110,6 +114,16 @@
   return value;
 }
 
+AccountUsage
+UsageFromJson(const Json::Value& aPair)
+{
+  if (!aPair.isArray() || aPair.size() != 2 || !aPair[0].isUInt64() ||
+      !aPair[1].isUInt64()) {
+    throw RpcError("usage: expected pairs of whole numbers");
+  }
+  return { .m_demand = aPair[0].asDouble(), .m_admitted = aPair[1].asUInt64() };
+}
+
 FleetMember
 RowFromJson(const Json::Value& aValue)
 {
@@ -117,26 +131,26 @@
     .m_id = InstanceId(TextOf(aValue, "id")),
     .m_incarnation = Incarnation(NumberOf(aValue, "run")),
     .m_sequence = NumberOf(aValue, "seq"),
-    .m_region = RegionId(TextOf(aValue, "region")),
-    .m_zone = AvailabilityZoneId(TextOf(aValue, "zone")),
-    .m_callerAddress = EndpointOf(aValue, "caller"),
-    .m_peerAddress = EndpointOf(aValue, "peer"),
     .m_isReady = FlagOf(aValue, "ready"),
-    .m_isDraining = FlagOf(aValue, "draining"),
-    .m_capacity = DecimalOf(aValue, "capacity"),
+    .m_isDraining = FlagOf(aValue, "leaves"),
     .m_configVersion = SectionVersion(NumberOf(aValue, "config")),
+    .m_readsStore = FlagOf(aValue, "reads"),
   };
+  if (aValue.isMember("region")) {
+    row.m_region = RegionId(TextOf(aValue, "region"));
+    row.m_zone = AvailabilityZoneId(TextOf(aValue, "zone"));
+    row.m_callerAddress = EndpointOf(aValue, "caller");
+    row.m_peerAddress = EndpointOf(aValue, "peer");
+    row.m_capacity = DecimalOf(aValue, "capacity");
+  }
   const Json::Value& topics = ObjectOf(aValue, "topics");
   for (const std::string& topic : topics.getMemberNames()) {
     row.m_publishedRevisions.emplace(topic, NumberOf(topics, topic.c_str()));
   }
   const Json::Value& usages = ObjectOf(aValue, "usage");
   for (const std::string& account : usages.getMemberNames()) {
-    const Json::Value& entry = ObjectOf(usages, account.c_str());
-    row.m_usages.emplace(
-      ClientAccountId(account),
-      AccountUsage{ .m_demand = DecimalOf(entry, "demand"),
-                    .m_admitted = NumberOf(entry, "admitted") });
+    row.m_usages.emplace(ClientAccountId(account),
+                         UsageFromJson(usages[account]));
   }
   const Json::Value& delays = ObjectOf(aValue, "delay_ms");
   for (const std::string& pool : delays.getMemberNames()) {
@@ -196,4 +210,44 @@
   return copy;
 }
 
+Json::Value
+ToJson(const std::vector<ItemChange>& aChanges)
+{
+  Json::Value value;
+  value["changes"] = Json::Value(Json::arrayValue);
+  for (const ItemChange& change : aChanges) {
+    Json::Value entry;
+    entry["key"] = change.m_key;
+    entry["revision"] = Json::UInt64(change.m_revision);
+    if (change.m_value) {
+      entry["value"] = *change.m_value;
+    }
+    entry["lapsed"] = change.m_removal == Removal::Lapsed;
+    value["changes"].append(std::move(entry));
+  }
+  return value;
+}
+
+std::vector<ItemChange>
+ChangesFromJson(const Json::Value& aValue)
+{
+  std::vector<ItemChange> changes;
+  const Json::Value& list = Member(aValue, "changes");
+  if (!list.isArray()) {
+    throw RpcError("changes: expected a list");
+  }
+  for (const Json::Value& entry : list) {
+    ItemChange change{ .m_key = TextOf(entry, "key"),
+                       .m_removal = FlagOf(entry, "lapsed")
+                                      ? Removal::Lapsed
+                                      : Removal::Published,
+                       .m_revision = NumberOf(entry, "revision") };
+    if (entry.isMember("value")) {
+      change.m_value = TextOf(entry, "value");
+    }
+    changes.push_back(std::move(change));
+  }
+  return changes;
+}
+
 } // namespace rattanweir
--- a/rattanweir/connection/gossip/gossip_messages.h
+++ b/rattanweir/connection/gossip/gossip_messages.h
@@ -32,4 +32,9 @@
 TopicCopy
 TopicCopyFromJson(const Json::Value& aValue);
 
+Json::Value
+ToJson(const std::vector<ItemChange>& aChanges);
+std::vector<ItemChange>
+ChangesFromJson(const Json::Value& aValue);
+
 } // namespace rattanweir
--- a/rattanweir/process/fleet/fleet_view.cc
+++ b/rattanweir/process/fleet/fleet_view.cc
@@ -1,6 +1,8 @@
 #include "rattanweir/process/fleet/fleet_view.h"
 
 #include <algorithm>
+#include <cmath>
+#include <random>
 #include <utility>
 
 namespace rattanweir {
@@ -10,6 +12,9 @@
 // many: enough to find each other again within seconds.
 constexpr std::size_t kRoundsForSilent = 2;
 constexpr std::size_t kRoundsForSeed = 8;
+// The first rows of a process are told in full, and one in so many later.
+constexpr std::uint64_t kFullRowsAtStart = 6;
+constexpr std::size_t kRowsForFullOne = 4;
 
 template<class Value>
 Value
@@ -21,6 +26,27 @@
   return value;
 }
 
+// Takes `aCount` of them on average, at random.
+std::size_t
+DrawCount(double aCount, RandomEngine& aRandom)
+{
+  const double whole = std::floor(aCount);
+  const bool hasOneMore =
+    std::uniform_real_distribution<double>(0, 1)(aRandom) < aCount - whole;
+  return static_cast<std::size_t>(whole) + (hasOneMore ? 1 : 0);
+}
+
+// What the receiver knows from an earlier row is left out.
+FleetMember
+BriefRow(FleetMember aRow)
+{
+  aRow.m_region = RegionId();
+  aRow.m_zone = AvailabilityZoneId();
+  aRow.m_callerAddress = {};
+  aRow.m_peerAddress = {};
+  return aRow;
+}
+
 } // namespace
 
 FleetView::FleetView(FleetViewOptions aOptions)
@@ -48,6 +74,10 @@
 void
 FleetView::TakeRow(const FleetMember& aRow, bool aIsFromItself)
 {
+  const bool isBrief = aRow.m_region.IsEmpty();
+  if (isBrief && !m_members.contains(aRow.m_id)) {
+    return;
+  }
   const auto [found, isNew] = m_members.try_emplace(aRow.m_id);
   Entry& entry = found->second;
   const bool isSameProcess =
@@ -62,8 +92,16 @@
     }
     entry.m_retired.insert(entry.m_row.m_incarnation);
   }
-  entry.m_row = aRow;
+  const FleetMember former = std::exchange(entry.m_row, aRow);
+  if (isBrief) {
+    entry.m_row.m_region = former.m_region;
+    entry.m_row.m_zone = former.m_zone;
+    entry.m_row.m_callerAddress = former.m_callerAddress;
+    entry.m_row.m_peerAddress = former.m_peerAddress;
+    entry.m_row.m_capacity = former.m_capacity;
+  }
   entry.m_heardAt = m_options.m_clock.SteadyNow();
+  entry.m_told = 0;
   entry.m_isUnreachable = entry.m_isUnreachable && !aIsFromItself;
 }
 
@@ -89,54 +127,98 @@
 std::vector<FleetMember>
 FleetView::NextMessage(RandomEngine& aRandom)
 {
-  ++m_options.m_self.m_sequence;
-  std::vector<const FleetMember*> candidates = LivePeers();
-  std::vector<FleetMember> rows = { m_options.m_self };
-  while (!candidates.empty() && rows.size() <= m_options.m_rowsInMessage) {
-    rows.push_back(*TakeOneAtRandom(candidates, aRandom));
+  const SteadyTime now = m_options.m_clock.SteadyNow();
+  if (now - m_advancedAt >= m_options.m_rowInterval) {
+    m_advancedAt = now;
+    ++m_options.m_self.m_sequence;
+  }
+  // News first: the rows that were told on least often.
+  std::vector<Entry*> candidates;
+  for (auto& [id, entry] : m_members) {
+    if (IsLive(entry)) {
+      candidates.push_back(&entry);
+    }
+  }
+  std::ranges::shuffle(candidates, aRandom);
+  std::ranges::stable_sort(candidates, {}, &Entry::m_told);
+  candidates.resize(std::min(candidates.size(), m_options.m_rowsInMessage));
+  std::vector<FleetMember> rows = { ToldRow(m_options.m_self, aRandom) };
+  for (Entry* entry : candidates) {
+    ++entry->m_told;
+    rows.push_back(ToldRow(entry->m_row, aRandom));
   }
   return rows;
 }
 
+FleetMember
+FleetView::ToldRow(const FleetMember& aRow, RandomEngine& aRandom)
+{
+  const bool isFull = aRow.m_sequence <= kFullRowsAtStart ||
+                      UniformIndex(aRandom, kRowsForFullOne) == 0;
+  return isFull ? aRow : BriefRow(aRow);
+}
+
 std::vector<Endpoint>
-FleetView::ChooseTargets(RandomEngine& aRandom, bool aHasElsewhere)
+FleetView::ChooseTargets(RandomEngine& aRandom, bool aHasElsewhere) const
 {
+  std::vector<Endpoint> inZone;
   std::vector<Endpoint> inRegion;
   std::vector<Endpoint> elsewhere;
   std::vector<Endpoint> silent;
+  const FleetMember& self = m_options.m_self;
   for (const auto& [id, entry] : m_members) {
-    const Endpoint& address = entry.m_row.m_peerAddress;
+    const FleetMember& row = entry.m_row;
     if (!IsLive(entry)) {
-      silent.push_back(address);
-      continue;
+      silent.push_back(row.m_peerAddress);
+    } else if (row.m_region != self.m_region) {
+      elsewhere.push_back(row.m_peerAddress);
+    } else {
+      (row.m_zone == self.m_zone ? inZone : inRegion)
+        .push_back(row.m_peerAddress);
     }
-    const bool isNear = entry.m_row.m_region == m_options.m_self.m_region;
-    (isNear ? inRegion : elsewhere).push_back(address);
   }
-  const bool isAlone = inRegion.empty() && elsewhere.empty();
+  const auto zoneSize = static_cast<double>(inZone.size() + 1);
+  const auto regionSize = zoneSize + static_cast<double>(inRegion.size());
   std::vector<Endpoint> targets;
   const auto take = [&](std::vector<Endpoint>& aFrom, std::size_t aCount) {
     while (aCount-- > 0 && !aFrom.empty()) {
       targets.push_back(TakeOneAtRandom(aFrom, aRandom));
     }
   };
-  take(inRegion, m_options.m_targetsInRegion);
+  const bool isAlone = inZone.empty() && inRegion.empty();
+  take(inZone, m_options.m_targetsInZone);
+  take(
+    inRegion,
+    DrawCount(std::min(1.0, m_options.m_targetsInRegion / zoneSize), aRandom));
   if (aHasElsewhere || isAlone) {
-    take(elsewhere, m_options.m_targetsElsewhere);
+    take(elsewhere,
+         DrawCount(std::min(1.0, m_options.m_targetsElsewhere / regionSize),
+                   aRandom));
   }
-  if (isAlone || UniformIndex(aRandom, kRoundsForSilent) == 0) {
+  if (targets.empty() || UniformIndex(aRandom, kRoundsForSilent) == 0) {
     take(silent, 1);
   }
-  if (isAlone || UniformIndex(aRandom, kRoundsForSeed) == 0) {
-    for (const Endpoint& seed : m_seeds) {
-      if (seed != m_options.m_self.m_peerAddress) {
-        targets.push_back(seed);
-      }
-    }
+  if (targets.empty() || UniformIndex(aRandom, kRoundsForSeed) == 0) {
+    std::ranges::copy_if(
+      m_seeds, std::back_inserter(targets), [&](const Endpoint& aSeed) {
+        return aSeed != self.m_peerAddress;
+      });
   }
   return targets;
 }
 
+bool
+FleetView::HasToReadStore() const
+{
+  std::size_t before = 0;
+  bool isReadByOthers = false;
+  for (const FleetMember* peer : LivePeersIn(m_options.m_self.m_region)) {
+    before += peer->m_id < m_options.m_self.m_id ? 1 : 0;
+    isReadByOthers |= peer->m_readsStore;
+  }
+  return before < m_options.m_storeReaders || !isReadByOthers;
+}
+
 std::vector<const FleetMember*>
 FleetView::LivePeers() const
 {
@@ -207,7 +289,18 @@
 {
   return !aEntry.m_isUnreachable &&
          m_options.m_clock.SteadyNow() - aEntry.m_heardAt <=
-           m_options.m_silence;
+           SilenceOf(aEntry.m_row);
+}
+
+std::chrono::nanoseconds
+FleetView::SilenceOf(const FleetMember& aMember) const
+{
+  if (m_members.size() <= m_options.m_rowsInMessage) {
+    return m_options.m_silence;
+  }
+  return aMember.m_region == m_options.m_self.m_region
+           ? m_options.m_silenceInLargeFleet
+           : m_options.m_silenceElsewhere;
 }
 
 } // namespace rattanweir
--- a/rattanweir/process/fleet/fleet_view.h
+++ b/rattanweir/process/fleet/fleet_view.h
@@ -58,6 +58,8 @@
   SectionVersion m_configVersion;
   // How far it has read what the platform publishes, by topic.
   std::map<std::string, std::uint64_t> m_publishedRevisions;
+  // It reads the platform's store, and the store answers.
+  bool m_readsStore = false;
   // What callers asked of it, by client account.
   AccountUsages m_usages;
   std::map<PoolId, PoolReport> m_pools;
@@ -67,16 +69,30 @@
 {
   const Clock& m_clock;
   FleetMember m_self;
-  // A member that was not heard of for this long is not used.
-  std::chrono::nanoseconds m_silence{ std::chrono::seconds(4) };
+  // A member that was not heard of for this long is not used. News take longer
+  // where a message does not hold all rows, and from other regions then.
+  std::chrono::nanoseconds m_silence{ std::chrono::milliseconds(3'500) };
+  std::chrono::nanoseconds m_silenceInLargeFleet{ std::chrono::seconds(5) };
+  std::chrono::nanoseconds m_silenceElsewhere{ std::chrono::milliseconds(
+    7'500) };
   // One that is silent for this long is forgotten: longer than any cut that
   // is to be bridged.
   std::chrono::nanoseconds m_forgetAfter{ std::chrono::minutes(10) };
-  // Exchanges that one round begins within the region and with others.
-  std::size_t m_targetsInRegion = 3;
-  std::size_t m_targetsElsewhere = 1;
+  // Exchanges that an instance begins in one round within its availability
+  // zone.
+  std::size_t m_targetsInZone = 3;
+  // Exchanges that all instances of a zone together begin in one round with
+  // other zones of the region, and those of a region with other regions; their
+  // bytes cost more.
+  double m_targetsInRegion = 4;
+  double m_targetsElsewhere = 2;
   // Rows in one message besides the own one; small fleets fit whole.
-  std::size_t m_rowsInMessage = 24;
+  std::size_t m_rowsInMessage = 20;
+  // How often the own row changes; in between it is told as it is.
+  std::chrono::nanoseconds m_rowInterval{ std::chrono::milliseconds(400) };
+  // Members of a region that read the platform's store for all; each for
+  // itself where they are no more than that.
+  std::size_t m_storeReaders = 4;
 };
 
 class FleetView
@@ -91,7 +107,9 @@
   // Peer addresses to ask while no member is known, and now and then later.
   void SetSeeds(std::vector<Endpoint> aSeeds);
 
-  // Takes rows over; the sender's own one also if its clock went back.
+  // Takes rows over; the sender's own one also if its clock went back. A row
+  // without its region is brief: what does not change is known or the row is
+  // passed over.
   void Merge(std::span<const FleetMember> aRows, const InstanceId& aSender);
 
   // A connection to this member failed: not used until it is heard of again.
@@ -103,7 +121,11 @@
   // Addresses for one round of exchanges. `aHasElsewhere` includes other
   // regions.
   std::vector<Endpoint> ChooseTargets(RandomEngine& aRandom,
-                                      bool aHasElsewhere);
+                                      bool aHasElsewhere) const;
+
+  // Whether this instance is one of those that read the platform's store for
+  // their region, or has to since none of the live ones does.
+  bool HasToReadStore() const;
 
   // Heard of lately, this instance left out.
   std::vector<const FleetMember*> LivePeers() const;
@@ -128,17 +150,22 @@
     FleetMember m_row;
     SteadyTime m_heardAt;
     bool m_isUnreachable = false;
+    // How often this row was told on.
+    unsigned m_told = 0;
     // An earlier process of the same instance, whose rows may still travel.
     std::set<Incarnation> m_retired;
   };
 
   bool IsLive(const Entry& aEntry) const;
+  std::chrono::nanoseconds SilenceOf(const FleetMember& aMember) const;
+  static FleetMember ToldRow(const FleetMember& aRow, RandomEngine& aRandom);
   void TakeRow(const FleetMember& aRow, bool aIsFromItself);
   void ForgetOld();
 
   FleetViewOptions m_options;
   std::vector<Endpoint> m_seeds;
   std::map<InstanceId, Entry> m_members;
+  SteadyTime m_advancedAt;
 };
 
 } // namespace rattanweir
--- a/rattanweir/process/published/published_items.cc
+++ b/rattanweir/process/published/published_items.cc
@@ -4,6 +4,12 @@
 #include <utility>
 
 namespace rattanweir {
+namespace {
+
+// Changes that are kept of one topic, for peers that are behind.
+constexpr std::size_t kMostChangesKept = 64;
+
+} // namespace
 
 void
 PublishedItems::OnChange(const TopicId& aTopic,
@@ -23,6 +29,7 @@
     return;
   }
   aCopy.m_revision = std::max(aCopy.m_revision, known.m_revision);
+  m_histories[aTopic] = { .m_beginsAfter = aCopy.m_revision };
   const TopicCopy former = std::exchange(known, std::move(aCopy));
   for (const auto& [key, value] : former.m_items) {
     if (!known.m_items.contains(key)) {
@@ -39,12 +46,16 @@
 
 void
 PublishedItems::Apply(const TopicId& aTopic,
-                      const std::vector<ItemChange>& aChanges,
-                      std::uint64_t aRevision)
+                      const std::vector<ItemChange>& aChanges)
 {
   TopicCopy& known = m_topics[aTopic];
-  known.m_revision = std::max(known.m_revision, aRevision);
+  History& history = m_histories[aTopic];
   for (const ItemChange& change : aChanges) {
+    if (change.m_revision <= known.m_revision) {
+      continue;
+    }
+    known.m_revision = change.m_revision;
+    history.m_changes.push_back(change);
     if (change.m_value) {
       known.m_items[change.m_key] = *change.m_value;
     } else {
@@ -52,6 +63,28 @@
     }
     Tell(aTopic, change);
   }
+  while (history.m_changes.size() > kMostChangesKept) {
+    history.m_beginsAfter = history.m_changes.front().m_revision;
+    history.m_changes.pop_front();
+  }
+}
+
+std::optional<std::vector<ItemChange>>
+PublishedItems::ChangesSince(const TopicId& aTopic,
+                             std::uint64_t aRevision) const
+{
+  const auto history = m_histories.find(aTopic);
+  if (history == m_histories.end() ||
+      aRevision < history->second.m_beginsAfter) {
+    return std::nullopt;
+  }
+  std::vector<ItemChange> changes;
+  for (const ItemChange& change : history->second.m_changes) {
+    if (change.m_revision > aRevision) {
+      changes.push_back(change);
+    }
+  }
+  return changes;
 }
 
 std::uint64_t
--- a/rattanweir/process/published/published_items.h
+++ b/rattanweir/process/published/published_items.h
@@ -3,7 +3,7 @@
 //   PublishedItems items({ .m_clock = clock });
 //   items.OnChange(topic, [](const ItemChange& aChange) { ... });
 //   items.Replace(topic, all, asOf, Removal::Published);
-//   items.Apply(topic, change, revision);
+//   items.Apply(topic, changes);
 //
 // Each instance reads the platform itself, and one that the platform turns away
 // takes over a peer's copy if that is newer: revisions only go forward. What
@@ -16,10 +16,12 @@
 #include "rattanweir/process/backend_registry/backend_registry.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace rattanweir {
@@ -33,6 +35,7 @@
   std::optional<std::string> m_value;
   // How far a removal can be trusted.
   Removal m_removal = Removal::Published;
+  std::uint64_t m_revision = 0;
 };
 
 // A whole topic.
@@ -58,22 +61,36 @@
                std::uint64_t aAsOf,
                Removal aRemoval);
 
-  // Takes changes over that lead to the revision.
-  void Apply(const TopicId& aTopic,
-             const std::vector<ItemChange>& aChanges,
-             std::uint64_t aRevision);
+  // Takes changes over, in the order of their revisions, without a gap after
+  // what is known. Those that are known already are passed over: the platform
+  // and a peer may tell the same.
+  void Apply(const TopicId& aTopic, const std::vector<ItemChange>& aChanges);
 
   // The topic's revision, or 0 before the first copy.
   std::uint64_t RevisionOf(const TopicId& aTopic) const;
 
   const TopicCopy* Find(const TopicId& aTopic) const;
 
+  // What changed since that revision, or nothing if it is too long ago.
+  std::optional<std::vector<ItemChange>> ChangesSince(
+    const TopicId& aTopic,
+    std::uint64_t aRevision) const;
+
   std::map<TopicId, std::uint64_t> Revisions() const;
 
 private:
+  // The newest changes of a topic, oldest first, and the revision that they
+  // begin after.
+  struct History
+  {
+    std::uint64_t m_beginsAfter = 0;
+    std::deque<ItemChange> m_changes;
+  };
+
   void Tell(const TopicId& aTopic, const ItemChange& aChange) const;
 
   std::map<TopicId, TopicCopy> m_topics;
+  std::map<TopicId, History> m_histories;
   std::map<TopicId, std::function<void(const ItemChange&)>> m_listeners;
 };
 
