--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -109,6 +109,7 @@
   , m_registry({ .m_clock = m_clock,
                  .m_regionOfZone = m_settings.m_fleet->m_regionOfZone })
   , m_backends({ .m_clock = m_clock })
+  , m_regions({ .m_clock = m_clock })
   , m_rates(
       { .m_clock = m_clock, .m_tolerance = ToleranceOf(*m_settings.m_fleet) })
   , m_retries(
@@ -223,6 +224,7 @@
            .m_fleet = m_fleet,
            .m_registry = m_registry,
            .m_backends = m_backends,
+           .m_regions = m_regions,
            .m_parts = m_parts,
            .m_rates = m_rates,
            .m_retries = m_retries,
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -77,6 +77,7 @@
   FleetView m_fleet;
   BackendRegistry m_registry;
   BackendView m_backends;
+  BackendView m_regions;
   PartCache m_parts;
   AccountRates m_rates;
   RetryAllowance m_retries;
--- a/rattanweir/connection/gossip/gossip_messages.cc
+++ b/rattanweir/connection/gossip/gossip_messages.cc
@@ -2,6 +2,9 @@
 
 #include "rattanweir/connection/rpc/rpc.h"
 
+#include <charconv>
+#include <string_view>
+
 namespace rattanweir {
 namespace {
 
@@ -77,6 +80,54 @@
   }
 }
 
+// All accounts in one text, `ACCOUNT=DEMAND:ADMITTED,`: as JSON members they
+// would take most of the time that a message takes.
+std::string
+UsageText(const AccountUsages& aUsages)
+{
+  std::string text;
+  for (const auto& [account, usage] : aUsages) {
+    text += account.Value() + "=" +
+            std::to_string(static_cast<std::uint64_t>(usage.m_demand)) + ":" +
+            std::to_string(usage.m_admitted) + ",";
+  }
+  return text;
+}
+
+std::uint64_t
+TakeNumber(std::string_view& aText, char aEnd)
+{
+  const std::size_t end = aText.find(aEnd);
+  std::uint64_t number = 0;
+  const auto parsed =
+    std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  if (end == std::string_view::npos || parsed.ec != std::errc() ||
+      parsed.ptr != aText.data() + end) {
+    throw RpcError("usage: expected ACCOUNT=DEMAND:ADMITTED,");
+  }
+  aText.remove_prefix(end + 1);
+  return number;
+}
+
+AccountUsages
+UsagesFromText(std::string_view aText)
+{
+  AccountUsages usages;
+  while (!aText.empty()) {
+    const std::size_t equals = aText.find('=');
+    if (equals == std::string_view::npos) {
+      throw RpcError("usage: expected ACCOUNT=DEMAND:ADMITTED,");
+    }
+    const ClientAccountId account{ std::string(aText.substr(0, equals)) };
+    aText.remove_prefix(equals + 1);
+    const std::uint64_t demand = TakeNumber(aText, ':');
+    usages.emplace(account,
+                   AccountUsage{ .m_demand = static_cast<double>(demand),
+                                 .m_admitted = TakeNumber(aText, ',') });
+  }
+  return usages;
+}
+
 // Names are short: these messages are most of the bytes of control.
 Json::Value
 RowToJson(const FleetMember& aRow)
@@ -100,12 +151,7 @@
   for (const auto& [topic, revision] : aRow.m_publishedRevisions) {
     value["topics"][topic] = Json::UInt64(revision);
   }
-  value["usage"] = Json::Value(Json::objectValue);
-  for (const auto& [account, usage] : aRow.m_usages) {
-    Json::Value& pair = value["usage"][account.Value()];
-    pair.append(Json::UInt64(static_cast<std::uint64_t>(usage.m_demand)));
-    pair.append(Json::UInt64(usage.m_admitted));
-  }
+  value["usage"] = UsageText(aRow.m_usages);
   value["delay_ms"] = Json::Value(Json::objectValue);
   for (const auto& [pool, report] : aRow.m_pools) {
     value["delay_ms"][pool.Value()] = Json::UInt64(static_cast<std::uint64_t>(
@@ -114,16 +160,6 @@
   return value;
 }
 
-AccountUsage
-UsageFromJson(const Json::Value& aPair)
-{
-  if (!aPair.isArray() || aPair.size() != 2 || !aPair[0].isUInt64() ||
-      !aPair[1].isUInt64()) {
-    throw RpcError("usage: expected pairs of whole numbers");
-  }
-  return { .m_demand = aPair[0].asDouble(), .m_admitted = aPair[1].asUInt64() };
-}
-
 FleetMember
 RowFromJson(const Json::Value& aValue)
 {
@@ -147,11 +183,7 @@
   for (const std::string& topic : topics.getMemberNames()) {
     row.m_publishedRevisions.emplace(topic, NumberOf(topics, topic.c_str()));
   }
-  const Json::Value& usages = ObjectOf(aValue, "usage");
-  for (const std::string& account : usages.getMemberNames()) {
-    row.m_usages.emplace(ClientAccountId(account),
-                         UsageFromJson(usages[account]));
-  }
+  row.m_usages = UsagesFromText(TextOf(aValue, "usage"));
   const Json::Value& delays = ObjectOf(aValue, "delay_ms");
   for (const std::string& pool : delays.getMemberNames()) {
     const milliseconds delay(NumberOf(delays, pool.c_str()));
--- a/rattanweir/connection/gossip/gossip_test.cc
+++ b/rattanweir/connection/gossip/gossip_test.cc
@@ -241,6 +241,14 @@
   message["rows"][0]["seq"] = "4";
   CHECK_THROWS_WITH(FleetRowsFromJson(message), "seq: expected a whole number");
   CHECK_THROWS_AS(FleetRowsFromJson(Json::Value(3)), RpcError);
+  for (const char* usage : { "a", "a=1", "a=1:", "a=1:2", "a=x:2,", "=1:2;" }) {
+    INFO(usage);
+    Json::Value broken = message;
+    broken["rows"][0]["seq"] = 4;
+    broken["rows"][0]["usage"] = usage;
+    CHECK_THROWS_WITH(FleetRowsFromJson(broken),
+                      "usage: expected ACCOUNT=DEMAND:ADMITTED,");
+  }
   World world(1);
   const std::string answer = world.m_instances[0]->m_gossip.HandleCall(
     EncodeRpcRequest(kGossipMethod, message));
--- a/rattanweir/request/gateway/entry_list.cc
+++ b/rattanweir/request/gateway/entry_list.cc
@@ -8,16 +8,32 @@
 
 using Members = std::vector<const FleetMember*>;
 
+// Fewer than this in the caller's zone would be too few to choose among.
+constexpr std::size_t kFewestInZone = 3;
+
+template<class Predicate>
+Members
+Those(const Members& aMembers, Predicate aPredicate)
+{
+  Members those;
+  std::ranges::copy_if(aMembers, std::back_inserter(those), aPredicate);
+  return those;
+}
+
 Members
-NearestServing(const FleetView& aFleet, const RegionId& aRegion)
+NearestServing(const FleetView& aFleet, const EntryQuestion& aQuestion)
 {
   const Members all = aFleet.Serving();
-  Members near;
-  std::ranges::copy_if(
-    all, std::back_inserter(near), [&](const FleetMember* aMember) {
-      return aMember->m_region == aRegion;
-    });
-  return near.empty() ? all : near;
+  const Members inRegion = Those(all, [&](const FleetMember* aMember) {
+    return aMember->m_region == aQuestion.m_region;
+  });
+  const Members inZone = Those(inRegion, [&](const FleetMember* aMember) {
+    return aMember->m_zone == aQuestion.m_zone;
+  });
+  if (inZone.size() >= kFewestInZone) {
+    return inZone;
+  }
+  return inRegion.empty() ? all : inRegion;
 }
 
 // Leaves out weaker ones by chance, but never all.
@@ -42,7 +58,7 @@
            const EntryQuestion& aQuestion,
            RandomEngine& aRandom)
 {
-  Members members = NearestServing(aFleet, aQuestion.m_region);
+  Members members = NearestServing(aFleet, aQuestion);
   ThinOut(members, aRandom);
   std::shuffle(members.begin(), members.end(), aRandom);
   members.resize(std::min(members.size(), aQuestion.m_mostEntries));
--- a/rattanweir/request/gateway/entry_list.h
+++ b/rattanweir/request/gateway/entry_list.h
@@ -3,10 +3,11 @@
 //   const std::vector<Endpoint> entries =
 //     EntriesFor(fleet, { .m_region = region, .m_zone = zone }, random);
 //
-// Those of the caller's region that take new work; of all regions if it has
-// none. Where instances differ in what they can carry, the weaker ones are
-// named to a part of the callers only, since callers pick among the named ones
-// at random. No I/O.
+// Those of the caller's availability zone that take new work, since bytes
+// between zones cost; of its region where the zone has few, and of all regions
+// if the region has none. Where instances differ in what they can carry, the
+// weaker ones are named to a part of the callers only, since callers pick among
+// the named ones at random. No I/O.
 
 #pragma once
 
--- a/rattanweir/request/gateway/gateway_state.h
+++ b/rattanweir/request/gateway/gateway_state.h
@@ -35,6 +35,8 @@
   FleetView& m_fleet;
   BackendRegistry& m_registry;
   BackendView& m_backends;
+  // The same of other regions, each by region and pool.
+  BackendView& m_regions;
   PartCache& m_parts;
   AccountRates& m_rates;
   RetryAllowance& m_retries;
--- a/rattanweir/request/gateway/gateway_test.cc
+++ b/rattanweir/request/gateway/gateway_test.cc
@@ -88,6 +88,7 @@
                       .m_fleet = world.m_fleet,
                       .m_registry = world.m_registry,
                       .m_backends = world.m_backends,
+                      .m_regions = world.m_regions,
                       .m_parts = world.m_parts,
                       .m_rates = world.m_rates,
                       .m_retries = world.m_retries,
@@ -462,6 +463,39 @@
   CHECK(entries("north") == 0);
 }
 
+TEST_CASE("callers are named instances of their zone if it has enough")
+{
+  ManualClock clock;
+  RandomEngine random{ 3 };
+  FleetView fleet(
+    { .m_clock = clock, .m_self = { .m_id = InstanceId("self") } });
+  const auto join = [&](int aNumber, const char* aZone) {
+    const FleetMember row[] = { { .m_id = InstanceId(std::to_string(aNumber)),
+                                  .m_incarnation = Incarnation(1),
+                                  .m_sequence = 1,
+                                  .m_region = RegionId("r"),
+                                  .m_zone = AvailabilityZoneId(aZone),
+                                  .m_callerAddress = { .m_address = "10.0.0.1",
+                                                       .m_port = 1 },
+                                  .m_isReady = true } };
+    fleet.Merge(row, row[0].m_id);
+  };
+  const auto entries = [&] {
+    return EntriesFor(
+             fleet,
+             { .m_region = RegionId("r"), .m_zone = AvailabilityZoneId("r-a") },
+             random)
+      .size();
+  };
+  join(1, "r-a");
+  join(2, "r-a");
+  join(3, "r-b");
+  join(4, "r-b");
+  CHECK(entries() == 4);
+  join(5, "r-a");
+  CHECK(entries() == 3);
+}
+
 TEST_CASE("a weak instance is named to fewer callers than a strong one")
 {
   ManualClock clock;
--- a/rattanweir/request/gateway/request_run.cc
+++ b/rattanweir/request/gateway/request_run.cc
@@ -33,6 +33,20 @@
 // much as a microsecond of an answer's delay.
 constexpr double kTransferBytesPerMicrosecond = 30;
 constexpr unsigned kServerErrors = 500;
+// For a plain service another region has to be better by this part of the
+// objective: its waits are foreseen well, and an answer that is on time here is
+// no better for coming sooner from there.
+constexpr double kPlainRegionMargin = 0.2;
+// Part of a prompt that an engine of another region probably has to read: its
+// own part, and the shared one where that region was not asked for it lately.
+constexpr double kUncachedElsewhere = 0.5;
+
+nanoseconds
+Scale(nanoseconds aDuration, double aFactor)
+{
+  return nanoseconds(static_cast<std::int64_t>(
+    aFactor * static_cast<double>(aDuration.count())));
+}
 
 std::string
 MillisecondsText(nanoseconds aDuration)
@@ -81,6 +95,13 @@
                       comeBack);
 }
 
+// How a region's servers of one pool are named in the view of regions.
+BackendServerId
+RegionKey(const RegionId& aRegion, const PoolId& aPool)
+{
+  return BackendServerId(aRegion.Value() + "/" + aPool.Value());
+}
+
 } // namespace
 
 RequestRun::RequestRun(const RequestRunOptions& aOptions)
@@ -181,14 +202,25 @@
                        m_state.m_lines.SlotTimeOf(m_request.m_pool)));
 }
 
+bool
+RequestRun::IsForEngine() const
+{
+  const Pool* pool = m_request.m_config->FindPool(m_request.m_pool);
+  return pool != nullptr && pool->m_engine.has_value();
+}
+
+Tokens
+RequestRun::PromptTokens() const
+{
+  return IsForEngine() ? m_request.m_facts.m_promptTokens.value_or(Tokens(0))
+                       : Tokens(0);
+}
+
 nanoseconds
 RequestRun::LongestWait() const
 {
-  return std::min<nanoseconds>(
-    nanoseconds(static_cast<std::int64_t>(
-      kWaitShare *
-      static_cast<double>(m_request.m_route.m_latencyObjective.count()))),
-    m_request.m_deadline - m_request.m_receivedAt);
+  return std::min(Scale(m_request.m_route.m_latencyObjective, kWaitShare),
+                  m_request.m_deadline - m_request.m_receivedAt);
 }
 
 PlacementQuestion
@@ -198,13 +230,12 @@
   PlacementQuestion question{ .m_now = now };
   const FleetMember& self = m_state.m_fleet.Self();
   if (m_request.IsPermittedIn(self.m_region)) {
-    question.m_servers = ServerChoicesOf(
-      m_state,
-      { .m_config = *m_request.m_config,
-        .m_pool = m_request.m_pool,
-        .m_chain = m_request.m_chain,
-        .m_promptTokens = m_request.m_facts.m_promptTokens.value_or(Tokens(0)),
-        .m_tried = m_triedServers });
+    question.m_servers = ServerChoicesOf(m_state,
+                                         { .m_config = *m_request.m_config,
+                                           .m_pool = m_request.m_pool,
+                                           .m_chain = m_request.m_chain,
+                                           .m_promptTokens = PromptTokens(),
+                                           .m_tried = m_triedServers });
   }
   if (!m_request.m_forwardedBy) {
     question.m_regions = RegionChoices();
@@ -215,6 +246,10 @@
   question.m_untilLate =
     m_request.m_receivedAt + m_request.m_route.m_latencyObjective - now;
   question.m_untilDeadline = m_request.m_deadline - now;
+  if (!IsForEngine()) {
+    question.m_regionMargin =
+      Scale(m_request.m_route.m_latencyObjective, kPlainRegionMargin);
+  }
   question.m_transferCost = std::chrono::microseconds(
     static_cast<std::int64_t>(static_cast<double>(m_request.m_body->size()) /
                               kTransferBytesPerMicrosecond));
@@ -239,7 +274,14 @@
                                 ? nanoseconds::zero()
                                 : report->second.m_startDelay;
     const auto [entry, isNew] = choices.try_emplace(
-      region, RegionChoice{ .m_region = region, .m_startDelay = delay });
+      region,
+      RegionChoice{
+        .m_region = region,
+        .m_startDelay = delay,
+        .m_state =
+          m_state.m_regions.StateOf(RegionKey(region, m_request.m_pool)),
+        .m_uncached = Tokens(static_cast<std::int64_t>(
+          kUncachedElsewhere * static_cast<double>(PromptTokens().Value()))) });
     entry->second.m_startDelay = std::min(entry->second.m_startDelay, delay);
   }
   std::vector<RegionChoice> list;
@@ -276,6 +318,14 @@
   co_return std::nullopt;
 }
 
+double
+RequestRun::StretchAt(const ServerChoice& aChoice) const
+{
+  const double waiting =
+    EstimateOccupancy(AskForPlace(), aChoice) + 1 - aChoice.m_slots;
+  return 1 + std::max(0.0, waiting) / aChoice.m_slots;
+}
+
 Task<void>
 RequestRun::SendToServer(ServerChoice aChoice)
 {
@@ -299,7 +349,7 @@
                           { .m_server = server.m_incarnation,
                             .m_pool = m_request.m_pool,
                             .m_uncached = aChoice.m_uncached,
-                            .m_expected = m_report.m_estimate });
+                            .m_stretch = StretchAt(aChoice) });
   HeaderFields fields = m_state.m_protocol.BackendFields(
     { .m_id = m_request.m_facts.m_id,
       .m_server = server.m_record.m_id,
@@ -424,7 +474,7 @@
     MakeOutbound(m_state.m_protocol.PeerFields(m_request.m_facts, resumeAfter));
   std::move(
     fields.begin(), fields.end(), std::back_inserter(outbound.m_headers));
-  const SteadyTime sentAt = m_state.m_clock.SteadyNow();
+  RegionDispatch dispatch(m_state, RegionKey(aRegion, m_request.m_pool));
   bool isPeersWord = false;
   try {
     const auto exchange = co_await m_state.m_toPeers.Send(
@@ -437,10 +487,12 @@
     CheckAnswer(head, m_state.m_protocol.ReadAnswer(head));
     AnswerPass pass(
       { .m_sink = m_sink, .m_progress = m_progress, .m_onBegin = [&] {
-         m_report.m_began = m_state.m_clock.SteadyNow() - sentAt;
+         m_report.m_began = dispatch.Begin(PromptTokens());
        } });
     co_await pass.Run(*exchange, std::move(head));
+    dispatch.EndWith(ResultCode::Ok);
   } catch (const RequestError& error) {
+    dispatch.EndWith(error.Code());
     if (error.Code() == ResultCode::BackendConnectFailed) {
       m_state.m_fleet.MarkUnreachable(peer.m_id);
       Log(LogLevel::Warning,
--- a/rattanweir/request/gateway/request_run.h
+++ b/rattanweir/request/gateway/request_run.h
@@ -80,6 +80,11 @@
   OutboundRequest MakeOutbound(HeaderFields aAddedFields) const;
   PlacementQuestion AskForPlace() const;
   std::vector<RegionChoice> RegionChoices() const;
+  // How many times longer than its slot time a request takes at the server.
+  double StretchAt(const ServerChoice& aChoice) const;
+  bool IsForEngine() const;
+  // Those that an engine has to read; 0 for a plain service.
+  Tokens PromptTokens() const;
   std::chrono::nanoseconds TimeLeft() const;
   std::optional<std::string> ResumeAfter() const;
   std::chrono::nanoseconds LongestWait() const;
--- a/rattanweir/request/gateway/server_dispatch.cc
+++ b/rattanweir/request/gateway/server_dispatch.cc
@@ -49,8 +49,12 @@
       .m_hasBegun = m_hasBegun,
       .m_verdict = m_verdict });
   if (m_isWhole) {
-    m_state.m_lines.ObserveSlotTime(m_options.m_pool,
-                                    m_state.m_clock.SteadyNow() - m_sentAt);
+    const std::chrono::duration<double> took =
+      m_state.m_clock.SteadyNow() - m_sentAt;
+    m_state.m_lines.ObserveSlotTime(
+      m_options.m_pool,
+      std::chrono::duration_cast<std::chrono::nanoseconds>(
+        took / m_options.m_stretch));
   }
   m_state.m_lines.LineOf(m_options.m_pool).Wake();
 }
@@ -68,14 +72,10 @@
     static_cast<std::uint64_t>(
       std::max<std::int64_t>(0, m_options.m_uncached.Value())));
   if (m_options.m_uncached > Tokens(0)) {
-    const std::chrono::duration<double, std::milli> reading(
-      static_cast<double>(m_options.m_uncached.Value()) /
-      kPromptTokensPerMillisecond);
     m_state.m_backends.ObserveStartDelay(
       m_options.m_server,
-      std::max(
-        std::chrono::nanoseconds::zero(),
-        took - std::chrono::duration_cast<std::chrono::nanoseconds>(reading)));
+      std::max(std::chrono::nanoseconds::zero(),
+               took - ReadingTime(m_options.m_uncached)));
   }
   return took;
 }
@@ -87,4 +87,41 @@
   m_isWhole = aCode == ResultCode::Ok;
 }
 
+RegionDispatch::RegionDispatch(GatewayState& aState, BackendServerId aKey)
+  : m_state(aState)
+  , m_key(std::move(aKey))
+  , m_sentAt(aState.m_clock.SteadyNow())
+{
+  m_state.m_regions.AddDispatch(m_key, 1);
+}
+
+RegionDispatch::~RegionDispatch()
+{
+  m_state.m_regions.EndDispatch(
+    m_key, { .m_load = 1, .m_hasBegun = m_hasBegun, .m_verdict = m_verdict });
+}
+
+std::chrono::nanoseconds
+RegionDispatch::Begin(Tokens aPromptTokens)
+{
+  const auto took = m_state.m_clock.SteadyNow() - m_sentAt;
+  if (m_hasBegun) {
+    return took;
+  }
+  m_hasBegun = true;
+  m_state.m_regions.BeginAnswer(m_key, 1);
+  const auto explained = kOtherRegionCost + ReadingTime(aPromptTokens);
+  m_state.m_regions.ObserveStartDelay(
+    m_key, std::max(std::chrono::nanoseconds::zero(), took - explained));
+  return took;
+}
+
+void
+RegionDispatch::EndWith(ResultCode aCode)
+{
+  // The peer's own refusals say nothing about the way there.
+  m_verdict = aCode == ResultCode::Ok ? AttemptVerdict::Answered
+                                      : AttemptVerdict::Neutral;
+}
+
 } // namespace rattanweir
--- a/rattanweir/request/gateway/server_dispatch.h
+++ b/rattanweir/request/gateway/server_dispatch.h
@@ -20,8 +20,9 @@
   PoolId m_pool;
   // Prompt tokens that the server has to read.
   Tokens m_uncached;
-  // When its answer was expected to begin.
-  std::chrono::nanoseconds m_expected{};
+  // How many times longer than its slot time the request takes, since others
+  // wait before it.
+  double m_stretch = 1;
 };
 
 class ServerDispatch
@@ -47,4 +48,28 @@
   bool m_isWhole = false;
 };
 
+// One dispatch to another region, held in the view of regions until it ends.
+class RegionDispatch
+{
+public:
+  // `aKey` names the region and the pool in that view.
+  RegionDispatch(GatewayState& aState, BackendServerId aKey);
+  ~RegionDispatch();
+  RegionDispatch(const RegionDispatch&) = delete;
+  RegionDispatch& operator=(const RegionDispatch&) = delete;
+
+  // The answer has begun; returns how long that took. `aPromptTokens` is what
+  // an engine there had to read at most.
+  std::chrono::nanoseconds Begin(Tokens aPromptTokens);
+
+  void EndWith(ResultCode aCode);
+
+private:
+  GatewayState& m_state;
+  BackendServerId m_key;
+  SteadyTime m_sentAt;
+  bool m_hasBegun = false;
+  AttemptVerdict m_verdict = AttemptVerdict::Neutral;
+};
+
 } // namespace rattanweir
--- a/rattanweir/request/placement/placement.cc
+++ b/rattanweir/request/placement/placement.cc
@@ -16,8 +16,6 @@
 // taken for full. Servers queue a few requests more than they process and turn
 // the others away.
 constexpr double kQueuePerSlot = 3;
-// By how much another region has to be better.
-constexpr milliseconds kRegionMargin{ 20 };
 // The least time to come back after.
 constexpr milliseconds kLeastComeBack{ 100 };
 
@@ -70,14 +68,21 @@
 {
   Best best;
   for (std::size_t index = 0; index < aQuestion.m_regions.size(); ++index) {
-    const nanoseconds start = aQuestion.m_regions[index].m_startDelay;
-    best.Consider(index, start + kOtherRegionCost + aQuestion.m_transferCost);
+    best.Consider(index, EstimateStart(aQuestion, aQuestion.m_regions[index]));
   }
   return best;
 }
 
 } // namespace
 
+nanoseconds
+ReadingTime(Tokens aTokens)
+{
+  return Scale(milliseconds(1),
+               static_cast<double>(aTokens.Value()) /
+                 kPromptTokensPerMillisecond);
+}
+
 double
 EstimateOccupancy(const PlacementQuestion& aQuestion,
                   const ServerChoice& aServer)
@@ -103,14 +108,22 @@
     std::max(0.0, EstimateOccupancy(aQuestion, aServer) + 1 - aServer.m_slots);
   const nanoseconds queue =
     Scale(aQuestion.m_slotTime, waiting / aServer.m_slots);
-  const double tokens = static_cast<double>(aServer.m_uncached.Value()) +
-                        static_cast<double>(state.m_loadUnanswered);
-  const nanoseconds reading =
-    Scale(milliseconds(1), tokens / kPromptTokensPerMillisecond);
-  return queue + reading + state.m_startDelay +
+  const nanoseconds unanswered =
+    ReadingTime(Tokens(static_cast<std::int64_t>(state.m_loadUnanswered)));
+  return queue + unanswered + state.m_startDelay +
+         ReadingTime(aServer.m_uncached) +
          Scale(kFailureCost, state.m_failureShare);
 }
 
+nanoseconds
+EstimateStart(const PlacementQuestion& aQuestion, const RegionChoice& aRegion)
+{
+  const BackendState& state = aRegion.m_state;
+  return std::max(aRegion.m_startDelay, state.m_startDelay) +
+         ReadingTime(aRegion.m_uncached) + kOtherRegionCost +
+         aQuestion.m_transferCost + Scale(kFailureCost, state.m_failureShare);
+}
+
 Placement
 DecidePlacement(const PlacementQuestion& aQuestion)
 {
@@ -126,7 +139,8 @@
   }
   const bool isElsewhereBetter =
     region.m_index &&
-    (!server.m_index || region.m_estimate + kRegionMargin < server.m_estimate);
+    (!server.m_index ||
+     region.m_estimate + aQuestion.m_regionMargin < server.m_estimate);
   const Best& best = isElsewhereBetter ? region : server;
   if (best.m_estimate >= aQuestion.m_untilDeadline) {
     return Refuse{ .m_hasServers = true,
--- a/rattanweir/request/placement/placement.h
+++ b/rattanweir/request/placement/placement.h
@@ -7,11 +7,12 @@
 // Each choice is rated by the time until the request's answer would begin
 // there, as far as it is known here. A server's own count of its requests, from
 // its newest answer, is brought up to date by what this instance sent and saw
-// end since; what recent answers were late by, and the part of them that
-// failed, are added. An engine pays for the prompt tokens that its cache lacks.
-// Another region pays for the round trip and for the bytes between regions, and
-// is used only if it is better by a margin, so that requests do not swap
-// places.
+// end since. The own requests that wait for their answers there, what recent
+// answers were late by, and the part of them that failed, are added. An
+// engine pays for the prompt tokens that its cache lacks. Another region pays
+// for the round trip and for the bytes between regions, and for what this
+// instance saw of its own requests there, since what the instances there told
+// is old by a moment. It is used only if it is better by a margin.
 //
 // The load that it answers: one region at its peak while others are quiet,
 // servers that are lost, slow or failing, and requests that share long prompt
@@ -54,6 +55,10 @@
   // When a request sent to a server there would begin to be answered, as the
   // instances there told.
   std::chrono::nanoseconds m_startDelay{};
+  // What this instance saw of its own requests there.
+  BackendState m_state;
+  // Prompt tokens that an engine there would probably have to read.
+  Tokens m_uncached;
 };
 
 struct PlacementQuestion
@@ -68,6 +73,8 @@
   // Left until the answer would be late, and until nobody waits for it.
   std::chrono::nanoseconds m_untilLate{};
   std::chrono::nanoseconds m_untilDeadline{};
+  // By how much another region has to be better.
+  std::chrono::nanoseconds m_regionMargin{ std::chrono::milliseconds(20) };
   // What sending the request to another region costs beside the round trip.
   std::chrono::nanoseconds m_transferCost{};
 };
@@ -110,10 +117,18 @@
 Placement
 DecidePlacement(const PlacementQuestion& aQuestion);
 
+// How long an engine reads that many prompt tokens.
+std::chrono::nanoseconds
+ReadingTime(Tokens aTokens);
+
 // The time until an answer would begin at this server.
 std::chrono::nanoseconds
 EstimateStart(const PlacementQuestion& aQuestion, const ServerChoice& aServer);
 
+// The same in another region.
+std::chrono::nanoseconds
+EstimateStart(const PlacementQuestion& aQuestion, const RegionChoice& aRegion);
+
 // The requests that a server probably has, from all instances.
 double
 EstimateOccupancy(const PlacementQuestion& aQuestion,
--- a/rattanweir/request/placement/placement_test.cc
+++ b/rattanweir/request/placement/placement_test.cc
@@ -116,6 +116,24 @@
   CHECK(Decide(Question({}, { busy, idle })) == "r1");
 }
 
+TEST_CASE("a region is judged by what came of the own requests there")
+{
+  RegionChoice disappointing{ .m_region = RegionId("south") };
+  disappointing.m_state.m_startDelay = milliseconds(300);
+  CHECK(Decide(Question({ Server("a", 6, 17) }, { disappointing })) == "a");
+  RegionChoice cold{ .m_region = RegionId("south") };
+  cold.m_uncached = Tokens(12'000);
+  CHECK(Decide(Question({ Server("a", 6, 17) }, { cold })) == "a");
+}
+
+TEST_CASE("another region has to be better by the margin")
+{
+  const RegionChoice idle{ .m_region = RegionId("south") };
+  PlacementQuestion question = Question({ Server("a", 6, 17) }, { idle });
+  question.m_regionMargin = milliseconds(100);
+  CHECK(Decide(question) == "a");
+}
+
 TEST_CASE("a request waits while servers are full or held back")
 {
   ServerChoice cold = Server("cold");
--- a/testing/gateway_world/gateway_world.cc
+++ b/testing/gateway_world/gateway_world.cc
@@ -201,6 +201,7 @@
              .m_fleet = m_fleet,
              .m_registry = m_registry,
              .m_backends = m_backends,
+             .m_regions = m_regions,
              .m_parts = m_parts,
              .m_rates = m_rates,
              .m_retries = m_retries,
--- a/testing/gateway_world/gateway_world.h
+++ b/testing/gateway_world/gateway_world.h
@@ -106,6 +106,7 @@
   FleetView m_fleet;
   BackendRegistry m_registry;
   BackendView m_backends{ { .m_clock = m_clock } };
+  BackendView m_regions{ { .m_clock = m_clock } };
   PartCache m_parts;
   AccountRates m_rates{ { .m_clock = m_clock, .m_initialBurst = 1 } };
   RetryAllowance m_retries;
