--- a/rattanweir/request/placement/placement.cc
+++ b/rattanweir/request/placement/placement.cc
@@ -16,6 +16,9 @@
 // taken for full. Servers queue a few requests more than they process and turn
 // the others away.
 constexpr double kQueuePerSlot = 3;
+// The own requests that wait for their answers stand for those of the other
+// instances as well, which are as many each but are not seen.
+constexpr double kUnansweredWeight = 2;
 // The least time to come back after.
 constexpr milliseconds kLeastComeBack{ 100 };
 
@@ -110,7 +113,7 @@
     Scale(aQuestion.m_slotTime, waiting / aServer.m_slots);
   const nanoseconds unanswered =
     ReadingTime(Tokens(static_cast<std::int64_t>(state.m_loadUnanswered)));
-  return queue + unanswered + state.m_startDelay +
+  return queue + Scale(unanswered, kUnansweredWeight) + state.m_startDelay +
          ReadingTime(aServer.m_uncached) +
          Scale(kFailureCost, state.m_failureShare);
 }
