--- /dev/null
+++ b/testing/fleet_soak/stand_ins.h
@@ -0,0 +1,117 @@
+// Stand-ins for the users' platform in the fault soak: the store, and backend
+// servers that remember what they ran.
+//
+//   History history;
+//   StandInStore store(context);
+//   StandInServer server({ .m_context = context, .m_id = "s1", ... });
+//   store.Put("servers/s1", server.Entry("ready"));
+//
+// They run in the test's own process and thread.
+
+#pragma once
+
+#include "rattanweir/base/asio/asio.h"
+#include "rattanweir/base/random/random.h"
+#include "rattanweir/connection/http_server/http_server.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <json/value.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace rattanweir::testing {
+
+// What ran, by request id.
+struct History
+{
+  struct Run
+  {
+    std::string m_server;
+    std::string m_account;
+    SteadyTime m_at;
+  };
+
+  std::map<std::string, std::vector<Run>> m_runs;
+
+  std::size_t RunsOf(const std::string& aId) const;
+};
+
+// The store that can only be read, with ranges and watches.
+class StandInStore final : public RequestHandler
+{
+public:
+  explicit StandInStore(asio::io_context& aContext);
+
+  void Put(const std::string& aKey, const std::string& aValue);
+  void Remove(const std::string& aKey);
+  Endpoint Address() const { return m_server.LocalEndpoint(); }
+
+  Task<void> Handle(InboundRequest aRequest,
+                    AnswerSink& aSink,
+                    CancelSource& aCancel) override;
+
+  // Answers 503 to every call.
+  bool m_isDown = false;
+
+private:
+  struct Item
+  {
+    std::string m_key;
+    std::string m_value;
+    std::uint64_t m_revision = 0;
+    bool m_isRemoved = false;
+  };
+
+  Json::Value ItemsAfter(const std::string& aPrefix,
+                         std::uint64_t aAfter,
+                         bool aHasRemoved) const;
+  Task<void> Answer(unsigned aStatus, Json::Value aBody, AnswerSink& aSink);
+
+  asio::io_context& m_context;
+  std::map<std::string, Item> m_items;
+  std::uint64_t m_revision = 1;
+  HttpServer m_server;
+};
+
+struct StandInServerOptions
+{
+  asio::io_context& m_context;
+  History& m_history;
+  RandomEngine& m_random;
+  std::string m_id;
+  std::string m_zone;
+};
+
+// A plain service that may break its answers off or refuse.
+class StandInServer final : public RequestHandler
+{
+public:
+  explicit StandInServer(const StandInServerOptions& aOptions);
+
+  Endpoint Address() const { return m_server.LocalEndpoint(); }
+  // Its entry in the store, reached at this address.
+  std::string Entry(const Endpoint& aAddress, const char* aState) const;
+
+  Task<void> Handle(InboundRequest aRequest,
+                    AnswerSink& aSink,
+                    CancelSource& aCancel) override;
+
+  // Parts of the requests whose answers are lost after they ran, and that are
+  // refused without being run.
+  double m_lostShare = 0;
+  double m_refusedShare = 0;
+
+private:
+  StandInServerOptions m_options;
+  HttpServer m_server;
+};
+
+// The answer that the server gives to a request.
+std::string
+AnswerTo(const std::string& aId);
+
+} // namespace rattanweir::testing
--- a/testing/harness/process.h
+++ b/testing/harness/process.h
@@ -61,9 +61,11 @@
   // then. Throws std::runtime_error after the bound.
   int WaitForExit();
 
+  // Whether it has exited.
+  bool HasEnded();
+
 private:
   void ReadLines(int aFd);
-  bool HasEnded();
 
   std::string m_name;
   int m_pid = -1;
