--- a/testing/fleet_soak/fleet_soak_test.cc
+++ b/testing/fleet_soak/fleet_soak_test.cc
@@ -13,8 +13,6 @@
 #include "testing/harness/process.h"
 #include "testing/link_cutter/link_cutter.h"
 
-#include <boost/asio/ip/tcp.hpp>
-
 #include <catch2/catch.hpp>
 
 #include <csignal>
@@ -51,13 +49,17 @@
   return text == nullptr ? aDefault : std::strtoull(text, nullptr, 10);
 }
 
-// A port that was free a moment ago; an instance keeps it over its restarts.
+// Ports that an instance keeps over its restarts. They lie below those that the
+// system gives to connections, which could take one while its instance is down.
 std::uint16_t
-FreePort(asio::io_context& aContext)
+PortOf(std::uint64_t aSeed, std::size_t aInstance, std::size_t aNumber)
 {
-  asio::ip::tcp::acceptor acceptor(aContext,
-                                   { asio::ip::make_address("127.0.0.1"), 0 });
-  return acceptor.local_endpoint().port();
+  constexpr std::uint64_t kFirst = 11'000;
+  constexpr std::uint64_t kSeeds = 900;
+  constexpr std::uint64_t kPerSeed = 20;
+  constexpr std::uint64_t kPerInstance = 5;
+  return static_cast<std::uint16_t>(kFirst + aSeed % kSeeds * kPerSeed +
+                                    aInstance * kPerInstance + aNumber);
 }
 
 std::string
@@ -164,8 +166,9 @@
     instance.m_name = "i" + std::to_string(m_instances.size());
     instance.m_zone = aZone;
     instance.m_settingsPath = (m_folder / (instance.m_name + ".yaml")).string();
-    for (int port = 0; port < 5; ++port) {
-      instance.m_ports.push_back(FreePort(m_context));
+    for (std::size_t number = 0; number < 5; ++number) {
+      instance.m_ports.push_back(
+        PortOf(m_seed, m_instances.size() - 1, number));
     }
   }
 
@@ -359,8 +362,28 @@
     aInstance.m_isDisturbed = false;
   }
 
-  void CheckPromises() const
+  // The end of what an instance logged.
+  static std::string LastLines(const Instance& aInstance)
   {
+    constexpr std::size_t kLines = 12;
+    const std::vector<std::string> lines = aInstance.m_process->Lines();
+    std::string text = aInstance.m_name + ":\n";
+    for (std::size_t index = lines.size() - std::min(lines.size(), kLines);
+         index < lines.size();
+         ++index) {
+      text += "  " + lines[index] + "\n";
+    }
+    return text;
+  }
+
+  void CheckPromises()
+  {
+    std::string logs;
+    for (Instance& instance : m_instances) {
+      logs += LastLines(instance);
+      INFO("seed " << m_seed << ", " << LastLines(instance));
+      CHECK_FALSE(instance.m_process->HasEnded());
+    }
     std::size_t calm = 0;
     std::size_t calmServed = 0;
     for (const Call& call : m_calls) {
@@ -373,7 +396,8 @@
       }
     }
     INFO("seed " << m_seed << ": " << calmServed << " of " << calm
-                 << " served once all was repaired");
+                 << " served once all was repaired\n"
+                 << logs);
     CHECK(calm > 100);
     CHECK(static_cast<double>(calmServed) >= 0.95 * static_cast<double>(calm));
     for (const auto& [id, runs] : m_history.m_runs) {
