--- a/rattanweir/connection/gossip/gossip.cc
+++ b/rattanweir/connection/gossip/gossip.cc
@@ -24,6 +24,10 @@
   m_dispatcher.Register(kGossipMethod, [this](const Json::Value& aParameters) {
     return AnswerGossip(aParameters);
   });
+  m_dispatcher.Register(kNewsMethod, [this](const Json::Value& aParameters) {
+    TakeRows(aParameters);
+    return Json::Value(Json::objectValue);
+  });
   m_dispatcher.Register(kFetchTopicMethod,
                         [this](const Json::Value& aParameters) {
                           return AnswerFetchTopic(aParameters);
@@ -58,6 +62,9 @@
 void
 Gossip::Announce()
 {
+  m_options.m_updateSelf();
+  const Json::Value row =
+    ToJson(std::vector<FleetMember>{ m_options.m_fleet.NextOwnRow() });
   const RegionId own = m_options.m_fleet.Self().m_region;
   std::set<RegionId> told;
   for (const FleetMember* peer : m_options.m_fleet.LivePeers()) {
@@ -65,7 +72,26 @@
       continue;
     }
     asio::co_spawn(
-      m_options.m_executor, Exchange(peer->m_peerAddress), asio::detached);
+      m_options.m_executor, TellNews(peer->m_peerAddress, row), asio::detached);
+  }
+}
+
+Task<void>
+Gossip::TellNews(Endpoint aTarget, Json::Value aRow)
+{
+  try {
+    PeerCall call;
+    call.m_endpoint = aTarget;
+    call.m_method = kNewsMethod;
+    call.m_parameters = std::move(aRow);
+    call.m_deadline = m_options.m_clock.SteadyNow() + kCallTimeout;
+    co_await CallPeer(m_options.m_upstream, std::move(call));
+  } catch (const std::exception& error) {
+    // The rounds bring it later.
+    m_options.m_metrics.Count("rattanweir_gossip_failures_total");
+    Log(LogLevel::Debug,
+        "news_failed",
+        { { "peer", aTarget.ToString() }, { "detail", error.what() } });
   }
 }
 
--- a/rattanweir/connection/gossip/gossip.h
+++ b/rattanweir/connection/gossip/gossip.h
@@ -55,7 +55,8 @@
   void Start();
   void Stop();
 
-  // Tells all live members of the region, and one of each other region.
+  // Tells the own row to all live members of the region, and to one of each
+  // other region.
   void Announce();
 
   // The response to one call of a peer.
@@ -67,6 +68,7 @@
 private:
   Task<void> RunRounds();
   Task<void> Exchange(Endpoint aTarget);
+  Task<void> TellNews(Endpoint aTarget, Json::Value aRow);
   Task<void> FetchTopic(Endpoint aPeer, TopicId aTopic);
   Json::Value AnswerGossip(const Json::Value& aParameters);
   Json::Value AnswerFetchTopic(const Json::Value& aParameters) const;
--- a/rattanweir/connection/gossip/gossip_messages.h
+++ b/rattanweir/connection/gossip/gossip_messages.h
@@ -19,6 +19,8 @@
 
 // The names of the methods.
 inline constexpr char kGossipMethod[] = "gossip";
+// The sender's row alone, answered by nothing.
+inline constexpr char kNewsMethod[] = "news";
 inline constexpr char kFetchTopicMethod[] = "fetch_topic";
 
 // The first row is the sender's own.
--- a/rattanweir/connection/gossip/gossip_test.cc
+++ b/rattanweir/connection/gossip/gossip_test.cc
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 
@@ -176,6 +177,30 @@
   });
 }
 
+TEST_CASE("news are told to all at once, in one row")
+{
+  World world(4);
+  world.Start();
+  world.RunUntil([&] { return world.KnowEachOther(); });
+  for (const auto& instance : world.m_instances) {
+    instance->m_gossip.Stop();
+  }
+  Instance& first = *world.m_instances[0];
+  first.m_published.Apply(
+    kTopic, { { .m_key = "servers/a", .m_value = "1", .m_revision = 7 } });
+  first.m_fleet.Self().m_isDraining = true;
+  first.m_gossip.Announce();
+  world.RunUntil([&] {
+    return std::ranges::all_of(world.m_instances, [](const auto& aInstance) {
+      return aInstance->m_published.RevisionOf(kTopic) == 7;
+    });
+  });
+  const FleetMember* told =
+    world.m_instances[3]->m_fleet.Find(first.m_fleet.Self().m_id);
+  REQUIRE(told != nullptr);
+  CHECK(told->m_isDraining);
+}
+
 TEST_CASE("a fleet that was cut finds itself again")
 {
   World world(3);
--- a/rattanweir/process/fleet/fleet_view.cc
+++ b/rattanweir/process/fleet/fleet_view.cc
@@ -124,13 +124,19 @@
   }
 }
 
+const FleetMember&
+FleetView::NextOwnRow()
+{
+  m_advancedAt = m_options.m_clock.SteadyNow();
+  ++m_options.m_self.m_sequence;
+  return m_options.m_self;
+}
+
 std::vector<FleetMember>
 FleetView::NextMessage(RandomEngine& aRandom)
 {
-  const SteadyTime now = m_options.m_clock.SteadyNow();
-  if (now - m_advancedAt >= m_options.m_rowInterval) {
-    m_advancedAt = now;
-    ++m_options.m_self.m_sequence;
+  if (m_options.m_clock.SteadyNow() - m_advancedAt >= m_options.m_rowInterval) {
+    NextOwnRow();
   }
   // News first: the rows that were told on least often.
   std::vector<Entry*> candidates;
--- a/rattanweir/process/fleet/fleet_view.h
+++ b/rattanweir/process/fleet/fleet_view.h
@@ -115,6 +115,9 @@
   // A connection to this member failed: not used until it is heard of again.
   void MarkUnreachable(const InstanceId& aId);
 
+  // The own row with a new sequence, to be told at once.
+  const FleetMember& NextOwnRow();
+
   // The next row of this instance and a selection of the others.
   std::vector<FleetMember> NextMessage(RandomEngine& aRandom);
 
--- a/rattanweir/request/gateway/entry_list.cc
+++ b/rattanweir/request/gateway/entry_list.cc
@@ -27,7 +27,7 @@
   const Members inRegion = Those(all, [&](const FleetMember* aMember) {
     return aMember->m_region == aQuestion.m_region;
   });
-  const Members inZone = Those(inRegion, [&](const FleetMember* aMember) {
+  Members inZone = Those(inRegion, [&](const FleetMember* aMember) {
     return aMember->m_zone == aQuestion.m_zone;
   });
   if (inZone.size() >= kFewestInZone) {
