--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -27,6 +27,8 @@
 // of gossip with seeds that may be down.
 constexpr milliseconds kAloneAfter{ 1'500 };
 constexpr seconds kSettingsCheckInterval{ 1 };
+// Between two rounds of forgetting servers that are gone.
+constexpr seconds kForgetInterval{ 10 };
 // Every instance reads the store itself for this long after its start, until
 // it knows its peers.
 constexpr seconds kReadAtStart{ 3 };
@@ -118,7 +120,6 @@
   , m_lines(m_context.get_executor())
   , m_feed({ .m_published = m_published,
              .m_registry = m_registry,
-             .m_parts = m_parts,
              .m_config = m_config,
              .m_metrics = m_metrics })
   , m_toBackends({ .m_executor = m_context.get_executor(),
@@ -421,6 +422,21 @@
   m_retries.SetFleetSize(m_fleet.FleetSize());
 }
 
+// The views of servers keep one entry for each incarnation that was used.
+void
+FleetDaemon::ForgetGoneServers()
+{
+  const SteadyTime now = m_clock.SteadyNow();
+  if (now - m_forgotAt < kForgetInterval) {
+    return;
+  }
+  m_forgotAt = now;
+  const std::set<BackendServerId> known = m_registry.Incarnations();
+  m_backends.KeepOnly(known);
+  m_parts.KeepOnly(known);
+  m_cold.KeepOnly(known);
+}
+
 // Leaves the store to a few members of the region once those are known.
 void
 FleetDaemon::UpdateReading()
@@ -462,6 +478,7 @@
   CancelSource never;
   while (!m_isStopped) {
     m_registry.Tick();
+    ForgetGoneServers();
     UpdateShares();
     UpdateReading();
     UpdateReadiness();
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -52,6 +52,7 @@
 
   void TakeConfig(const FleetConfig& aConfig);
   void UpdateSelf();
+  void ForgetGoneServers();
   void UpdateShares();
   void UpdateReading();
   void UpdateReadiness();
@@ -108,6 +109,7 @@
   asio::signal_set m_stopSignals;
   asio::signal_set m_reloadSignals;
   SteadyTime m_settingsCheckedAt;
+  SteadyTime m_forgotAt;
   // What peers were told of the store's revisions.
   std::map<TopicId, std::uint64_t> m_toldRevisions;
   bool m_isStopped = false;
--- a/rattanweir/process/backend_registry/backend_registry.cc
+++ b/rattanweir/process/backend_registry/backend_registry.cc
@@ -165,6 +165,16 @@
   return nullptr;
 }
 
+std::set<BackendServerId>
+BackendRegistry::Incarnations() const
+{
+  std::set<BackendServerId> incarnations;
+  for (const auto& [id, entry] : m_servers) {
+    incarnations.insert(entry.m_server.m_incarnation);
+  }
+  return incarnations;
+}
+
 BackendRegistry::Entry*
 BackendRegistry::FindIncarnation(const BackendServerId& aIncarnation)
 {
--- a/rattanweir/process/backend_registry/backend_registry.h
+++ b/rattanweir/process/backend_registry/backend_registry.h
@@ -121,6 +121,9 @@
 
   const KnownServer* Find(const BackendServerId& aIncarnation) const;
 
+  // All that are known, for views that forget the others.
+  std::set<BackendServerId> Incarnations() const;
+
   const std::set<AvailabilityZoneId>& EvacuatedZones() const
   {
     return m_evacuated;
--- a/rattanweir/process/backend_registry/backend_registry_test.cc
+++ b/rattanweir/process/backend_registry/backend_registry_test.cc
@@ -65,6 +65,17 @@
   CHECK(world.Usable() == Ids{ "s@2" });
 }
 
+TEST_CASE("the incarnations that are known are listed")
+{
+  Registry world;
+  world.m_registry.Put(Registry::Record("s", 1));
+  world.m_registry.Put(Registry::Record("s", 2));
+  world.m_registry.Put(Registry::Record("t", 5));
+  CHECK(world.m_registry.Incarnations() ==
+        std::set<BackendServerId>{ BackendServerId("s@2"),
+                                   BackendServerId("t@5") });
+}
+
 TEST_CASE("a removal that is published counts at once")
 {
   Registry world;
--- a/rattanweir/process/part_cache/part_cache.cc
+++ b/rattanweir/process/part_cache/part_cache.cc
@@ -59,9 +59,11 @@
 }
 
 void
-PartCache::Forget(const BackendServerId& aEngine)
+PartCache::KeepOnly(const std::set<BackendServerId>& aListed)
 {
-  m_engines.erase(aEngine);
+  std::erase_if(m_engines, [&](const auto& aEntry) {
+    return !aListed.contains(aEntry.first);
+  });
 }
 
 } // namespace rattanweir
--- a/rattanweir/process/part_cache/part_cache.h
+++ b/rattanweir/process/part_cache/part_cache.h
@@ -18,6 +18,7 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -57,8 +58,8 @@
   // Tokens of the chain's beginning that the engine probably holds.
   Tokens HeldBy(const BackendServerId& aEngine, const PartChain& aChain) const;
 
-  // The engine restarted or left.
-  void Forget(const BackendServerId& aEngine);
+  // Forgets the engines that are not listed any more.
+  void KeepOnly(const std::set<BackendServerId>& aListed);
 
 private:
   struct Engine
--- a/rattanweir/process/part_cache/part_cache_test.cc
+++ b/rattanweir/process/part_cache/part_cache_test.cc
@@ -48,12 +48,14 @@
   CHECK(cache.HeldBy(kEngine, third) == Tokens(400));
 }
 
-TEST_CASE("a restarted engine holds nothing")
+TEST_CASE("an engine that is gone holds nothing")
 {
   PartCache cache;
   const PartChain chain = Chain({ { "a", Tokens(400) } });
   cache.AddDispatch(kEngine, chain, kRoomy);
-  cache.Forget(kEngine);
+  cache.KeepOnly({ kEngine });
+  CHECK(cache.HeldBy(kEngine, chain) == Tokens(400));
+  cache.KeepOnly({});
   CHECK(cache.HeldBy(kEngine, chain) == Tokens(0));
 }
 
--- a/rattanweir/process/shared_budget/shared_budget.cc
+++ b/rattanweir/process/shared_budget/shared_budget.cc
@@ -83,6 +83,14 @@
   m_sentAt[aQuestion.m_server] = m_options.m_clock.SteadyNow();
 }
 
+void
+ColdAllowance::KeepOnly(const std::set<BackendServerId>& aListed)
+{
+  std::erase_if(m_sentAt, [&](const auto& aEntry) {
+    return !aListed.contains(aEntry.first);
+  });
+}
+
 double
 ColdAllowance::RateOf(const ColdQuestion& aQuestion) const
 {
--- a/rattanweir/process/shared_budget/shared_budget.h
+++ b/rattanweir/process/shared_budget/shared_budget.h
@@ -21,6 +21,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace rattanweir {
@@ -106,6 +107,9 @@
   // Counts a request that is sent.
   void Take(const ColdQuestion& aQuestion);
 
+  // Forgets the servers that are not listed any more.
+  void KeepOnly(const std::set<BackendServerId>& aListed);
+
 private:
   // This instance's requests a second, or 0.
   double RateOf(const ColdQuestion& aQuestion) const;
