--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -26,6 +26,8 @@
 // An instance that meets nobody goes on alone after this: about three rounds
 // of gossip with seeds that may be down.
 constexpr milliseconds kAloneAfter{ 1'500 };
+// The rows of all members of a small fleet come within four rounds of gossip.
+constexpr seconds kLearnTime{ 2 };
 constexpr seconds kSettingsCheckInterval{ 1 };
 // Between two rounds of forgetting servers that are gone.
 constexpr seconds kForgetInterval{ 10 };
@@ -233,7 +235,8 @@
            .m_lines = m_lines,
            .m_metrics = m_metrics,
            .m_toBackends = m_toBackends,
-           .m_toPeers = m_toPeers };
+           .m_toPeers = m_toPeers,
+           .m_learnsMore = true };
 }
 
 HttpServerOptions
@@ -458,9 +461,12 @@
 FleetDaemon::UpdateReadiness()
 {
   FleetMember& self = m_fleet.Self();
-  const bool hasMet = m_gossip.HasMetSomeone() ||
-                      m_clock.SteadyNow() - m_startedAt >= kAloneAfter;
-  if (self.m_isReady || !m_config.InForce() || !hasMet) {
+  const auto age = m_clock.SteadyNow() - m_startedAt;
+  const bool hasMet = m_gossip.HasMetSomeone() || age >= kAloneAfter;
+  const bool knowsServers =
+    m_published.Find(TopicId(platform::kServersTopic)) != nullptr;
+  m_state.m_learnsMore = !knowsServers || age < kLearnTime;
+  if (self.m_isReady || !m_config.InForce() || !knowsServers || !hasMet) {
     return;
   }
   self.m_isReady = true;
--- a/rattanweir/request/gateway/gateway_admission.cc
+++ b/rattanweir/request/gateway/gateway_admission.cc
@@ -12,6 +12,10 @@
 using std::chrono::milliseconds;
 using std::chrono::nanoseconds;
 
+// An instance that starts has its configuration from the store or a peer within
+// a few round trips.
+constexpr milliseconds kConfigComesWithin{ 250 };
+
 [[noreturn]] void
 RefuseRequest(ResultCode aCode, const char* aDetail)
 {
@@ -23,8 +27,10 @@
 {
   FleetConfigPtr config = aState.m_config.InForce();
   if (!config) {
-    RefuseRequest(ResultCode::InstanceNotReady,
-                  "this instance has no configuration yet");
+    throw RequestError(ResultCode::InstanceNotReady,
+                       "this instance has no configuration yet",
+                       Ran::No,
+                       kConfigComesWithin);
   }
   return config;
 }
--- a/rattanweir/request/gateway/gateway_state.h
+++ b/rattanweir/request/gateway/gateway_state.h
@@ -45,6 +45,8 @@
   Metrics& m_metrics;
   Upstream& m_toBackends;
   Upstream& m_toPeers;
+  // This instance has just started and does not know all servers and peers.
+  bool m_learnsMore = false;
   // Requests of callers and peers that are being served.
   std::size_t m_inFlight = 0;
 };
--- a/rattanweir/request/gateway/gateway_test.cc
+++ b/rattanweir/request/gateway/gateway_test.cc
@@ -427,6 +427,26 @@
   CHECK(waiting.m_comeBackAfter);
 }
 
+TEST_CASE("after its start an instance holds requests until it knows servers")
+{
+  GatewayWorld world;
+  world.m_fleet.MarkUnreachable(InstanceId("south-1"));
+  world.m_registry.KeepOnly({}, Removal::Published);
+  world.m_state.m_learnsMore = true;
+  Outcome& waiting = world.Start(kRead);
+  CHECK_FALSE(waiting.m_isDone);
+  world.m_registry.Put(world.RecordOf("s1"));
+  world.Script(kServerOne, Sealed("x"));
+  world.Advance(milliseconds(50));
+  CHECK(waiting.m_code == ResultCode::Ok);
+  // Not for longer than its answer could still be on time.
+  world.m_registry.KeepOnly({}, Removal::Published);
+  Outcome& refused = world.Start(kRead);
+  world.Advance(milliseconds(350));
+  CHECK(refused.m_isDone);
+  CHECK(refused.m_ran == Ran::No);
+}
+
 TEST_CASE("a waiting request is sent as soon as a server has room")
 {
   GatewayWorld world;
--- a/rattanweir/request/gateway/request_run.cc
+++ b/rattanweir/request/gateway/request_run.cc
@@ -227,7 +227,8 @@
 RequestRun::AskForPlace() const
 {
   const SteadyTime now = m_state.m_clock.SteadyNow();
-  PlacementQuestion question{ .m_now = now };
+  PlacementQuestion question{ .m_now = now,
+                              .m_learnsMore = m_state.m_learnsMore };
   const FleetMember& self = m_state.m_fleet.Self();
   if (m_request.IsPermittedIn(self.m_region)) {
     question.m_servers = ServerChoicesOf(m_state,
--- a/rattanweir/request/placement/placement.cc
+++ b/rattanweir/request/placement/placement.cc
@@ -135,7 +135,7 @@
   const bool hasServers =
     !aQuestion.m_servers.empty() || !aQuestion.m_regions.empty();
   if (!server.m_index && !region.m_index) {
-    if (hasServers) {
+    if (hasServers || aQuestion.m_learnsMore) {
       return StayInLine{};
     }
     return Refuse{ .m_comeBackAfter = kLeastComeBack };
--- a/rattanweir/request/placement/placement.h
+++ b/rattanweir/request/placement/placement.h
@@ -73,6 +73,9 @@
   // Left until the answer would be late, and until nobody waits for it.
   std::chrono::nanoseconds m_untilLate{};
   std::chrono::nanoseconds m_untilDeadline{};
+  // This instance has just started: servers and peers that it does not know yet
+  // may be told any moment.
+  bool m_learnsMore = false;
   // By how much another region has to be better.
   std::chrono::nanoseconds m_regionMargin{ std::chrono::milliseconds(20) };
   // What sending the request to another region costs beside the round trip.
--- a/rattanweir/request/placement/placement_test.cc
+++ b/rattanweir/request/placement/placement_test.cc
@@ -145,6 +145,13 @@
   CHECK(Decide(Question({ connected })) == "line");
 }
 
+TEST_CASE("an instance that has just started waits to hear of servers")
+{
+  PlacementQuestion question = Question({});
+  question.m_learnsMore = true;
+  CHECK(Decide(question) == "line");
+}
+
 TEST_CASE("a request that cannot begin in time is refused at once")
 {
   PlacementQuestion late = Question({ Server("a", 6, 17) });
