--- a/programs/rattanweird/daemon.cc
+++ b/programs/rattanweird/daemon.cc
@@ -1,5 +1,6 @@
 #include "programs/rattanweird/daemon.h"
 
+#include "rattanweir/base/asio/spawn.h"
 #include "rattanweir/process/logging/log.h"
 #include "rattanweir/request/pipeline/entry_answers.h"
 #include "rattanweir/request/wait/wait.h"
@@ -22,18 +23,6 @@
 constexpr unsigned kServiceUnavailable = 503;
 constexpr const char* kPlainText = "text/plain; version=0.0.4";
 
-template<class Function>
-void
-Spawn(asio::io_context& aContext, Function aFunction)
-{
-  asio::co_spawn(
-    aContext, std::move(aFunction), [](const std::exception_ptr& aError) {
-      if (aError) {
-        std::rethrow_exception(aError);
-      }
-    });
-}
-
 } // namespace
 
 Daemon::Daemon(const Settings& aSettings)
--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -2,6 +2,7 @@
 
 #include "platform/directory/directory.h"
 
+#include "rattanweir/base/asio/spawn.h"
 #include "rattanweir/base/json/json.h"
 #include "rattanweir/process/logging/log.h"
 #include "rattanweir/request/gateway/server_choices.h"
@@ -66,18 +67,6 @@
 constexpr unsigned kServiceUnavailable = 503;
 constexpr const char* kPlainText = "text/plain; version=0.0.4";
 
-template<class Function>
-void
-Spawn(asio::io_context& aContext, Function aFunction)
-{
-  asio::co_spawn(
-    aContext, std::move(aFunction), [](const std::exception_ptr& aError) {
-      if (aError) {
-        std::rethrow_exception(aError);
-      }
-    });
-}
-
 Incarnation
 IncarnationOf(const Clock& aClock)
 {
@@ -241,18 +230,17 @@
 
 HttpServerOptions
 FleetDaemon::MakeServerOptions(const Endpoint& aAddress,
-                               RequestHandler& aHandler) const
+                               RequestHandler& aHandler)
 {
-  return {
-    .m_executor = const_cast<asio::io_context&>(m_context).get_executor(),
-    .m_address = aAddress,
-    .m_handler = aHandler,
-    .m_limits = m_settings.m_callerLimits,
-    .m_bodyBytesInAll = kBodyBytesInAll,
-    .m_clock = m_clock,
-    .m_unknownBodyBytes = kUnknownBodyBytes,
-    .m_answers = { .m_namesRequest = false, .m_sendsErrorEvents = false }
-  };
+  return { .m_executor = m_context.get_executor(),
+           .m_address = aAddress,
+           .m_handler = aHandler,
+           .m_limits = m_settings.m_callerLimits,
+           .m_bodyBytesInAll = kBodyBytesInAll,
+           .m_clock = m_clock,
+           .m_unknownBodyBytes = kUnknownBodyBytes,
+           .m_answers = { .m_namesRequest = false,
+                          .m_sendsErrorEvents = false } };
 }
 
 HttpServerOptions
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -43,7 +43,7 @@
   FleetMember MakeSelf() const;
   GatewayState MakeState();
   HttpServerOptions MakeServerOptions(const Endpoint& aAddress,
-                                      RequestHandler& aHandler) const;
+                                      RequestHandler& aHandler);
   HttpServerOptions MakeCallerOptions();
   HttpServerOptions MakePeerOptions();
   void RegisterAdminRoutes();
--- a/rattanweir/base/units/units.cc
+++ b/rattanweir/base/units/units.cc
@@ -68,6 +68,13 @@
 
 } // namespace
 
+nanoseconds
+ScaleDuration(nanoseconds aDuration, double aFactor)
+{
+  return nanoseconds(static_cast<std::int64_t>(
+    aFactor * static_cast<double>(aDuration.count())));
+}
+
 nanoseconds
 ParseDuration(std::string_view aText)
 {
--- a/rattanweir/base/units/units.h
+++ b/rattanweir/base/units/units.h
@@ -71,6 +71,10 @@
 // Bytes of memory or on the wire.
 using ByteCount = Quantity<std::uint64_t, struct ByteCountTag>;
 
+// The duration times a factor, cut off to a whole nanosecond.
+std::chrono::nanoseconds
+ScaleDuration(std::chrono::nanoseconds aDuration, double aFactor);
+
 // Parses `250ms`, `30s`, `5m` or `2h`, or `100us`. Throws UnitError.
 std::chrono::nanoseconds
 ParseDuration(std::string_view aText);
--- a/rattanweir/connection/control/peer_call.h
+++ b/rattanweir/connection/control/peer_call.h
@@ -13,9 +13,6 @@
 
 namespace rattanweir {
 
-// The path that takes control calls on the peer side.
-inline constexpr char kControlPath[] = "/rattanweir/control";
-
 struct PeerCall
 {
   Endpoint m_endpoint;
--- a/rattanweir/request/exchange/exchange.h
+++ b/rattanweir/request/exchange/exchange.h
@@ -29,6 +29,9 @@
 
 namespace rattanweir {
 
+// The path on the peer side that takes control calls.
+inline constexpr char kControlPath[] = "/rattanweir/control";
+
 // One HTTP header field. Names compare without regard to case.
 struct HeaderField
 {
--- a/rattanweir/request/gateway/gates.cc
+++ b/rattanweir/request/gateway/gates.cc
@@ -166,7 +166,7 @@
                  AnswerSink& aSink,
                  CancelSource& aCancel)
 {
-  if (aInbound.m_target == kGatewayControlPath) {
+  if (aInbound.m_target == kControlPath) {
     std::string answer = m_control(std::move(aInbound.m_body));
     AnswerHead head{ .m_status = 200,
                      .m_headers = { { "content-type", kJson } },
--- a/rattanweir/request/gateway/gates.h
+++ b/rattanweir/request/gateway/gates.h
@@ -17,9 +17,6 @@
 
 namespace rattanweir {
 
-// The path on the peer side that takes control calls.
-inline constexpr const char* kGatewayControlPath = "/rattanweir/control";
-
 class EntryGate final : public RequestHandler
 {
 public:
--- a/rattanweir/request/gateway/request_run.cc
+++ b/rattanweir/request/gateway/request_run.cc
@@ -41,13 +41,6 @@
 // own part, and the shared one where that region was not asked for it lately.
 constexpr double kUncachedElsewhere = 0.5;
 
-nanoseconds
-Scale(nanoseconds aDuration, double aFactor)
-{
-  return nanoseconds(static_cast<std::int64_t>(
-    aFactor * static_cast<double>(aDuration.count())));
-}
-
 std::string
 MillisecondsText(nanoseconds aDuration)
 {
@@ -219,8 +212,9 @@
 nanoseconds
 RequestRun::LongestWait() const
 {
-  return std::min(Scale(m_request.m_route.m_latencyObjective, kWaitShare),
-                  m_request.m_deadline - m_request.m_receivedAt);
+  return std::min(
+    ScaleDuration(m_request.m_route.m_latencyObjective, kWaitShare),
+    m_request.m_deadline - m_request.m_receivedAt);
 }
 
 PlacementQuestion
@@ -244,12 +238,10 @@
   question.m_slotTime = m_state.m_lines.SlotTimeOf(m_request.m_pool);
   question.m_instancesInRegion =
     m_state.m_fleet.LivePeersIn(self.m_region).size() + 1;
-  question.m_untilLate =
-    m_request.m_receivedAt + m_request.m_route.m_latencyObjective - now;
   question.m_untilDeadline = m_request.m_deadline - now;
   if (!IsForEngine()) {
     question.m_regionMargin =
-      Scale(m_request.m_route.m_latencyObjective, kPlainRegionMargin);
+      ScaleDuration(m_request.m_route.m_latencyObjective, kPlainRegionMargin);
   }
   question.m_transferCost = std::chrono::microseconds(
     static_cast<std::int64_t>(static_cast<double>(m_request.m_body->size()) /
@@ -472,7 +464,7 @@
   };
   const auto resumeAfter = ResumeAfter();
   OutboundRequest outbound =
-    MakeOutbound(m_state.m_protocol.PeerFields(m_request.m_facts, resumeAfter));
+    MakeOutbound(m_state.m_protocol.PeerFields(resumeAfter));
   std::move(
     fields.begin(), fields.end(), std::back_inserter(outbound.m_headers));
   RegionDispatch dispatch(m_state, RegionKey(aRegion, m_request.m_pool));
--- a/rattanweir/request/gateway/wire_protocol.h
+++ b/rattanweir/request/gateway/wire_protocol.h
@@ -97,7 +97,6 @@
 
   // The same towards a peer, which reads them by ReadRequest.
   virtual HeaderFields PeerFields(
-    const RequestFacts& aFacts,
     const std::optional<std::string>& aResumeAfter) const = 0;
 
   virtual AnswerFacts ReadAnswer(const AnswerHead& aHead) const = 0;
--- a/rattanweir/request/pipeline/peer_handler.cc
+++ b/rattanweir/request/pipeline/peer_handler.cc
@@ -10,8 +10,6 @@
 namespace rattanweir {
 namespace {
 
-constexpr const char* kControlPath = "/rattanweir/control";
-
 } // namespace
 
 PeerHandler::PeerHandler(PeerHandlerOptions aOptions)
--- a/rattanweir/request/placement/placement.cc
+++ b/rattanweir/request/placement/placement.cc
@@ -22,13 +22,6 @@
 // The least time to come back after.
 constexpr milliseconds kLeastComeBack{ 100 };
 
-nanoseconds
-Scale(nanoseconds aDuration, double aFactor)
-{
-  return nanoseconds(static_cast<std::int64_t>(
-    static_cast<double>(aDuration.count()) * aFactor));
-}
-
 bool
 IsFull(const PlacementQuestion& aQuestion, const ServerChoice& aServer)
 {
@@ -81,9 +74,9 @@
 nanoseconds
 ReadingTime(Tokens aTokens)
 {
-  return Scale(milliseconds(1),
-               static_cast<double>(aTokens.Value()) /
-                 kPromptTokensPerMillisecond);
+  return ScaleDuration(milliseconds(1),
+                       static_cast<double>(aTokens.Value()) /
+                         kPromptTokensPerMillisecond);
 }
 
 double
@@ -110,12 +103,12 @@
   const double waiting =
     std::max(0.0, EstimateOccupancy(aQuestion, aServer) + 1 - aServer.m_slots);
   const nanoseconds queue =
-    Scale(aQuestion.m_slotTime, waiting / aServer.m_slots);
+    ScaleDuration(aQuestion.m_slotTime, waiting / aServer.m_slots);
   const nanoseconds unanswered =
     ReadingTime(Tokens(static_cast<std::int64_t>(state.m_loadUnanswered)));
-  return queue + Scale(unanswered, kUnansweredWeight) + state.m_startDelay +
-         ReadingTime(aServer.m_uncached) +
-         Scale(kFailureCost, state.m_failureShare);
+  return queue + ScaleDuration(unanswered, kUnansweredWeight) +
+         state.m_startDelay + ReadingTime(aServer.m_uncached) +
+         ScaleDuration(kFailureCost, state.m_failureShare);
 }
 
 nanoseconds
@@ -124,7 +117,8 @@
   const BackendState& state = aRegion.m_state;
   return std::max(aRegion.m_startDelay, state.m_startDelay) +
          ReadingTime(aRegion.m_uncached) + kOtherRegionCost +
-         aQuestion.m_transferCost + Scale(kFailureCost, state.m_failureShare);
+         aQuestion.m_transferCost +
+         ScaleDuration(kFailureCost, state.m_failureShare);
 }
 
 Placement
--- a/rattanweir/request/placement/placement.h
+++ b/rattanweir/request/placement/placement.h
@@ -70,8 +70,7 @@
   std::chrono::nanoseconds m_slotTime{};
   // Instances that send to the servers of this region.
   std::size_t m_instancesInRegion = 1;
-  // Left until the answer would be late, and until nobody waits for it.
-  std::chrono::nanoseconds m_untilLate{};
+  // Left until nobody waits for the answer.
   std::chrono::nanoseconds m_untilDeadline{};
   // This instance has just started: servers and peers that it does not know yet
   // may be told any moment.
--- a/rattanweir/request/placement/placement_test.cc
+++ b/rattanweir/request/placement/placement_test.cc
@@ -31,7 +31,6 @@
            .m_regions = std::move(aRegions),
            .m_slotTime = milliseconds(60),
            .m_instancesInRegion = 3,
-           .m_untilLate = milliseconds(500),
            .m_untilDeadline = seconds(3) };
 }
 
--- a/testing/gateway_world/gateway_world.cc
+++ b/testing/gateway_world/gateway_world.cc
@@ -133,8 +133,7 @@
 }
 
 HeaderFields
-PlainProtocol::PeerFields(const RequestFacts& /*aFacts*/,
-                          const std::optional<std::string>& aResumeAfter) const
+PlainProtocol::PeerFields(const std::optional<std::string>& aResumeAfter) const
 {
   return aResumeAfter ? HeaderFields{ { "resume-after", *aResumeAfter } }
                       : HeaderFields{};
