--- a/rattanweir/request/gateway/gateway_test.cc
+++ b/rattanweir/request/gateway/gateway_test.cc
@@ -247,6 +247,19 @@
   CHECK(repeats <= asked / 2 + 1);
 }
 
+TEST_CASE("a request earns retries at its entry instance alone")
+{
+  GatewayWorld world;
+  world.ScriptAll(Sealed("x"), 20);
+  const double before = world.m_retries.Available(PoolId("plain"));
+  for (int request = 0; request < 10; ++request) {
+    world.AskAsPeer(kRead, kFromSouth);
+  }
+  CHECK(world.m_retries.Available(PoolId("plain")) == before);
+  world.Ask(kRead);
+  CHECK(world.m_retries.Available(PoolId("plain")) > before);
+}
+
 TEST_CASE("another server at the address ends the use of the former one")
 {
   GatewayWorld world;
--- a/rattanweir/request/gateway/request_run.cc
+++ b/rattanweir/request/gateway/request_run.cc
@@ -108,7 +108,10 @@
 Task<void>
 RequestRun::Run()
 {
-  m_state.m_retries.AddRequest(m_request.m_pool);
+  // A forwarded request was counted where it came from.
+  if (!m_request.m_forwardedBy) {
+    m_state.m_retries.AddRequest(m_request.m_pool);
+  }
   for (;;) {
     CheckNotEnded();
     co_await WaitForPlace();
