--- a/bench/backend_choice/choosers.h
+++ b/bench/backend_choice/choosers.h
@@ -9,9 +9,9 @@
 
 #pragma once
 
-#include "bench/backend_choice/engine_model.h"
 #include "rattanweir/base/clock/manual_clock.h"
 #include "rattanweir/base/random/random.h"
+#include "testing/engine_model/engine_model.h"
 
 #include <memory>
 
--- /dev/null
+++ b/rattanweir/request/gateway/place_question.cc
@@ -0,0 +1,110 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/request/gateway/place_question.h"
+
+#include "rattanweir/request/gateway/server_choices.h"
+#include "rattanweir/request/placement/question.h"
+
+#include <algorithm>
+#include <map>
+
+namespace rattanweir {
+namespace {
+
+bool
+IsForEngine(const AdmittedRequest& aRequest)
+{
+  const Pool* pool = aRequest.m_config->FindPool(aRequest.m_pool);
+  return pool != nullptr && pool->m_engine.has_value();
+}
+
+// The other regions with servers for the request and an instance that was not
+// asked yet.
+std::vector<RegionChoice>
+RegionChoices(const PlaceQuery& aQuery)
+{
+  const GatewayState& state = aQuery.m_state;
+  const AdmittedRequest& request = aQuery.m_request;
+  std::map<RegionId, RegionChoice> choices;
+  const RegionId& own = state.m_fleet.Self().m_region;
+  const std::set<RegionId> regions = state.m_registry.RegionsOf(request.m_pool);
+  for (const FleetMember* peer : state.m_fleet.Serving()) {
+    const RegionId& region = peer->m_region;
+    if (region == own || !regions.contains(region) ||
+        !request.IsPermittedIn(region) ||
+        aQuery.m_triedPeers.contains(peer->m_id)) {
+      continue;
+    }
+    const auto report = peer->m_pools.find(request.m_pool);
+    const std::chrono::nanoseconds delay = report == peer->m_pools.end()
+                                             ? std::chrono::nanoseconds::zero()
+                                             : report->second.m_startDelay;
+    const auto [entry, isNew] = choices.try_emplace(
+      region,
+      RegionChoice{
+        .m_region = region,
+        .m_startDelay = delay,
+        .m_state = state.m_regions.StateOf(RegionKey(region, request.m_pool)),
+        .m_uncached = UncachedElsewhere(PromptTokens(request)) });
+    entry->second.m_startDelay = std::min(entry->second.m_startDelay, delay);
+  }
+  std::vector<RegionChoice> list;
+  list.reserve(choices.size());
+  for (auto& [region, choice] : choices) {
+    list.push_back(std::move(choice));
+  }
+  return list;
+}
+
+} // namespace
+
+Tokens
+PromptTokens(const AdmittedRequest& aRequest)
+{
+  return IsForEngine(aRequest)
+           ? aRequest.m_facts.m_promptTokens.value_or(Tokens(0))
+           : Tokens(0);
+}
+
+BackendServerId
+RegionKey(const RegionId& aRegion, const PoolId& aPool)
+{
+  return BackendServerId(aRegion.Value() + "/" + aPool.Value());
+}
+
+PlacementQuestion
+AskForPlace(const PlaceQuery& aQuery)
+{
+  const GatewayState& state = aQuery.m_state;
+  const AdmittedRequest& request = aQuery.m_request;
+  const SteadyTime now = state.m_clock.SteadyNow();
+  const FleetMember& self = state.m_fleet.Self();
+  PlacementQuestion question{
+    .m_now = now,
+    .m_slotTime = state.m_lines.SlotTimeOf(request.m_pool),
+    .m_instancesInRegion = InstancesInRegion(state),
+    .m_waited = now - request.m_receivedAt,
+    .m_longestWait = LongestWait(request.m_route.m_latencyObjective,
+                                 request.m_deadline - request.m_receivedAt),
+    .m_untilDeadline = request.m_deadline - now,
+    .m_learnsMore = state.m_learnsMore,
+    .m_regionMargin =
+      RegionMargin(IsForEngine(request), request.m_route.m_latencyObjective),
+    .m_transferCost = TransferCost(ByteCount(request.m_body->size())),
+  };
+  if (request.IsPermittedIn(self.m_region)) {
+    question.m_servers =
+      ServerChoicesOf(state,
+                      { .m_config = *request.m_config,
+                        .m_pool = request.m_pool,
+                        .m_chain = request.m_chain,
+                        .m_promptTokens = PromptTokens(request),
+                        .m_tried = aQuery.m_triedServers });
+  }
+  if (!request.m_forwardedBy) {
+    question.m_regions = RegionChoices(aQuery);
+  }
+  return question;
+}
+
+} // namespace rattanweir
--- a/rattanweir/request/gateway/request_run.cc
+++ b/rattanweir/request/gateway/request_run.cc
@@ -5,8 +5,10 @@
 #include "rattanweir/process/logging/log.h"
 #include "rattanweir/request/exchange/header_fields.h"
 #include "rattanweir/request/gateway/gateway_admission.h"
+#include "rattanweir/request/gateway/place_question.h"
 #include "rattanweir/request/gateway/server_choices.h"
 #include "rattanweir/request/gateway/server_dispatch.h"
+#include "rattanweir/request/placement/question.h"
 
 #include <algorithm>
 #include <utility>
@@ -21,25 +23,12 @@
 // While a request waits in line, the line is looked at this often even if
 // nothing is known to have changed: reports age and cold servers warm up.
 constexpr milliseconds kLookAgain{ 20 };
-// A request waits for a server for this part of its latency objective, so
-// that its answer can still be on time.
-constexpr double kWaitShare = 0.6;
 // Below this a repeated request has no chance.
 constexpr milliseconds kLeastTimeForRepeat{ 20 };
 // Dispatches that a server states not to have run, beyond the route's
 // attempts.
 constexpr unsigned kUnrunDispatches = 2;
-// Of the region's body bytes that cross to another one: 30 bytes cost about as
-// much as a microsecond of an answer's delay.
-constexpr double kTransferBytesPerMicrosecond = 30;
 constexpr unsigned kServerErrors = 500;
-// For a plain service another region has to be better by this part of the
-// objective: its waits are foreseen well, and an answer that is on time here is
-// no better for coming sooner from there.
-constexpr double kPlainRegionMargin = 0.2;
-// Part of a prompt that an engine of another region probably has to read: its
-// own part, and the shared one where that region was not asked for it lately.
-constexpr double kUncachedElsewhere = 0.5;
 
 std::string
 MillisecondsText(nanoseconds aDuration)
@@ -88,13 +77,6 @@
                       comeBack);
 }
 
-// How a region's servers of one pool are named in the view of regions.
-BackendServerId
-RegionKey(const RegionId& aRegion, const PoolId& aPool)
-{
-  return BackendServerId(aRegion.Value() + "/" + aPool.Value());
-}
-
 } // namespace
 
 RequestRun::RequestRun(const RequestRunOptions& aOptions)
@@ -115,7 +97,7 @@
   for (;;) {
     CheckNotEnded();
     co_await WaitForPlace();
-    const PlacementQuestion question = AskForPlace();
+    const PlacementQuestion question = AskForPlace(Query());
     const Placement placement = DecidePlacement(question);
     if (const auto* refusal = std::get_if<Refuse>(&placement)) {
       ThrowRefusal(*refusal);
@@ -167,13 +149,17 @@
   const Rank rank{ .m_priority = m_request.m_priority,
                    .m_arrivedAt = m_request.m_receivedAt };
   const auto hasPlace = [this] {
-    return !std::holds_alternative<StayInLine>(DecidePlacement(AskForPlace()));
+    return !std::holds_alternative<StayInLine>(
+      DecidePlacement(AskForPlace(Query())));
   };
   if (!line.HasBefore(rank) && hasPlace()) {
     co_return;
   }
   const SteadyTime began = m_state.m_clock.SteadyNow();
-  const SteadyTime until = m_request.m_receivedAt + LongestWait();
+  const SteadyTime until =
+    m_request.m_receivedAt +
+    LongestWait(m_request.m_route.m_latencyObjective,
+                m_request.m_deadline - m_request.m_receivedAt);
   const WaitingLine::Place place(line, rank);
   while (!place.IsFirst() || !hasPlace()) {
     if (m_state.m_clock.SteadyNow() >= until) {
@@ -198,94 +184,13 @@
                        m_state.m_lines.SlotTimeOf(m_request.m_pool)));
 }
 
-bool
-RequestRun::IsForEngine() const
-{
-  const Pool* pool = m_request.m_config->FindPool(m_request.m_pool);
-  return pool != nullptr && pool->m_engine.has_value();
-}
-
-Tokens
-RequestRun::PromptTokens() const
+PlaceQuery
+RequestRun::Query() const
 {
-  return IsForEngine() ? m_request.m_facts.m_promptTokens.value_or(Tokens(0))
-                       : Tokens(0);
-}
-
-nanoseconds
-RequestRun::LongestWait() const
-{
-  return std::min(
-    ScaleDuration(m_request.m_route.m_latencyObjective, kWaitShare),
-    m_request.m_deadline - m_request.m_receivedAt);
-}
-
-PlacementQuestion
-RequestRun::AskForPlace() const
-{
-  const SteadyTime now = m_state.m_clock.SteadyNow();
-  PlacementQuestion question{ .m_now = now,
-                              .m_learnsMore = m_state.m_learnsMore };
-  const FleetMember& self = m_state.m_fleet.Self();
-  if (m_request.IsPermittedIn(self.m_region)) {
-    question.m_servers = ServerChoicesOf(m_state,
-                                         { .m_config = *m_request.m_config,
-                                           .m_pool = m_request.m_pool,
-                                           .m_chain = m_request.m_chain,
-                                           .m_promptTokens = PromptTokens(),
-                                           .m_tried = m_triedServers });
-  }
-  if (!m_request.m_forwardedBy) {
-    question.m_regions = RegionChoices();
-  }
-  question.m_slotTime = m_state.m_lines.SlotTimeOf(m_request.m_pool);
-  question.m_instancesInRegion =
-    m_state.m_fleet.LivePeersIn(self.m_region).size() + 1;
-  question.m_untilDeadline = m_request.m_deadline - now;
-  if (!IsForEngine()) {
-    question.m_regionMargin =
-      ScaleDuration(m_request.m_route.m_latencyObjective, kPlainRegionMargin);
-  }
-  question.m_transferCost = std::chrono::microseconds(
-    static_cast<std::int64_t>(static_cast<double>(m_request.m_body->size()) /
-                              kTransferBytesPerMicrosecond));
-  return question;
-}
-
-std::vector<RegionChoice>
-RequestRun::RegionChoices() const
-{
-  std::map<RegionId, RegionChoice> choices;
-  const RegionId& own = m_state.m_fleet.Self().m_region;
-  const std::set<RegionId> regions =
-    m_state.m_registry.RegionsOf(m_request.m_pool);
-  for (const FleetMember* peer : m_state.m_fleet.Serving()) {
-    const RegionId& region = peer->m_region;
-    if (region == own || !regions.contains(region) ||
-        !m_request.IsPermittedIn(region) || m_triedPeers.contains(peer->m_id)) {
-      continue;
-    }
-    const auto report = peer->m_pools.find(m_request.m_pool);
-    const nanoseconds delay = report == peer->m_pools.end()
-                                ? nanoseconds::zero()
-                                : report->second.m_startDelay;
-    const auto [entry, isNew] = choices.try_emplace(
-      region,
-      RegionChoice{
-        .m_region = region,
-        .m_startDelay = delay,
-        .m_state =
-          m_state.m_regions.StateOf(RegionKey(region, m_request.m_pool)),
-        .m_uncached = Tokens(static_cast<std::int64_t>(
-          kUncachedElsewhere * static_cast<double>(PromptTokens().Value()))) });
-    entry->second.m_startDelay = std::min(entry->second.m_startDelay, delay);
-  }
-  std::vector<RegionChoice> list;
-  list.reserve(choices.size());
-  for (auto& [region, choice] : choices) {
-    list.push_back(std::move(choice));
-  }
-  return list;
+  return { .m_state = m_state,
+           .m_request = m_request,
+           .m_triedServers = m_triedServers,
+           .m_triedPeers = m_triedPeers };
 }
 
 Task<RequestRun::Failure>
@@ -318,10 +223,19 @@
 RequestRun::StretchAt(const ServerChoice& aChoice) const
 {
   const double waiting =
-    EstimateOccupancy(AskForPlace(), aChoice) + 1 - aChoice.m_slots;
+    EstimateOccupancy(AskForPlace(Query()), aChoice) + 1 - aChoice.m_slots;
   return 1 + std::max(0.0, waiting) / aChoice.m_slots;
 }
 
+std::optional<Endpoint>
+RequestRun::EndpointOf(const std::optional<BackendServerId>& aServer) const
+{
+  const KnownServer* known =
+    aServer ? m_state.m_registry.Find(*aServer) : nullptr;
+  return known == nullptr ? std::nullopt
+                          : std::optional(known->m_record.m_endpoint);
+}
+
 Task<void>
 RequestRun::SendToServer(ServerChoice aChoice)
 {
@@ -341,8 +255,10 @@
     m_state.m_cold.Take(ColdQuestionFor(m_state, *m_request.m_config, server));
   }
   const Pool* pool = m_request.m_config->FindPool(m_request.m_pool);
-  ServerDispatch dispatch(m_state,
-                          { .m_server = server.m_incarnation,
+  ServerDispatch dispatch({ .m_clock = m_state.m_clock,
+                            .m_backends = m_state.m_backends,
+                            .m_lines = m_state.m_lines,
+                            .m_server = server.m_incarnation,
                             .m_pool = m_request.m_pool,
                             .m_uncached = aChoice.m_uncached,
                             .m_stretch = StretchAt(aChoice) });
@@ -353,6 +269,7 @@
       .m_timeLeft = TimeLeft(),
       .m_priority = m_request.m_priority,
       .m_isForEngine = pool != nullptr && pool->m_engine.has_value(),
+      .m_copyFrom = EndpointOf(aChoice.m_copyFrom),
       .m_resumeAfter = ResumeAfter() });
   OutboundRequest outbound = MakeOutbound(std::move(fields));
   outbound.m_needsFreshConnection = !m_request.m_route.IsRepeatable();
@@ -361,7 +278,9 @@
       server.m_record.m_endpoint, std::move(outbound), m_cancel);
     if (pool != nullptr && pool->m_engine) {
       m_state.m_parts.AddDispatch(
-        server.m_incarnation, m_request.m_chain, pool->m_engine->m_cacheTokens);
+        server.m_incarnation,
+        m_request.m_chain,
+        CacheShare(pool->m_engine->m_cacheTokens, InstancesInRegion(m_state)));
     }
     std::function<void()> onBegin = [&] {
       m_report.m_began = dispatch.Begin();
@@ -470,7 +389,9 @@
     MakeOutbound(m_state.m_protocol.PeerFields(resumeAfter));
   std::move(
     fields.begin(), fields.end(), std::back_inserter(outbound.m_headers));
-  RegionDispatch dispatch(m_state, RegionKey(aRegion, m_request.m_pool));
+  RegionDispatch dispatch({ .m_clock = m_state.m_clock,
+                            .m_regions = m_state.m_regions,
+                            .m_key = RegionKey(aRegion, m_request.m_pool) });
   bool isPeersWord = false;
   try {
     const auto exchange = co_await m_state.m_toPeers.Send(
@@ -483,7 +404,7 @@
     CheckAnswer(head, m_state.m_protocol.ReadAnswer(head));
     AnswerPass pass(
       { .m_sink = m_sink, .m_progress = m_progress, .m_onBegin = [&] {
-         m_report.m_began = dispatch.Begin(PromptTokens());
+         m_report.m_began = dispatch.Begin(PromptTokens(m_request));
        } });
     co_await pass.Run(*exchange, std::move(head));
     dispatch.EndWith(ResultCode::Ok);
--- a/rattanweir/request/gateway/request_run.h
+++ b/rattanweir/request/gateway/request_run.h
@@ -15,6 +15,7 @@
 #include "rattanweir/request/gateway/admitted_request.h"
 #include "rattanweir/request/gateway/answer_pass.h"
 #include "rattanweir/request/gateway/gateway_state.h"
+#include "rattanweir/request/gateway/place_question.h"
 #include "rattanweir/request/placement/placement.h"
 
 #include <set>
@@ -77,17 +78,14 @@
   [[noreturn]] void ThrowWaitedTooLong() const;
   void ThrowUnlessRepeated(const RequestError& aFailure);
   RequestError WithRan(const RequestError& aError) const;
+  PlaceQuery Query() const;
   OutboundRequest MakeOutbound(HeaderFields aAddedFields) const;
-  PlacementQuestion AskForPlace() const;
-  std::vector<RegionChoice> RegionChoices() const;
   // How many times longer than its slot time a request takes at the server.
   double StretchAt(const ServerChoice& aChoice) const;
-  bool IsForEngine() const;
-  // Those that an engine has to read; 0 for a plain service.
-  Tokens PromptTokens() const;
+  std::optional<Endpoint> EndpointOf(
+    const std::optional<BackendServerId>& aServer) const;
   std::chrono::nanoseconds TimeLeft() const;
   std::optional<std::string> ResumeAfter() const;
-  std::chrono::nanoseconds LongestWait() const;
 
   GatewayState& m_state;
   const AdmittedRequest& m_request;
--- a/rattanweir/request/gateway/server_choices.cc
+++ b/rattanweir/request/gateway/server_choices.cc
@@ -2,59 +2,17 @@
 
 #include "rattanweir/request/gateway/server_choices.h"
 
-#include <xxhash.h>
+#include "rattanweir/request/placement/question.h"
 
 #include <algorithm>
 
 namespace rattanweir {
-namespace {
-
-// Part of a shared beginning that its preferred server is expected to hold
-// already.
-constexpr double kHomeShare = 0.8;
-// What a region with servers that take nothing now tells the others.
-constexpr std::chrono::seconds kNoRoomDelay{ 2 };
-// Of a request that other regions ask for: a short question.
-constexpr Tokens kTypicalUncached{ 300 };
-
-// Counts the chain's first part as held by the one server that all instances
-// prefer for it, found by rendezvous hash over those that take work.
-void
-PreferHome(std::vector<ServerChoice>& aChoices,
-           const PartChain& aChain,
-           Tokens aPromptTokens)
-{
-  const ChainLink& first = aChain.front();
-  ServerChoice* home = nullptr;
-  std::uint64_t highest = 0;
-  for (ServerChoice& choice : aChoices) {
-    if (choice.m_isHeldBack || choice.m_state.m_ejectedUntil) {
-      continue;
-    }
-    const std::string& id = choice.m_incarnation.Value();
-    const std::uint64_t weight = XXH64(id.data(), id.size(), first.m_hash);
-    if (home == nullptr || weight > highest) {
-      home = &choice;
-      highest = weight;
-    }
-  }
-  if (home == nullptr) {
-    return;
-  }
-  const auto expected = static_cast<std::int64_t>(
-    kHomeShare * static_cast<double>(first.m_tokens.Value()));
-  home->m_uncached =
-    std::min(home->m_uncached, aPromptTokens - Tokens(expected));
-}
-
 std::size_t
 InstancesInRegion(const GatewayState& aState)
 {
   return aState.m_fleet.LivePeersIn(aState.m_fleet.Self().m_region).size() + 1;
 }
 
-} // namespace
-
 std::vector<ServerChoice>
 ServerChoicesOf(const GatewayState& aState, const ServerQuery& aQuery)
 {
@@ -93,7 +51,11 @@
     choices.push_back(std::move(choice));
   }
   if (pool->m_engine && !aQuery.m_chain.empty()) {
-    PreferHome(choices, aQuery.m_chain, aQuery.m_promptTokens);
+    ExpectSharedBeginning(
+      choices, aQuery.m_chain.front(), aQuery.m_promptTokens);
+    if (pool->m_engine->m_copyTimePerToken) {
+      OfferCopies(choices, *pool->m_engine->m_copyTimePerToken);
+    }
   }
   return choices;
 }
@@ -140,10 +102,7 @@
   if (question.m_servers.empty()) {
     return std::nullopt;
   }
-  const Placement placement = DecidePlacement(question);
-  const auto* server = std::get_if<SendToServer>(&placement);
-  return server == nullptr ? std::chrono::nanoseconds(kNoRoomDelay)
-                           : server->m_estimate;
+  return DelayToTell(question);
 }
 
 } // namespace rattanweir
--- a/rattanweir/request/gateway/server_choices.h
+++ b/rattanweir/request/gateway/server_choices.h
@@ -27,6 +27,10 @@
 std::vector<ServerChoice>
 ServerChoicesOf(const GatewayState& aState, const ServerQuery& aQuery);
 
+// The live instances of this region, this one included.
+std::size_t
+InstancesInRegion(const GatewayState& aState);
+
 // Who shares what a cold server takes.
 ColdQuestion
 ColdQuestionFor(const GatewayState& aState,
--- a/rattanweir/request/gateway/server_dispatch.cc
+++ b/rattanweir/request/gateway/server_dispatch.cc
@@ -28,51 +28,40 @@
 
 } // namespace
 
-ServerDispatch::ServerDispatch(GatewayState& aState,
-                               ServerDispatchOptions aOptions)
-  : m_state(aState)
-  , m_options(std::move(aOptions))
-  , m_sentAt(aState.m_clock.SteadyNow())
+ServerDispatch::ServerDispatch(ServerDispatchOptions aOptions)
+  : m_options(std::move(aOptions))
+  , m_sentAt(m_options.m_clock.SteadyNow())
 {
-  m_state.m_backends.AddDispatch(
-    m_options.m_server,
-    static_cast<std::uint64_t>(
-      std::max<std::int64_t>(0, m_options.m_uncached.Value())));
+  m_options.m_backends.AddDispatch(m_options.m_server, Load());
 }
 
 ServerDispatch::~ServerDispatch()
 {
-  m_state.m_backends.EndDispatch(
+  m_options.m_backends.EndDispatch(
     m_options.m_server,
-    { .m_load = static_cast<std::uint64_t>(
-        std::max<std::int64_t>(0, m_options.m_uncached.Value())),
-      .m_hasBegun = m_hasBegun,
-      .m_verdict = m_verdict });
+    { .m_load = Load(), .m_hasBegun = m_hasBegun, .m_verdict = m_verdict });
   if (m_isWhole) {
     const std::chrono::duration<double> took =
-      m_state.m_clock.SteadyNow() - m_sentAt;
-    m_state.m_lines.ObserveSlotTime(
+      m_options.m_clock.SteadyNow() - m_sentAt;
+    m_options.m_lines.ObserveSlotTime(
       m_options.m_pool,
       std::chrono::duration_cast<std::chrono::nanoseconds>(
         took / m_options.m_stretch));
   }
-  m_state.m_lines.LineOf(m_options.m_pool).Wake();
+  m_options.m_lines.LineOf(m_options.m_pool).Wake();
 }
 
 std::chrono::nanoseconds
 ServerDispatch::Begin()
 {
-  const auto took = m_state.m_clock.SteadyNow() - m_sentAt;
+  const auto took = m_options.m_clock.SteadyNow() - m_sentAt;
   if (m_hasBegun) {
     return took;
   }
   m_hasBegun = true;
-  m_state.m_backends.BeginAnswer(
-    m_options.m_server,
-    static_cast<std::uint64_t>(
-      std::max<std::int64_t>(0, m_options.m_uncached.Value())));
+  m_options.m_backends.BeginAnswer(m_options.m_server, Load());
   if (m_options.m_uncached > Tokens(0)) {
-    m_state.m_backends.ObserveStartDelay(
+    m_options.m_backends.ObserveStartDelay(
       m_options.m_server,
       std::max(std::chrono::nanoseconds::zero(),
                took - ReadingTime(m_options.m_uncached)));
@@ -80,6 +69,13 @@
   return took;
 }
 
+std::uint64_t
+ServerDispatch::Load() const
+{
+  return static_cast<std::uint64_t>(
+    std::max<std::int64_t>(0, m_options.m_uncached.Value()));
+}
+
 void
 ServerDispatch::EndWith(ResultCode aCode)
 {
@@ -87,32 +83,33 @@
   m_isWhole = aCode == ResultCode::Ok;
 }
 
-RegionDispatch::RegionDispatch(GatewayState& aState, BackendServerId aKey)
-  : m_state(aState)
-  , m_key(std::move(aKey))
-  , m_sentAt(aState.m_clock.SteadyNow())
+RegionDispatch::RegionDispatch(RegionDispatchOptions aOptions)
+  : m_options(std::move(aOptions))
+  , m_sentAt(m_options.m_clock.SteadyNow())
 {
-  m_state.m_regions.AddDispatch(m_key, 1);
+  m_options.m_regions.AddDispatch(m_options.m_key, 1);
 }
 
 RegionDispatch::~RegionDispatch()
 {
-  m_state.m_regions.EndDispatch(
-    m_key, { .m_load = 1, .m_hasBegun = m_hasBegun, .m_verdict = m_verdict });
+  m_options.m_regions.EndDispatch(
+    m_options.m_key,
+    { .m_load = 1, .m_hasBegun = m_hasBegun, .m_verdict = m_verdict });
 }
 
 std::chrono::nanoseconds
 RegionDispatch::Begin(Tokens aPromptTokens)
 {
-  const auto took = m_state.m_clock.SteadyNow() - m_sentAt;
+  const auto took = m_options.m_clock.SteadyNow() - m_sentAt;
   if (m_hasBegun) {
     return took;
   }
   m_hasBegun = true;
-  m_state.m_regions.BeginAnswer(m_key, 1);
+  m_options.m_regions.BeginAnswer(m_options.m_key, 1);
   const auto explained = kOtherRegionCost + ReadingTime(aPromptTokens);
-  m_state.m_regions.ObserveStartDelay(
-    m_key, std::max(std::chrono::nanoseconds::zero(), took - explained));
+  m_options.m_regions.ObserveStartDelay(
+    m_options.m_key,
+    std::max(std::chrono::nanoseconds::zero(), took - explained));
   return took;
 }
 
--- a/rattanweir/request/gateway/server_dispatch.h
+++ b/rattanweir/request/gateway/server_dispatch.h
@@ -1,21 +1,25 @@
 // One dispatch at a backend server, held in the view of loads until it ends.
 //
-//   ServerDispatch dispatch(state, { .m_server = incarnation, ... });
+//   ServerDispatch dispatch({ .m_clock = clock, .m_backends = backends,
+//                             .m_lines = lines, .m_server = incarnation });
 //   dispatch.Begin();
 //   dispatch.EndWith(ResultCode::Ok);
 
 #pragma once
 
-#include "rattanweir/request/gateway/gateway_state.h"
+#include "rattanweir/base/clock/clock.h"
+#include "rattanweir/base/result/result_code.h"
+#include "rattanweir/process/backend_view/backend_view.h"
+#include "rattanweir/request/gateway/pool_lines.h"
 #include "rattanweir/request/placement/placement.h"
 
-#include <optional>
-#include <vector>
-
 namespace rattanweir {
 
 struct ServerDispatchOptions
 {
+  const Clock& m_clock;
+  BackendView& m_backends;
+  PoolLines& m_lines;
   BackendServerId m_server;
   PoolId m_pool;
   // Prompt tokens that the server has to read.
@@ -28,7 +32,7 @@
 class ServerDispatch
 {
 public:
-  ServerDispatch(GatewayState& aState, ServerDispatchOptions aOptions);
+  explicit ServerDispatch(ServerDispatchOptions aOptions);
   // Without EndWith it says nothing about the server's health.
   ~ServerDispatch();
   ServerDispatch(const ServerDispatch&) = delete;
@@ -40,7 +44,9 @@
   void EndWith(ResultCode aCode);
 
 private:
-  GatewayState& m_state;
+  // What the server has to read, as the view of loads counts it.
+  std::uint64_t Load() const;
+
   ServerDispatchOptions m_options;
   SteadyTime m_sentAt;
   bool m_hasBegun = false;
@@ -48,12 +54,19 @@
   bool m_isWhole = false;
 };
 
+struct RegionDispatchOptions
+{
+  const Clock& m_clock;
+  BackendView& m_regions;
+  // Names the region and the pool in that view.
+  BackendServerId m_key;
+};
+
 // One dispatch to another region, held in the view of regions until it ends.
 class RegionDispatch
 {
 public:
-  // `aKey` names the region and the pool in that view.
-  RegionDispatch(GatewayState& aState, BackendServerId aKey);
+  explicit RegionDispatch(RegionDispatchOptions aOptions);
   ~RegionDispatch();
   RegionDispatch(const RegionDispatch&) = delete;
   RegionDispatch& operator=(const RegionDispatch&) = delete;
@@ -65,8 +78,7 @@
   void EndWith(ResultCode aCode);
 
 private:
-  GatewayState& m_state;
-  BackendServerId m_key;
+  RegionDispatchOptions m_options;
   SteadyTime m_sentAt;
   bool m_hasBegun = false;
   AttemptVerdict m_verdict = AttemptVerdict::Neutral;
--- a/rattanweir/request/gateway/wire_protocol.h
+++ b/rattanweir/request/gateway/wire_protocol.h
@@ -9,6 +9,7 @@
 
 #pragma once
 
+#include "rattanweir/base/endpoint/endpoint.h"
 #include "rattanweir/base/ids/ids.h"
 #include "rattanweir/base/result/result_code.h"
 #include "rattanweir/base/units/units.h"
@@ -53,6 +54,9 @@
   // 0 goes first.
   unsigned m_priority = 0;
   bool m_isForEngine = false;
+  // An engine from which the server first copies what that one has cached of
+  // the prompt.
+  std::optional<Endpoint> m_copyFrom;
   std::optional<std::string> m_resumeAfter;
 };
 
--- a/rattanweir/request/placement/placement.cc
+++ b/rattanweir/request/placement/placement.cc
@@ -19,12 +19,43 @@
 // The own requests that wait for their answers stand for those of the other
 // instances as well, which are as many each but are not seen.
 constexpr double kUnansweredWeight = 2;
+// An engine with this much before it is taken for full: a longer queue there
+// serves no more, and makes all that is in it late.
+constexpr milliseconds kLongestEngineQueue{ 400 };
+// Of the time that a request may wait: for this part it goes to no engine for
+// which more would have to be copied than a full queue costs.
+constexpr double kHoldOutShare = 0.75;
 // The least time to come back after.
 constexpr milliseconds kLeastComeBack{ 100 };
 
+// Until a server would turn to one more request.
+nanoseconds
+QueueTime(const PlacementQuestion& aQuestion, const ServerChoice& aServer)
+{
+  const BackendState& state = aServer.m_state;
+  const double waiting =
+    std::max(0.0, EstimateOccupancy(aQuestion, aServer) + 1 - aServer.m_slots);
+  const nanoseconds queue =
+    ScaleDuration(aQuestion.m_slotTime, waiting / aServer.m_slots);
+  const nanoseconds unanswered =
+    ReadingTime(Tokens(static_cast<std::int64_t>(state.m_loadUnanswered)));
+  return queue + ScaleDuration(unanswered, kUnansweredWeight) +
+         state.m_startDelay;
+}
+
 bool
 IsFull(const PlacementQuestion& aQuestion, const ServerChoice& aServer)
 {
+  const bool isEngine = aServer.m_uncached > Tokens(0);
+  // At first a request holds out for an engine that has its prompt.
+  const bool holdsOut =
+    aQuestion.m_waited < ScaleDuration(aQuestion.m_longestWait, kHoldOutShare);
+  const nanoseconds copyCost =
+    holdsOut ? aServer.m_copyCost : nanoseconds::zero();
+  if (isEngine &&
+      QueueTime(aQuestion, aServer) + copyCost > kLongestEngineQueue) {
+    return true;
+  }
   return aServer.m_state.m_inFlight >= aServer.m_mostInFlight ||
          EstimateOccupancy(aQuestion, aServer) >=
            aServer.m_slots * (1 + kQueuePerSlot);
@@ -63,6 +94,10 @@
 BestRegion(const PlacementQuestion& aQuestion)
 {
   Best best;
+  if (aQuestion.m_waited > aQuestion.m_longestWait) {
+    // There it would begin to wait again.
+    return best;
+  }
   for (std::size_t index = 0; index < aQuestion.m_regions.size(); ++index) {
     best.Consider(index, EstimateStart(aQuestion, aQuestion.m_regions[index]));
   }
@@ -99,16 +134,9 @@
 nanoseconds
 EstimateStart(const PlacementQuestion& aQuestion, const ServerChoice& aServer)
 {
-  const BackendState& state = aServer.m_state;
-  const double waiting =
-    std::max(0.0, EstimateOccupancy(aQuestion, aServer) + 1 - aServer.m_slots);
-  const nanoseconds queue =
-    ScaleDuration(aQuestion.m_slotTime, waiting / aServer.m_slots);
-  const nanoseconds unanswered =
-    ReadingTime(Tokens(static_cast<std::int64_t>(state.m_loadUnanswered)));
-  return queue + ScaleDuration(unanswered, kUnansweredWeight) +
-         state.m_startDelay + ReadingTime(aServer.m_uncached) +
-         ScaleDuration(kFailureCost, state.m_failureShare);
+  return QueueTime(aQuestion, aServer) + ReadingTime(aServer.m_uncached) +
+         aServer.m_copyCost +
+         ScaleDuration(kFailureCost, aServer.m_state.m_failureShare);
 }
 
 nanoseconds
--- a/rattanweir/request/placement/placement.h
+++ b/rattanweir/request/placement/placement.h
@@ -42,6 +42,10 @@
   unsigned m_slots = 1;
   // Prompt tokens that it would have to read; 0 at a plain server.
   Tokens m_uncached;
+  // Another server from which it copies cached tokens first, and what that
+  // costs: the copy's time, and what the copy displaces.
+  std::optional<BackendServerId> m_copyFrom;
+  std::chrono::nanoseconds m_copyCost{};
   // Connections that this instance may have open to it.
   unsigned m_mostInFlight = 0;
   // It is cold, and this instance's part of what it takes is used up.
@@ -70,6 +74,9 @@
   std::chrono::nanoseconds m_slotTime{};
   // Instances that send to the servers of this region.
   std::size_t m_instancesInRegion = 1;
+  // How long the request has waited in line here, and how long it may.
+  std::chrono::nanoseconds m_waited{};
+  std::chrono::nanoseconds m_longestWait{};
   // Left until nobody waits for the answer.
   std::chrono::nanoseconds m_untilDeadline{};
   // This instance has just started: servers and peers that it does not know yet
--- a/rattanweir/request/placement/placement_test.cc
+++ b/rattanweir/request/placement/placement_test.cc
@@ -58,6 +58,16 @@
   return std::visit(Name{ aQuestion }, DecidePlacement(aQuestion));
 }
 
+TEST_CASE("a request that has waited its time is not sent to wait elsewhere")
+{
+  PlacementQuestion question =
+    Question({}, { { .m_region = RegionId("south") } });
+  question.m_longestWait = milliseconds(300);
+  CHECK(Decide(question) == "r0");
+  question.m_waited = milliseconds(301);
+  CHECK(Decide(question) != "r0");
+}
+
 TEST_CASE("the server whose answer begins first is chosen")
 {
   CHECK(Decide(Question({ Server("a", 6, 4), Server("b", 3) })) == "b");
--- /dev/null
+++ b/rattanweir/request/placement/question_test.cc
@@ -0,0 +1,180 @@
+#include "rattanweir/request/placement/question.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+const ChainLink kGuide{ .m_hash = 7, .m_tokens = Tokens(13'300) };
+constexpr Tokens kPrompt{ 17'020 };
+// Of a link on which the guide takes 16 ms.
+constexpr std::chrono::duration<double, std::nano> kFastLink{ 1'200 };
+
+std::vector<ServerChoice>
+Engines(std::size_t aCount)
+{
+  std::vector<ServerChoice> engines;
+  for (std::size_t number = 0; number < aCount; ++number) {
+    engines.push_back(
+      { .m_incarnation = BackendServerId("e" + std::to_string(number)),
+        .m_slots = 12,
+        .m_uncached = kPrompt,
+        .m_mostInFlight = 40 });
+  }
+  return engines;
+}
+
+std::size_t
+HomeOf(const std::vector<ServerChoice>& aEngines)
+{
+  const auto home =
+    std::min_element(aEngines.begin(),
+                     aEngines.end(),
+                     [](const ServerChoice& aLeft, const ServerChoice& aRight) {
+                       return aLeft.m_uncached < aRight.m_uncached;
+                     });
+  return std::size_t(home - aEngines.begin());
+}
+
+// The engine that gets a request, or nothing if it waits in line.
+std::optional<std::size_t>
+Choose(const std::vector<ServerChoice>& aEngines, milliseconds aWaited)
+{
+  const Placement placement =
+    DecidePlacement({ .m_now = SteadyTime(std::chrono::hours(1)),
+                      .m_servers = aEngines,
+                      .m_slotTime = milliseconds(60),
+                      .m_waited = aWaited,
+                      .m_longestWait = milliseconds(600),
+                      .m_untilDeadline = std::chrono::seconds(6) });
+  const auto* server = std::get_if<SendToServer>(&placement);
+  return server == nullptr ? std::nullopt : std::optional(server->m_index);
+}
+
+} // namespace
+
+TEST_CASE("all instances expect a shared beginning at the same engine")
+{
+  std::vector<ServerChoice> engines = Engines(5);
+  ExpectSharedBeginning(engines, kGuide, kPrompt);
+  const std::size_t home = HomeOf(engines);
+  CHECK(engines[home].m_uncached < Tokens(7'000));
+  std::vector<ServerChoice> reversed = Engines(5);
+  std::reverse(reversed.begin(), reversed.end());
+  ExpectSharedBeginning(reversed, kGuide, kPrompt);
+  CHECK(reversed[HomeOf(reversed)].m_incarnation ==
+        engines[home].m_incarnation);
+}
+
+TEST_CASE("an ejected engine is not where a shared beginning is expected")
+{
+  std::vector<ServerChoice> engines = Engines(5);
+  ExpectSharedBeginning(engines, kGuide, kPrompt);
+  const std::size_t home = HomeOf(engines);
+  std::vector<ServerChoice> without = Engines(5);
+  without[home].m_state.m_ejectedUntil = SteadyTime(std::chrono::hours(2));
+  ExpectSharedBeginning(without, kGuide, kPrompt);
+  CHECK(HomeOf(without) != home);
+}
+
+TEST_CASE("an engine copies what it lacks from the one that holds most of it")
+{
+  std::vector<ServerChoice> engines = Engines(3);
+  engines[1].m_uncached = kPrompt - kGuide.m_tokens;
+  OfferCopies(engines, kFastLink);
+  CHECK_FALSE(engines[1].m_copyFrom);
+  CHECK(engines[1].m_copyCost == milliseconds(0));
+  for (const std::size_t other : { 0, 2 }) {
+    CHECK(engines[other].m_copyFrom == engines[1].m_incarnation);
+    CHECK(engines[other].m_uncached == engines[1].m_uncached);
+    CHECK(engines[other].m_copyCost > milliseconds(15));
+  }
+}
+
+TEST_CASE("nothing is copied over a link that is slower than reading")
+{
+  std::vector<ServerChoice> engines = Engines(2);
+  engines[1].m_uncached = kPrompt - kGuide.m_tokens;
+  OfferCopies(engines, microseconds(20));
+  CHECK_FALSE(engines[0].m_copyFrom);
+  CHECK(engines[0].m_uncached == kPrompt);
+}
+
+TEST_CASE("nothing is copied from an engine that fails or leaves")
+{
+  std::vector<ServerChoice> engines = Engines(2);
+  engines[1].m_uncached = kPrompt - kGuide.m_tokens;
+  SECTION("failing")
+  {
+    engines[1].m_state.m_ejectedUntil = SteadyTime(std::chrono::hours(2));
+  }
+  SECTION("leaving")
+  {
+    engines[1].m_state.m_isLeaving = true;
+  }
+  OfferCopies(engines, kFastLink);
+  CHECK_FALSE(engines[0].m_copyFrom);
+}
+
+TEST_CASE("a shared beginning stays at its engine while that is a little busy")
+{
+  std::vector<ServerChoice> engines = Engines(3);
+  engines[1].m_uncached = kPrompt - kGuide.m_tokens;
+  engines[1].m_state.m_startDelay = milliseconds(300);
+  OfferCopies(engines, kFastLink);
+  CHECK(Choose(engines, milliseconds(0)) == 1);
+}
+
+TEST_CASE("a shared beginning is copied when its engine is far behind")
+{
+  std::vector<ServerChoice> engines = Engines(3);
+  engines[1].m_uncached = kPrompt - kGuide.m_tokens;
+  engines[1].m_state.m_startDelay = milliseconds(700);
+  OfferCopies(engines, kFastLink);
+  const auto chosen = Choose(engines, milliseconds(0));
+  REQUIRE(chosen);
+  CHECK(*chosen != 1);
+}
+
+TEST_CASE(
+  "a request holds out for the engine that has its beginning, for a time")
+{
+  std::vector<ServerChoice> engines = Engines(2);
+  engines[1].m_uncached = kPrompt - kGuide.m_tokens;
+  engines[1].m_state.m_startDelay = milliseconds(900);
+  // With what would be displaced, the other one is as good as full too.
+  engines[0].m_state.m_startDelay = milliseconds(500);
+  OfferCopies(engines, kFastLink);
+  CHECK_FALSE(Choose(engines, milliseconds(0)));
+  CHECK(Choose(engines, milliseconds(500)) == 0);
+}
+
+TEST_CASE("an engine that is far behind gets no more requests")
+{
+  std::vector<ServerChoice> engines = Engines(1);
+  engines[0].m_state.m_startDelay = milliseconds(750);
+  CHECK(Choose(engines, milliseconds(0)) == 0);
+  engines[0].m_state.m_startDelay = milliseconds(850);
+  CHECK_FALSE(Choose(engines, milliseconds(0)));
+}
+
+TEST_CASE("instances share what an engine holds")
+{
+  CHECK(CacheShare(Tokens(300'000), 3) == Tokens(100'000));
+  CHECK(CacheShare(Tokens(300'000), 1) == Tokens(300'000));
+}
+
+TEST_CASE("a request waits in line for less than its objective")
+{
+  CHECK(LongestWait(milliseconds(1'000), milliseconds(6'000)) ==
+        milliseconds(600));
+  CHECK(LongestWait(milliseconds(1'000), milliseconds(200)) ==
+        milliseconds(200));
+}
+
+} // namespace rattanweir
--- a/rattanweir/request/waiting_line/waiting_line.h
+++ b/rattanweir/request/waiting_line/waiting_line.h
@@ -7,8 +7,10 @@
 //     co_await place.Wait(20ms, cancel);
 //   }
 //
-// The most urgent goes first, then the one that came first. Only the first is
-// woken; when it leaves the line, the next one is. For one thread.
+// The most urgent goes first, then the one that came last: once a line is long,
+// its oldest can hardly be on time any more, and served in their order all
+// would be late. Only the first is woken; when it leaves the line, the next one
+// is. For one thread.
 
 #pragma once
 
@@ -31,7 +33,13 @@
   unsigned m_priority = 0;
   SteadyTime m_arrivedAt;
 
-  friend auto operator<=>(const Rank&, const Rank&) = default;
+  friend bool operator==(const Rank&, const Rank&) = default;
+  // Less is served earlier.
+  friend std::strong_ordering operator<=>(const Rank& aLeft, const Rank& aRight)
+  {
+    const auto urgency = aLeft.m_priority <=> aRight.m_priority;
+    return urgency != 0 ? urgency : aRight.m_arrivedAt <=> aLeft.m_arrivedAt;
+  }
 };
 
 class WaitingLine
--- a/rattanweir/version/fleet_config/fleet_config.h
+++ b/rattanweir/version/fleet_config/fleet_config.h
@@ -84,6 +84,9 @@
   unsigned m_slots = 1;
   // Shared by running requests and cached prompt parts.
   Tokens m_cacheTokens;
+  // How long an engine takes to copy a cached prompt token from another one;
+  // nothing if it cannot.
+  std::optional<std::chrono::duration<double, std::nano>> m_copyTimePerToken;
 };
 
 struct Pool
--- a/bench/backend_choice/engine_model.cc
+++ b/testing/engine_model/engine_model.cc
@@ -1,4 +1,6 @@
-#include "bench/backend_choice/engine_model.h"
+#include "testing/engine_model/engine_model.h"
+
+#include <algorithm>
 
 namespace rattanweir {
 
@@ -10,7 +12,14 @@
 void
 EngineModel::Add(double aNow, const ModelRequest& aRequest)
 {
-  m_waiting.push_back(aRequest);
+  const auto place = std::upper_bound(
+    m_waiting.begin(),
+    m_waiting.end(),
+    aRequest,
+    [](const ModelRequest& aNew, const ModelRequest& aWaiting) {
+      return aNew.m_priority < aWaiting.m_priority;
+    });
+  m_waiting.insert(place, aRequest);
   ChangeLoad(aNow, aRequest.LoadTokens());
 }
 
@@ -50,6 +59,21 @@
   ChangeLoad(aNow, -aRequest.LoadTokens());
 }
 
+bool
+EngineModel::Withdraw(double aNow, std::uint64_t aId)
+{
+  const auto found = std::find_if(
+    m_waiting.begin(), m_waiting.end(), [&](const ModelRequest& aWaiting) {
+      return aWaiting.m_id == aId;
+    });
+  if (found == m_waiting.end()) {
+    return false;
+  }
+  ChangeLoad(aNow, -found->LoadTokens());
+  m_waiting.erase(found);
+  return true;
+}
+
 double
 EngineModel::LoadAt(double aTime, double aLag)
 {
--- a/bench/backend_choice/engine_model.h
+++ b/testing/engine_model/engine_model.h
@@ -1,11 +1,12 @@
-// A model engine as the bench needs it: continuous batching with a limit, one
-// prefill at a time, and a prefix cache of limited size.
+// A model engine for benches and tests: continuous batching with a limit, one
+// prefill at a time, and a prefix cache of limited size. With prompts of no
+// tokens it is a plain server whose slots are the batch.
 //
 //   EngineModel engine(options);
 //   engine.Add(request);
 //   while (auto work = engine.StartPrefill(now)) ...
 //
-// Times are in seconds. The pool model keeps the clock and calls it.
+// Times are in seconds. Who uses it keeps the clock and calls it.
 
 #pragma once
 
@@ -20,6 +21,10 @@
 
 struct ModelRequest
 {
+  // Told apart by it when one is withdrawn.
+  std::uint64_t m_id = 0;
+  // A request goes before those that wait with a higher number.
+  unsigned m_priority = 0;
   std::size_t m_instance = 0;
   // The text that the prompt starts with, and its length.
   std::uint32_t m_document = 0;
@@ -69,6 +74,18 @@
 
   void EndAnswer(double aNow, const ModelRequest& aRequest);
 
+  // Takes out a request that still waits; returns whether it did.
+  bool Withdraw(double aNow, std::uint64_t aId);
+
+  // Whether the cache holds the document.
+  bool Holds(std::uint32_t aDocument) const
+  {
+    return m_cacheIndex.contains(aDocument);
+  }
+
+  std::size_t Running() const { return m_running; }
+  std::size_t Waiting() const { return m_waiting.size(); }
+
   // Tokens queued and running now.
   double Load() const { return m_load; }
 
--- a/testing/gateway_world/gateway_world.cc
+++ b/testing/gateway_world/gateway_world.cc
@@ -126,6 +126,9 @@
       std::to_string(
         std::chrono::duration_cast<milliseconds>(aFacts.m_timeLeft).count()) },
   };
+  if (aFacts.m_copyFrom) {
+    fields.push_back({ "copy-from", aFacts.m_copyFrom->ToString() });
+  }
   if (aFacts.m_resumeAfter) {
     fields.push_back({ "resume-after", *aFacts.m_resumeAfter });
   }
--- /dev/null
+++ b/testing/load_model/load_model.cc
@@ -0,0 +1,765 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "testing/load_model/load_model.h"
+
+#include "rattanweir/base/random/random.h"
+#include "rattanweir/request/gateway/server_dispatch.h"
+#include "rattanweir/request/placement/question.h"
+#include "testing/load_model/model_instance.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <queue>
+#include <stdexcept>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::nanoseconds;
+using Stage = std::shared_ptr<ModelStage>;
+
+// While requests wait in line, it is looked at this often.
+constexpr double kLookAgainSeconds = 0.02;
+// Requests that wait at a server, in multiples of its slots, before it turns
+// others away.
+constexpr std::size_t kQueuePerSlot = 3;
+// Times that one instance sends a request.
+constexpr unsigned kMostSent = 4;
+// A caller comes back this much later than it was told, at most.
+constexpr double kComeBackSpread = 0.1;
+
+nanoseconds
+Nanoseconds(double aSeconds)
+{
+  return nanoseconds(std::llround(aSeconds * 1e9));
+}
+
+double
+Seconds(nanoseconds aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+struct ModelServer
+{
+  ModelServer(BackendServerId aId, const EngineModelOptions& aOptions)
+    : m_id(std::move(aId))
+    , m_options(aOptions)
+    , m_model(aOptions)
+  {
+  }
+
+  BackendServerId m_id;
+  EngineModelOptions m_options;
+  EngineModel m_model;
+  bool m_isDown = false;
+  // Lost work of an earlier life is told from the present one's by it.
+  unsigned m_life = 0;
+};
+
+// A request on its way to, at or from a server.
+struct Dispatch
+{
+  Stage m_stage;
+  ModelServer* m_server = nullptr;
+  // From which it copies what it lacks of the prompt.
+  ModelServer* m_copyFrom = nullptr;
+  bool m_isForEngine = false;
+  std::unique_ptr<ServerDispatch> m_view;
+};
+
+class LoadPlay
+{
+public:
+  explicit LoadPlay(const LoadRun& aRun)
+    : m_run(aRun)
+    , m_system(m_run.m_system)
+    , m_traffic(aRun.m_seed)
+    , m_random(aRun.m_seed + 1'000'000)
+    , m_policy(aRun.m_policy)
+  {
+    for (const LoadKind& kind : m_system.m_kinds) {
+      m_figures.m_kinds.push_back({ .m_name = kind.m_name });
+    }
+    m_begins.resize(m_system.m_kinds.size());
+    for (std::size_t region = 0; region < m_system.m_regions.size(); ++region) {
+      AddRegion(region);
+    }
+  }
+
+  // What waits in a region's lines refers to instances of other regions.
+  ~LoadPlay()
+  {
+    for (const Region& region : m_regions) {
+      for (const auto& instance : region.m_instances) {
+        instance->LineOf(false).clear();
+        instance->LineOf(true).clear();
+      }
+    }
+  }
+  LoadPlay(const LoadPlay&) = delete;
+  LoadPlay& operator=(const LoadPlay&) = delete;
+
+  LoadFigures Run()
+  {
+    for (std::size_t kind = 0; kind < m_system.m_kinds.size(); ++kind) {
+      for (std::size_t region = 0; region < m_regions.size(); ++region) {
+        ScheduleArrival(kind, region);
+      }
+    }
+    for (const LoadTrouble& trouble : m_run.m_troubles) {
+      After(trouble.m_at, [this, trouble] { LoseServers(trouble, true); });
+      After(trouble.m_at + trouble.m_for,
+            [this, trouble] { LoseServers(trouble, false); });
+    }
+    Tell();
+    while (!m_events.empty() && m_events.top().m_at < m_run.m_endSeconds) {
+      const Event event = m_events.top();
+      m_events.pop();
+      m_clock.Advance(Nanoseconds(event.m_at - m_now));
+      m_now = event.m_at;
+      event.m_act();
+    }
+    return Figures();
+  }
+
+private:
+  struct Event
+  {
+    double m_at;
+    std::uint64_t m_number;
+    std::function<void()> m_act;
+
+    bool operator>(const Event& aOther) const
+    {
+      return std::pair(m_at, m_number) >
+             std::pair(aOther.m_at, aOther.m_number);
+    }
+  };
+
+  struct Region
+  {
+    std::vector<std::unique_ptr<ModelInstance>> m_instances;
+    // Plain servers, then engines.
+    std::vector<std::unique_ptr<ModelServer>> m_servers[2];
+  };
+
+  void After(double aSeconds, std::function<void()> aAct)
+  {
+    m_events.push({ m_now + aSeconds, m_eventNumber++, std::move(aAct) });
+  }
+
+  void AddRegion(std::size_t aIndex)
+  {
+    const LoadRegion& layout = m_system.m_regions[aIndex];
+    Region& region = m_regions.emplace_back();
+    std::vector<BackendServerId> ids[2];
+    for (const bool isForEngine : { false, true }) {
+      const std::size_t count =
+        isForEngine ? layout.m_engines : layout.m_plainServers;
+      for (std::size_t number = 0; number < count; ++number) {
+        const BackendServerId id(std::to_string(aIndex) + "-" +
+                                 ModelPool(isForEngine).Value() +
+                                 std::to_string(number));
+        ids[isForEngine].push_back(id);
+        region.m_servers[isForEngine].push_back(std::make_unique<ModelServer>(
+          id, isForEngine ? m_system.m_engine : m_system.m_plainServer));
+      }
+    }
+    for (std::size_t number = 0; number < layout.m_instances; ++number) {
+      region.m_instances.push_back(
+        std::make_unique<ModelInstance>(ModelInstanceOptions{
+          .m_clock = m_clock,
+          .m_executor = m_context.get_executor(),
+          .m_engines = ids[1],
+          .m_plainServers = ids[0],
+          .m_engineSlots = unsigned(m_system.m_engine.m_batchLimit),
+          .m_plainSlots = unsigned(m_system.m_plainServer.m_batchLimit),
+          .m_instancesInRegion = layout.m_instances,
+          .m_cacheTokens =
+            Tokens(std::int64_t(m_system.m_engine.m_cacheTokens)),
+          .m_copySecondsPerToken = m_system.m_copySecondsPerToken }));
+    }
+  }
+
+  void Tell()
+  {
+    for (const bool isForEngine : { false, true }) {
+      m_told[isForEngine].clear();
+      for (std::size_t region = 0; region < m_regions.size(); ++region) {
+        const auto& servers = m_regions[region].m_servers[isForEngine];
+        const bool hasServers =
+          std::any_of(servers.begin(), servers.end(), [](const auto& aServer) {
+            return !aServer->m_isDown;
+          });
+        if (!hasServers) {
+          continue;
+        }
+        auto& instances = m_regions[region].m_instances;
+        const auto& teller =
+          instances[UniformIndex(m_random, instances.size())];
+        m_told[isForEngine].push_back(
+          { .m_region = region, .m_delay = teller->DelayToTell(isForEngine) });
+      }
+    }
+    After(m_system.m_tellSeconds, [this] { Tell(); });
+  }
+
+  void LoseServers(const LoadTrouble& aTrouble, bool aIsLost)
+  {
+    for (auto& servers : m_regions[aTrouble.m_region].m_servers) {
+      const auto count = static_cast<std::size_t>(
+        std::ceil(aTrouble.m_lostServers * double(servers.size())));
+      for (std::size_t index = 0; index < count; ++index) {
+        ModelServer& server = *servers[index];
+        server.m_isDown = aIsLost;
+        ++server.m_life;
+        server.m_model = EngineModel(server.m_options);
+        if (!aIsLost) {
+          continue;
+        }
+        const auto lost = std::move(m_atServer[&server]);
+        m_atServer.erase(&server);
+        for (const auto& [id, dispatch] : lost) {
+          Fail(dispatch, ResultCode::BackendReset);
+        }
+      }
+    }
+  }
+
+  double RateOf(const LoadKind& aKind, std::size_t aRegion) const
+  {
+    double rate = aKind.m_requestsPerSecond * m_run.m_factor *
+                  m_system.m_regions[aRegion].m_share;
+    for (const LoadTrouble& trouble : m_run.m_troubles) {
+      if (trouble.m_region == aRegion && m_now >= trouble.m_at &&
+          m_now < trouble.m_at + trouble.m_for) {
+        rate *= trouble.m_loadFactor;
+      }
+    }
+    return rate;
+  }
+
+  void ScheduleArrival(std::size_t aKind, std::size_t aRegion)
+  {
+    std::exponential_distribution<double> gap(
+      RateOf(m_system.m_kinds[aKind], aRegion));
+    After(gap(m_traffic), [this, aKind, aRegion] {
+      Arrive(aKind, aRegion);
+      ScheduleArrival(aKind, aRegion);
+    });
+  }
+
+  void Arrive(std::size_t aKind, std::size_t aRegion)
+  {
+    const LoadKind& kind = m_system.m_kinds[aKind];
+    auto call = std::make_shared<ModelCall>();
+    call->m_id = m_nextId++;
+    call->m_kind = &kind;
+    call->m_document =
+      std::uint32_t(aKind * 1'000 + UniformIndex(m_traffic, kind.m_documents));
+    call->m_region = aRegion;
+    call->m_askedAt = m_clock.SteadyNow();
+    call->m_deadline = call->m_askedAt + kind.m_deadline;
+    if (IsCounted(*call)) {
+      ++FiguresOf(*call).m_offered;
+    }
+    After(Seconds(kind.m_deadline), [this, call] { GiveUp(call); });
+    Enter(call);
+  }
+
+  void Enter(const std::shared_ptr<ModelCall>& aCall)
+  {
+    auto stage = std::make_shared<ModelStage>();
+    stage->m_call = aCall;
+    stage->m_region = aCall->m_region;
+    stage->m_instance =
+      UniformIndex(m_random, m_regions[aCall->m_region].m_instances.size());
+    stage->m_receivedAt = m_clock.SteadyNow();
+    Place(stage);
+  }
+
+  ModelInstance& InstanceOf(const ModelStage& aStage)
+  {
+    return *m_regions[aStage.m_region].m_instances[aStage.m_instance];
+  }
+
+  Rank RankOf(const ModelStage& aStage) const
+  {
+    return m_policy.RankOf({ .m_priority = aStage.m_call->m_kind->m_priority,
+                             .m_arrivedAt = aStage.m_receivedAt });
+  }
+
+  // A request that is new at its instance, or whose attempt has failed.
+  void Place(const Stage& aStage)
+  {
+    if (aStage->m_call->m_isEnded) {
+      return;
+    }
+    auto& line =
+      InstanceOf(*aStage).LineOf(aStage->m_call->m_kind->m_isForEngine);
+    const bool hasBefore =
+      !line.empty() && line.begin()->first.first < RankOf(*aStage);
+    if (hasBefore || !TryToPlace(aStage)) {
+      if (line.empty()) {
+        LookAgainLater(*aStage);
+      }
+      line[{ RankOf(*aStage), aStage->m_call->m_id }] = aStage;
+    }
+  }
+
+  void LookAgainLater(const ModelStage& aStage)
+  {
+    const bool isForEngine = aStage.m_call->m_kind->m_isForEngine;
+    After(kLookAgainSeconds,
+          [this,
+           region = aStage.m_region,
+           instance = aStage.m_instance,
+           isForEngine] { LookAgain(region, instance, isForEngine); });
+  }
+
+  void LookAgain(std::size_t aRegion, std::size_t aInstance, bool aIsForEngine)
+  {
+    ModelInstance& instance = *m_regions[aRegion].m_instances[aInstance];
+    auto& line = instance.LineOf(aIsForEngine);
+    TryLine(line);
+    for (auto place = line.begin(); place != line.end();) {
+      const Stage stage = place->second;
+      const ModelCall& call = *stage->m_call;
+      const nanoseconds waited = m_clock.SteadyNow() - stage->m_receivedAt;
+      const nanoseconds most = m_policy.LongestWait(
+        call.m_kind->m_objective, call.m_deadline - stage->m_receivedAt);
+      if (waited < most) {
+        ++place;
+        continue;
+      }
+      place = line.erase(place);
+      EndRefused(stage, instance.Lines().SlotTimeOf(ModelPool(aIsForEngine)));
+    }
+    if (!line.empty()) {
+      LookAgainLater(*line.begin()->second);
+    }
+  }
+
+  void TryLine(ModelInstance::Line& aLine)
+  {
+    while (!aLine.empty()) {
+      const Stage first = aLine.begin()->second;
+      if (!first->m_call->m_isEnded && !TryToPlace(first)) {
+        return;
+      }
+      aLine.erase({ RankOf(*first), first->m_call->m_id });
+    }
+  }
+
+  // Returns false if the request has to wait.
+  bool TryToPlace(const Stage& aStage)
+  {
+    const PlacementQuestion question = InstanceOf(*aStage).AskForPlace(
+      *aStage, m_told[aStage->m_call->m_kind->m_isForEngine]);
+    const Placement placement = m_policy.Decide(question);
+    if (std::holds_alternative<StayInLine>(placement)) {
+      return false;
+    }
+    if (const auto* server = std::get_if<SendToServer>(&placement)) {
+      Send(aStage, question, question.m_servers[server->m_index]);
+    } else if (const auto* region = std::get_if<SendToRegion>(&placement)) {
+      Forward(aStage, question.m_regions[region->m_index].m_region);
+    } else {
+      EndRefused(aStage, std::get<Refuse>(placement).m_comeBackAfter);
+    }
+    return true;
+  }
+
+  void Send(const Stage& aStage,
+            const PlacementQuestion& aQuestion,
+            const ServerChoice& aChoice)
+  {
+    ModelInstance& instance = InstanceOf(*aStage);
+    const bool isForEngine = aStage->m_call->m_kind->m_isForEngine;
+    auto dispatch = std::make_shared<Dispatch>();
+    dispatch->m_stage = aStage;
+    dispatch->m_isForEngine = isForEngine;
+    for (const auto& server :
+         m_regions[aStage->m_region].m_servers[isForEngine]) {
+      if (server->m_id == aChoice.m_incarnation) {
+        dispatch->m_server = server.get();
+      }
+      if (server->m_id == aChoice.m_copyFrom) {
+        dispatch->m_copyFrom = server.get();
+      }
+    }
+    const double waiting =
+      EstimateOccupancy(aQuestion, aChoice) + 1 - aChoice.m_slots;
+    dispatch->m_view = std::make_unique<ServerDispatch>(ServerDispatchOptions{
+      .m_clock = m_clock,
+      .m_backends = instance.Backends(),
+      .m_lines = instance.Lines(),
+      .m_server = aChoice.m_incarnation,
+      .m_pool = ModelPool(isForEngine),
+      .m_uncached = aChoice.m_uncached,
+      .m_stretch = 1 + std::max(0.0, waiting) / aChoice.m_slots });
+    aStage->m_tried.insert(aChoice.m_incarnation);
+    ++aStage->m_sent;
+    if (isForEngine) {
+      instance.AddPrompt(aChoice.m_incarnation, *aStage->m_call);
+    }
+    After(m_system.m_hopSeconds, [this, dispatch] { Reach(dispatch); });
+  }
+
+  void Reach(const std::shared_ptr<Dispatch>& aDispatch)
+  {
+    ModelServer& server = *aDispatch->m_server;
+    const ModelCall& call = *aDispatch->m_stage->m_call;
+    if (call.m_isEnded) {
+      return;
+    }
+    if (server.m_isDown) {
+      Fail(aDispatch, ResultCode::BackendConnectFailed);
+      return;
+    }
+    if (server.m_model.Waiting() >=
+        kQueuePerSlot * server.m_options.m_batchLimit) {
+      Fail(aDispatch, ResultCode::BackendRefused);
+      return;
+    }
+    server.m_model.Add(
+      m_now,
+      { .m_id = call.m_id,
+        .m_priority = call.m_kind->m_priority,
+        .m_document = call.m_document,
+        .m_documentTokens = aDispatch->m_isForEngine
+                              ? double(call.m_kind->m_sharedTokens.Value())
+                              : 0,
+        .m_questionTokens = double(call.m_kind->m_ownTokens.Value()),
+        .m_answerTokens = call.m_kind->m_steps });
+    m_atServer[&server][call.m_id] = aDispatch;
+    StartWork(server);
+  }
+
+  void StartWork(ModelServer& aServer)
+  {
+    const auto prefill = aServer.m_model.StartPrefill();
+    if (!prefill) {
+      return;
+    }
+    const double shared = prefill->m_request.m_documentTokens;
+    const ModelServer* source =
+      m_atServer[&aServer].at(prefill->m_request.m_id)->m_copyFrom;
+    const bool isCopied = !prefill->m_isHit && source != nullptr &&
+                          !source->m_isDown &&
+                          source->m_model.Holds(prefill->m_request.m_document);
+    const double seconds = isCopied
+                             ? prefill->m_request.m_questionTokens /
+                                   aServer.m_options.m_prefillTokensPerSecond +
+                                 shared * m_system.m_copySecondsPerToken
+                             : prefill->m_seconds;
+    m_sharedTokens += shared;
+    m_sharedTokensRead += prefill->m_isHit || isCopied ? 0 : shared;
+    After(
+      seconds,
+      [this, &aServer, request = prefill->m_request, life = aServer.m_life] {
+        if (aServer.m_life == life) {
+          EndReading(aServer, request);
+        }
+      });
+  }
+
+  void EndReading(ModelServer& aServer, const ModelRequest& aRequest)
+  {
+    const double seconds = aServer.m_model.EndPrefill(aRequest);
+    const auto dispatch = m_atServer[&aServer].at(aRequest.m_id);
+    // An engine's answer begins with its first step, a plain one is whole.
+    const double first =
+      dispatch->m_isForEngine ? seconds / aRequest.m_answerTokens : seconds;
+    const auto isSameLife = [&aServer, life = aServer.m_life] {
+      return aServer.m_life == life;
+    };
+    After(first, [this, dispatch, isSameLife] {
+      if (isSameLife()) {
+        Begin(dispatch);
+      }
+    });
+    After(seconds, [this, dispatch, aRequest, &aServer, isSameLife] {
+      if (!isSameLife()) {
+        return;
+      }
+      aServer.m_model.EndAnswer(m_now, aRequest);
+      m_atServer[&aServer].erase(aRequest.m_id);
+      StartWork(aServer);
+      After(m_system.m_hopSeconds, [this, dispatch] {
+        dispatch->m_view->EndWith(ResultCode::Ok);
+        EndDispatch(dispatch);
+      });
+    });
+    StartWork(aServer);
+  }
+
+  void Begin(const std::shared_ptr<Dispatch>& aDispatch)
+  {
+    const EngineModel& model = aDispatch->m_server->m_model;
+    const auto running = unsigned(model.Running());
+    const auto waiting = unsigned(model.Waiting());
+    After(m_system.m_hopSeconds, [this, aDispatch, running, waiting] {
+      InstanceOf(*aDispatch->m_stage)
+        .Backends()
+        .ReportQueue(aDispatch->m_server->m_id,
+                     running,
+                     waiting,
+                     unsigned(aDispatch->m_server->m_options.m_batchLimit));
+      aDispatch->m_view->Begin();
+      Pass(aDispatch->m_stage);
+    });
+  }
+
+  void EndDispatch(const std::shared_ptr<Dispatch>& aDispatch)
+  {
+    if (!aDispatch->m_view) {
+      return;
+    }
+    aDispatch->m_view.reset();
+    TryLine(InstanceOf(*aDispatch->m_stage).LineOf(aDispatch->m_isForEngine));
+  }
+
+  // The server did not run the request, or is lost.
+  void Fail(const std::shared_ptr<Dispatch>& aDispatch, ResultCode aCode)
+  {
+    After(m_system.m_hopSeconds, [this, aDispatch, aCode] {
+      aDispatch->m_view->EndWith(aCode);
+      EndDispatch(aDispatch);
+      const Stage& stage = aDispatch->m_stage;
+      if (stage->m_sent >= kMostSent) {
+        EndRefused(stage, std::chrono::seconds(1));
+        return;
+      }
+      Place(stage);
+    });
+  }
+
+  void Forward(const Stage& aStage, const RegionId& aRegion)
+  {
+    const std::size_t region = std::stoul(aRegion.Value());
+    const bool isForEngine = aStage->m_call->m_kind->m_isForEngine;
+    auto forwarded = std::make_shared<ModelForward>();
+    forwarded->m_origin = aStage;
+    forwarded->m_view = std::make_unique<RegionDispatch>(
+      RegionDispatchOptions{ .m_clock = m_clock,
+                             .m_regions = InstanceOf(*aStage).Regions(),
+                             .m_key = ModelRegionKey(region, isForEngine) });
+    ++aStage->m_sent;
+    auto stage = std::make_shared<ModelStage>();
+    stage->m_call = aStage->m_call;
+    stage->m_region = region;
+    stage->m_instance =
+      UniformIndex(m_random, m_regions[region].m_instances.size());
+    stage->m_forward = forwarded;
+    After(m_system.m_regionSeconds, [this, stage] {
+      stage->m_receivedAt = m_clock.SteadyNow();
+      Place(stage);
+    });
+  }
+
+  // The answer has begun at the instance: it goes on to the caller.
+  void Pass(const Stage& aStage)
+  {
+    const auto forwarded = aStage->m_forward;
+    if (!forwarded) {
+      Answer(*aStage->m_call);
+      return;
+    }
+    After(m_system.m_regionSeconds, [this, aStage, forwarded] {
+      if (!forwarded->m_view) {
+        return;
+      }
+      const ModelCall& call = *aStage->m_call;
+      forwarded->m_view->Begin(call.m_kind->m_isForEngine ? call.PromptTokens()
+                                                          : Tokens(0));
+      forwarded->m_view->EndWith(ResultCode::Ok);
+      forwarded->m_view.reset();
+      Answer(*aStage->m_call);
+    });
+  }
+
+  void EndRefused(const Stage& aStage, nanoseconds aComeBackAfter)
+  {
+    const auto forwarded = aStage->m_forward;
+    if (!forwarded) {
+      TellRefusal(*aStage, aComeBackAfter);
+      return;
+    }
+    if (!forwarded->m_view) {
+      // Its answer has begun; the rest of it is not played.
+      return;
+    }
+    After(m_system.m_regionSeconds, [this, forwarded, aComeBackAfter] {
+      forwarded->m_view->EndWith(ResultCode::TooManyRequests);
+      forwarded->m_view.reset();
+      if (forwarded->m_origin->m_sent >= kMostSent) {
+        TellRefusal(*forwarded->m_origin, aComeBackAfter);
+        return;
+      }
+      Place(forwarded->m_origin);
+    });
+  }
+
+  // The refusal reaches the caller, who may come back.
+  void TellRefusal(const ModelStage& aStage, nanoseconds aComeBackAfter)
+  {
+    const auto call = aStage.m_call;
+    if (call->m_isEnded) {
+      return;
+    }
+    KindFigures& figures = FiguresOf(*call);
+    if (IsCounted(*call)) {
+      figures.m_slowestRefusal =
+        std::max(figures.m_slowestRefusal,
+                 Seconds(m_clock.SteadyNow() - aStage.m_receivedAt));
+    }
+    std::uniform_real_distribution<double> spread(0, kComeBackSpread);
+    const double pause = Seconds(aComeBackAfter) + spread(m_traffic);
+    if (call->m_comeBacks > 0 &&
+        m_clock.SteadyNow() + Nanoseconds(pause) < call->m_deadline) {
+      --call->m_comeBacks;
+      After(pause, [this, call] {
+        if (!call->m_isEnded) {
+          Enter(call);
+        }
+      });
+      return;
+    }
+    call->m_isEnded = true;
+    if (IsCounted(*call)) {
+      ++figures.m_refused;
+    }
+  }
+
+  void Answer(ModelCall& aCall)
+  {
+    if (aCall.m_isEnded) {
+      return;
+    }
+    aCall.m_isEnded = true;
+    if (!IsCounted(aCall)) {
+      return;
+    }
+    KindFigures& figures = FiguresOf(aCall);
+    const nanoseconds took = m_clock.SteadyNow() - aCall.m_askedAt;
+    const bool isOnTime = took <= aCall.m_kind->m_objective;
+    ++(isOnTime ? figures.m_onTime : figures.m_late);
+    m_worth += isOnTime ? aCall.m_kind->m_worth : aCall.m_kind->m_worthLate;
+    m_begins[KindIndex(aCall)].push_back(Seconds(took));
+  }
+
+  // The caller waits no longer; what waits at a server is taken out.
+  void GiveUp(const std::shared_ptr<ModelCall>& aCall)
+  {
+    if (aCall->m_isEnded) {
+      return;
+    }
+    aCall->m_isEnded = true;
+    if (IsCounted(*aCall)) {
+      ++FiguresOf(*aCall).m_unanswered;
+    }
+    for (auto& [server, dispatches] : m_atServer) {
+      const auto found = dispatches.find(aCall->m_id);
+      if (found == dispatches.end() ||
+          !server->m_model.Withdraw(m_now, aCall->m_id)) {
+        continue;
+      }
+      const auto dispatch = found->second;
+      dispatches.erase(found);
+      dispatch->m_view->EndWith(ResultCode::DeadlineExceeded);
+      EndDispatch(dispatch);
+    }
+  }
+
+  bool IsCounted(const ModelCall& aCall) const
+  {
+    // Requests of the last seconds cannot all have ended.
+    const SteadyTime begin = m_start + Nanoseconds(m_run.m_warmUpSeconds);
+    const SteadyTime end = m_start + Nanoseconds(m_run.m_endSeconds);
+    return aCall.m_askedAt >= begin && aCall.m_deadline < end;
+  }
+
+  std::size_t KindIndex(const ModelCall& aCall) const
+  {
+    return std::size_t(aCall.m_kind - m_system.m_kinds.data());
+  }
+
+  KindFigures& FiguresOf(const ModelCall& aCall)
+  {
+    return m_figures.m_kinds[KindIndex(aCall)];
+  }
+
+  LoadFigures Figures()
+  {
+    double offered = 0;
+    for (std::size_t kind = 0; kind < m_begins.size(); ++kind) {
+      auto& begins = m_begins[kind];
+      std::sort(begins.begin(), begins.end());
+      const auto quantile = [&](double aShare) {
+        return begins.empty()
+                 ? 0
+                 : begins[std::size_t(aShare * double(begins.size() - 1))];
+      };
+      KindFigures& figures = m_figures.m_kinds[kind];
+      figures.m_p50 = quantile(0.50);
+      figures.m_p95 = quantile(0.95);
+      figures.m_p99 = quantile(0.99);
+      offered += m_system.m_kinds[kind].m_worth * double(figures.m_offered);
+    }
+    const double seconds = m_run.m_endSeconds - m_run.m_warmUpSeconds;
+    m_figures.m_worthPerSecond = m_worth / seconds;
+    m_figures.m_offeredPerSecond = offered / seconds;
+    m_figures.m_readAgain =
+      m_sharedTokens == 0 ? 0 : m_sharedTokensRead / m_sharedTokens;
+    return m_figures;
+  }
+
+  const LoadRun m_run;
+  const LoadSystem& m_system;
+  RandomEngine m_traffic;
+  RandomEngine m_random;
+  PlacingPolicy m_policy;
+  ManualClock m_clock;
+  const SteadyTime m_start = m_clock.SteadyNow();
+  double m_now = 0;
+  std::uint64_t m_eventNumber = 0;
+  std::uint64_t m_nextId = 1;
+  boost::asio::io_context m_context;
+  std::vector<Region> m_regions;
+  std::vector<ToldDelay> m_told[2];
+  std::map<ModelServer*, std::map<std::uint64_t, std::shared_ptr<Dispatch>>>
+    m_atServer;
+  // What is under way refers to the instances, so it has to end before them.
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+  LoadFigures m_figures;
+  std::vector<std::vector<double>> m_begins;
+  double m_worth = 0;
+  double m_sharedTokens = 0;
+  double m_sharedTokensRead = 0;
+};
+
+} // namespace
+
+const KindFigures&
+LoadFigures::KindOf(const std::string& aName) const
+{
+  for (const KindFigures& kind : m_kinds) {
+    if (kind.m_name == aName) {
+      return kind;
+    }
+  }
+  throw std::out_of_range("no kind of request is named " + aName);
+}
+
+LoadFigures
+PlayLoad(const LoadRun& aRun)
+{
+  return LoadPlay(aRun).Run();
+}
+
+} // namespace rattanweir
--- /dev/null
+++ b/testing/load_model/model_instance.h
@@ -0,0 +1,133 @@
+// One instance of the load model: the views that a real one keeps of servers
+// and regions, and its line of waiting requests.
+//
+//   ModelInstance instance(options);
+//   const PlacementQuestion question = instance.AskForPlace(stage);
+//
+// Puts a placement question together as request/gateway does, without a
+// registry, a configuration or a network.
+
+#pragma once
+
+#include "rattanweir/base/asio/asio.h"
+#include "rattanweir/base/clock/manual_clock.h"
+#include "rattanweir/process/backend_view/backend_view.h"
+#include "rattanweir/process/part_cache/part_cache.h"
+#include "rattanweir/request/gateway/pool_lines.h"
+#include "rattanweir/request/gateway/server_dispatch.h"
+#include "rattanweir/request/placement/placement.h"
+#include "rattanweir/request/waiting_line/waiting_line.h"
+#include "testing/load_model/load_system.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace rattanweir {
+
+// One caller's request from its first ask to its final answer.
+struct ModelCall
+{
+  std::uint64_t m_id = 0;
+  const LoadKind* m_kind = nullptr;
+  std::uint32_t m_document = 0;
+  std::size_t m_region = 0;
+  SteadyTime m_askedAt;
+  SteadyTime m_deadline;
+  unsigned m_comeBacks = 1;
+  bool m_isEnded = false;
+
+  Tokens PromptTokens() const
+  {
+    return m_kind->m_sharedTokens + m_kind->m_ownTokens;
+  }
+};
+
+struct ModelStage;
+
+// What an instance keeps of a request that it has sent to another region.
+struct ModelForward
+{
+  std::shared_ptr<ModelStage> m_origin;
+  std::unique_ptr<RegionDispatch> m_view;
+};
+
+// A request at one instance.
+struct ModelStage
+{
+  std::shared_ptr<ModelCall> m_call;
+  std::size_t m_region = 0;
+  std::size_t m_instance = 0;
+  SteadyTime m_receivedAt;
+  std::set<BackendServerId> m_tried;
+  unsigned m_sent = 0;
+  // Set if it came from another region.
+  std::shared_ptr<ModelForward> m_forward;
+};
+
+// What the other regions told: their delay for engines and plain servers.
+struct ToldDelay
+{
+  std::size_t m_region = 0;
+  std::chrono::nanoseconds m_delay{};
+};
+
+struct ModelInstanceOptions
+{
+  const ManualClock& m_clock;
+  Executor m_executor;
+  // Of its region: the ids and slots of the servers, engines and plain ones.
+  std::vector<BackendServerId> m_engines;
+  std::vector<BackendServerId> m_plainServers;
+  unsigned m_engineSlots = 1;
+  unsigned m_plainSlots = 1;
+  std::size_t m_instancesInRegion = 1;
+  Tokens m_cacheTokens;
+  double m_copySecondsPerToken = 0;
+};
+
+class ModelInstance
+{
+public:
+  using Line =
+    std::map<std::pair<Rank, std::uint64_t>, std::shared_ptr<ModelStage>>;
+
+  explicit ModelInstance(const ModelInstanceOptions& aOptions);
+
+  PlacementQuestion AskForPlace(const ModelStage& aStage,
+                                const std::vector<ToldDelay>& aTold) const;
+
+  // What this region would tell the others.
+  std::chrono::nanoseconds DelayToTell(bool aIsForEngine) const;
+
+  void AddPrompt(const BackendServerId& aEngine, const ModelCall& aCall);
+
+  BackendView& Backends() { return m_backends; }
+  BackendView& Regions() { return m_regions; }
+  PoolLines& Lines() { return m_lines; }
+  Line& LineOf(bool aIsForEngine) { return m_waiting[aIsForEngine ? 1 : 0]; }
+
+private:
+  std::vector<ServerChoice> Servers(
+    bool aIsForEngine,
+    const std::set<BackendServerId>& aTried) const;
+
+  ModelInstanceOptions m_options;
+  BackendView m_backends;
+  BackendView m_regions;
+  PartCache m_parts;
+  PoolLines m_lines;
+  Line m_waiting[2];
+};
+
+// How the model names pools and regions.
+PoolId
+ModelPool(bool aIsForEngine);
+
+BackendServerId
+ModelRegionKey(std::size_t aRegion, bool aIsForEngine);
+
+} // namespace rattanweir
