--- a/testing/gateway_world/gateway_world.cc
+++ b/testing/gateway_world/gateway_world.cc
@@ -20,6 +20,9 @@
 const AvailabilityZoneId kSouthZone("south-a");
 const PoolId kPlain("plain");
 const PoolId kEngines("engines");
+// Of a prompt with a guide: the guide, and what follows it.
+constexpr Tokens kGuideTokens{ 13'300 };
+constexpr Tokens kOwnTokens{ 100 };
 
 std::string
 ValueOf(const HeaderFields& aFields, const char* aName)
@@ -51,7 +54,9 @@
                    .m_maximumConnections = 100,
                    .m_engine =
                      EngineProfile{ .m_slots = 8,
-                                    .m_cacheTokens = Tokens(100'000) } } },
+                                    .m_cacheTokens = Tokens(100'000),
+                                    .m_copyTimePerToken =
+                                      std::chrono::nanoseconds(1'200) } } },
     .m_accounts = { { .m_id = ClientAccountId("anna"),
                       .m_ratePerSecond = 100,
                       .m_burst = 100 } },
@@ -108,6 +113,10 @@
   if (const auto* resume = FindHeader(aRequest.m_headers, "resume-after")) {
     facts.m_resumeAfter = *resume;
   }
+  if (const auto* guide = FindHeader(aRequest.m_headers, "guide")) {
+    facts.m_parts = { { .m_id = *guide, .m_tokens = kGuideTokens } };
+    facts.m_promptTokens = kGuideTokens + kOwnTokens;
+  }
   for (const HeaderField& field : aRequest.m_headers) {
     if (field.m_name != "key" && field.m_name != "resume-after") {
       facts.m_passedFields.push_back(field);
--- a/testing/gateway_world/gateway_world.h
+++ b/testing/gateway_world/gateway_world.h
@@ -44,7 +44,8 @@
 
 // Routes: /read/ may be repeated twice, /write/ runs once, /stream/ resumes,
 // /talk/ is a stream that does not, /south/ is served in region south only,
-// /open/ needs no key.
+// /open/ needs no key. The header field `guide` names the long beginning that a
+// prompt shares with others.
 struct GatewayQuestion
 {
   std::string m_method = "GET";
