--- a/programs/rattanweirctl/admin_commands.cc
+++ b/programs/rattanweirctl/admin_commands.cc
@@ -96,11 +96,13 @@
   if (aLine.m_route.empty() == aLine.m_path.empty()) {
     throw UsageError("explain needs either --route or --path");
   }
-  const std::array<std::pair<std::string_view, const std::string&>, 4> fields{
+  const std::array<std::pair<std::string_view, const std::string&>, 6> fields{
     { { "route", aLine.m_route },
+      { "host", aLine.m_host },
       { "path", aLine.m_path },
       { "model", aLine.m_model },
-      { "client_account", aLine.m_clientAccount } }
+      { "client_account", aLine.m_clientAccount },
+      { "prompt_tokens", aLine.m_promptTokens } }
   };
   std::string query;
   for (const auto& [name, value] : fields) {
--- a/programs/rattanweirctl/command_line.cc
+++ b/programs/rattanweirctl/command_line.cc
@@ -12,6 +12,8 @@
 DEFINE_string(section, "", "what the checked file holds");
 DEFINE_string(route, "", "id of the route to explain");
 DEFINE_string(path, "", "path of the request to explain");
+DEFINE_string(host, "", "host of the request to explain, in a fleet");
+DEFINE_string(prompt_tokens, "", "tokens of the prompt to explain, in a fleet");
 DEFINE_string(model, "", "model of the request to explain");
 DEFINE_string(client_account, "", "client account of the request to explain");
 DECLARE_bool(help);
@@ -37,9 +39,12 @@
   --admin IP:PORT         its admin address (127.0.0.1:8082)
   --timeout DURATION      how long to wait for its answer (10s)
 
-Flags of explain: either a route, or a path with or without a model.
+Flags of explain: either a route, or a path with or without a model. An instance
+of a fleet wants host and path.
   --route ID
   --path PATH
+  --host NAME
+  --prompt_tokens N
   --model NAME
   --client_account ID     not needed for a route that is open to all
 
@@ -107,6 +112,8 @@
     .m_section = FLAGS_section,
     .m_route = FLAGS_route,
     .m_path = FLAGS_path,
+    .m_host = FLAGS_host,
+    .m_promptTokens = FLAGS_prompt_tokens,
     .m_model = FLAGS_model,
     .m_clientAccount = FLAGS_client_account,
   };
--- a/programs/rattanweirctl/command_line.h
+++ b/programs/rattanweirctl/command_line.h
@@ -35,6 +35,8 @@
   std::string m_section;
   std::string m_route;
   std::string m_path;
+  std::string m_host;
+  std::string m_promptTokens;
   std::string m_model;
   std::string m_clientAccount;
 };
--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -5,6 +5,8 @@
 #include "rattanweir/base/asio/spawn.h"
 #include "rattanweir/base/json/json.h"
 #include "rattanweir/process/logging/log.h"
+#include "rattanweir/request/exchange/header_fields.h"
+#include "rattanweir/request/gateway/gateway_report.h"
 #include "rattanweir/request/gateway/server_choices.h"
 #include "rattanweir/request/wait/wait.h"
 #include "rattanweir/version/text_file/text_file.h"
@@ -90,6 +92,20 @@
     kToleranceUsed * static_cast<double>(aFleet.m_rateTolerance.Value())));
 }
 
+// A parameter that is a whole number; 0 without it.
+Tokens
+TokensIn(const AdminQuery& aQuery, const std::string& aName)
+{
+  const auto text = aQuery.Find(aName);
+  const auto number = ParseDecimal(text.value_or("0"));
+  if (!number) {
+    throw RequestError(ResultCode::MalformedRequest,
+                       aName + ": expected a whole number, not " + *text,
+                       Ran::No);
+  }
+  return Tokens(static_cast<std::int64_t>(*number));
+}
+
 } // namespace
 
 FleetDaemon::FleetDaemon(const Settings& aSettings, std::string aSettingsPath)
@@ -305,7 +321,18 @@
                         .m_body = m_metrics.Exposition() };
   });
   m_adminRoutes.Register("GET", "/status", [this](const AdminQuery&) {
-    return AdminAnswer{ .m_body = StatusJson() };
+    return AdminAnswer{ .m_body = JsonText(
+                          GatewayStatus(m_state, m_store.IsInTouch())) };
+  });
+  m_adminRoutes.Register("GET", "/explain", [this](const AdminQuery& aQuery) {
+    const ExplainQuestion question{
+      .m_host = aQuery.Require("host"),
+      .m_path = aQuery.Require("path"),
+      .m_clientAccount =
+        ClientAccountId(aQuery.Find("client_account").value_or("")),
+      .m_promptTokens = TokensIn(aQuery, "prompt_tokens"),
+    };
+    return AdminAnswer{ .m_body = JsonText(ExplainRequest(m_state, question)) };
   });
   m_adminRoutes.Register("GET", "/livez", [](const AdminQuery&) {
     return AdminAnswer{ .m_body = R"({"live":true})" };
@@ -319,50 +346,6 @@
   });
 }
 
-std::string
-FleetDaemon::StatusJson() const
-{
-  Json::Value status;
-  status["instance"] = m_settings.m_instance.Value();
-  status["ready"] = m_fleet.Self().m_isReady;
-  status["draining"] = m_fleet.Self().m_isDraining;
-  status["store_in_touch"] = m_store.IsInTouch();
-  const FleetConfigPtr config = m_config.InForce();
-  status["config"] = config ? Json::UInt64(config->Version().Value()) : 0;
-  status["in_flight"] = Json::UInt64(m_state.m_inFlight);
-  status["members"] = Json::Value(Json::arrayValue);
-  for (const FleetMember* member : m_fleet.PossiblyRunning()) {
-    Json::Value row;
-    row["id"] = member->m_id.Value();
-    row["region"] = member->m_region.Value();
-    row["live"] = m_fleet.IsLive(member->m_id);
-    row["ready"] = member->m_isReady;
-    row["config"] = Json::UInt64(member->m_configVersion.Value());
-    status["members"].append(std::move(row));
-  }
-  status["servers"] = Json::Value(Json::arrayValue);
-  if (!config) {
-    return JsonText(status);
-  }
-  for (const Pool& pool : config->Pools()) {
-    for (const KnownServer* server :
-         m_registry.ServersOf(pool.m_id, m_settings.m_region)) {
-      const BackendState state = m_backends.StateOf(server->m_incarnation);
-      Json::Value row;
-      row["incarnation"] = server->m_incarnation.Value();
-      row["pool"] = pool.m_id.Value();
-      row["leaving"] = server->m_record.m_isLeaving;
-      row["evacuated"] = server->m_isEvacuated;
-      row["cold"] = server->m_coldUntil > m_clock.SteadyNow();
-      row["ejected"] = state.m_ejectedUntil.has_value();
-      row["in_flight"] = state.m_inFlight;
-      row["failure_share"] = state.m_failureShare;
-      status["servers"].append(std::move(row));
-    }
-  }
-  return JsonText(status);
-}
-
 void
 FleetDaemon::TakeConfig(const FleetConfig& aConfig)
 {
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -48,7 +48,6 @@
   HttpServerOptions MakePeerOptions();
   void RegisterAdminRoutes();
   void RegisterGauges();
-  std::string StatusJson() const;
 
   void TakeConfig(const FleetConfig& aConfig);
   void UpdateSelf();
--- a/rattanweir/request/gateway/gateway_admission.cc
+++ b/rattanweir/request/gateway/gateway_admission.cc
@@ -79,17 +79,6 @@
                                : aAccount.m_plainCost;
 }
 
-void
-TakeAccount(AdmittedRequest& aRequest, const FleetAccount* aAccount)
-{
-  if (aAccount != nullptr) {
-    aRequest.m_clientAccount = aAccount->m_id;
-    aRequest.m_priority = aAccount->m_priority.value_or(aRequest.m_priority);
-    aRequest.m_cost = CostOf(aRequest.m_facts, *aAccount);
-  }
-  TakeRegions(aRequest, aAccount);
-}
-
 const FleetAccount*
 RequireAccount(const AdmittedRequest& aRequest)
 {
@@ -178,6 +167,17 @@
 
 } // namespace
 
+void
+TakeAccount(AdmittedRequest& aRequest, const FleetAccount* aAccount)
+{
+  if (aAccount != nullptr) {
+    aRequest.m_clientAccount = aAccount->m_id;
+    aRequest.m_priority = aAccount->m_priority.value_or(aRequest.m_priority);
+    aRequest.m_cost = CostOf(aRequest.m_facts, *aAccount);
+  }
+  TakeRegions(aRequest, aAccount);
+}
+
 AdmittedRequest
 AdmitFromCaller(GatewayState& aState, InboundRequest aInbound)
 {
--- a/rattanweir/request/gateway/gateway_admission.h
+++ b/rattanweir/request/gateway/gateway_admission.h
@@ -31,4 +31,9 @@
 AdmittedRequest
 AdmitFromPeer(GatewayState& aState, InboundRequest aInbound);
 
+// Takes over an account's priority, homes and cost; the route's own without an
+// account.
+void
+TakeAccount(AdmittedRequest& aRequest, const FleetAccount* aAccount);
+
 } // namespace rattanweir
--- /dev/null
+++ b/rattanweir/request/gateway/gateway_report.cc
@@ -0,0 +1,226 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/request/gateway/gateway_report.h"
+
+#include "rattanweir/request/gateway/gateway_admission.h"
+#include "rattanweir/request/gateway/place_question.h"
+#include "rattanweir/request/placement/placement.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanweir {
+namespace {
+
+Json::Int64
+MillisecondsOf(std::chrono::nanoseconds aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
+    .count();
+}
+
+// Why a server gets no work now; empty if it does.
+std::string
+WhyNot(const GatewayState& aState, const KnownServer& aServer)
+{
+  if (aServer.m_record.m_isLeaving) {
+    return "it leaves";
+  }
+  if (aServer.m_isEvacuated) {
+    return "its zone is evacuated";
+  }
+  const BackendState state = aState.m_backends.StateOf(aServer.m_incarnation);
+  return state.m_ejectedUntil ? "it failed too often" : "";
+}
+
+Json::Value
+ServerRow(const GatewayState& aState, const KnownServer& aServer)
+{
+  const SteadyTime now = aState.m_clock.SteadyNow();
+  const BackendState state = aState.m_backends.StateOf(aServer.m_incarnation);
+  Json::Value row;
+  row["incarnation"] = aServer.m_incarnation.Value();
+  row["pool"] = aServer.m_record.m_pool.Value();
+  row["zone"] = aServer.m_record.m_zone.Value();
+  row["leaving"] = aServer.m_record.m_isLeaving;
+  row["evacuated"] = aServer.m_isEvacuated;
+  row["cold"] = aServer.m_coldUntil > now;
+  row["ejected"] = state.m_ejectedUntil.has_value();
+  row["in_flight"] = state.m_inFlight;
+  row["failure_share"] = state.m_failureShare;
+  row["why_not"] = WhyNot(aState, aServer);
+  if (state.m_queue) {
+    row["running"] = state.m_queue->m_running;
+    row["waiting"] = state.m_queue->m_waiting;
+    row["load_age_ms"] = MillisecondsOf(now - state.m_queue->m_at);
+  }
+  return row;
+}
+
+std::string
+SentenceOf(const PlacementQuestion& aQuestion, const Placement& aPlacement)
+{
+  struct Sentence
+  {
+    const PlacementQuestion& m_question;
+    std::string operator()(const SendToServer& aServer) const
+    {
+      return "sent to " +
+             m_question.m_servers[aServer.m_index].m_incarnation.Value();
+    }
+    std::string operator()(const SendToRegion& aRegion) const
+    {
+      return "sent to region " +
+             m_question.m_regions[aRegion.m_index].m_region.Value();
+    }
+    std::string operator()(const StayInLine&) const
+    {
+      return "waits in line for a server";
+    }
+    std::string operator()(const Refuse& aRefusal) const
+    {
+      return std::string(InfoOf(aRefusal.m_hasServers
+                                  ? ResultCode::DeadlineTooShort
+                                  : ResultCode::NoBackendServer)
+                           .m_name);
+    }
+  };
+  return std::visit(Sentence{ aQuestion }, aPlacement);
+}
+
+// What would be decided for one pool of the route.
+Json::Value
+PoolRow(const GatewayState& aState, const AdmittedRequest& aRequest)
+{
+  const std::set<BackendServerId> triedServers;
+  const std::set<InstanceId> triedPeers;
+  const PlacementQuestion question =
+    AskForPlace({ .m_state = aState,
+                  .m_request = aRequest,
+                  .m_triedServers = triedServers,
+                  .m_triedPeers = triedPeers });
+  Json::Value row;
+  row["pool"] = aRequest.m_pool.Value();
+  row["servers"] = Json::Value(Json::arrayValue);
+  for (const ServerChoice& choice : question.m_servers) {
+    Json::Value server;
+    server["incarnation"] = choice.m_incarnation.Value();
+    server["estimate_ms"] = MillisecondsOf(EstimateStart(question, choice));
+    server["requests"] = EstimateOccupancy(question, choice);
+    server["uncached_tokens"] = Json::Int64(choice.m_uncached.Value());
+    server["cold_held_back"] = choice.m_isHeldBack;
+    row["servers"].append(std::move(server));
+  }
+  row["without_work"] = Json::Value(Json::arrayValue);
+  for (const KnownServer* server : aState.m_registry.ServersOf(
+         aRequest.m_pool, aState.m_fleet.Self().m_region)) {
+    const std::string reason = WhyNot(aState, *server);
+    if (!reason.empty()) {
+      row["without_work"].append(server->m_incarnation.Value() + ": " + reason);
+    }
+  }
+  row["regions"] = Json::Value(Json::arrayValue);
+  for (const RegionChoice& choice : question.m_regions) {
+    Json::Value region;
+    region["region"] = choice.m_region.Value();
+    region["estimate_ms"] = MillisecondsOf(EstimateStart(question, choice));
+    row["regions"].append(std::move(region));
+  }
+  row["result"] = SentenceOf(question, DecidePlacement(question));
+  return row;
+}
+
+Json::Value
+ResultOnly(ResultCode aCode)
+{
+  Json::Value answer;
+  answer["result"] = std::string(InfoOf(aCode).m_name);
+  return answer;
+}
+
+} // namespace
+
+Json::Value
+GatewayStatus(const GatewayState& aState, bool aIsStoreInTouch)
+{
+  const FleetMember& self = aState.m_fleet.Self();
+  const FleetConfigPtr config = aState.m_config.InForce();
+  Json::Value status;
+  status["instance"] = self.m_id.Value();
+  status["ready"] = self.m_isReady;
+  status["draining"] = self.m_isDraining;
+  status["store_in_touch"] = aIsStoreInTouch;
+  status["config"] = config ? Json::UInt64(config->Version().Value()) : 0;
+  status["in_flight"] = Json::UInt64(aState.m_inFlight);
+  status["members"] = Json::Value(Json::arrayValue);
+  for (const FleetMember* member : aState.m_fleet.PossiblyRunning()) {
+    Json::Value row;
+    row["id"] = member->m_id.Value();
+    row["region"] = member->m_region.Value();
+    row["live"] = aState.m_fleet.IsLive(member->m_id);
+    row["ready"] = member->m_isReady;
+    row["config"] = Json::UInt64(member->m_configVersion.Value());
+    status["members"].append(std::move(row));
+  }
+  status["servers"] = Json::Value(Json::arrayValue);
+  if (!config) {
+    return status;
+  }
+  for (const Pool& pool : config->Pools()) {
+    for (const KnownServer* server :
+         aState.m_registry.ServersOf(pool.m_id, self.m_region)) {
+      status["servers"].append(ServerRow(aState, *server));
+    }
+  }
+  return status;
+}
+
+Json::Value
+ExplainRequest(const GatewayState& aState, const ExplainQuestion& aQuestion)
+{
+  const FleetConfigPtr config = aState.m_config.InForce();
+  if (!config) {
+    return ResultOnly(ResultCode::InstanceNotReady);
+  }
+  const FleetRoute* route =
+    config->FindRoute(aQuestion.m_host, aQuestion.m_path);
+  if (route == nullptr) {
+    return ResultOnly(ResultCode::UnknownRoute);
+  }
+  const SteadyTime now = aState.m_clock.SteadyNow();
+  AdmittedRequest request{
+    .m_target = aQuestion.m_path,
+    .m_body = std::make_shared<const std::string>(),
+    .m_receivedAt = now,
+    .m_deadline = now + route->m_timeout,
+    .m_config = config,
+    .m_route = *route,
+    .m_priority = route->m_priority,
+  };
+  request.m_facts.m_promptTokens = aQuestion.m_promptTokens;
+  const FleetAccount* account = config->FindAccount(aQuestion.m_clientAccount);
+  const bool wantsAccount = !route->m_isOpenToAll && config->HasAccounts();
+  if (wantsAccount && account == nullptr) {
+    return ResultOnly(ResultCode::KeyNotGranted);
+  }
+  TakeAccount(request, wantsAccount ? account : nullptr);
+  Json::Value answer;
+  answer["config"] = Json::UInt64(config->Version().Value());
+  answer["route"] = route->m_id.Value();
+  answer["priority"] = request.m_priority;
+  if (wantsAccount) {
+    answer["account_level"] = aState.m_rates.LevelOf(account->m_id);
+    answer["cost"] = Json::Int64(request.m_cost.Value());
+  }
+  answer["pools"] = Json::Value(Json::arrayValue);
+  for (const PoolWeight& share : route->m_pools) {
+    request.m_pool = share.m_pool;
+    Json::Value row = PoolRow(aState, request);
+    row["weight"] = share.m_weight;
+    answer["result"] = row["result"];
+    answer["pools"].append(std::move(row));
+  }
+  return answer;
+}
+
+} // namespace rattanweir
