Ask an engine of another region for a beginning that is not known here

An engine that is not known to hold a prompt's beginning is told to copy it from the engine that all instances prefer for it in another region in which the request's data may be; what that one lacks, or if it is not reached, is read as before, and the estimates stay. Only beginnings of 2,000 tokens or more: the others are read sooner than asked for.

--- a/rattanweir/request/gateway/gateway_waiting_test.cc
+++ b/rattanweir/request/gateway/gateway_waiting_test.cc
@@ -24,7 +24,6 @@
   world.Start(question);
   const std::string home = world.SentField(0, "server");
   CHECK(world.SentField(1, "server") == home);
-  CHECK(world.SentField(1, "copy-from").empty());
   // Answers there begin late; a request holds out for it, then goes elsewhere.
   world.m_backends.ObserveStartDelay(BackendServerId(home + "@1"), seconds(3));
   world.Start(question);
@@ -36,6 +35,20 @@
         (home == "e1" ? kEngineA : kEngineB));
 }
 
+TEST_CASE("a beginning that is not known here is asked for in another region")
+{
+  GatewayWorld world;
+  world.ScriptAll(SealedStream(0, 2), 4);
+  GatewayQuestion question = kTalk;
+  question.m_headers = { { "guide", "trips" } };
+  world.Ask(question);
+  CHECK(world.SentField(0, "copy-from") == kSouthEngine);
+  // Now this instance knows where it is.
+  world.Ask(question);
+  CHECK(world.SentField(1, "server") == world.SentField(0, "server"));
+  CHECK(world.SentField(1, "copy-from").empty());
+}
+
 TEST_CASE("requests wait while servers are full, and are refused in time")
 {
   GatewayWorld world;
--- a/rattanweir/request/gateway/place_question.cc
+++ b/rattanweir/request/gateway/place_question.cc
@@ -99,7 +99,8 @@
                         .m_pool = request.m_pool,
                         .m_chain = request.m_chain,
                         .m_promptTokens = PromptTokens(request),
-                        .m_tried = aQuery.m_triedServers });
+                        .m_tried = aQuery.m_triedServers,
+                        .m_permittedRegions = request.m_permittedRegions });
   }
   if (!request.m_forwardedBy) {
     question.m_regions = RegionChoices(aQuery);
--- a/rattanweir/request/gateway/server_choices.cc
+++ b/rattanweir/request/gateway/server_choices.cc
@@ -7,6 +7,46 @@
 #include <algorithm>
 
 namespace rattanweir {
+namespace {
+
+// A shorter beginning takes less time to read than to ask another region for.
+constexpr Tokens kLeastCopiedFromElsewhere{ 2'000 };
+
+// An engine of another region that probably holds the prompt's beginning. It
+// may be lost or not hold it; then the beginning is read.
+std::optional<BackendServerId>
+HolderElsewhere(const GatewayState& aState, const ServerQuery& aQuery)
+{
+  const ChainLink& beginning = aQuery.m_chain.front();
+  if (beginning.m_tokens < kLeastCopiedFromElsewhere) {
+    return std::nullopt;
+  }
+  std::vector<BackendServerId> holders;
+  for (const RegionId& region : aState.m_registry.RegionsOf(aQuery.m_pool)) {
+    const auto& permitted = aQuery.m_permittedRegions;
+    if (region == aState.m_fleet.Self().m_region ||
+        (permitted && !permitted->contains(region))) {
+      continue;
+    }
+    std::vector<ServerChoice> engines;
+    for (const KnownServer* server :
+         aState.m_registry.ServersOf(aQuery.m_pool, region)) {
+      if (server->TakesWork()) {
+        engines.push_back({ .m_incarnation = server->m_incarnation });
+      }
+    }
+    if (const ServerChoice* home = HomeOf(engines, beginning)) {
+      holders.push_back(home->m_incarnation);
+    }
+  }
+  if (holders.empty()) {
+    return std::nullopt;
+  }
+  return holders[beginning.m_hash % holders.size()];
+}
+
+} // namespace
+
 std::size_t
 InstancesInRegion(const GatewayState& aState)
 {
@@ -55,6 +95,10 @@
       choices, aQuery.m_chain.front(), aQuery.m_promptTokens);
     if (pool->m_engine->m_copyTimePerToken) {
       OfferCopies(choices, *pool->m_engine->m_copyTimePerToken);
+      if (const auto holder = HolderElsewhere(aState, aQuery)) {
+        OfferCopiesFrom(
+          *holder, choices, aQuery.m_chain.front(), aQuery.m_promptTokens);
+      }
     }
   }
   return choices;
@@ -87,6 +131,7 @@
 {
   const std::set<BackendServerId> tried;
   const PartChain chain;
+  const std::optional<std::set<RegionId>> anyRegion;
   PlacementQuestion question{
     .m_now = aState.m_clock.SteadyNow(),
     .m_servers = ServerChoicesOf(aState,
@@ -94,7 +139,8 @@
                                    .m_pool = aPool,
                                    .m_chain = chain,
                                    .m_promptTokens = kTypicalUncached,
-                                   .m_tried = tried }),
+                                   .m_tried = tried,
+                                   .m_permittedRegions = anyRegion }),
     .m_slotTime = aState.m_lines.SlotTimeOf(aPool),
     .m_instancesInRegion = InstancesInRegion(aState),
     .m_untilDeadline = std::chrono::hours(1),
--- a/rattanweir/request/gateway/server_choices.h
+++ b/rattanweir/request/gateway/server_choices.h
@@ -8,6 +8,7 @@
 #include "rattanweir/request/gateway/gateway_state.h"
 #include "rattanweir/request/placement/placement.h"
 
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -21,6 +22,8 @@
   Tokens m_promptTokens;
   // Servers that were tried before.
   const std::set<BackendServerId>& m_tried;
+  // Those in which the request's data may be; nothing: any.
+  const std::optional<std::set<RegionId>>& m_permittedRegions;
 };
 
 // The servers of this region that take work and were not tried.
--- a/rattanweir/request/placement/question.cc
+++ b/rattanweir/request/placement/question.cc
@@ -58,10 +58,8 @@
   return std::min(ScaleDuration(aObjective, kWaitShare), aUntilDeadline);
 }
 
-void
-ExpectSharedBeginning(std::vector<ServerChoice>& aEngines,
-                      const ChainLink& aBeginning,
-                      Tokens aPrompt)
+ServerChoice*
+HomeOf(std::vector<ServerChoice>& aEngines, const ChainLink& aBeginning)
 {
   ServerChoice* home = nullptr;
   std::uint64_t highest = 0;
@@ -76,6 +74,15 @@
       highest = weight;
     }
   }
+  return home;
+}
+
+void
+ExpectSharedBeginning(std::vector<ServerChoice>& aEngines,
+                      const ChainLink& aBeginning,
+                      Tokens aPrompt)
+{
+  ServerChoice* home = HomeOf(aEngines, aBeginning);
   if (home == nullptr) {
     return;
   }
@@ -122,6 +129,21 @@
   }
 }
 
+void
+OfferCopiesFrom(const BackendServerId& aElsewhere,
+                std::vector<ServerChoice>& aEngines,
+                const ChainLink& aBeginning,
+                Tokens aPrompt)
+{
+  for (ServerChoice& choice : aEngines) {
+    const bool isKnownToHold =
+      choice.m_uncached <= aPrompt - aBeginning.m_tokens;
+    if (!choice.m_copyFrom && !isKnownToHold) {
+      choice.m_copyFrom = aElsewhere;
+    }
+  }
+}
+
 std::chrono::nanoseconds
 DelayToTell(const PlacementQuestion& aQuestion)
 {
--- a/rattanweir/request/placement/question.h
+++ b/rattanweir/request/placement/question.h
@@ -35,8 +35,12 @@
 LongestWait(std::chrono::nanoseconds aObjective,
             std::chrono::nanoseconds aUntilDeadline);
 
-// Counts a prompt's shared beginning as held by the one engine that all
-// instances prefer for it, found by rendezvous hash over those that take work.
+// The one engine that all instances prefer for a shared beginning, found by
+// rendezvous hash over those that take work; nothing if there is none.
+ServerChoice*
+HomeOf(std::vector<ServerChoice>& aEngines, const ChainLink& aBeginning);
+
+// Counts a prompt's shared beginning as held by its home.
 void
 ExpectSharedBeginning(std::vector<ServerChoice>& aEngines,
                       const ChainLink& aBeginning,
@@ -53,6 +57,15 @@
 OfferCopies(std::vector<ServerChoice>& aEngines,
             std::chrono::duration<double, std::nano> aTimePerToken);
 
+// Lets the engines that are not known to hold the beginning ask an engine of
+// another region for it, where they have none of this region to ask. What that
+// one lacks is read as before, so the estimates stay.
+void
+OfferCopiesFrom(const BackendServerId& aElsewhere,
+                std::vector<ServerChoice>& aEngines,
+                const ChainLink& aBeginning,
+                Tokens aPrompt);
+
 // A typical request, by which regions tell each other their delay.
 inline constexpr Tokens kTypicalUncached{ 300 };
 
--- a/testing/gateway_world/gateway_world.h
+++ b/testing/gateway_world/gateway_world.h
@@ -27,6 +27,8 @@
 inline constexpr const char* kServerTwo = "10.1.0.1:2";
 inline constexpr const char* kEngineA = "10.1.0.1:3";
 inline constexpr const char* kEngineB = "10.1.0.1:4";
+// Of region south.
+inline constexpr const char* kSouthEngine = "10.2.0.1:2";
 inline constexpr const char* kSouthPeer = "10.2.0.1:9";
 
 // A wire whose fields say plainly what they mean.
