--- a/testing/load_model/load_model.cc
+++ b/testing/load_model/load_model.cc
@@ -590,11 +590,11 @@
       TellRefusal(*aStage, aComeBackAfter);
       return;
     }
-    if (!forwarded->m_view) {
-      // Its answer has begun; the rest of it is not played.
-      return;
-    }
     After(m_system.m_regionSeconds, [this, forwarded, aComeBackAfter] {
+      if (!forwarded->m_view) {
+        // Its answer has begun; the rest of it is not played.
+        return;
+      }
       forwarded->m_view->EndWith(ResultCode::TooManyRequests);
       forwarded->m_view.reset();
       if (forwarded->m_origin->m_sent >= kMostSent) {
