--- a/rattanweir/request/gateway/server_choices.cc
+++ b/rattanweir/request/gateway/server_choices.cc
@@ -35,8 +35,8 @@
         engines.push_back({ .m_incarnation = server->m_incarnation });
       }
     }
-    if (const ServerChoice* home = HomeOf(engines, beginning)) {
-      holders.push_back(home->m_incarnation);
+    if (const ServerChoice* preferred = PreferredEngineOf(engines, beginning)) {
+      holders.push_back(preferred->m_incarnation);
     }
   }
   if (holders.empty()) {
--- a/rattanweir/request/placement/placement.h
+++ b/rattanweir/request/placement/placement.h
@@ -12,7 +12,9 @@
 // engine pays for the prompt tokens that its cache lacks. Another region pays
 // for the round trip and for the bytes between regions, and for what this
 // instance saw of its own requests there, since what the instances there told
-// is old by a moment. It is used only if it is better by a margin.
+// is old by a moment. It is used only if it is better by a margin. An engine
+// with much work before it counts as full; at first a request rather waits for
+// an engine that has its prompt than to have it copied to another one.
 //
 // The load that it answers: one region at its peak while others are quiet,
 // servers that are lost, slow or failing, and requests that share long prompt
--- a/rattanweir/request/placement/question.cc
+++ b/rattanweir/request/placement/question.cc
@@ -20,7 +20,7 @@
 constexpr double kUncachedElsewhere = 0.5;
 // Part of a shared beginning that its preferred engine is expected to hold
 // already.
-constexpr double kHomeShare = 0.8;
+constexpr double kPreferredShare = 0.8;
 // A copied prompt takes cache away from others that are wanted again; this
 // multiple of its reading time stands for that.
 constexpr double kDisplacementWeight = 2;
@@ -59,9 +59,10 @@
 }
 
 ServerChoice*
-HomeOf(std::vector<ServerChoice>& aEngines, const ChainLink& aBeginning)
+PreferredEngineOf(std::vector<ServerChoice>& aEngines,
+                  const ChainLink& aBeginning)
 {
-  ServerChoice* home = nullptr;
+  ServerChoice* preferred = nullptr;
   std::uint64_t highest = 0;
   for (ServerChoice& choice : aEngines) {
     if (choice.m_isHeldBack || choice.m_state.m_ejectedUntil) {
@@ -69,12 +70,12 @@
     }
     const std::string& id = choice.m_incarnation.Value();
     const std::uint64_t weight = XXH64(id.data(), id.size(), aBeginning.m_hash);
-    if (home == nullptr || weight > highest) {
-      home = &choice;
+    if (preferred == nullptr || weight > highest) {
+      preferred = &choice;
       highest = weight;
     }
   }
-  return home;
+  return preferred;
 }
 
 void
@@ -82,13 +83,14 @@
                       const ChainLink& aBeginning,
                       Tokens aPrompt)
 {
-  ServerChoice* home = HomeOf(aEngines, aBeginning);
-  if (home == nullptr) {
+  ServerChoice* preferred = PreferredEngineOf(aEngines, aBeginning);
+  if (preferred == nullptr) {
     return;
   }
   const auto expected = static_cast<std::int64_t>(
-    kHomeShare * static_cast<double>(aBeginning.m_tokens.Value()));
-  home->m_uncached = std::min(home->m_uncached, aPrompt - Tokens(expected));
+    kPreferredShare * static_cast<double>(aBeginning.m_tokens.Value()));
+  preferred->m_uncached =
+    std::min(preferred->m_uncached, aPrompt - Tokens(expected));
 }
 
 Tokens
--- a/rattanweir/request/placement/question.h
+++ b/rattanweir/request/placement/question.h
@@ -38,9 +38,10 @@
 // The one engine that all instances prefer for a shared beginning, found by
 // rendezvous hash over those that take work; nothing if there is none.
 ServerChoice*
-HomeOf(std::vector<ServerChoice>& aEngines, const ChainLink& aBeginning);
+PreferredEngineOf(std::vector<ServerChoice>& aEngines,
+                  const ChainLink& aBeginning);
 
-// Counts a prompt's shared beginning as held by its home.
+// Counts a prompt's shared beginning as held by its preferred engine.
 void
 ExpectSharedBeginning(std::vector<ServerChoice>& aEngines,
                       const ChainLink& aBeginning,
--- a/rattanweir/request/placement/question_test.cc
+++ b/rattanweir/request/placement/question_test.cc
@@ -30,15 +30,15 @@
 }
 
 std::size_t
-IndexOfHome(const std::vector<ServerChoice>& aEngines)
+IndexOfPreferred(const std::vector<ServerChoice>& aEngines)
 {
-  const auto home =
+  const auto preferred =
     std::min_element(aEngines.begin(),
                      aEngines.end(),
                      [](const ServerChoice& aLeft, const ServerChoice& aRight) {
                        return aLeft.m_uncached < aRight.m_uncached;
                      });
-  return std::size_t(home - aEngines.begin());
+  return std::size_t(preferred - aEngines.begin());
 }
 
 // The engine that gets a request, or nothing if it waits in line.
@@ -62,24 +62,24 @@
 {
   std::vector<ServerChoice> engines = Engines(5);
   ExpectSharedBeginning(engines, kGuide, kPrompt);
-  const std::size_t home = IndexOfHome(engines);
-  CHECK(engines[home].m_uncached < Tokens(7'000));
+  const std::size_t preferred = IndexOfPreferred(engines);
+  CHECK(engines[preferred].m_uncached < Tokens(7'000));
   std::vector<ServerChoice> reversed = Engines(5);
   std::reverse(reversed.begin(), reversed.end());
   ExpectSharedBeginning(reversed, kGuide, kPrompt);
-  CHECK(reversed[IndexOfHome(reversed)].m_incarnation ==
-        engines[home].m_incarnation);
+  CHECK(reversed[IndexOfPreferred(reversed)].m_incarnation ==
+        engines[preferred].m_incarnation);
 }
 
 TEST_CASE("an ejected engine is not where a shared beginning is expected")
 {
   std::vector<ServerChoice> engines = Engines(5);
   ExpectSharedBeginning(engines, kGuide, kPrompt);
-  const std::size_t home = IndexOfHome(engines);
+  const std::size_t preferred = IndexOfPreferred(engines);
   std::vector<ServerChoice> without = Engines(5);
-  without[home].m_state.m_ejectedUntil = SteadyTime(std::chrono::hours(2));
+  without[preferred].m_state.m_ejectedUntil = SteadyTime(std::chrono::hours(2));
   ExpectSharedBeginning(without, kGuide, kPrompt);
-  CHECK(IndexOfHome(without) != home);
+  CHECK(IndexOfPreferred(without) != preferred);
 }
 
 TEST_CASE("an engine copies what it lacks from the one that holds most of it")
@@ -126,12 +126,13 @@
   const BackendServerId elsewhere("south-1");
   std::vector<ServerChoice> engines = Engines(3);
   ExpectSharedBeginning(engines, kGuide, kPrompt);
-  const std::size_t home = IndexOfHome(engines);
+  const std::size_t preferred = IndexOfPreferred(engines);
   OfferCopies(engines, kFastLink);
   OfferCopiesFrom(elsewhere, engines, kGuide, kPrompt);
-  // The others ask the home, which is expected to hold it.
-  CHECK(engines[home].m_copyFrom == elsewhere);
-  CHECK(engines[(home + 1) % 3].m_copyFrom == engines[home].m_incarnation);
+  // The others ask the preferred engine, which is expected to hold it.
+  CHECK(engines[preferred].m_copyFrom == elsewhere);
+  CHECK(engines[(preferred + 1) % 3].m_copyFrom ==
+        engines[preferred].m_incarnation);
   // Once it was sent there it is known to be there.
   std::vector<ServerChoice> known = Engines(1);
   known[0].m_uncached = kPrompt - kGuide.m_tokens;
