--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -308,6 +308,10 @@
   m_metrics.SetGauge("rattanweir_store_in_touch", [this] {
     return m_storeReader.IsStoreReachable() ? 1.0 : 0.0;
   });
+  m_metrics.SetGauge("rattanweir_store_silence_seconds", [this] {
+    const auto silence = m_storeReader.Silence().value_or(nanoseconds::zero());
+    return std::chrono::duration<double>(silence).count();
+  });
   m_metrics.SetGauge("rattanweir_ready",
                      [this] { return m_fleet.Self().m_isReady ? 1.0 : 0.0; });
   m_metrics.SetGauge("rattanweir_config_version", [this] {
--- a/rattanweir/process/published/published_items.cc
+++ b/rattanweir/process/published/published_items.cc
@@ -18,7 +18,7 @@
   m_listeners[aTopic] = std::move(aListener);
 }
 
-void
+bool
 PublishedItems::Replace(const TopicId& aTopic,
                         TopicSnapshot aSnapshot,
                         std::uint64_t aAsOfRevision,
@@ -26,7 +26,7 @@
 {
   TopicSnapshot& current = m_topics[aTopic];
   if (aAsOfRevision < current.m_revision) {
-    return;
+    return false;
   }
   aSnapshot.m_revision = std::max(aSnapshot.m_revision, current.m_revision);
   m_histories[aTopic] = { .m_baseRevision = aSnapshot.m_revision };
@@ -42,18 +42,21 @@
       NotifyListener(aTopic, { .m_key = key, .m_value = value });
     }
   }
+  return true;
 }
 
-void
+std::size_t
 PublishedItems::Apply(const TopicId& aTopic,
                       const std::vector<ItemChange>& aChanges)
 {
   TopicSnapshot& current = m_topics[aTopic];
   History& history = m_histories[aTopic];
+  std::size_t applied = 0;
   for (const ItemChange& change : aChanges) {
     if (change.m_revision <= current.m_revision) {
       continue;
     }
+    ++applied;
     current.m_revision = change.m_revision;
     history.m_changes.push_back(change);
     if (change.m_value) {
@@ -67,6 +70,7 @@
     history.m_baseRevision = history.m_changes.front().m_revision;
     history.m_changes.pop_front();
   }
+  return applied;
 }
 
 std::optional<std::vector<ItemChange>>
--- a/rattanweir/process/published/published_items.h
+++ b/rattanweir/process/published/published_items.h
@@ -18,6 +18,7 @@
 #include "rattanweir/base/ids/ids.h"
 #include "rattanweir/process/backend_registry/backend_registry.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -61,17 +62,20 @@
                 std::function<void(const ItemChange&)> aListener);
 
   // Replaces all items of a topic by a snapshot taken at `aAsOfRevision`.
-  // Ignores a snapshot that is older than the latest known change. `aReason`
-  // is passed to the listener for items that are not in the snapshot.
-  void Replace(const TopicId& aTopic,
+  // Ignores a snapshot that is older than the latest known change, and returns
+  // whether it was applied. `aReason` is passed to the listener for items that
+  // are not in the snapshot.
+  bool Replace(const TopicId& aTopic,
                TopicSnapshot aSnapshot,
                std::uint64_t aAsOfRevision,
                RemovalReason aReason);
 
   // Applies changes in ascending order of revision. The changes must follow the
   // topic's revision without a gap. Skips changes that are already known, since
-  // the store and a peer may deliver the same ones.
-  void Apply(const TopicId& aTopic, const std::vector<ItemChange>& aChanges);
+  // the store and a peer may deliver the same ones. Returns the number of
+  // changes that were applied.
+  std::size_t Apply(const TopicId& aTopic,
+                    const std::vector<ItemChange>& aChanges);
 
   // Returns the topic's revision, or 0 for a topic that is not known yet.
   std::uint64_t RevisionOf(const TopicId& aTopic) const;
