--- a/rattanweir/connection/gossip/gossip_test.cc
+++ b/rattanweir/connection/gossip/gossip_test.cc
@@ -2,6 +2,7 @@
 
 #include "rattanweir/connection/gossip/gossip.h"
 #include "rattanweir/connection/gossip/gossip_messages.h"
+#include "testing/gossip_network/gossip_network.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -25,52 +26,11 @@
   return { .m_address = "10.0.0." + std::to_string(aNumber), .m_port = 9 };
 }
 
-// A response that is available immediately.
-class ImmediateExchange final : public UpstreamExchange
-{
-public:
-  explicit ImmediateExchange(std::string aBody)
-    : m_body(std::move(aBody))
-  {
-  }
-  Task<ResponseHead> ReadHead() override
-  {
-    co_return ResponseHead{ .m_status = 200 };
-  }
-  Task<std::optional<std::string>> ReadChunk() override
-  {
-    co_return std::exchange(m_body, std::nullopt);
-  }
-
-private:
-  std::optional<std::string> m_body;
-};
-
-// Delivers each call to the instance at its address, unless the network is
-// partitioned.
-class FakeNetwork final : public Upstream
-{
-public:
-  Task<std::unique_ptr<UpstreamExchange>> Send(Endpoint aEndpoint,
-                                               OutboundRequest aRequest,
-                                               CancelSource&) override
-  {
-    const auto found = m_gossips.find(aEndpoint);
-    if (m_isPartitioned || found == m_gossips.end()) {
-      throw RequestError(
-        ResultCode::BackendConnectFailed, "unreachable", Ran::No);
-    }
-    co_return std::make_unique<ImmediateExchange>(
-      found->second->HandleCall(*aRequest.m_body));
-  }
-
-  std::map<Endpoint, Gossip*> m_gossips;
-  bool m_isPartitioned = false;
-};
-
 struct Instance
 {
-  Instance(int aNumber, asio::io_context& aContext, FakeNetwork& aNetwork)
+  Instance(int aNumber,
+           asio::io_context& aContext,
+           testing::GossipNetwork& aNetwork)
     : m_fleet({ .m_clock = SystemClock(),
                 .m_self = { .m_id = InstanceId("i" + std::to_string(aNumber)),
                             .m_incarnation = Incarnation(1),
@@ -151,7 +111,7 @@
   }
 
   asio::io_context m_context;
-  FakeNetwork m_network;
+  testing::GossipNetwork m_network;
   std::vector<std::unique_ptr<Instance>> m_instances;
 };
 
--- a/testing/fleet_soak/fleet_soak_test.cc
+++ b/testing/fleet_soak/fleet_soak_test.cc
@@ -12,6 +12,7 @@
 #include "testing/fleet_soak/stand_ins.h"
 #include "testing/harness/process.h"
 #include "testing/link_cutter/link_cutter.h"
+#include "testing/stand_in_store/stand_in_store.h"
 
 #include <catch2/catch.hpp>
 
--- a/testing/fleet_soak/stand_ins.cc
+++ b/testing/fleet_soak/stand_ins.cc
@@ -3,13 +3,9 @@
 #include "testing/fleet_soak/stand_ins.h"
 
 #include "rattanweir/base/json/json.h"
-#include "rattanweir/connection/admin/admin_query.h"
 #include "rattanweir/request/exchange/header_fields.h"
 #include "rattanweir/request/wait/wait.h"
 
-#include <openssl/evp.h>
-
-#include <algorithm>
 #include <utility>
 
 namespace rattanweir::testing {
@@ -17,7 +13,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kWatchPollInterval{ 10 };
 constexpr milliseconds kServiceTime{ 5 };
 
 HttpServerOptions
@@ -28,18 +23,6 @@
            .m_handler = aHandler };
 }
 
-std::string
-Base64(const std::string& aText)
-{
-  std::string encoded(4 * ((aText.size() + 2) / 3) + 1, '\0');
-  const int length =
-    EVP_EncodeBlock(reinterpret_cast<unsigned char*>(encoded.data()),
-                    reinterpret_cast<const unsigned char*>(aText.data()),
-                    static_cast<int>(aText.size()));
-  encoded.resize(static_cast<std::size_t>(length));
-  return encoded;
-}
-
 std::string
 FieldOf(const InboundRequest& aRequest, const char* aName)
 {
@@ -62,98 +45,6 @@
   return found == m_runs.end() ? 0 : found->second.size();
 }
 
-StandInStore::StandInStore(asio::io_context& aContext)
-  : m_context(aContext)
-  , m_server(ServerOptions(aContext, *this))
-{
-  m_server.Start();
-}
-
-void
-StandInStore::Put(const std::string& aKey, const std::string& aValue)
-{
-  m_items[aKey] = { .m_key = aKey,
-                    .m_value = aValue,
-                    .m_revision = ++m_revision };
-}
-
-void
-StandInStore::Remove(const std::string& aKey)
-{
-  m_items[aKey] = { .m_key = aKey,
-                    .m_revision = ++m_revision,
-                    .m_isRemoved = true };
-}
-
-Json::Value
-StandInStore::ItemsNewerThan(const std::string& aPrefix,
-                             std::uint64_t aAfter,
-                             bool aIncludesRemoved) const
-{
-  std::vector<const Item*> items;
-  for (const auto& [key, item] : m_items) {
-    if (key.starts_with(aPrefix) && item.m_revision > aAfter &&
-        (aIncludesRemoved || !item.m_isRemoved)) {
-      items.push_back(&item);
-    }
-  }
-  std::ranges::sort(items, {}, &Item::m_revision);
-  Json::Value list(Json::arrayValue);
-  for (const Item* item : items) {
-    Json::Value entry;
-    entry["key"] = item->m_key;
-    entry["revision"] = Json::UInt64(item->m_revision);
-    if (item->m_isRemoved) {
-      entry["tombstone"] = true;
-    } else {
-      entry["value"] = Base64(item->m_value);
-    }
-    list.append(std::move(entry));
-  }
-  return list;
-}
-
-Task<void>
-StandInStore::Handle(InboundRequest aRequest,
-                     ResponseSink& aSink,
-                     CancelSource& aCancel)
-{
-  if (m_isDown) {
-    Json::Value nothing(Json::objectValue);
-    co_await Respond(503, std::move(nothing), aSink);
-    co_return;
-  }
-  const AdminQuery query = ParseAdminTarget(aRequest.m_target);
-  const std::string prefix = query.Require("prefix");
-  Json::Value response;
-  if (query.m_path == "/api/kv-range") {
-    response["items"] = ItemsNewerThan(prefix, 0, false);
-    response["truncated"] = false;
-  } else {
-    const std::uint64_t after = std::stoull(query.Require("after"));
-    milliseconds left(std::stoll(query.Require("waitMs")));
-    response["events"] = ItemsNewerThan(prefix, after, true);
-    while (response["events"].empty() && left > milliseconds(0) &&
-           !aCancel.Reason() && !m_isDown) {
-      co_await WaitFor(m_context.get_executor(), kWatchPollInterval, aCancel);
-      left -= kWatchPollInterval;
-      response["events"] = ItemsNewerThan(prefix, after, true);
-    }
-  }
-  response["at"] = Json::UInt64(m_revision);
-  co_await Respond(200, std::move(response), aSink);
-}
-
-Task<void>
-StandInStore::Respond(unsigned aStatus, Json::Value aBody, ResponseSink& aSink)
-{
-  std::string text = JsonText(aBody);
-  ResponseHead head{ .m_status = aStatus, .m_contentLength = text.size() };
-  co_await aSink.WriteHead(std::move(head));
-  co_await aSink.WriteChunk(std::move(text));
-  co_await aSink.Finish();
-}
-
 StandInServer::StandInServer(const StandInServerOptions& aOptions)
   : m_options(aOptions)
   , m_server(ServerOptions(aOptions.m_context, *this))
--- a/testing/fleet_soak/stand_ins.h
+++ b/testing/fleet_soak/stand_ins.h
@@ -1,12 +1,12 @@
-// In-process replacements for the users' platform in the fleet soak test: the
-// key-value store, and backend servers that record each request they run.
+// In-process replacement for the backend servers of the users' platform in the
+// fleet soak test, which record each request they run. The store has its own
+// package, testing/stand_in_store.
 //
-//   History history;
-//   StandInStore store(context);
+//   RunHistory history;
 //   StandInServer server({ .m_context = context, .m_id = "s1", ... });
 //   store.Put("servers/s1", server.Entry("ready"));
 //
-// Both run in the test's own process and thread. Not thread-safe.
+// Runs in the test's own process and thread. Not thread-safe.
 
 #pragma once
 
@@ -16,10 +16,7 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include <json/value.h>
-
 #include <map>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -40,44 +37,6 @@
   std::size_t RunCount(const std::string& aId) const;
 };
 
-// Key-value store that clients can only read, by range reads and long-poll
-// watches.
-class StandInStore final : public RequestHandler
-{
-public:
-  explicit StandInStore(asio::io_context& aContext);
-
-  void Put(const std::string& aKey, const std::string& aValue);
-  void Remove(const std::string& aKey);
-  Endpoint Address() const { return m_server.LocalEndpoint(); }
-
-  Task<void> Handle(InboundRequest aRequest,
-                    ResponseSink& aSink,
-                    CancelSource& aCancel) override;
-
-  // Responds to every call with status 503.
-  bool m_isDown = false;
-
-private:
-  struct Item
-  {
-    std::string m_key;
-    std::string m_value;
-    std::uint64_t m_revision = 0;
-    bool m_isRemoved = false;
-  };
-
-  Json::Value ItemsNewerThan(const std::string& aPrefix,
-                             std::uint64_t aAfter,
-                             bool aIncludesRemoved) const;
-  Task<void> Respond(unsigned aStatus, Json::Value aBody, ResponseSink& aSink);
-
-  asio::io_context& m_context;
-  std::map<std::string, Item> m_items;
-  std::uint64_t m_revision = 1;
-  HttpServer m_server;
-};
-
 struct StandInServerOptions
 {
   asio::io_context& m_context;
