--- /dev/null
+++ b/testing/configuration_freshness/configuration_fleet.cc
@@ -0,0 +1,167 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "testing/configuration_freshness/configuration_fleet.h"
+
+#include "rattanweir/request/wait/wait.h"
+
+#include <algorithm>
+#include <map>
+
+namespace rattanweir::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTickInterval{ 100 };
+constexpr milliseconds kPollInterval{ 5 };
+
+Endpoint
+PeerAddress(int aNumber)
+{
+  return { .m_address = "10.0.0." + std::to_string(aNumber), .m_port = 9 };
+}
+
+} // namespace
+
+ConfigurationInstance::ConfigurationInstance(asio::io_context& aContext,
+                                             GossipNetwork& aNetwork,
+                                             const Endpoint& aStore,
+                                             int aNumber)
+  : m_random(static_cast<std::uint64_t>(aNumber))
+  , m_fleet({ .m_clock = SystemClock(),
+              .m_self = { .m_id = InstanceId("i" + std::to_string(aNumber)),
+                          .m_incarnation = Incarnation(1),
+                          .m_region = RegionId("r"),
+                          .m_zone = AvailabilityZoneId("r-a"),
+                          .m_callerAddress = PeerAddress(100 + aNumber),
+                          .m_peerAddress = PeerAddress(aNumber),
+                          .m_isReady = true } })
+  , m_registry(
+      { .m_clock = SystemClock(),
+        .m_regionOfZone = { { AvailabilityZoneId("r-a"), RegionId("r") } } })
+  , m_applier({ .m_published = m_published,
+                .m_registry = m_registry,
+                .m_config = m_config,
+                .m_metrics = m_metrics })
+  , m_gossip({ .m_executor = aContext.get_executor(),
+               .m_clock = SystemClock(),
+               .m_random = m_random,
+               .m_upstream = aNetwork,
+               .m_fleet = m_fleet,
+               .m_published = m_published,
+               .m_metrics = m_metrics,
+               .m_updateSelf = [this] { UpdateSelf(); } })
+  , m_storeReader({ .m_executor = aContext.get_executor(),
+                    .m_clock = SystemClock(),
+                    .m_random = m_random,
+                    .m_store = aStore,
+                    .m_published = m_published,
+                    .m_metrics = m_metrics })
+{
+  aNetwork.m_gossips.emplace(PeerAddress(aNumber), &m_gossip);
+  m_fleet.SetSeeds({ PeerAddress(1) });
+  m_storeReader.Follow(TopicId(platform::kOperatorTopic));
+  m_storeReader.Follow(TopicId(platform::kServersTopic));
+  m_gossip.Start();
+}
+
+std::uint64_t
+ConfigurationInstance::VersionInForce() const
+{
+  const FleetConfigPtr config = m_config.InForce();
+  return config ? config->Version().Value() : 0;
+}
+
+void
+ConfigurationInstance::UpdateSelf()
+{
+  FleetMember& self = m_fleet.Self();
+  self.m_readsStore = m_storeReader.IsStoreReachable();
+  self.m_configVersion = SectionVersion(VersionInForce());
+  for (const auto& [topic, revision] : m_published.Revisions()) {
+    self.m_publishedRevisions[topic.Value()] = revision;
+  }
+}
+
+ConfigurationFleet::ConfigurationFleet(
+  asio::io_context& aContext,
+  const ConfigurationFleetOptions& aOptions)
+  : m_store(aContext)
+  , m_context(aContext)
+{
+  for (int number = 1; number <= aOptions.m_instances; ++number) {
+    m_instances.push_back(std::make_unique<ConfigurationInstance>(
+      aContext, m_network, m_store.Address(), number));
+    m_instances.back()->m_storeReader.SetReadingEnabled(
+      number <= aOptions.m_instances - aOptions.m_withoutStore);
+  }
+  asio::co_spawn(aContext, Tick(), asio::detached);
+}
+
+Task<void>
+ConfigurationFleet::Tick()
+{
+  std::map<const ConfigurationInstance*, std::uint64_t> announced;
+  while (!m_isStopped) {
+    for (const auto& instance : m_instances) {
+      instance->m_registry.Tick();
+      const std::uint64_t revision =
+        instance->m_published.RevisionOf(TopicId(platform::kOperatorTopic));
+      if (std::exchange(announced[instance.get()], revision) != revision) {
+        instance->m_gossip.Announce();
+      }
+    }
+    co_await Sleep(kTickInterval);
+  }
+}
+
+void
+ConfigurationFleet::PublishConfig(std::uint64_t aVersion)
+{
+  m_store.Put("op/config",
+              R"({"version":)" + std::to_string(aVersion) +
+                R"(,"routes":[],"services":[{"name":"desk"}]})");
+}
+
+void
+ConfigurationFleet::PublishServer(const std::string& aId, const char* aState)
+{
+  m_store.Put("servers/" + aId,
+              R"({"service":"desk","address":"10.0.1.1:80","zone":"r-a",)"
+              R"("slots":6,"born":1,"sequence":1,"state":")" +
+                std::string(aState) + R"("})");
+}
+
+Task<bool>
+ConfigurationFleet::WaitForVersion(std::uint64_t aVersion, milliseconds aTime)
+{
+  const SteadyTime end = SystemClock().SteadyNow() + aTime;
+  const auto isInForce = [&] {
+    return std::ranges::all_of(m_instances, [&](const auto& aInstance) {
+      return aInstance->VersionInForce() == aVersion;
+    });
+  };
+  while (!isInForce() && SystemClock().SteadyNow() < end) {
+    co_await Sleep(kPollInterval);
+  }
+  co_return isInForce();
+}
+
+Task<void>
+ConfigurationFleet::Sleep(milliseconds aDuration)
+{
+  CancelSource never;
+  co_await WaitFor(m_context.get_executor(), aDuration, never);
+}
+
+void
+ConfigurationFleet::Stop()
+{
+  m_isStopped = true;
+  for (const auto& instance : m_instances) {
+    instance->m_storeReader.Stop();
+    instance->m_gossip.Stop();
+  }
+}
+
+} // namespace rattanweir::testing
