Compare versions of topics by the store's era before the revision

Cause: an instance ignores everything that the store numbers below the highest revision that it has seen. After a restore from an older copy the store assigns the lost revisions again; the instance skips the new changes until the store's revisions pass the old one, and its peers copy its higher revision. A watch that starts after the store has caught up skips them without any 410. Class of fault: data from a source is ordered by a number whose sequence the source may start again.

Evidence: testing_configuration_freshness_test failed 3 of 14 checks before, with topic_changes_skipped known=60 revision=4 and no failed call.

A configuration in force still never goes back: a version is accepted only if it is higher. Gossip messages name the epoch in a new field, which earlier releases ignore.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -371,9 +371,9 @@
   FleetMember& self = m_fleet.Self();
   self.m_usages = m_rates.LocalUsages();
   self.m_readsStore = m_storeReader.IsStoreReachable();
-  self.m_publishedRevisions.clear();
-  for (const auto& [topic, revision] : m_published.Revisions()) {
-    self.m_publishedRevisions.emplace(topic.Value(), revision);
+  self.m_publishedVersions.clear();
+  for (const auto& [topic, version] : m_published.Versions()) {
+    self.m_publishedVersions.emplace(topic.Value(), version);
   }
   const FleetConfigPtr config = m_config.InForce();
   if (!config) {
@@ -422,7 +422,7 @@
 }
 
 // Enables reading from the store at start and if the instance is one of the few
-// readers of its region. Announces new store revisions to peers.
+// readers of its region. Announces new versions of topics to peers.
 void
 FleetDaemon::UpdateStoreReading()
 {
@@ -432,9 +432,9 @@
   } else {
     m_storeReader.SetReadingEnabled(false);
   }
-  const auto revisions = m_published.Revisions();
-  if (m_storeReader.IsStoreReachable() && revisions != m_announcedRevisions) {
-    m_announcedRevisions = revisions;
+  const auto versions = m_published.Versions();
+  if (m_storeReader.IsStoreReachable() && versions != m_announcedVersions) {
+    m_announcedVersions = versions;
     m_gossip.Announce();
   }
 }
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -110,8 +110,8 @@
   asio::signal_set m_reloadSignals;
   SteadyTime m_lastSettingsCheckAt;
   SteadyTime m_lastEvictionAt;
-  // Store revisions that were last announced to peers.
-  std::map<TopicId, std::uint64_t> m_announcedRevisions;
+  // Versions of the topics that were last announced to peers.
+  std::map<TopicId, TopicVersion> m_announcedVersions;
   bool m_isStopped = false;
 };
 
--- a/rattanweir/connection/gossip/gossip.cc
+++ b/rattanweir/connection/gossip/gossip.cc
@@ -149,9 +149,9 @@
 void
 Gossip::FetchNewerTopics(const FleetMember& aPeer)
 {
-  for (const auto& [name, revision] : aPeer.m_publishedRevisions) {
+  for (const auto& [name, version] : aPeer.m_publishedVersions) {
     const TopicId topic(name);
-    if (revision <= m_options.m_published.RevisionOf(topic) ||
+    if (version <= m_options.m_published.VersionOf(topic) ||
         !m_fetching.insert(topic).second) {
       continue;
     }
@@ -162,31 +162,33 @@
 }
 
 // A peer's copy of a topic is equivalent to the store's response at the same
-// revision.
+// version.
 Task<void>
 Gossip::FetchTopic(Endpoint aPeer, TopicId aTopic)
 {
-  const std::uint64_t known = m_options.m_published.RevisionOf(aTopic);
+  const TopicVersion known = m_options.m_published.VersionOf(aTopic);
   try {
     PeerCall call;
     call.m_endpoint = aPeer;
     call.m_method = kFetchTopicMethod;
     call.m_parameters["topic"] = aTopic.Value();
-    call.m_parameters["since"] = Json::UInt64(known);
+    call.m_parameters["since"] = Json::UInt64(known.m_revision);
+    call.m_parameters["epoch"] = Json::UInt64(known.m_epoch.Value());
     call.m_deadline = m_options.m_clock.SteadyNow() + kCallTimeout;
     const Json::Value response =
       co_await CallPeer(m_options.m_upstream, std::move(call));
     // Discards the response if the topic changed during the call, for example
     // by a read from the store.
-    if (m_options.m_published.RevisionOf(aTopic) == known) {
+    if (m_options.m_published.VersionOf(aTopic) == known) {
       ApplyTopic(aTopic, response);
+      const TopicVersion now = m_options.m_published.VersionOf(aTopic);
       Log(LogLevel::Info,
           "topic_taken_from_peer",
           { { "topic", aTopic.Value() },
             { "peer", aPeer.ToString() },
-            { "revision",
-              std::to_string(m_options.m_published.RevisionOf(aTopic)) },
-            { "known", std::to_string(known) } });
+            { "epoch", std::to_string(now.m_epoch.Value()) },
+            { "revision", std::to_string(now.m_revision) },
+            { "known", std::to_string(known.m_revision) } });
     }
   } catch (const std::exception& error) {
     Log(LogLevel::Info,
@@ -203,13 +205,16 @@
 {
   m_options.m_metrics.Count("rattanweir_topics_from_peers_total");
   if (aResponse.isMember("changes")) {
-    m_options.m_published.Apply(aTopic, ChangesFromJson(aResponse));
+    // Changes are sent only to an instance that has a version of their epoch.
+    m_options.m_published.Apply(aTopic,
+                                m_options.m_published.VersionOf(aTopic).m_epoch,
+                                ChangesFromJson(aResponse));
     return;
   }
   TopicSnapshot snapshot = TopicSnapshotFromJson(aResponse);
-  const std::uint64_t revision = snapshot.m_revision;
+  const TopicVersion version = snapshot.m_version;
   m_options.m_published.Replace(
-    aTopic, std::move(snapshot), revision, RemovalReason::Published);
+    aTopic, std::move(snapshot), version, RemovalReason::Published);
 }
 
 std::string
@@ -232,12 +237,9 @@
   if (!aParameters["topic"].isString()) {
     throw RpcError("topic: expected a string");
   }
-  if (!aParameters["since"].isUInt64()) {
-    throw RpcError("since: expected a non-negative integer");
-  }
   const TopicId topic(aParameters["topic"].asString());
   if (const auto changes = m_options.m_published.ChangesSince(
-        topic, aParameters["since"].asUInt64())) {
+        topic, VersionFromJson(aParameters, "since"))) {
     return ToJson(*changes);
   }
   const TopicSnapshot* snapshot = m_options.m_published.Find(topic);
--- a/rattanweir/connection/gossip/gossip_messages.cc
+++ b/rattanweir/connection/gossip/gossip_messages.cc
@@ -151,8 +151,9 @@
     value["capacity"] = aRecord.m_capacity;
   }
   value["topics"] = Json::Value(Json::objectValue);
-  for (const auto& [topic, revision] : aRecord.m_publishedRevisions) {
-    value["topics"][topic] = Json::UInt64(revision);
+  for (const auto& [topic, version] : aRecord.m_publishedVersions) {
+    value["topics"][topic] = Json::UInt64(version.m_revision);
+    value["epochs"][topic] = Json::UInt64(version.m_epoch.Value());
   }
   value["usage"] = FormatUsages(aRecord.m_usages);
   value["delay_ms"] = Json::Value(Json::objectValue);
@@ -184,8 +185,14 @@
   }
   const Json::Value& topics = GetObject(aValue, "topics");
   for (const std::string& topic : topics.getMemberNames()) {
-    record.m_publishedRevisions.emplace(topic,
-                                        GetUnsigned(topics, topic.c_str()));
+    const StoreEpoch epoch =
+      aValue.isMember("epochs")
+        ? StoreEpoch(GetUnsigned(GetObject(aValue, "epochs"), topic.c_str()))
+        : StoreEpoch();
+    record.m_publishedVersions.emplace(
+      topic,
+      TopicVersion{ .m_epoch = epoch,
+                    .m_revision = GetUnsigned(topics, topic.c_str()) });
   }
   record.m_usages = ParseUsages(GetString(aValue, "usage"));
   const Json::Value& delays = GetObject(aValue, "delay_ms");
@@ -198,6 +205,15 @@
 
 } // namespace
 
+TopicVersion
+VersionFromJson(const Json::Value& aValue, const char* aRevisionName)
+{
+  return { .m_epoch = aValue.isMember("epoch")
+                        ? StoreEpoch(GetUnsigned(aValue, "epoch"))
+                        : StoreEpoch(),
+           .m_revision = GetUnsigned(aValue, aRevisionName) };
+}
+
 Json::Value
 ToJson(const std::vector<FleetMember>& aRecords)
 {
@@ -227,7 +243,8 @@
 ToJson(const TopicSnapshot& aSnapshot)
 {
   Json::Value value;
-  value["revision"] = Json::UInt64(aSnapshot.m_revision);
+  value["revision"] = Json::UInt64(aSnapshot.m_version.m_revision);
+  value["epoch"] = Json::UInt64(aSnapshot.m_version.m_epoch.Value());
   value["items"] = Json::Value(Json::objectValue);
   for (const auto& [key, text] : aSnapshot.m_items) {
     value["items"][key] = text;
@@ -238,7 +255,7 @@
 TopicSnapshot
 TopicSnapshotFromJson(const Json::Value& aValue)
 {
-  TopicSnapshot snapshot{ .m_revision = GetUnsigned(aValue, "revision") };
+  TopicSnapshot snapshot{ .m_version = VersionFromJson(aValue, "revision") };
   const Json::Value& items = GetObject(aValue, "items");
   for (const std::string& key : items.getMemberNames()) {
     snapshot.m_items.emplace(key, GetString(items, key.c_str()));
--- a/rattanweir/connection/gossip/gossip_messages.h
+++ b/rattanweir/connection/gossip/gossip_messages.h
@@ -30,6 +30,11 @@
 std::vector<FleetMember>
 FleetMembersFromJson(const Json::Value& aValue);
 
+// Reads the field `epoch`, 0 if it is missing as in messages of earlier
+// releases, and the given field for the revision.
+TopicVersion
+VersionFromJson(const Json::Value& aValue, const char* aRevisionName);
+
 Json::Value
 ToJson(const TopicSnapshot& aSnapshot);
 TopicSnapshot
--- a/rattanweir/connection/gossip/gossip_test.cc
+++ b/rattanweir/connection/gossip/gossip_test.cc
@@ -19,6 +19,7 @@
 using std::chrono::seconds;
 
 const TopicId kTopic("servers/");
+constexpr StoreEpoch kEpoch(1);
 
 Endpoint
 AddressOf(int aNumber)
@@ -48,8 +49,8 @@
                  .m_metrics = m_metrics,
                  .m_interval = milliseconds(5),
                  .m_updateSelf = [this] {
-                   m_fleet.Self().m_publishedRevisions[kTopic.Value()] =
-                     m_published.RevisionOf(kTopic);
+                   m_fleet.Self().m_publishedVersions[kTopic.Value()] =
+                     m_published.VersionOf(kTopic);
                  } })
   {
     aNetwork.m_gossips.emplace(AddressOf(aNumber), &m_gossip);
@@ -128,17 +129,20 @@
 {
   Fixture fixture(3);
   fixture.m_instances[0]->m_published.Apply(
-    kTopic, { { .m_key = "servers/a", .m_value = "1", .m_revision = 7 } });
+    kTopic,
+    kEpoch,
+    { { .m_key = "servers/a", .m_value = "1", .m_revision = 7 } });
   fixture.Start();
   fixture.RunUntil([&] {
-    return fixture.m_instances[2]->m_published.RevisionOf(kTopic) == 7;
+    return fixture.m_instances[2]->m_published.VersionOf(kTopic).m_revision ==
+           7;
   });
   fixture.m_instances[0]->m_published.Apply(
-    kTopic, { { .m_key = "servers/a", .m_revision = 9 } });
+    kTopic, kEpoch, { { .m_key = "servers/a", .m_revision = 9 } });
   fixture.RunUntil([&] {
     const TopicSnapshot* snapshot =
       fixture.m_instances[2]->m_published.Find(kTopic);
-    return snapshot->m_revision == 9 && snapshot->m_items.empty();
+    return snapshot->m_version.m_revision == 9 && snapshot->m_items.empty();
   });
 }
 
@@ -152,12 +156,14 @@
   }
   Instance& first = *fixture.m_instances[0];
   first.m_published.Apply(
-    kTopic, { { .m_key = "servers/a", .m_value = "1", .m_revision = 7 } });
+    kTopic,
+    kEpoch,
+    { { .m_key = "servers/a", .m_value = "1", .m_revision = 7 } });
   first.m_fleet.Self().m_isDraining = true;
   first.m_gossip.Announce();
   fixture.RunUntil([&] {
     return std::ranges::all_of(fixture.m_instances, [](const auto& aInstance) {
-      return aInstance->m_published.RevisionOf(kTopic) == 7;
+      return aInstance->m_published.VersionOf(kTopic).m_revision == 7;
     });
   });
   const FleetMember* announced =
@@ -197,7 +203,8 @@
                       .m_capacity = 0.25,
                       .m_configVersion = SectionVersion(8),
                       .m_readsStore = true };
-  record.m_publishedRevisions.emplace("op/", 3);
+  const TopicVersion version{ .m_epoch = StoreEpoch(2), .m_revision = 3 };
+  record.m_publishedVersions.emplace("op/", version);
   record.m_usages[ClientAccountId("anna")] = { .m_demand = 120,
                                                .m_admitted = 9'000 };
   record.m_pools[PoolId("p")].m_startDelay = milliseconds(40);
@@ -211,7 +218,7 @@
   CHECK(records[0].m_readsStore);
   CHECK(records[0].m_capacity == 0.25);
   CHECK(records[0].m_configVersion == SectionVersion(8));
-  CHECK(records[0].m_publishedRevisions.at("op/") == 3);
+  CHECK(records[0].m_publishedVersions.at("op/") == version);
   const AccountUsage& usage = records[0].m_usages.at(ClientAccountId("anna"));
   CHECK(usage.m_demand == 120);
   CHECK(usage.m_admitted == 9'000);
--- a/rattanweir/process/fleet/fleet_view.h
+++ b/rattanweir/process/fleet/fleet_view.h
@@ -21,6 +21,7 @@
 #include "rattanweir/base/ids/ids.h"
 #include "rattanweir/base/random/random.h"
 #include "rattanweir/process/account_rate/account_rates.h"
+#include "rattanweir/process/published/topic_version.h"
 
 #include <chrono>
 #include <cstddef>
@@ -59,9 +60,9 @@
   // Traffic that the instance can carry, relative to other instances.
   double m_capacity = 1;
   SectionVersion m_configVersion;
-  // Latest revision that the instance has of each topic that the platform
+  // Latest version that the instance has of each topic that the platform
   // publishes.
-  std::map<std::string, std::uint64_t> m_publishedRevisions;
+  std::map<std::string, TopicVersion> m_publishedVersions;
   // True if the instance reads the platform's store and the store responds.
   bool m_readsStore = false;
   // What callers requested from the instance, by client account.
--- a/rattanweir/process/published/published_items.cc
+++ b/rattanweir/process/published/published_items.cc
@@ -21,15 +21,18 @@
 bool
 PublishedItems::Replace(const TopicId& aTopic,
                         TopicSnapshot aSnapshot,
-                        std::uint64_t aAsOfRevision,
+                        const TopicVersion& aAsOf,
                         RemovalReason aReason)
 {
   TopicSnapshot& current = m_topics[aTopic];
-  if (aAsOfRevision < current.m_revision) {
+  if (aAsOf < current.m_version) {
     return false;
   }
-  aSnapshot.m_revision = std::max(aSnapshot.m_revision, current.m_revision);
-  m_histories[aTopic] = { .m_baseRevision = aSnapshot.m_revision };
+  if (aAsOf.m_epoch != current.m_version.m_epoch) {
+    aReason = RemovalReason::Lapsed;
+  }
+  aSnapshot.m_version = std::max(aSnapshot.m_version, current.m_version);
+  m_histories[aTopic] = { .m_baseRevision = aSnapshot.m_version.m_revision };
   const TopicSnapshot previous = std::exchange(current, std::move(aSnapshot));
   for (const auto& [key, value] : previous.m_items) {
     if (!current.m_items.contains(key)) {
@@ -47,17 +50,25 @@
 
 std::size_t
 PublishedItems::Apply(const TopicId& aTopic,
+                      StoreEpoch aEpoch,
                       const std::vector<ItemChange>& aChanges)
 {
-  TopicSnapshot& current = m_topics[aTopic];
+  const auto [found, isNew] = m_topics.try_emplace(aTopic);
+  TopicSnapshot& current = found->second;
+  if (isNew) {
+    current.m_version.m_epoch = aEpoch;
+  }
+  if (current.m_version.m_epoch != aEpoch) {
+    return 0;
+  }
   History& history = m_histories[aTopic];
   std::size_t applied = 0;
   for (const ItemChange& change : aChanges) {
-    if (change.m_revision <= current.m_revision) {
+    if (change.m_revision <= current.m_version.m_revision) {
       continue;
     }
     ++applied;
-    current.m_revision = change.m_revision;
+    current.m_version.m_revision = change.m_revision;
     history.m_changes.push_back(change);
     if (change.m_value) {
       current.m_items[change.m_key] = *change.m_value;
@@ -75,27 +86,28 @@
 
 std::optional<std::vector<ItemChange>>
 PublishedItems::ChangesSince(const TopicId& aTopic,
-                             std::uint64_t aRevision) const
+                             const TopicVersion& aVersion) const
 {
   const auto history = m_histories.find(aTopic);
   if (history == m_histories.end() ||
-      aRevision < history->second.m_baseRevision) {
+      aVersion.m_epoch != VersionOf(aTopic).m_epoch ||
+      aVersion.m_revision < history->second.m_baseRevision) {
     return std::nullopt;
   }
   std::vector<ItemChange> changes;
   for (const ItemChange& change : history->second.m_changes) {
-    if (change.m_revision > aRevision) {
+    if (change.m_revision > aVersion.m_revision) {
       changes.push_back(change);
     }
   }
   return changes;
 }
 
-std::uint64_t
-PublishedItems::RevisionOf(const TopicId& aTopic) const
+TopicVersion
+PublishedItems::VersionOf(const TopicId& aTopic) const
 {
   const TopicSnapshot* snapshot = Find(aTopic);
-  return snapshot == nullptr ? 0 : snapshot->m_revision;
+  return snapshot == nullptr ? TopicVersion() : snapshot->m_version;
 }
 
 const TopicSnapshot*
@@ -105,14 +117,14 @@
   return found == m_topics.end() ? nullptr : &found->second;
 }
 
-std::map<TopicId, std::uint64_t>
-PublishedItems::Revisions() const
+std::map<TopicId, TopicVersion>
+PublishedItems::Versions() const
 {
-  std::map<TopicId, std::uint64_t> revisions;
+  std::map<TopicId, TopicVersion> versions;
   for (const auto& [topic, snapshot] : m_topics) {
-    revisions.emplace(topic, snapshot.m_revision);
+    versions.emplace(topic, snapshot.m_version);
   }
-  return revisions;
+  return versions;
 }
 
 void
--- a/rattanweir/process/published/published_items.h
+++ b/rattanweir/process/published/published_items.h
@@ -3,11 +3,11 @@
 //
 //   PublishedItems items;
 //   items.OnChange(topic, [](const ItemChange& aChange) { ... });
-//   items.Replace(topic, snapshot, asOfRevision, RemovalReason::Published);
-//   items.Apply(topic, changes);
+//   items.Replace(topic, snapshot, asOf, RemovalReason::Published);
+//   items.Apply(topic, epoch, changes);
 //
 // Each instance reads the store itself; an instance that the store refuses to
-// serve applies a peer's copy if that copy is newer. A topic's revision never
+// serve applies a peer's copy if that copy is newer. A topic's version never
 // decreases. This class does not interpret item values; the listeners do.
 //
 // Not thread-safe.
@@ -17,6 +17,7 @@
 #include "rattanweir/base/clock/clock.h"
 #include "rattanweir/base/ids/ids.h"
 #include "rattanweir/process/backend_registry/backend_registry.h"
+#include "rattanweir/process/published/topic_version.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -47,9 +48,8 @@
 // All items of a topic.
 struct TopicSnapshot
 {
-  // Revision of the latest known change of an item of this topic. The store
-  // numbers the changes of all topics in one sequence.
-  std::uint64_t m_revision = 0;
+  // Version of the latest known change of an item of this topic.
+  TopicVersion m_version;
   std::map<std::string, std::string> m_items;
 };
 
@@ -61,36 +61,40 @@
   void OnChange(const TopicId& aTopic,
                 std::function<void(const ItemChange&)> aListener);
 
-  // Replaces all items of a topic by a snapshot taken at `aAsOfRevision`.
-  // Ignores a snapshot that is older than the latest known change, and returns
-  // whether it was applied. `aReason` is passed to the listener for items that
-  // are not in the snapshot.
+  // Replaces all items of a topic by a snapshot taken at `aAsOf`. Ignores a
+  // snapshot that is older than the latest known change, and returns whether it
+  // was applied. `aReason` is passed to the listener for items that are not in
+  // the snapshot. Items that are not in the first snapshot of an epoch have
+  // lapsed: their owners may not have written them again yet.
   bool Replace(const TopicId& aTopic,
                TopicSnapshot aSnapshot,
-               std::uint64_t aAsOfRevision,
+               const TopicVersion& aAsOf,
                RemovalReason aReason);
 
-  // Applies changes in ascending order of revision. The changes must follow the
-  // topic's revision without a gap. Skips changes that are already known, since
-  // the store and a peer may deliver the same ones. Returns the number of
-  // changes that were applied.
+  // Applies changes of an epoch in ascending order of revision. The changes
+  // must follow the topic's revision without a gap. Skips changes that are
+  // already known, since the store and a peer may deliver the same ones, and
+  // changes of another epoch than the topic's. Returns the number of changes
+  // that were applied.
   std::size_t Apply(const TopicId& aTopic,
+                    StoreEpoch aEpoch,
                     const std::vector<ItemChange>& aChanges);
 
-  // Returns the topic's revision, or 0 for a topic that is not known yet.
-  std::uint64_t RevisionOf(const TopicId& aTopic) const;
+  // Returns the topic's version, or the lowest one for a topic that is not
+  // known yet.
+  TopicVersion VersionOf(const TopicId& aTopic) const;
 
   // Returns nullptr for a topic that is not known yet.
   const TopicSnapshot* Find(const TopicId& aTopic) const;
 
-  // Returns the changes after that revision, or nullopt if they are not all
-  // retained any more.
+  // Returns the changes after that version, or nullopt if they are not all
+  // retained any more or the version is of another epoch.
   std::optional<std::vector<ItemChange>> ChangesSince(
     const TopicId& aTopic,
-    std::uint64_t aRevision) const;
+    const TopicVersion& aVersion) const;
 
-  // Returns the revision of each known topic.
-  std::map<TopicId, std::uint64_t> Revisions() const;
+  // Returns the version of each known topic.
+  std::map<TopicId, TopicVersion> Versions() const;
 
 private:
   // The latest changes of a topic, oldest first.
--- a/rattanweir/process/published/published_items_test.cc
+++ b/rattanweir/process/published/published_items_test.cc
@@ -6,6 +6,13 @@
 namespace {
 
 const TopicId kTopic("servers");
+constexpr StoreEpoch kEpoch(1);
+
+TopicVersion
+Version(std::uint64_t aRevision)
+{
+  return { .m_epoch = kEpoch, .m_revision = aRevision };
+}
 
 struct Fixture
 {
@@ -32,27 +39,27 @@
   Fixture fixture;
   fixture.m_items.Replace(
     kTopic,
-    { .m_revision = 5, .m_items = { { "a", "1" }, { "b", "1" } } },
-    5,
+    { .m_version = Version(5), .m_items = { { "a", "1" }, { "b", "1" } } },
+    Version(5),
     RemovalReason::Published);
   CHECK(fixture.Seen() == Seen{ "a=1", "b=1" });
   fixture.m_items.Replace(
     kTopic,
-    { .m_revision = 7, .m_items = { { "a", "2" }, { "c", "1" } } },
-    8,
+    { .m_version = Version(7), .m_items = { { "a", "2" }, { "c", "1" } } },
+    Version(8),
     RemovalReason::Lapsed);
   CHECK(fixture.Seen() == Seen{ "b=lapsed", "a=2", "c=1" });
-  CHECK(fixture.m_items.RevisionOf(kTopic) == 7);
+  CHECK(fixture.m_items.VersionOf(kTopic) == Version(7));
 }
 
 TEST_CASE("an older snapshot is ignored")
 {
   Fixture fixture;
-  fixture.m_items.Apply(kTopic,
-                        { { .m_key = "a", .m_value = "1", .m_revision = 9 } });
+  fixture.m_items.Apply(
+    kTopic, kEpoch, { { .m_key = "a", .m_value = "1", .m_revision = 9 } });
   fixture.Seen();
   fixture.m_items.Replace(
-    kTopic, { .m_revision = 8 }, 8, RemovalReason::Published);
+    kTopic, { .m_version = Version(8) }, Version(8), RemovalReason::Published);
   CHECK(fixture.Seen().empty());
   CHECK(fixture.m_items.Find(kTopic)->m_items.size() == 1);
 }
@@ -61,36 +68,37 @@
   "a newer snapshot with a lower item revision keeps the topic revision")
 {
   Fixture fixture;
-  fixture.m_items.Apply(kTopic,
-                        { { .m_key = "a", .m_value = "1", .m_revision = 4 } });
-  fixture.m_items.Apply(kTopic,
-                        { { .m_key = "b", .m_value = "1", .m_revision = 9 } });
-  fixture.m_items.Replace(kTopic,
-                          { .m_revision = 4, .m_items = { { "a", "1" } } },
-                          20,
-                          RemovalReason::Published);
+  fixture.m_items.Apply(
+    kTopic, kEpoch, { { .m_key = "a", .m_value = "1", .m_revision = 4 } });
+  fixture.m_items.Apply(
+    kTopic, kEpoch, { { .m_key = "b", .m_value = "1", .m_revision = 9 } });
+  fixture.m_items.Replace(
+    kTopic,
+    { .m_version = Version(4), .m_items = { { "a", "1" } } },
+    Version(20),
+    RemovalReason::Published);
   CHECK(fixture.Seen() == Seen{ "a=1", "b=1", "b=removed" });
-  CHECK(fixture.m_items.RevisionOf(kTopic) == 9);
+  CHECK(fixture.m_items.VersionOf(kTopic) == Version(9));
 }
 
 TEST_CASE("ChangesSince returns the changes after a recent revision")
 {
   Fixture fixture;
-  fixture.m_items.Apply(kTopic,
-                        { { .m_key = "a", .m_value = "1", .m_revision = 3 } });
-  fixture.m_items.Apply(kTopic,
-                        { { .m_key = "b", .m_value = "1", .m_revision = 5 } });
-  fixture.m_items.Apply(kTopic, { { .m_key = "a", .m_revision = 8 } });
-  const auto changes = fixture.m_items.ChangesSince(kTopic, 3);
+  fixture.m_items.Apply(
+    kTopic, kEpoch, { { .m_key = "a", .m_value = "1", .m_revision = 3 } });
+  fixture.m_items.Apply(
+    kTopic, kEpoch, { { .m_key = "b", .m_value = "1", .m_revision = 5 } });
+  fixture.m_items.Apply(kTopic, kEpoch, { { .m_key = "a", .m_revision = 8 } });
+  const auto changes = fixture.m_items.ChangesSince(kTopic, Version(3));
   REQUIRE(changes);
   REQUIRE(changes->size() == 2);
   CHECK(changes->at(0).m_key == "b");
   CHECK_FALSE(changes->at(1).m_value);
   // No changes are retained from before the latest snapshot.
   fixture.m_items.Replace(
-    kTopic, { .m_revision = 8 }, 20, RemovalReason::Published);
-  CHECK_FALSE(fixture.m_items.ChangesSince(kTopic, 5));
-  CHECK(fixture.m_items.ChangesSince(kTopic, 8));
+    kTopic, { .m_version = Version(8) }, Version(20), RemovalReason::Published);
+  CHECK_FALSE(fixture.m_items.ChangesSince(kTopic, Version(5)));
+  CHECK(fixture.m_items.ChangesSince(kTopic, Version(8)));
 }
 
 TEST_CASE("old changes are not retained")
@@ -98,10 +106,12 @@
   Fixture fixture;
   for (std::uint64_t revision = 1; revision <= 500; ++revision) {
     fixture.m_items.Apply(
-      kTopic, { { .m_key = "a", .m_value = "1", .m_revision = revision } });
+      kTopic,
+      kEpoch,
+      { { .m_key = "a", .m_value = "1", .m_revision = revision } });
   }
-  CHECK_FALSE(fixture.m_items.ChangesSince(kTopic, 1));
-  const auto changes = fixture.m_items.ChangesSince(kTopic, 490);
+  CHECK_FALSE(fixture.m_items.ChangesSince(kTopic, Version(1)));
+  const auto changes = fixture.m_items.ChangesSince(kTopic, Version(490));
   REQUIRE(changes);
   CHECK(changes->size() == 10);
 }
@@ -110,11 +120,12 @@
 {
   Fixture fixture;
   fixture.m_items.Apply(kTopic,
+                        kEpoch,
                         { { .m_key = "a", .m_value = "1", .m_revision = 4 },
                           { .m_key = "a", .m_revision = 6 } });
   fixture.Seen();
-  fixture.m_items.Apply(kTopic,
-                        { { .m_key = "a", .m_value = "1", .m_revision = 4 } });
+  fixture.m_items.Apply(
+    kTopic, kEpoch, { { .m_key = "a", .m_value = "1", .m_revision = 4 } });
   CHECK(fixture.Seen().empty());
   CHECK(fixture.m_items.Find(kTopic)->m_items.empty());
 }
@@ -123,12 +134,41 @@
 {
   Fixture fixture;
   fixture.m_items.Apply(kTopic,
+                        kEpoch,
                         { { .m_key = "a", .m_value = "1", .m_revision = 2 },
                           { .m_key = "a", .m_revision = 3 } });
   CHECK(fixture.Seen() == Seen{ "a=1", "a=removed" });
-  CHECK(fixture.m_items.RevisionOf(kTopic) == 3);
+  CHECK(fixture.m_items.VersionOf(kTopic) == Version(3));
   CHECK(fixture.m_items.Find(kTopic)->m_items.empty());
 }
 
+TEST_CASE("a snapshot of a later epoch replaces a higher revision")
+{
+  Fixture fixture;
+  fixture.m_items.Apply(kTopic,
+                        kEpoch,
+                        { { .m_key = "a", .m_value = "1", .m_revision = 60 },
+                          { .m_key = "b", .m_value = "1", .m_revision = 61 } });
+  fixture.Seen();
+  const TopicVersion restored{ .m_epoch = StoreEpoch(2), .m_revision = 4 };
+  CHECK(fixture.m_items.Replace(
+    kTopic,
+    { .m_version = restored, .m_items = { { "a", "2" } } },
+    restored,
+    RemovalReason::Published));
+  CHECK(fixture.Seen() == Seen{ "b=lapsed", "a=2" });
+  CHECK(fixture.m_items.VersionOf(kTopic) == restored);
+  CHECK_FALSE(fixture.m_items.ChangesSince(kTopic, Version(61)));
+  CHECK(fixture.m_items.Apply(
+          kTopic,
+          kEpoch,
+          { { .m_key = "a", .m_value = "1", .m_revision = 70 } }) == 0);
+  CHECK_FALSE(fixture.m_items.Replace(kTopic,
+                                      { .m_version = Version(80) },
+                                      Version(80),
+                                      RemovalReason::Published));
+  CHECK(fixture.Seen().empty());
+}
+
 } // namespace
 } // namespace rattanweir
--- a/testing/configuration_freshness/configuration_fleet.cc
+++ b/testing/configuration_freshness/configuration_fleet.cc
@@ -78,8 +78,8 @@
   FleetMember& self = m_fleet.Self();
   self.m_readsStore = m_storeReader.IsStoreReachable();
   self.m_configVersion = SectionVersion(VersionInForce());
-  for (const auto& [topic, revision] : m_published.Revisions()) {
-    self.m_publishedRevisions[topic.Value()] = revision;
+  for (const auto& [topic, version] : m_published.Versions()) {
+    self.m_publishedVersions[topic.Value()] = version;
   }
 }
 
@@ -101,13 +101,13 @@
 Task<void>
 ConfigurationFleet::Tick()
 {
-  std::map<const ConfigurationInstance*, std::uint64_t> announced;
+  std::map<const ConfigurationInstance*, TopicVersion> announced;
   while (!m_isStopped) {
     for (const auto& instance : m_instances) {
       instance->m_registry.Tick();
-      const std::uint64_t revision =
-        instance->m_published.RevisionOf(TopicId(platform::kOperatorTopic));
-      if (std::exchange(announced[instance.get()], revision) != revision) {
+      const TopicVersion version =
+        instance->m_published.VersionOf(TopicId(platform::kOperatorTopic));
+      if (std::exchange(announced[instance.get()], version) != version) {
         instance->m_gossip.Announce();
       }
     }
--- a/testing/configuration_freshness/configuration_freshness_test.cc
+++ b/testing/configuration_freshness/configuration_freshness_test.cc
@@ -82,6 +82,7 @@
     // The only event of this change reached the first instance.
     aFleet.m_instances[0]->m_published.Apply(
       TopicId(platform::kOperatorTopic),
+      StoreEpoch(copy.m_era),
       { { .m_key = "op/config",
           .m_value = R"({"version":13,"routes":[],"services":[]})",
           .m_revision = 60 } });
