Keep to drains, removals and evacuations that a restored store has lost

What callers would see: after the store comes back from an older copy, requests go to servers that have left (421, or no response), to servers that are leaving, and to zones that are being evacuated, until the operator and the servers have written again.

Keys and accounts' limits are part of the configuration, whose version never goes back in a process.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -130,7 +130,8 @@
   , m_recordApplier({ .m_published = m_published,
                       .m_registry = m_registry,
                       .m_config = m_config,
-                      .m_metrics = m_metrics })
+                      .m_metrics = m_metrics,
+                      .m_clock = m_clock })
   , m_backendUpstream({ .m_executor = m_context.get_executor(),
                         .m_clock = m_clock,
                         .m_connectTimeout = kBackendConnectTimeout,
@@ -469,6 +470,7 @@
   CancelSource never;
   while (!m_isStopped) {
     m_registry.Tick();
+    m_recordApplier.Tick();
     EvictRemovedServers();
     ApplyPeerUsages();
     UpdateStoreReading();
--- a/rattanweir/process/backend_registry/backend_registry.cc
+++ b/rattanweir/process/backend_registry/backend_registry.cc
@@ -21,7 +21,7 @@
 }
 
 bool
-BackendRegistry::Put(const ServerRecord& aRecord)
+BackendRegistry::Put(const ServerRecord& aRecord, RecordOrigin aOrigin)
 {
   const auto region = m_options.m_regionOfZone.find(aRecord.m_zone);
   if (region == m_options.m_regionOfZone.end()) {
@@ -41,7 +41,16 @@
     server.m_coldUntil =
       std::max(server.m_coldUntil, entry.m_server.m_coldUntil);
   }
-  entry = { .m_server = std::move(server) };
+  const auto removed = m_removed.find(server.m_incarnation);
+  std::optional<SteadyTime> confirmAt;
+  if (removed != m_removed.end()) {
+    server.m_record.m_isDraining |= removed->second.m_wasDraining;
+    server.m_isUnconfirmed = aOrigin == RecordOrigin::Restored;
+  }
+  if (server.m_isUnconfirmed) {
+    confirmAt = m_options.m_clock.SteadyNow() + m_options.m_confirmationTime;
+  }
+  entry = { .m_server = std::move(server), .m_confirmAt = confirmAt };
   return true;
 }
 
@@ -73,6 +82,10 @@
   Entry& entry = aEntry->second;
   if (aReason == RemovalReason::Published ||
       entry.m_server.m_record.m_isDraining) {
+    m_removed[entry.m_server.m_incarnation] = {
+      .m_at = m_options.m_clock.SteadyNow(),
+      .m_wasDraining = entry.m_server.m_record.m_isDraining,
+    };
     m_servers.erase(aEntry);
   } else if (!entry.m_removeAt) {
     entry.m_removeAt =
@@ -131,6 +144,15 @@
   std::erase_if(m_servers, [now](const auto& aEntry) {
     return aEntry.second.m_removeAt && *aEntry.second.m_removeAt <= now;
   });
+  std::erase_if(m_removed, [&](const auto& aRemoved) {
+    return now - aRemoved.second.m_at > m_options.m_removalMemory;
+  });
+  for (auto& [id, entry] : m_servers) {
+    if (entry.m_confirmAt && *entry.m_confirmAt <= now) {
+      entry.m_server.m_isUnconfirmed = false;
+      entry.m_confirmAt.reset();
+    }
+  }
 }
 
 std::vector<const RegisteredServer*>
--- a/rattanweir/process/backend_registry/backend_registry.h
+++ b/rattanweir/process/backend_registry/backend_registry.h
@@ -16,6 +16,10 @@
 // stays in use for a grace period after the store is reachable again and is
 // removed unless its entry reappears by then.
 //
+// A store that was restored from an older copy may list servers again that have
+// left since. A removed incarnation that reappears in this way is not used
+// until its entry is published again or has outlived its server's heartbeats.
+//
 // A server is cold for some time after its start, or after its evacuated zone
 // is restored; callers of this class limit the request rate to a cold server.
 //
@@ -66,10 +70,12 @@
   SteadyTime m_coldUntil;
   // The server's zone is being evacuated.
   bool m_isEvacuated = false;
+  // The entry reappeared in a restored store, and the server may be gone.
+  bool m_isUnconfirmed = false;
 
   bool AcceptsRequests() const
   {
-    return !m_record.m_isDraining && !m_isEvacuated;
+    return !m_record.m_isDraining && !m_isEvacuated && !m_isUnconfirmed;
   }
 };
 
@@ -81,6 +87,14 @@
   Lapsed,
 };
 
+enum class RecordOrigin
+{
+  // The server wrote the record.
+  Published,
+  // The record was read from a store that was restored from an older copy.
+  Restored,
+};
+
 struct BackendRegistryOptions
 {
   const Clock& m_clock;
@@ -90,6 +104,11 @@
   // one heartbeat interval of the server plus a margin.
   std::chrono::nanoseconds m_lapseGracePeriod{ std::chrono::milliseconds(
     2'500) };
+  // How long a reappeared entry stands until its server counts as running: the
+  // store removes it after three heartbeat intervals without a renewal.
+  std::chrono::nanoseconds m_confirmationTime{ std::chrono::seconds(4) };
+  // How long removed incarnations are remembered.
+  std::chrono::nanoseconds m_removalMemory{ std::chrono::minutes(2) };
 };
 
 class BackendRegistry
@@ -98,7 +117,8 @@
   explicit BackendRegistry(BackendRegistryOptions aOptions);
 
   // Adds or renews an entry. Returns false if its zone is unknown.
-  bool Put(const ServerRecord& aRecord);
+  bool Put(const ServerRecord& aRecord,
+           RecordOrigin aOrigin = RecordOrigin::Published);
 
   // Removes the entry immediately or, if it lapsed, after the grace period. A
   // draining server is removed immediately in both cases.
@@ -126,7 +146,8 @@
   // Records that a different server responded at this incarnation's address.
   void MarkReplaced(const BackendServerId& aIncarnation);
 
-  // Removes the lapsed servers whose grace period is over. Call periodically.
+  // Removes the lapsed servers whose grace period is over, and confirms the
+  // entries that have stood for long enough. Call periodically.
   void Tick();
 
   // Returns the servers of a pool in a region, including draining and evacuated
@@ -156,6 +177,14 @@
     RegisteredServer m_server;
     // End of the grace period; set if the entry lapsed.
     std::optional<SteadyTime> m_removeAt;
+    // Set if the server is unconfirmed.
+    std::optional<SteadyTime> m_confirmAt;
+  };
+  // An incarnation whose entry was removed.
+  struct Removed
+  {
+    SteadyTime m_at;
+    bool m_wasDraining = false;
   };
 
   using Entries = std::map<BackendServerId, Entry>;
@@ -165,6 +194,7 @@
 
   BackendRegistryOptions m_options;
   Entries m_servers;
+  std::map<BackendServerId, Removed> m_removed;
   std::set<AvailabilityZoneId> m_evacuatedZones;
 };
 
--- a/rattanweir/process/published/published_items.cc
+++ b/rattanweir/process/published/published_items.cc
@@ -28,7 +28,9 @@
   if (aAsOf < current.m_version) {
     return false;
   }
-  if (aAsOf.m_epoch != current.m_version.m_epoch) {
+  const bool isRestored = current.m_version != TopicVersion() &&
+                          aAsOf.m_epoch != current.m_version.m_epoch;
+  if (isRestored) {
     aReason = RemovalReason::Lapsed;
   }
   aSnapshot.m_version = std::max(aSnapshot.m_version, current.m_version);
@@ -36,13 +38,16 @@
   const TopicSnapshot previous = std::exchange(current, std::move(aSnapshot));
   for (const auto& [key, value] : previous.m_items) {
     if (!current.m_items.contains(key)) {
-      NotifyListener(aTopic, { .m_key = key, .m_removal = aReason });
+      NotifyListener(
+        aTopic,
+        { .m_key = key, .m_removal = aReason, .m_isRestored = isRestored });
     }
   }
   for (const auto& [key, value] : current.m_items) {
     const auto before = previous.m_items.find(key);
     if (before == previous.m_items.end() || before->second != value) {
-      NotifyListener(aTopic, { .m_key = key, .m_value = value });
+      NotifyListener(
+        aTopic, { .m_key = key, .m_value = value, .m_isRestored = isRestored });
     }
   }
   return true;
--- a/rattanweir/process/published/published_items.h
+++ b/rattanweir/process/published/published_items.h
@@ -43,6 +43,9 @@
   RemovalReason m_removal = RemovalReason::Published;
   // 0 in a change that PublishedItems::Replace reports.
   std::uint64_t m_revision = 0;
+  // The change was read in the first snapshot of an epoch: it may be older than
+  // what was known before, or be undone as soon as the owner writes again.
+  bool m_isRestored = false;
 };
 
 // All items of a topic.
--- a/testing/configuration_freshness/configuration_fleet.cc
+++ b/testing/configuration_freshness/configuration_fleet.cc
@@ -43,7 +43,8 @@
   , m_applier({ .m_published = m_published,
                 .m_registry = m_registry,
                 .m_config = m_config,
-                .m_metrics = m_metrics })
+                .m_metrics = m_metrics,
+                .m_clock = SystemClock() })
   , m_gossip({ .m_executor = aContext.get_executor(),
                .m_clock = SystemClock(),
                .m_random = m_random,
@@ -111,6 +112,7 @@
   while (!m_isStopped) {
     for (const auto& instance : m_instances) {
       instance->m_registry.Tick();
+      instance->m_applier.Tick();
       const TopicVersion version =
         instance->m_published.VersionOf(TopicId(platform::kOperatorTopic));
       if (std::exchange(announced[instance.get()], version) != version) {
