Read the configuration again while peers have a newer one in force

What callers would see: an instance that misses the event of a configuration, in whatever way, serves the old one until the next change of that topic (CONFIG).

Cause: an instance compared what it knows with its sources only by their revisions; nothing noticed that a revision was covered without its change.

Change: gossip names the version in force of each instance already.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -126,6 +126,7 @@
   , m_retries(
       { .m_clock = m_clock, .m_limits = MakeRetryLimits(*m_settings.m_fleet) })
   , m_coldLimiter({ .m_clock = m_clock })
+  , m_configLag({ .m_clock = m_clock })
   , m_queues(m_context.get_executor())
   , m_recordApplier({ .m_published = m_published,
                       .m_registry = m_registry,
@@ -434,6 +435,11 @@
   } else {
     m_storeReader.SetReadingEnabled(false);
   }
+  const FleetConfigPtr config = m_config.InForce();
+  if (m_configLag.ShouldReadAgain(config ? config->Version() : SectionVersion(),
+                                  m_fleet.NewestConfigOfPeers())) {
+    m_storeReader.ReadAgain(TopicId(platform::kOperatorTopic));
+  }
   const auto versions = m_published.Versions();
   if (m_storeReader.IsStoreReachable() && versions != m_announcedVersions) {
     m_announcedVersions = versions;
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -17,6 +17,7 @@
 #include "rattanweir/connection/gossip/gossip.h"
 #include "rattanweir/connection/http_client/http_client.h"
 #include "rattanweir/connection/http_server/http_server.h"
+#include "rattanweir/process/config_lag/config_lag.h"
 #include "rattanweir/process/settings/settings.h"
 #include "rattanweir/request/gateway/gateway_handlers.h"
 
@@ -84,6 +85,7 @@
   FleetRetryBudget m_retries;
   ColdServerLimiter m_coldLimiter;
   PublishedItems m_published;
+  ConfigLagDetector m_configLag;
   PoolQueues m_queues;
   const platform::PlatformProtocol m_protocol;
   platform::RecordApplier m_recordApplier;
--- a/rattanweir/process/fleet/fleet_view.cc
+++ b/rattanweir/process/fleet/fleet_view.cc
@@ -284,6 +284,16 @@
   return peers;
 }
 
+SectionVersion
+FleetView::NewestConfigOfPeers() const
+{
+  SectionVersion newest;
+  for (const FleetMember* peer : LivePeers()) {
+    newest = std::max(newest, peer->m_configVersion);
+  }
+  return newest;
+}
+
 std::vector<const FleetMember*>
 FleetView::ServingMembers() const
 {
--- a/rattanweir/process/fleet/fleet_view.h
+++ b/rattanweir/process/fleet/fleet_view.h
@@ -175,6 +175,10 @@
   std::vector<const FleetMember*> LivePeers() const;
   std::vector<const FleetMember*> LivePeersIn(const RegionId& aRegion) const;
 
+  // Returns the highest version of the configuration that a live peer has in
+  // force, or 0 without one.
+  SectionVersion NewestConfigOfPeers() const;
+
   // Returns the members that are live, ready and not draining, this instance
   // included.
   std::vector<const FleetMember*> ServingMembers() const;
--- a/testing/configuration_freshness/configuration_fleet.cc
+++ b/testing/configuration_freshness/configuration_fleet.cc
@@ -113,6 +113,11 @@
     for (const auto& instance : m_instances) {
       instance->m_registry.Tick();
       instance->m_applier.Tick();
+      if (instance->m_configLag.ShouldReadAgain(
+            SectionVersion(instance->VersionInForce()),
+            instance->m_fleet.NewestConfigOfPeers())) {
+        instance->m_storeReader.ReadAgain(TopicId(platform::kOperatorTopic));
+      }
       const TopicVersion version =
         instance->m_published.VersionOf(TopicId(platform::kOperatorTopic));
       if (std::exchange(announced[instance.get()], version) != version) {
--- a/testing/configuration_freshness/configuration_fleet.h
+++ b/testing/configuration_freshness/configuration_fleet.h
@@ -12,6 +12,7 @@
 #include "platform/store/store_reader.h"
 #include "rattanweir/connection/gossip/gossip.h"
 #include "rattanweir/process/backend_registry/backend_registry.h"
+#include "rattanweir/process/config_lag/config_lag.h"
 #include "testing/gossip_network/gossip_network.h"
 #include "testing/stand_in_store/stand_in_store.h"
 
@@ -43,6 +44,7 @@
   FleetView m_fleet;
   BackendRegistry m_registry;
   PublishedItems m_published;
+  ConfigLagDetector m_configLag{ { .m_clock = SystemClock() } };
   platform::RecordApplier m_applier;
   Gossip m_gossip;
   platform::StoreReader m_storeReader;
--- a/testing/configuration_freshness/configuration_freshness_test.cc
+++ b/testing/configuration_freshness/configuration_freshness_test.cc
@@ -126,5 +126,22 @@
   }
 }
 
+TEST_CASE("an instance that skipped a change which its peers have in force "
+          "reads it in time")
+{
+  RunFleet({ .m_instances = 3 }, [](ConfigurationFleet& aFleet) -> Task<void> {
+    aFleet.PublishConfig(10);
+    CHECK(co_await aFleet.WaitForVersion(10, kApplyTime));
+    // The first instance gets the change after the next one only.
+    aFleet.m_instances[0]->m_published.Apply(
+      TopicId(platform::kOperatorTopic),
+      StoreEpoch(1),
+      { { .m_key = "op/other", .m_value = "{}", .m_revision = 4 } });
+    aFleet.PublishConfig(22);
+    aFleet.m_store.Put("op/other", "{}");
+    CHECK(co_await aFleet.WaitForVersion(22, kApplyTime));
+  });
+}
+
 } // namespace
 } // namespace rattanweir::testing
