--- a/testing/fleet_soak/fleet_soak_test.cc
+++ b/testing/fleet_soak/fleet_soak_test.cc
@@ -303,7 +303,7 @@
       m_instances[UniformIndex(m_random, m_instances.size())];
     const std::size_t server = UniformIndex(m_random, m_servers.size());
     const milliseconds length(500 + UniformIndex(m_random, 2'500));
-    switch (UniformIndex(m_random, 9)) {
+    switch (UniformIndex(m_random, 10)) {
       case 0:
         co_await RestartAfterSignal(instance, SIGKILL, length);
         break;
@@ -338,11 +338,34 @@
         co_await Sleep(length);
         m_links[server]->Set(LinkState::Open);
         break;
+      case 8:
+        co_await RestoreStore(length);
+        break;
       default:
         PublishConfig();
     }
   }
 
+  // The store loses what was written during the given time. The operator and
+  // the servers write it again at once.
+  Task<void> RestoreStore(milliseconds aLength)
+  {
+    const StandInStore::Copy copy = m_store.TakeCopy();
+    co_await Sleep(aLength);
+    const StandInStore::Copy lost = m_store.TakeCopy();
+    m_store.Restore(copy);
+    for (const auto& [key, item] : lost.m_items) {
+      if (item.m_revision <= copy.m_revision) {
+        continue;
+      }
+      if (item.m_isRemoved) {
+        m_store.Remove(key);
+      } else {
+        m_store.Put(key, item.m_value);
+      }
+    }
+  }
+
   Task<void> RestartAfterSignal(Instance& aInstance,
                                 int aSignal,
                                 milliseconds aLength)
