Read the limits that backend servers name, and log their changes

Server-Limit is decoded, kept for each incarnation of a server, logged when it begins, changes or ends (server_limit_named, server_limit_ended), and rattanweir_limited_server_requests_total counts what is sent to such servers. Nothing is decided by it yet.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -126,6 +126,7 @@
   , m_retries(
       { .m_clock = m_clock, .m_limits = MakeRetryLimits(*m_settings.m_fleet) })
   , m_coldLimiter({ .m_clock = m_clock })
+  , m_serverLimits({ .m_clock = m_clock })
   , m_configLag({ .m_clock = m_clock })
   , m_queues(m_context.get_executor())
   , m_recordApplier({ .m_published = m_published,
@@ -242,6 +243,7 @@
            .m_rates = m_rates,
            .m_retries = m_retries,
            .m_coldLimiter = m_coldLimiter,
+           .m_serverLimits = m_serverLimits,
            .m_queues = m_queues,
            .m_metrics = m_metrics,
            .m_backendUpstream = m_backendUpstream,
@@ -422,6 +424,7 @@
   m_backends.KeepOnly(known);
   m_parts.KeepOnly(known);
   m_coldLimiter.KeepOnly(known);
+  m_serverLimits.KeepOnly(known);
 }
 
 // Enables reading from the store at start and if the instance is one of the few
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -84,6 +84,7 @@
   AccountRates m_rates;
   FleetRetryBudget m_retries;
   ColdServerLimiter m_coldLimiter;
+  ServerLimits m_serverLimits;
   PublishedItems m_published;
   ConfigLagDetector m_configLag;
   PoolQueues m_queues;
--- a/rattanweir/base/units/units.h
+++ b/rattanweir/base/units/units.h
@@ -68,6 +68,9 @@
 // Tokens per second.
 using TokenRate = Quantity<double, struct TokenRateTag>;
 
+// Requests per second.
+using RequestRate = Quantity<double, struct RequestRateTag>;
+
 // Bytes of memory or on the wire.
 using ByteCount = Quantity<std::uint64_t, struct ByteCountTag>;
 
--- a/rattanweir/request/gateway/gateway_state.h
+++ b/rattanweir/request/gateway/gateway_state.h
@@ -19,6 +19,7 @@
 #include "rattanweir/process/fleet/fleet_view.h"
 #include "rattanweir/process/metrics/metrics.h"
 #include "rattanweir/process/part_cache/part_cache.h"
+#include "rattanweir/process/server_limits/server_limits.h"
 #include "rattanweir/process/shared_budget/shared_budget.h"
 #include "rattanweir/request/exchange/exchange.h"
 #include "rattanweir/request/gateway/pool_queues.h"
@@ -45,6 +46,7 @@
   AccountRates& m_rates;
   FleetRetryBudget& m_retries;
   ColdServerLimiter& m_coldLimiter;
+  ServerLimits& m_serverLimits;
   PoolQueues& m_queues;
   Metrics& m_metrics;
   Upstream& m_backendUpstream;
--- a/rattanweir/request/gateway/gateway_test.cc
+++ b/rattanweir/request/gateway/gateway_test.cc
@@ -89,6 +89,7 @@
                       .m_rates = fixture.m_rates,
                       .m_retries = fixture.m_retries,
                       .m_coldLimiter = fixture.m_coldLimiter,
+                      .m_serverLimits = fixture.m_serverLimits,
                       .m_queues = fixture.m_queues,
                       .m_metrics = fixture.m_metrics,
                       .m_backendUpstream = fixture.m_upstream,
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -260,6 +260,9 @@
       m_state.m_clock.SteadyNow() - aCandidate.m_state.m_queue->m_at;
   }
   const Pool* pool = m_request.m_config->FindPool(m_request.m_pool);
+  if (m_state.m_serverLimits.RateOf(server.m_incarnation)) {
+    m_state.m_metrics.Count("rattanweir_limited_server_requests_total");
+  }
   if (pool != nullptr && server.m_coldUntil > m_state.m_clock.SteadyNow()) {
     RecordColdRequest(*pool, server);
   }
@@ -281,6 +284,7 @@
       .m_resumeAfter = ResumeAfter() });
   OutboundRequest outbound = MakeOutbound(std::move(fields));
   outbound.m_needsFreshConnection = !m_request.m_route.IsRetryable();
+  const SteadyTime sentAt = m_state.m_clock.SteadyNow();
   try {
     const auto exchange = co_await m_state.m_backendUpstream.Send(
       server.m_record.m_endpoint, std::move(outbound), m_cancel);
@@ -293,7 +297,7 @@
     std::function<void()> onFirstByte = [&] {
       m_report.m_timeToFirstByte = dispatch.RecordResponseStart();
     };
-    co_await ReadResponse(*exchange, server, std::move(onFirstByte));
+    co_await ReadResponse(*exchange, server, sentAt, std::move(onFirstByte));
     dispatch.EndWith(ResultCode::Ok);
   } catch (const RequestError& error) {
     dispatch.EndWith(error.Code());
@@ -323,11 +327,12 @@
 Task<void>
 RequestDispatcher::ReadResponse(UpstreamExchange& aExchange,
                                 const RegisteredServer& aServer,
+                                SteadyTime aSentAt,
                                 std::function<void()> aOnFirstByte)
 {
   ResponseHead head = co_await aExchange.ReadHead();
   const ResponseInfo info = m_state.m_protocol.ReadResponse(head);
-  RecordServerState(aServer, info);
+  RecordServerState(aServer, info, aSentAt);
   CheckResponse(head, info);
   ResponseForwarder forwarder({ .m_sink = m_sink,
                                 .m_progress = m_progress,
@@ -337,7 +342,8 @@
 
 void
 RequestDispatcher::RecordServerState(const RegisteredServer& aServer,
-                                     const ResponseInfo& aInfo)
+                                     const ResponseInfo& aInfo,
+                                     SteadyTime aSentAt)
 {
   if (aInfo.m_isMisdirected) {
     m_state.m_registry.MarkReplaced(aServer.m_incarnation);
@@ -356,6 +362,33 @@
   if (aInfo.m_coldRemaining) {
     m_state.m_registry.MarkCold(aServer.m_incarnation, *aInfo.m_coldRemaining);
   }
+  RecordServerLimit(aServer, aInfo, aSentAt);
+}
+
+void
+RequestDispatcher::RecordServerLimit(const RegisteredServer& aServer,
+                                     const ResponseInfo& aInfo,
+                                     SteadyTime aSentAt)
+{
+  // Only the server's own response to this request can end a limit.
+  const bool isForThisRequest =
+    !aInfo.m_request || *aInfo.m_request == m_request.m_info.m_id;
+  const bool canEndLimit =
+    isForThisRequest && (aInfo.m_isSealed || aInfo.m_isNotRun);
+  if (aInfo.m_hasInvalidRequestLimit ||
+      (!aInfo.m_requestLimit && !canEndLimit)) {
+    return;
+  }
+  if (!m_state.m_serverLimits.RecordResponse(
+        aServer.m_incarnation,
+        { .m_named = aInfo.m_requestLimit, .m_sentAt = aSentAt })) {
+    return;
+  }
+  const std::optional<RequestRate>& named = aInfo.m_requestLimit;
+  Log(LogLevel::Info,
+      named ? "server_limit_named" : "server_limit_ended",
+      { { "server", aServer.m_incarnation.Value() },
+        { "per_second", named ? std::to_string(named->Value()) : "none" } });
 }
 
 // Throws RequestError unless the response is to be forwarded.
--- a/rattanweir/request/gateway/request_dispatcher.h
+++ b/rattanweir/request/gateway/request_dispatcher.h
@@ -75,6 +75,7 @@
   Task<void> SendToRegion(RegionId aRegion);
   Task<void> ReadResponse(UpstreamExchange& aExchange,
                           const RegisteredServer& aServer,
+                          SteadyTime aSentAt,
                           std::function<void()> aOnFirstByte);
   void CheckResponse(const ResponseHead& aHead,
                      const ResponseInfo& aInfo) const;
@@ -82,7 +83,11 @@
   // of instances that share the server's limit.
   void RecordColdRequest(const Pool& aPool, const RegisteredServer& aServer);
   void RecordServerState(const RegisteredServer& aServer,
-                         const ResponseInfo& aInfo);
+                         const ResponseInfo& aInfo,
+                         SteadyTime aSentAt);
+  void RecordServerLimit(const RegisteredServer& aServer,
+                         const ResponseInfo& aInfo,
+                         SteadyTime aSentAt);
   [[noreturn]] void ThrowRefusal(const Refuse& aRefusal) const;
   [[noreturn]] void ThrowWaitedTooLong() const;
   void ThrowUnlessRetried(const RequestError& aFailure);
--- a/rattanweir/request/gateway/wire_protocol.h
+++ b/rattanweir/request/gateway/wire_protocol.h
@@ -89,6 +89,11 @@
   std::optional<QueueInfo> m_queue;
   // How long the server stays cold, if stated.
   std::optional<std::chrono::nanoseconds> m_coldRemaining;
+  // The most requests a second that the server takes from all instances
+  // together, if stated.
+  std::optional<RequestRate> m_requestLimit;
+  // The response states a limit that cannot be read.
+  bool m_hasInvalidRequestLimit = false;
 };
 
 class WireProtocol
--- a/testing/gateway_fixture/gateway_fixture.cc
+++ b/testing/gateway_fixture/gateway_fixture.cc
@@ -164,6 +164,9 @@
   if (const auto* id = FindHeader(aHead.m_headers, "id")) {
     info.m_request = RequestId(*id);
   }
+  if (const auto* limit = FindHeader(aHead.m_headers, "limit")) {
+    info.m_requestLimit = RequestRate(std::stod(*limit));
+  }
   return info;
 }
 
@@ -219,6 +222,7 @@
              .m_rates = m_rates,
              .m_retries = m_retries,
              .m_coldLimiter = m_coldLimiter,
+             .m_serverLimits = m_serverLimits,
              .m_queues = m_queues,
              .m_metrics = m_metrics,
              .m_backendUpstream = m_upstream,
--- a/testing/gateway_fixture/gateway_fixture.h
+++ b/testing/gateway_fixture/gateway_fixture.h
@@ -113,6 +113,7 @@
   AccountRates m_rates{ { .m_clock = m_clock, .m_initialBurstFraction = 1 } };
   FleetRetryBudget m_retries;
   ColdServerLimiter m_coldLimiter{ { .m_clock = m_clock } };
+  ServerLimits m_serverLimits{ { .m_clock = m_clock } };
   PoolQueues m_queues;
   Metrics m_metrics;
   ScriptedUpstream m_upstream{ m_context };
