Contact the seeds while no member is live

What callers would see: an instance that starts beside members that are gone may not learn of the running ones for 10 s and more; it then considers itself alone and uses the limits of its whole region.

Cause: seeds are contacted if a round has no other target, else in one round of eight. A stale member counted as a target, also if it is gone for good.

The new case of process_fleet_test failed 14 of 20 rounds.

--- a/rattanweir/process/fleet/fleet_view.cc
+++ b/rattanweir/process/fleet/fleet_view.cc
@@ -237,10 +237,12 @@
       RandomCount(std::min(1.0, m_options.m_targetsInOtherRegions / regionSize),
                   aRandom));
   }
-  if (targets.empty() || UniformIndex(aRandom, kRoundsPerStaleTarget) == 0) {
+  const bool hasNoLiveTarget = targets.empty();
+  if (hasNoLiveTarget || UniformIndex(aRandom, kRoundsPerStaleTarget) == 0) {
     choose(stale, 1);
   }
-  if (targets.empty() || UniformIndex(aRandom, kRoundsPerSeedExchange) == 0) {
+  // Stale members may all be gone.
+  if (hasNoLiveTarget || UniformIndex(aRandom, kRoundsPerSeedExchange) == 0) {
     std::ranges::copy_if(
       m_seeds, std::back_inserter(targets), [&](const Endpoint& aSeed) {
         return aSeed != self.m_peerAddress;
--- a/rattanweir/process/fleet/fleet_view_test.cc
+++ b/rattanweir/process/fleet/fleet_view_test.cc
@@ -117,6 +117,18 @@
   CHECK(wasContacted);
 }
 
+TEST_CASE("an instance that knows only stale members contacts its seeds in each "
+          "round")
+{
+  View view;
+  view.m_fleet.SetSeeds({ AddressOf(2) });
+  view.Receive(Record(4), IdOf(4));
+  view.m_clock.Advance(seconds(60));
+  for (int round = 0; round < 20; ++round) {
+    CHECK(Contains(view.m_fleet.ChooseTargets(view.m_random, false), 2));
+  }
+}
+
 TEST_CASE("an unreachable member is not live until it sends a record itself")
 {
   View view;
