--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -125,7 +125,7 @@
       { .m_clock = m_clock, .m_tolerance = RateTolerance(*m_settings.m_fleet) })
   , m_retries(
       { .m_clock = m_clock, .m_limits = MakeRetryLimits(*m_settings.m_fleet) })
-  , m_coldLimiter({ .m_clock = m_clock })
+  , m_rateLimiter({ .m_clock = m_clock })
   , m_serverLimits({ .m_clock = m_clock })
   , m_configLag({ .m_clock = m_clock })
   , m_queues(m_context.get_executor())
@@ -242,7 +242,7 @@
            .m_parts = m_parts,
            .m_rates = m_rates,
            .m_retries = m_retries,
-           .m_coldLimiter = m_coldLimiter,
+           .m_rateLimiter = m_rateLimiter,
            .m_serverLimits = m_serverLimits,
            .m_queues = m_queues,
            .m_metrics = m_metrics,
@@ -375,6 +375,7 @@
 {
   FleetMember& self = m_fleet.Self();
   self.m_usages = m_rates.LocalUsages();
+  self.m_serverLimits = m_serverLimits.ToAdvertise();
   self.m_readsStore = m_storeReader.IsStoreReachable();
   self.m_publishedVersions.clear();
   for (const auto& [topic, version] : m_published.Versions()) {
@@ -410,6 +411,26 @@
   m_retries.SetFleetSize(m_fleet.FleetSize());
 }
 
+// Applies what the peers of the region know of the limits of its servers.
+void
+FleetDaemon::ApplyPeerLimits()
+{
+  for (const FleetMember* peer : m_fleet.LivePeersIn(m_fleet.Self().m_region)) {
+    for (const auto& [server, limit] : peer->m_serverLimits) {
+      if (m_registry.Find(server) != nullptr &&
+          m_serverLimits.Merge(server, limit)) {
+        Log(LogLevel::Info,
+            "server_limit_from_peer",
+            { { "server", server.Value() },
+              { "peer", peer->m_id.Value() },
+              { "per_second",
+                limit.m_rate ? std::to_string(limit.m_rate->Value())
+                             : "none" } });
+      }
+    }
+  }
+}
+
 // Evicts servers that are no longer registered from the views, which keep one
 // entry per incarnation of a server.
 void
@@ -423,7 +444,7 @@
   const std::set<BackendServerId> known = m_registry.Incarnations();
   m_backends.KeepOnly(known);
   m_parts.KeepOnly(known);
-  m_coldLimiter.KeepOnly(known);
+  m_rateLimiter.KeepOnly(known);
   m_serverLimits.KeepOnly(known);
 }
 
@@ -482,6 +503,7 @@
     m_recordApplier.Tick();
     EvictRemovedServers();
     ApplyPeerUsages();
+    ApplyPeerLimits();
     UpdateStoreReading();
     UpdateReadiness();
     if (HasSettingsChanged()) {
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -55,6 +55,7 @@
   void UpdateSelf();
   void EvictRemovedServers();
   void ApplyPeerUsages();
+  void ApplyPeerLimits();
   void UpdateStoreReading();
   void UpdateReadiness();
   void ReloadSettings(const char* aReason);
@@ -83,7 +84,7 @@
   PartCacheView m_parts;
   AccountRates m_rates;
   FleetRetryBudget m_retries;
-  ColdServerLimiter m_coldLimiter;
+  ServerRateLimiter m_rateLimiter;
   ServerLimits m_serverLimits;
   PublishedItems m_published;
   ConfigLagDetector m_configLag;
--- a/rattanweir/connection/gossip/gossip_messages.cc
+++ b/rattanweir/connection/gossip/gossip_messages.cc
@@ -161,9 +161,33 @@
     value["delay_ms"][pool.Value()] = Json::UInt64(static_cast<std::uint64_t>(
       duration_cast<milliseconds>(report.m_startDelay).count()));
   }
+  for (const auto& [server, limit] : aRecord.m_serverLimits) {
+    Json::Value entry(Json::arrayValue);
+    entry.append(Json::UInt64(limit.m_version));
+    entry.append(limit.m_rate ? Json::Value(limit.m_rate->Value())
+                              : Json::Value());
+    value["limits"][server.Value()] = std::move(entry);
+  }
   return value;
 }
 
+NamedLimit
+ServerLimitFromJson(const Json::Value& aValue)
+{
+  const bool hasVersion =
+    aValue.isArray() && aValue.size() == 2 && aValue[0].isUInt64();
+  const bool hasRate =
+    hasVersion && aValue[1].isNumeric() && aValue[1].asDouble() >= 0;
+  if (!hasRate && !(hasVersion && aValue[1].isNull())) {
+    throw RpcError("limits: expected [VERSION, RATE or null]");
+  }
+  NamedLimit limit{ .m_version = aValue[0].asUInt64() };
+  if (hasRate) {
+    limit.m_rate = RequestRate(aValue[1].asDouble());
+  }
+  return limit;
+}
+
 FleetMember
 RecordFromJson(const Json::Value& aValue)
 {
@@ -200,6 +224,13 @@
     const milliseconds delay(GetUnsigned(delays, pool.c_str()));
     record.m_pools.emplace(PoolId(pool), PoolReport{ .m_startDelay = delay });
   }
+  if (aValue.isMember("limits")) {
+    const Json::Value& limits = GetObject(aValue, "limits");
+    for (const std::string& server : limits.getMemberNames()) {
+      record.m_serverLimits.emplace(server,
+                                    ServerLimitFromJson(limits[server]));
+    }
+  }
   return record;
 }
 
--- a/rattanweir/connection/gossip/gossip_test.cc
+++ b/rattanweir/connection/gossip/gossip_test.cc
@@ -1,5 +1,6 @@
 #include "rattanweir/base/asio/asio.h"
 
+#include "rattanweir/base/json/json.h"
 #include "rattanweir/connection/gossip/gossip.h"
 #include "rattanweir/connection/gossip/gossip_messages.h"
 #include "testing/gossip_network/gossip_network.h"
@@ -208,6 +209,9 @@
   record.m_usages[ClientAccountId("anna")] = { .m_demand = 120,
                                                .m_admitted = 9'000 };
   record.m_pools[PoolId("p")].m_startDelay = milliseconds(40);
+  record.m_serverLimits[BackendServerId("s@1")] = { .m_rate = RequestRate(2.5),
+                                                    .m_version = 3 };
+  record.m_serverLimits[BackendServerId("t@1")] = { .m_version = 4 };
   const std::vector<FleetMember> records =
     FleetMembersFromJson(ToJson({ record }));
   REQUIRE(records.size() == 1);
@@ -223,6 +227,7 @@
   CHECK(usage.m_demand == 120);
   CHECK(usage.m_admitted == 9'000);
   CHECK(records[0].m_pools.at(PoolId("p")).m_startDelay == milliseconds(40));
+  CHECK(records[0].m_serverLimits == record.m_serverLimits);
 }
 
 TEST_CASE(
@@ -249,6 +254,14 @@
     CHECK_THROWS_WITH(FleetMembersFromJson(broken),
                       "usage: expected ACCOUNT=DEMAND:ADMITTED,");
   }
+  for (const char* limit : { "3", "[1]", "[1,-2]", "[1,\"x\"]", "[-1,2]" }) {
+    INFO(limit);
+    Json::Value broken = message;
+    broken["rows"][0]["seq"] = 4;
+    broken["rows"][0]["limits"]["s"] = *ParseJson(limit);
+    CHECK_THROWS_WITH(FleetMembersFromJson(broken),
+                      "limits: expected [VERSION, RATE or null]");
+  }
   Fixture fixture(1);
   const std::string response = fixture.m_instances[0]->m_gossip.HandleCall(
     EncodeRpcRequest(kGossipMethod, message));
--- a/rattanweir/process/fleet/fleet_view.cc
+++ b/rattanweir/process/fleet/fleet_view.cc
@@ -338,22 +338,27 @@
 }
 
 RegionShare
-FleetView::ShareOfRegion() const
+FleetView::ShareOfRegion(std::chrono::nanoseconds aPartitionTime) const
 {
+  const SteadyTime now = m_options.m_clock.SteadyNow();
   RegionShare share;
-  std::size_t running = 1;
+  std::size_t stale = 0;
+  std::size_t recentlySeen = 0;
   for (const auto& [id, entry] : m_members) {
     if (entry.m_record.m_region != m_options.m_self.m_region) {
       continue;
     }
-    const bool isLive = IsLive(entry);
-    if (isLive) {
+    if (IsLive(entry)) {
       share.m_peers.push_back(&entry.m_record);
+    } else if (!entry.m_record.m_isDraining) {
+      ++stale;
+      recentlySeen += now - entry.m_lastSeenAt <= aPartitionTime ? 1 : 0;
     }
-    running += isLive || !entry.m_record.m_isDraining ? 1 : 0;
   }
-  const double liveFraction = static_cast<double>(share.m_peers.size() + 1) /
-                              static_cast<double>(running);
+  const std::size_t live = share.m_peers.size() + 1;
+  const std::size_t cutOff = share.m_peers.empty() ? stale : recentlySeen;
+  const double liveFraction =
+    static_cast<double>(live) / static_cast<double>(live + cutOff);
   share.m_fraction = liveFraction < kMinLiveFraction ? liveFraction : 1;
   return share;
 }
--- a/rattanweir/process/fleet/fleet_view.h
+++ b/rattanweir/process/fleet/fleet_view.h
@@ -22,6 +22,7 @@
 #include "rattanweir/base/random/random.h"
 #include "rattanweir/process/account_rate/account_rates.h"
 #include "rattanweir/process/published/topic_version.h"
+#include "rattanweir/process/server_limits/server_limits.h"
 
 #include <chrono>
 #include <cstddef>
@@ -68,6 +69,9 @@
   // What callers requested from the instance, by client account.
   AccountUsages m_usages;
   std::map<PoolId, PoolReport> m_pools;
+  // What the instance knows of the limits that servers of its region have
+  // named, by incarnation of the server.
+  std::map<BackendServerId, NamedLimit> m_serverLimits;
 };
 
 struct FleetViewOptions
@@ -194,8 +198,10 @@
   bool HasSettled() const;
 
   // Returns the part of the region's limits that this instance and the members
-  // that it can reach may use.
-  RegionShare ShareOfRegion() const;
+  // that it can reach may use. Members that were not seen for longer than
+  // `aPartitionTime` count as gone, unless this instance reaches no member.
+  RegionShare ShareOfRegion(
+    std::chrono::nanoseconds aPartitionTime = std::chrono::minutes(10)) const;
 
   // Returns the number of instances by which budgets of the entire fleet are
   // divided: this instance and all that may be running, but at least the number
--- a/rattanweir/process/fleet/fleet_view_test.cc
+++ b/rattanweir/process/fleet/fleet_view_test.cc
@@ -117,8 +117,9 @@
   CHECK(wasContacted);
 }
 
-TEST_CASE("an instance that knows only stale members contacts its seeds in each "
-          "round")
+TEST_CASE(
+  "an instance that knows only stale members contacts its seeds in each "
+  "round")
 {
   View view;
   view.m_fleet.SetSeeds({ AddressOf(2) });
@@ -276,5 +277,19 @@
   CHECK(view.m_fleet.ShareOfRegion().m_fraction == Approx(0.4));
 }
 
+TEST_CASE(
+  "members that were not seen for the partition time count as gone while "
+  "another member is live")
+{
+  View view;
+  view.m_fleet.Merge(MessageNaming({ 2, 4, 6, 8 }), IdOf(2));
+  view.m_clock.Advance(seconds(30));
+  view.m_fleet.Merge(MessageNaming({ 2 }, 2), IdOf(2));
+  CHECK(view.m_fleet.ShareOfRegion().m_fraction == Approx(0.4));
+  CHECK(view.m_fleet.ShareOfRegion(seconds(10)).m_fraction == 1);
+  view.m_clock.Advance(seconds(30));
+  CHECK(view.m_fleet.ShareOfRegion(seconds(10)).m_fraction == Approx(0.2));
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/process/server_limits/server_limits.cc
+++ b/rattanweir/process/server_limits/server_limits.cc
@@ -1,39 +1,76 @@
 #include "rattanweir/process/server_limits/server_limits.h"
 
 namespace rattanweir {
+namespace {
+
+// Returns whether the first limit permits more than the second one.
+bool
+IsHigher(const std::optional<RequestRate>& aFirst,
+         const std::optional<RequestRate>& aSecond)
+{
+  return aSecond && (!aFirst || *aFirst > *aSecond);
+}
+
+} // namespace
 
 bool
 ServerLimits::RecordResponse(const BackendServerId& aIncarnation,
                              const LimitStatement& aStatement)
 {
   const auto found = m_entries.find(aIncarnation);
-  if (found == m_entries.end()) {
-    if (aStatement.m_named) {
-      m_entries[aIncarnation] = { .m_rate = aStatement.m_named,
-                                  .m_changedAt =
-                                    m_options.m_clock.SteadyNow() };
-    }
-    return aStatement.m_named.has_value();
-  }
-  Entry& entry = found->second;
-  if (entry.m_rate == aStatement.m_named) {
+  const NamedLimit known =
+    found == m_entries.end() ? NamedLimit() : found->second.m_limit;
+  if (known.m_rate == aStatement.m_named) {
     return false;
   }
-  const bool isRaised = entry.m_rate && (!aStatement.m_named ||
-                                         *aStatement.m_named > *entry.m_rate);
-  if (isRaised && aStatement.m_sentAt < entry.m_changedAt) {
+  if (IsHigher(aStatement.m_named, known.m_rate) &&
+      aStatement.m_sentAt < found->second.m_changedAt) {
     return false;
   }
-  entry = { .m_rate = aStatement.m_named,
-            .m_changedAt = m_options.m_clock.SteadyNow() };
+  m_entries[aIncarnation] = {
+    .m_limit = { .m_rate = aStatement.m_named,
+                 .m_version = known.m_version + 1 },
+    .m_changedAt = m_options.m_clock.SteadyNow(),
+  };
   return true;
 }
 
+bool
+ServerLimits::Merge(const BackendServerId& aIncarnation,
+                    const NamedLimit& aLimit)
+{
+  const auto [found, isNew] = m_entries.try_emplace(aIncarnation);
+  Entry& entry = found->second;
+  const NamedLimit known = entry.m_limit;
+  const bool isNewer = aLimit.m_version > known.m_version ||
+                       (aLimit.m_version == known.m_version &&
+                        IsHigher(known.m_rate, aLimit.m_rate));
+  if (!isNewer) {
+    return false;
+  }
+  entry = { .m_limit = aLimit, .m_changedAt = m_options.m_clock.SteadyNow() };
+  return aLimit.m_rate != known.m_rate;
+}
+
+std::map<BackendServerId, NamedLimit>
+ServerLimits::ToAdvertise() const
+{
+  const SteadyTime oldestEnd =
+    m_options.m_clock.SteadyNow() - m_options.m_endMemory;
+  std::map<BackendServerId, NamedLimit> limits;
+  for (const auto& [incarnation, entry] : m_entries) {
+    if (entry.m_limit.m_rate || entry.m_changedAt >= oldestEnd) {
+      limits.emplace(incarnation, entry.m_limit);
+    }
+  }
+  return limits;
+}
+
 std::optional<RequestRate>
 ServerLimits::RateOf(const BackendServerId& aIncarnation) const
 {
   const auto found = m_entries.find(aIncarnation);
-  return found == m_entries.end() ? std::nullopt : found->second.m_rate;
+  return found == m_entries.end() ? std::nullopt : found->second.m_limit.m_rate;
 }
 
 void
--- a/rattanweir/process/server_limits/server_limits.h
+++ b/rattanweir/process/server_limits/server_limits.h
@@ -3,10 +3,12 @@
 //
 //   ServerLimits limits({ .m_clock = clock });
 //   limits.RecordResponse(server, { .m_named = RequestRate(2.5), ... });
+//   limits.Merge(server, limitOfPeer);
 //   if (const auto rate = limits.RateOf(server)) ...
 //
 // A server names its limit in each response for as long as it needs the limit;
-// a response without one ends it. Not thread-safe.
+// a response without one ends it. An instance that gets no responses of the
+// server learns both from its peers. Not thread-safe.
 
 #pragma once
 
@@ -14,6 +16,8 @@
 #include "rattanweir/base/ids/ids.h"
 #include "rattanweir/base/units/units.h"
 
+#include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -29,9 +33,23 @@
   SteadyTime m_sentAt;
 };
 
+// What an instance knows of a server's limit, for its peers.
+struct NamedLimit
+{
+  // nullopt: the limit has ended.
+  std::optional<RequestRate> m_rate;
+  // Incremented by each instance that notices a change in a response. Of two
+  // versions the higher one is newer.
+  std::uint64_t m_version = 0;
+
+  friend bool operator==(const NamedLimit&, const NamedLimit&) = default;
+};
+
 struct ServerLimitsOptions
 {
   const Clock& m_clock;
+  // How long the end of a limit is told to peers.
+  std::chrono::nanoseconds m_endMemory{ std::chrono::minutes(1) };
 };
 
 class ServerLimits
@@ -49,6 +67,14 @@
   bool RecordResponse(const BackendServerId& aIncarnation,
                       const LimitStatement& aStatement);
 
+  // Merges what a peer knows. Of two limits of the same version the lower one
+  // is kept. Returns true if the limit has changed.
+  bool Merge(const BackendServerId& aIncarnation, const NamedLimit& aLimit);
+
+  // Returns what is to be told to peers: the limits that hold, and those that
+  // have ended recently.
+  std::map<BackendServerId, NamedLimit> ToAdvertise() const;
+
   // Returns the limit, or nullopt if the server has none.
   std::optional<RequestRate> RateOf(const BackendServerId& aIncarnation) const;
 
@@ -58,7 +84,7 @@
 private:
   struct Entry
   {
-    std::optional<RequestRate> m_rate;
+    NamedLimit m_limit;
     SteadyTime m_changedAt;
   };
 
--- a/rattanweir/process/server_limits/server_limits_test.cc
+++ b/rattanweir/process/server_limits/server_limits_test.cc
@@ -60,5 +60,44 @@
   CHECK_FALSE(fixture.m_limits.RateOf(kServer));
 }
 
+TEST_CASE("the newest limit that any instance has heard of wins")
+{
+  Fixture fixture;
+  ServerLimits peer({ .m_clock = fixture.m_clock });
+  const auto exchange = [&] {
+    for (const auto& [server, limit] : fixture.m_limits.ToAdvertise()) {
+      peer.Merge(server, limit);
+    }
+    for (const auto& [server, limit] : peer.ToAdvertise()) {
+      fixture.m_limits.Merge(server, limit);
+    }
+  };
+  fixture.Respond(RequestRate(2.5));
+  exchange();
+  CHECK(peer.RateOf(kServer) == RequestRate(2.5));
+  fixture.m_clock.Advance(milliseconds(100));
+  peer.RecordResponse(kServer, { .m_sentAt = fixture.m_clock.SteadyNow() });
+  exchange();
+  CHECK_FALSE(fixture.m_limits.RateOf(kServer));
+  CHECK(fixture.m_limits.ToAdvertise() == peer.ToAdvertise());
+  CHECK(fixture.Respond(RequestRate(1)));
+  peer.RecordResponse(
+    kServer,
+    { .m_named = RequestRate(3), .m_sentAt = fixture.m_clock.SteadyNow() });
+  exchange();
+  CHECK(peer.RateOf(kServer) == RequestRate(1));
+  CHECK(fixture.m_limits.RateOf(kServer) == RequestRate(1));
+}
+
+TEST_CASE("the end of a limit is advertised for a minute")
+{
+  Fixture fixture;
+  fixture.Respond(RequestRate(1));
+  fixture.Respond(std::nullopt);
+  CHECK(fixture.m_limits.ToAdvertise().size() == 1);
+  fixture.m_clock.Advance(std::chrono::seconds(61));
+  CHECK(fixture.m_limits.ToAdvertise().empty());
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/process/shared_budget/shared_budget.cc
+++ b/rattanweir/process/shared_budget/shared_budget.cc
@@ -7,6 +7,13 @@
 #include <string>
 
 namespace rattanweir {
+namespace {
+
+// Requests per second at which a server with a lower limit is still asked: its
+// responses are the only way to learn that the limit has ended.
+constexpr double kMinRate = 0.05;
+
+} // namespace
 
 FleetRetryBudget::FleetRetryBudget(const FleetRetryBudgetOptions& aOptions)
   : m_options(aOptions)
@@ -65,68 +72,78 @@
   }
 }
 
-ColdServerLimiter::ColdServerLimiter(const ColdServerLimiterOptions& aOptions)
+ServerRateLimiter::ServerRateLimiter(const ServerRateLimiterOptions& aOptions)
   : m_options(aOptions)
 {
 }
 
-bool
-ColdServerLimiter::Permits(const ColdServerQuery& aQuery) const
+ServerRatePermit
+ServerRateLimiter::PermitFor(const ServerRateQuery& aQuery) const
 {
-  const std::optional<Seconds> interval = SendingInterval(aQuery);
-  if (!interval) {
-    return false;
+  if (!aQuery.m_areInstancesKnown) {
+    return {};
+  }
+  const Share share = ShareOf(aQuery);
+  if (!share.m_isSelected) {
+    return { .m_wait = share.m_interval };
   }
-  const auto lastSent = m_lastSentAt.find(aQuery.m_server);
-  return lastSent == m_lastSentAt.end() ||
-         m_options.m_clock.SteadyNow() - lastSent->second >= *interval;
+  const auto counted = m_countedFrom.find(aQuery.m_server);
+  if (counted == m_countedFrom.end()) {
+    return { .m_isGranted = true, .m_interval = share.m_interval };
+  }
+  const std::chrono::nanoseconds wait =
+    counted->second + share.m_interval - m_options.m_clock.SteadyNow();
+  return { .m_isGranted = wait <= std::chrono::nanoseconds::zero(),
+           .m_wait = std::max(wait, std::chrono::nanoseconds::zero()),
+           .m_interval = share.m_interval };
 }
 
 bool
-ColdServerLimiter::RecordRequest(const ColdServerQuery& aQuery)
+ServerRateLimiter::RecordRequest(const ServerRateQuery& aQuery)
 {
-  return m_lastSentAt
-    .insert_or_assign(aQuery.m_server, m_options.m_clock.SteadyNow())
-    .second;
+  const SteadyTime now = m_options.m_clock.SteadyNow();
+  const auto [counted, isFirst] =
+    m_countedFrom.try_emplace(aQuery.m_server, now);
+  if (!isFirst) {
+    counted->second = std::max(counted->second + ShareOf(aQuery).m_interval,
+                               now - aQuery.m_maxBurst);
+  }
+  return isFirst;
 }
 
 void
-ColdServerLimiter::KeepOnly(const std::set<BackendServerId>& aListed)
+ServerRateLimiter::KeepOnly(const std::set<BackendServerId>& aListed)
 {
-  std::erase_if(m_lastSentAt, [&](const auto& aEntry) {
+  std::erase_if(m_countedFrom, [&](const auto& aEntry) {
     return !aListed.contains(aEntry.first);
   });
 }
 
-std::optional<ColdServerLimiter::Seconds>
-ColdServerLimiter::SendingInterval(const ColdServerQuery& aQuery) const
+ServerRateLimiter::Share
+ServerRateLimiter::ShareOf(const ServerRateQuery& aQuery)
 {
-  const double usable = m_options.m_usedFraction * aQuery.m_requestsPerSecond;
-  if (!aQuery.m_areInstancesKnown || usable <= 0) {
-    return std::nullopt;
-  }
+  const double rate = std::max(aQuery.m_rate.Value(), kMinRate);
   // Rendezvous hashing: the instances with the highest weights for this server
   // send to it.
   const auto weight = [&](const InstanceId& aInstance) {
     const std::string text = aInstance.Value() + '\0' + aQuery.m_server.Value();
     return XXH64(text.data(), text.size(), 0);
   };
-  const auto maxSenders = static_cast<std::size_t>(std::ceil(usable));
+  const double maxSenders = std::ceil(rate);
   const std::uint64_t selfWeight = weight(aQuery.m_self);
   std::size_t heavierInstances = 0;
-  std::size_t senders = 1;
+  std::size_t instances = 1;
   for (const InstanceId& instance : aQuery.m_instances) {
     if (instance == aQuery.m_self) {
       continue;
     }
-    ++senders;
+    ++instances;
     heavierInstances += weight(instance) > selfWeight ? 1 : 0;
   }
-  senders = std::min(senders, maxSenders);
-  if (heavierInstances >= senders) {
-    return std::nullopt;
-  }
-  return Seconds(static_cast<double>(senders) / usable);
+  const double senders = std::min(static_cast<double>(instances), maxSenders);
+  return { .m_isSelected = static_cast<double>(heavierInstances) < senders,
+           .m_interval = std::chrono::duration_cast<std::chrono::nanoseconds>(
+             std::chrono::duration<double>(senders / rate)) };
 }
 
 } // namespace rattanweir
--- a/rattanweir/process/shared_budget/shared_budget.h
+++ b/rattanweir/process/shared_budget/shared_budget.h
@@ -7,12 +7,15 @@
 //   retries.AddRequest(pool);
 //   if (retries.TryConsumeRetry(pool)) ...
 //
-//   ColdServerLimiter cold({ .m_clock = clock });
-//   const ColdServerQuery query{ .m_server = id,
-//                                .m_requestsPerSecond = 9.8,
+//   ServerRateLimiter limiter({ .m_clock = clock });
+//   const ServerRateQuery query{ .m_server = id,
+//                                .m_rate = RequestRate(9.8),
 //                                .m_self = self,
 //                                .m_instances = ids };
-//   if (cold.Permits(query)) { cold.RecordRequest(query); ... }
+//   if (limiter.PermitFor(query).m_isGranted) {
+//     limiter.RecordRequest(query);
+//     ...
+//   }
 //
 // Not thread-safe.
 
@@ -20,6 +23,7 @@
 
 #include "rattanweir/base/clock/clock.h"
 #include "rattanweir/base/ids/ids.h"
+#include "rattanweir/base/units/units.h"
 
 #include <chrono>
 #include <cstddef>
@@ -85,13 +89,16 @@
   std::map<PoolId, Usage> m_usage;
 };
 
-// Asks whether an instance may send a request to a cold server: one that has
-// started recently and accepts only a limited request rate.
-struct ColdServerQuery
+// Asks whether an instance may send a request to a server that takes only a
+// limited rate from all instances together: one that has started recently, or
+// one that has named a limit.
+struct ServerRateQuery
 {
   BackendServerId m_server;
-  // The rate that the server accepts from all instances together.
-  double m_requestsPerSecond = 0;
+  // The rate that the instances use together.
+  RequestRate m_rate;
+  // How much unused time an instance may make up for by sending faster.
+  std::chrono::nanoseconds m_maxBurst{};
   InstanceId m_self;
   // All instances that may send requests to the server, including `m_self`.
   std::vector<InstanceId> m_instances;
@@ -100,47 +107,60 @@
   bool m_areInstancesKnown = true;
 };
 
-struct ColdServerLimiterOptions
+struct ServerRatePermit
+{
+  bool m_isGranted = false;
+  // If the permit is not granted: the time until the next one, of this instance
+  // or of an instance that may send to the server. 0 while unknown.
+  std::chrono::nanoseconds m_wait{};
+  // The least time between two requests of this instance; 0 if it is not one of
+  // those that send to the server.
+  std::chrono::nanoseconds m_interval{};
+};
+
+struct ServerRateLimiterOptions
 {
   const Clock& m_clock;
-  // Fraction of the server's rate that the instances use. Less than 1, since
-  // instances may disagree on which of them send to the server.
-  double m_usedFraction = 0.8;
 };
 
-// Limits the rate at which this instance sends requests to cold servers. If the
-// server's rate does not suffice for one request per second from each instance,
-// only some instances send, which all instances select by hash. Each of them
-// sends at most one request per second. The number of requests that arrive in
-// any second is then at most the number of selected instances, so that it
-// exceeds the server's rate only as far as the instances disagree on the
-// selection.
-class ColdServerLimiter
+// Limits the rate at which this instance sends requests to servers with a
+// limited rate. If the rate does not suffice for one request per second from
+// each instance, only some instances send, which all instances select by hash.
+// Each of them sends at most one request per second. The number of requests
+// that arrive in any second is then at most the number of selected instances,
+// so that it exceeds the server's rate only as far as the instances disagree on
+// the selection.
+class ServerRateLimiter
 {
 public:
-  explicit ColdServerLimiter(const ColdServerLimiterOptions& aOptions);
+  explicit ServerRateLimiter(const ServerRateLimiterOptions& aOptions);
 
-  // Returns true if this instance may send a request to the server now. Records
+  // Returns whether this instance may send a request to the server now. Records
   // nothing.
-  bool Permits(const ColdServerQuery& aQuery) const;
+  ServerRatePermit PermitFor(const ServerRateQuery& aQuery) const;
 
   // Records that a request is sent to the server now. Returns true if it is the
   // first one that this instance sends to the server.
-  bool RecordRequest(const ColdServerQuery& aQuery);
+  bool RecordRequest(const ServerRateQuery& aQuery);
 
   // Removes the state of all servers that are not in `aListed`.
   void KeepOnly(const std::set<BackendServerId>& aListed);
 
 private:
-  using Seconds = std::chrono::duration<double>;
+  // This instance's part in sending to one server.
+  struct Share
+  {
+    bool m_isSelected = false;
+    // The minimum time between two requests of a selected instance.
+    std::chrono::nanoseconds m_interval{};
+  };
 
-  // Returns the minimum time between two requests that this instance sends to
-  // the server, or nullopt if it may not send any.
-  std::optional<Seconds> SendingInterval(const ColdServerQuery& aQuery) const;
+  static Share ShareOf(const ServerRateQuery& aQuery);
 
-  ColdServerLimiterOptions m_options;
-  // Time of the last request to each server.
-  std::map<BackendServerId, SteadyTime> m_lastSentAt;
+  ServerRateLimiterOptions m_options;
+  // For each server the time from which the next interval is counted: that of
+  // the last request, or up to the maximum burst earlier.
+  std::map<BackendServerId, SteadyTime> m_countedFrom;
 };
 
 } // namespace rattanweir
--- a/rattanweir/process/shared_budget/shared_budget_test.cc
+++ b/rattanweir/process/shared_budget/shared_budget_test.cc
@@ -36,6 +36,9 @@
   CHECK(consumeAll() == 10);
 }
 
+// What the instances use of the rate of a cold server.
+constexpr double kUsedFraction = 0.8;
+
 // Returns the maximum number of requests that all instances together send
 // within any second.
 std::size_t
@@ -43,20 +46,21 @@
 {
   ManualClock clock;
   std::vector<InstanceId> ids;
-  std::vector<ColdServerLimiter> limiters;
+  std::vector<ServerRateLimiter> limiters;
   for (int number = 0; number < aInstances; ++number) {
     ids.emplace_back("i" + std::to_string(number));
-    limiters.emplace_back(ColdServerLimiterOptions{ .m_clock = clock });
+    limiters.emplace_back(ServerRateLimiterOptions{ .m_clock = clock });
   }
   std::deque<SteadyTime> sent;
   std::size_t maxSent = 0;
   for (int step = 0; step < 3'000; ++step) {
     for (std::size_t index = 0; index < ids.size(); ++index) {
-      const ColdServerQuery query{ .m_server = BackendServerId("s"),
-                                   .m_requestsPerSecond = aPerSecond,
+      const ServerRateQuery query{ .m_server = BackendServerId("s"),
+                                   .m_rate =
+                                     RequestRate(kUsedFraction * aPerSecond),
                                    .m_self = ids[index],
                                    .m_instances = ids };
-      if (limiters[index].Permits(query)) {
+      if (limiters[index].PermitFor(query).m_isGranted) {
         limiters[index].RecordRequest(query);
         sent.push_back(clock.SteadyNow());
       }
@@ -87,13 +91,15 @@
 TEST_CASE("an instance that does not know the others sends no request")
 {
   ManualClock clock;
-  const ColdServerLimiter limiter({ .m_clock = clock });
+  const ServerRateLimiter limiter({ .m_clock = clock });
   const InstanceId self("a");
-  CHECK_FALSE(limiter.Permits({ .m_server = BackendServerId("s"),
-                                .m_requestsPerSecond = 40,
-                                .m_self = self,
-                                .m_instances = { self },
-                                .m_areInstancesKnown = false }));
+  CHECK_FALSE(limiter
+                .PermitFor({ .m_server = BackendServerId("s"),
+                             .m_rate = RequestRate(40),
+                             .m_self = self,
+                             .m_instances = { self },
+                             .m_areInstancesKnown = false })
+                .m_isGranted);
 }
 
 TEST_CASE("only one of two instances may send to a slow cold server")
@@ -102,16 +108,59 @@
   const std::vector<InstanceId> ids = { InstanceId("a"), InstanceId("b") };
   int permitted = 0;
   for (const InstanceId& self : ids) {
-    const ColdServerLimiter limiter({ .m_clock = clock });
-    permitted += limiter.Permits({ .m_server = BackendServerId("s"),
-                                   .m_requestsPerSecond = 1,
-                                   .m_self = self,
-                                   .m_instances = ids })
+    const ServerRateLimiter limiter({ .m_clock = clock });
+    permitted += limiter
+                     .PermitFor({ .m_server = BackendServerId("s"),
+                                  .m_rate = RequestRate(1),
+                                  .m_self = self,
+                                  .m_instances = ids })
+                     .m_isGranted
                    ? 1
                    : 0;
   }
   CHECK(permitted == 1);
 }
 
+TEST_CASE("unused time is made up for up to the maximum burst")
+{
+  ManualClock clock;
+  ServerRateLimiter limiter({ .m_clock = clock });
+  const InstanceId self("a");
+  const ServerRateQuery query{ .m_server = BackendServerId("s"),
+                               .m_rate = RequestRate(10),
+                               .m_maxBurst = milliseconds(500),
+                               .m_self = self,
+                               .m_instances = { self } };
+  const auto sendAll = [&] {
+    int sent = 0;
+    while (limiter.PermitFor(query).m_isGranted) {
+      limiter.RecordRequest(query);
+      ++sent;
+    }
+    return sent;
+  };
+  CHECK(sendAll() == 1);
+  CHECK(limiter.PermitFor(query).m_wait == milliseconds(100));
+  clock.Advance(seconds(60));
+  CHECK(sendAll() == 6);
+}
+
+TEST_CASE("a limit of almost nothing permits a request now and then")
+{
+  ManualClock clock;
+  ServerRateLimiter limiter({ .m_clock = clock });
+  const InstanceId self("a");
+  const ServerRateQuery query{ .m_server = BackendServerId("s"),
+                               .m_rate = RequestRate(0),
+                               .m_self = self,
+                               .m_instances = { self } };
+  CHECK(limiter.PermitFor(query).m_isGranted);
+  limiter.RecordRequest(query);
+  clock.Advance(seconds(19));
+  CHECK_FALSE(limiter.PermitFor(query).m_isGranted);
+  clock.Advance(seconds(1));
+  CHECK(limiter.PermitFor(query).m_isGranted);
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/request/gateway/cold_server_fleet_test.cc
+++ b/rattanweir/request/gateway/cold_server_fleet_test.cc
@@ -75,7 +75,7 @@
   }
 
   BackendRegistry m_registry;
-  ColdServerLimiter m_limiter;
+  ServerRateLimiter m_limiter;
 };
 
 // A fleet that sends to cold servers whatever its limiters permit. Every
@@ -160,12 +160,14 @@
       if (known->m_coldUntil <= m_fleet.Now()) {
         continue;
       }
-      const ColdServerQuery query =
-        ColdServerQueryFor(aProcess.m_fleet, m_pool, *known);
-      if (!aProcess.m_limiter.Permits(query)) {
+      const auto query = ServerRateQueryFor({ .m_fleet = aProcess.m_fleet,
+                                              .m_pool = m_pool,
+                                              .m_server = *known,
+                                              .m_now = m_fleet.Now() });
+      if (!query || !aProcess.m_limiter.PermitFor(*query).m_isGranted) {
         continue;
       }
-      aProcess.m_limiter.RecordRequest(query);
+      aProcess.m_limiter.RecordRequest(*query);
       SendTo(known->m_record.m_id);
     }
   }
--- a/rattanweir/request/gateway/gateway_report.cc
+++ b/rattanweir/request/gateway/gateway_report.cc
@@ -80,10 +80,7 @@
     }
     std::string operator()(const Refuse& aRefusal) const
     {
-      return std::string(InfoOf(aRefusal.m_hasServers
-                                  ? ResultCode::DeadlineTooShort
-                                  : ResultCode::NoBackendServer)
-                           .m_name);
+      return std::string(InfoOf(ResultCodeOf(aRefusal.m_reason)).m_name);
     }
   };
   return std::visit(PlacementDescriber{ aInput }, aPlacement);
@@ -110,7 +107,7 @@
       MillisecondsOf(EstimateTimeToFirstByte(input, candidate));
     server["requests"] = EstimateOccupancy(input, candidate);
     server["uncached_tokens"] = Json::Int64(candidate.m_uncached.Value());
-    server["cold_held_back"] = candidate.m_isColdLimitReached;
+    server["rate_limit_reached"] = candidate.m_isRateLimitReached;
     row["servers"].append(std::move(server));
   }
   row["without_work"] = Json::Value(Json::arrayValue);
--- a/rattanweir/request/gateway/gateway_state.h
+++ b/rattanweir/request/gateway/gateway_state.h
@@ -45,7 +45,7 @@
   PartCacheView& m_parts;
   AccountRates& m_rates;
   FleetRetryBudget& m_retries;
-  ColdServerLimiter& m_coldLimiter;
+  ServerRateLimiter& m_rateLimiter;
   ServerLimits& m_serverLimits;
   PoolQueues& m_queues;
   Metrics& m_metrics;
--- a/rattanweir/request/gateway/gateway_test.cc
+++ b/rattanweir/request/gateway/gateway_test.cc
@@ -88,7 +88,7 @@
                       .m_parts = fixture.m_parts,
                       .m_rates = fixture.m_rates,
                       .m_retries = fixture.m_retries,
-                      .m_coldLimiter = fixture.m_coldLimiter,
+                      .m_rateLimiter = fixture.m_rateLimiter,
                       .m_serverLimits = fixture.m_serverLimits,
                       .m_queues = fixture.m_queues,
                       .m_metrics = fixture.m_metrics,
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -78,6 +78,20 @@
                       retryAfter);
 }
 
+const char*
+TextOf(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::NoServer:
+      return "no backend server accepts requests";
+    case RefusalReason::DeadlineTooShort:
+      return "no backend server can start the response before the deadline";
+    case RefusalReason::RateLimitsReached:
+      return "the rate limits of all backend servers are reached";
+  }
+  return "";
+}
+
 } // namespace
 
 RequestDispatcher::RequestDispatcher(const RequestDispatcherOptions& aOptions)
@@ -120,14 +134,10 @@
   if (m_lastFailure) {
     throw WithRan(*m_lastFailure);
   }
-  throw RequestError(
-    aRefusal.m_hasServers ? ResultCode::DeadlineTooShort
-                          : ResultCode::NoBackendServer,
-    aRefusal.m_hasServers
-      ? "no backend server can start the response before the deadline"
-      : "no backend server accepts requests",
-    Ran::No,
-    std::chrono::ceil<milliseconds>(aRefusal.m_retryAfter));
+  throw RequestError(ResultCodeOf(aRefusal.m_reason),
+                     TextOf(aRefusal.m_reason),
+                     Ran::No,
+                     std::chrono::ceil<milliseconds>(aRefusal.m_retryAfter));
 }
 
 void
@@ -152,13 +162,20 @@
   WaitQueue& queue = m_state.m_queues.QueueOf(m_request.m_pool);
   const SchedulingKey schedulingKey{ .m_priority = m_request.m_priority,
                                      .m_arrivedAt = m_request.m_receivedAt };
+  PlacementInput input = BuildPlacementInput(Query());
+  input.m_requestsAhead = queue.SizeUpToPriority(m_request.m_priority);
+  const Placement placement = DecidePlacement(input);
+  if (const auto* refusal = std::get_if<Refuse>(&placement)) {
+    ThrowRefusal(*refusal);
+  }
+  if (!queue.HasWaiterAheadOf(schedulingKey) &&
+      !std::holds_alternative<KeepQueued>(placement)) {
+    co_return;
+  }
   const auto canProceed = [this] {
     return !std::holds_alternative<KeepQueued>(
       DecidePlacement(BuildPlacementInput(Query())));
   };
-  if (!queue.HasWaiterAheadOf(schedulingKey) && canProceed()) {
-    co_return;
-  }
   const SteadyTime waitStart = m_state.m_clock.SteadyNow();
   const SteadyTime waitDeadline =
     m_request.m_receivedAt +
@@ -260,11 +277,8 @@
       m_state.m_clock.SteadyNow() - aCandidate.m_state.m_queue->m_at;
   }
   const Pool* pool = m_request.m_config->FindPool(m_request.m_pool);
-  if (m_state.m_serverLimits.RateOf(server.m_incarnation)) {
-    m_state.m_metrics.Count("rattanweir_limited_server_requests_total");
-  }
-  if (pool != nullptr && server.m_coldUntil > m_state.m_clock.SteadyNow()) {
-    RecordColdRequest(*pool, server);
+  if (pool != nullptr) {
+    RecordLimitedRequest(*pool, server);
   }
   ServerDispatch dispatch({ .m_clock = m_state.m_clock,
                             .m_backends = m_state.m_backends,
@@ -306,22 +320,28 @@
 }
 
 void
-RequestDispatcher::RecordColdRequest(const Pool& aPool,
-                                     const RegisteredServer& aServer)
+RequestDispatcher::RecordLimitedRequest(const Pool& aPool,
+                                        const RegisteredServer& aServer)
 {
-  const ColdServerQuery query =
-    ColdServerQueryFor(m_state.m_fleet, aPool, aServer);
-  m_state.m_metrics.Count("rattanweir_cold_server_requests_total");
-  if (!m_state.m_coldLimiter.RecordRequest(query)) {
+  const ServerRateInput input = ServerRateInputOf(m_state, aPool, aServer);
+  const std::optional<ServerRateQuery> query = ServerRateQueryFor(input);
+  if (!query) {
+    return;
+  }
+  const bool isCold = input.HasColdLimit();
+  m_state.m_metrics.Count(isCold ? "rattanweir_cold_server_requests_total"
+                                 : "rattanweir_limited_server_requests_total");
+  if (!m_state.m_rateLimiter.RecordRequest(*query)) {
     return;
   }
   Log(LogLevel::Info,
-      "cold_server_used",
+      isCold ? "cold_server_used" : "limited_server_used",
       { { "server", aServer.m_incarnation.Value() },
-        { "instances", std::to_string(query.m_instances.size()) },
+        { "instances", std::to_string(query->m_instances.size()) },
+        { "per_second", std::to_string(query->m_rate.Value()) },
         { "cold_ms",
-          MillisecondsText(aServer.m_coldUntil -
-                           m_state.m_clock.SteadyNow()) } });
+          MillisecondsText(isCold ? aServer.m_coldUntil - input.m_now
+                                  : nanoseconds::zero()) } });
 }
 
 Task<void>
--- a/rattanweir/request/gateway/request_dispatcher.h
+++ b/rattanweir/request/gateway/request_dispatcher.h
@@ -79,9 +79,9 @@
                           std::function<void()> aOnFirstByte);
   void CheckResponse(const ResponseHead& aHead,
                      const ResponseInfo& aInfo) const;
-  // Counts a request to a cold server, and logs the first one with the number
-  // of instances that share the server's limit.
-  void RecordColdRequest(const Pool& aPool, const RegisteredServer& aServer);
+  // Counts a request to a server that takes only a limited rate, and logs the
+  // first one with the number of instances that share the rate.
+  void RecordLimitedRequest(const Pool& aPool, const RegisteredServer& aServer);
   void RecordServerState(const RegisteredServer& aServer,
                          const ResponseInfo& aInfo,
                          SteadyTime aSentAt);
--- a/rattanweir/request/gateway/server_candidates.cc
+++ b/rattanweir/request/gateway/server_candidates.cc
@@ -5,6 +5,7 @@
 #include "rattanweir/request/placement/placement_input.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace rattanweir {
 namespace {
@@ -48,6 +49,18 @@
   return holders[sharedPrefix.m_hash % holders.size()];
 }
 
+// Fractions of a server's rate that the instances use. Less than 1, since they
+// may disagree on which of them send to the server.
+constexpr double kUsedColdFraction = 0.8;
+constexpr double kUsedLimitFraction = 0.9;
+// How long instances that are not seen any more may still send to a server that
+// has named a limit. Cold servers tolerate no more than their rate, so that
+// they keep to the default.
+constexpr std::chrono::seconds kPartitionTime{ 10 };
+// How much unused time of a named limit is made up for. A cold server tolerates
+// no bursts.
+constexpr std::chrono::milliseconds kMaxBurst{ 500 };
+
 } // namespace
 
 std::size_t
@@ -87,10 +100,17 @@
         aQuery.m_promptTokens - aState.m_parts.EstimateCachedTokens(
                                   server->m_incarnation, aQuery.m_partChain));
     }
-    if (pool->m_coldRequestsPerSecond > 0 &&
-        server->m_coldUntil > aState.m_clock.SteadyNow()) {
-      candidate.m_isColdLimitReached = !aState.m_coldLimiter.Permits(
-        ColdServerQueryFor(aState.m_fleet, *pool, *server));
+    const ServerRateInput rate = ServerRateInputOf(aState, *pool, *server);
+    if (const auto query = ServerRateQueryFor(rate)) {
+      const ServerRatePermit permit = aState.m_rateLimiter.PermitFor(*query);
+      candidate.m_isRateLimitReached = !permit.m_isGranted;
+      if (rate.m_namedLimit) {
+        candidate.m_rateLimitedFor = permit.m_wait;
+        candidate.m_rateInterval = permit.m_interval;
+      } else {
+        candidate.m_rateLimitedFor =
+          std::min(permit.m_wait, server->m_coldUntil - rate.m_now);
+      }
     }
     candidates.push_back(std::move(candidate));
   }
@@ -110,19 +130,44 @@
   return candidates;
 }
 
-ColdServerQuery
-ColdServerQueryFor(const FleetView& aFleet,
-                   const Pool& aPool,
-                   const RegisteredServer& aServer)
+ServerRateInput
+ServerRateInputOf(const GatewayState& aState,
+                  const Pool& aPool,
+                  const RegisteredServer& aServer)
+{
+  return { .m_fleet = aState.m_fleet,
+           .m_pool = aPool,
+           .m_server = aServer,
+           .m_namedLimit = aState.m_serverLimits.RateOf(aServer.m_incarnation),
+           .m_now = aState.m_clock.SteadyNow() };
+}
+
+std::optional<ServerRateQuery>
+ServerRateQueryFor(const ServerRateInput& aInput)
 {
-  const RegionShare share = aFleet.ShareOfRegion();
-  const InstanceId& self = aFleet.Self().m_id;
-  ColdServerQuery query{ .m_server = aServer.m_incarnation,
-                         .m_requestsPerSecond =
-                           aPool.m_coldRequestsPerSecond * share.m_fraction,
-                         .m_self = self,
-                         .m_instances = { self },
-                         .m_areInstancesKnown = aFleet.HasSettled() };
+  const bool hasColdLimit = aInput.HasColdLimit();
+  if (!hasColdLimit && !aInput.m_namedLimit) {
+    return std::nullopt;
+  }
+  double rate = std::numeric_limits<double>::infinity();
+  if (hasColdLimit) {
+    rate = kUsedColdFraction * aInput.m_pool.m_coldRequestsPerSecond;
+  }
+  if (aInput.m_namedLimit) {
+    rate = std::min(rate, kUsedLimitFraction * aInput.m_namedLimit->Value());
+  }
+  const RegionShare share = hasColdLimit
+                              ? aInput.m_fleet.ShareOfRegion()
+                              : aInput.m_fleet.ShareOfRegion(kPartitionTime);
+  const InstanceId& self = aInput.m_fleet.Self().m_id;
+  ServerRateQuery query{
+    .m_server = aInput.m_server.m_incarnation,
+    .m_rate = RequestRate(rate * share.m_fraction),
+    .m_maxBurst = hasColdLimit ? std::chrono::nanoseconds::zero() : kMaxBurst,
+    .m_self = self,
+    .m_instances = { self },
+    .m_areInstancesKnown = aInput.m_fleet.HasSettled(),
+  };
   for (const FleetMember* peer : share.m_peers) {
     query.m_instances.push_back(peer->m_id);
   }
--- a/rattanweir/request/gateway/server_candidates.h
+++ b/rattanweir/request/gateway/server_candidates.h
@@ -35,12 +35,33 @@
 std::size_t
 InstancesInRegion(const GatewayState& aState);
 
-// Returns the query for ColdServerLimiter: the server, the rate limit of its
-// pool while cold, and the instances of this region that share the limit.
-ColdServerQuery
-ColdServerQueryFor(const FleetView& aFleet,
-                   const Pool& aPool,
-                   const RegisteredServer& aServer);
+// What determines the rate of requests to a server.
+struct ServerRateInput
+{
+  const FleetView& m_fleet;
+  const Pool& m_pool;
+  const RegisteredServer& m_server;
+  // The limit that the server has named, if any.
+  std::optional<RequestRate> m_namedLimit;
+  SteadyTime m_now;
+
+  // The pool limits the rate to servers that are cold.
+  bool HasColdLimit() const
+  {
+    return m_pool.m_coldRequestsPerSecond > 0 && m_server.m_coldUntil > m_now;
+  }
+};
+
+ServerRateInput
+ServerRateInputOf(const GatewayState& aState,
+                  const Pool& aPool,
+                  const RegisteredServer& aServer);
+
+// Returns the query for ServerRateLimiter: the server, the rate that it takes
+// while it is cold or has named a limit, and the instances of this region that
+// share the rate. Returns nullopt if the rate is not limited.
+std::optional<ServerRateQuery>
+ServerRateQueryFor(const ServerRateInput& aInput);
 
 // Estimates the time to first byte of a typical request that is sent to this
 // region now. Returns nullopt if no server of the pool accepts requests here.
--- a/rattanweir/request/placement/placement.cc
+++ b/rattanweir/request/placement/placement.cc
@@ -81,7 +81,7 @@
   BestCandidate best;
   for (std::size_t index = 0; index < aInput.m_servers.size(); ++index) {
     const ServerCandidate& server = aInput.m_servers[index];
-    if (server.m_isColdLimitReached || server.m_state.m_ejectedUntil ||
+    if (server.m_isRateLimitReached || server.m_state.m_ejectedUntil ||
         IsFull(aInput, server)) {
       continue;
     }
@@ -105,6 +105,30 @@
   return best;
 }
 
+// Returns the time until a server takes the next request if rate limits are all
+// that prevents it, or nullopt if another change may free a server earlier.
+std::optional<nanoseconds>
+RateLimitWait(const PlacementInput& aInput)
+{
+  std::optional<nanoseconds> wait;
+  // Requests per nanosecond that this instance sends to the servers.
+  double rate = 0;
+  for (const ServerCandidate& server : aInput.m_servers) {
+    if (!server.m_isRateLimitReached || aInput.m_isDiscovering) {
+      return std::nullopt;
+    }
+    wait = std::min(wait.value_or(nanoseconds::max()), server.m_rateLimitedFor);
+    if (server.m_rateInterval > nanoseconds::zero()) {
+      rate += 1 / static_cast<double>(server.m_rateInterval.count());
+    }
+  }
+  if (wait && rate > 0) {
+    const double ahead = static_cast<double>(aInput.m_requestsAhead) / rate;
+    *wait += nanoseconds(static_cast<std::int64_t>(ahead));
+  }
+  return wait;
+}
+
 } // namespace
 
 nanoseconds
@@ -151,6 +175,20 @@
          ScaleDuration(kFailurePenalty, state.m_failureRate);
 }
 
+ResultCode
+ResultCodeOf(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::DeadlineTooShort:
+      return ResultCode::DeadlineTooShort;
+    case RefusalReason::RateLimitsReached:
+      return ResultCode::TooManyRequests;
+    case RefusalReason::NoServer:
+      break;
+  }
+  return ResultCode::NoBackendServer;
+}
+
 Placement
 DecidePlacement(const PlacementInput& aInput)
 {
@@ -159,6 +197,12 @@
   const bool hasServers =
     !aInput.m_servers.empty() || !aInput.m_regions.empty();
   if (!server.m_index && !region.m_index) {
+    if (const auto wait = RateLimitWait(aInput);
+        wait && aInput.m_waited + *wait > aInput.m_maxQueueWait) {
+      return Refuse{ .m_reason = RefusalReason::RateLimitsReached,
+                     .m_retryAfter =
+                       std::max<nanoseconds>(kMinRetryAfter, *wait) };
+    }
     if (hasServers || aInput.m_isDiscovering) {
       return KeepQueued{};
     }
@@ -170,7 +214,7 @@
      region.m_estimate + aInput.m_regionMargin < server.m_estimate);
   const BestCandidate& best = isRegionBetter ? region : server;
   if (best.m_estimate >= aInput.m_untilDeadline) {
-    return Refuse{ .m_hasServers = true,
+    return Refuse{ .m_reason = RefusalReason::DeadlineTooShort,
                    .m_retryAfter =
                      std::max<nanoseconds>(kMinRetryAfter, best.m_estimate) };
   }
--- a/rattanweir/request/placement/placement.h
+++ b/rattanweir/request/placement/placement.h
@@ -32,6 +32,7 @@
 #pragma once
 
 #include "rattanweir/base/ids/ids.h"
+#include "rattanweir/base/result/result_code.h"
 #include "rattanweir/base/units/units.h"
 #include "rattanweir/process/backend_view/backend_view.h"
 
@@ -59,9 +60,15 @@
   std::chrono::nanoseconds m_copyCost{};
   // Maximum number of requests of this instance in flight to the server.
   unsigned m_maxInFlight = 0;
-  // Whether the server has a cold cache and this instance has used up its part
-  // of the requests that the server accepts in that state.
-  bool m_isColdLimitReached = false;
+  // Whether the server takes only a limited rate of requests, since it is cold
+  // or has named a limit, and this instance may not send one now.
+  bool m_isRateLimitReached = false;
+  // The time until this instance, or another one that may send to the server,
+  // sends the next request.
+  std::chrono::nanoseconds m_rateLimitedFor{};
+  // The least time between two requests of this instance to a server that has
+  // named a limit; 0 if it sends none, or if there is no such limit.
+  std::chrono::nanoseconds m_rateInterval{};
 };
 
 // Another region in which the request may be served.
@@ -90,6 +97,8 @@
   // Time that the request has spent in the local wait queue, and its limit.
   std::chrono::nanoseconds m_waited{};
   std::chrono::nanoseconds m_maxQueueWait{};
+  // Requests that would be sent before this one, for one that has just arrived.
+  std::size_t m_requestsAhead = 0;
   // Time left until the deadline of the request.
   std::chrono::nanoseconds m_untilDeadline{};
   // Whether this instance has just started and may still discover servers and
@@ -120,10 +129,20 @@
 struct KeepQueued
 {};
 
-// There is no server, or none can start to respond before the deadline.
+enum class RefusalReason
+{
+  NoServer,
+  // No server can start to respond before the deadline.
+  DeadlineTooShort,
+  // All servers take only a limited rate of requests, and none takes another
+  // one while the request may wait.
+  RateLimitsReached,
+};
+
+// No server can serve the request in time.
 struct Refuse
 {
-  bool m_hasServers = false;
+  RefusalReason m_reason = RefusalReason::NoServer;
   // Delay after which the caller should retry.
   std::chrono::nanoseconds m_retryAfter{};
 };
@@ -137,6 +156,10 @@
 // accelerator.
 inline constexpr double kPromptTokensPerMillisecond = 60;
 
+// Returns the result of a request that is refused for this reason.
+ResultCode
+ResultCodeOf(RefusalReason aReason);
+
 // Returns the best placement for a request.
 Placement
 DecidePlacement(const PlacementInput& aInput);
--- a/rattanweir/request/placement/placement_input.cc
+++ b/rattanweir/request/placement/placement_input.cc
@@ -66,7 +66,7 @@
   ServerCandidate* preferred = nullptr;
   std::uint64_t highest = 0;
   for (ServerCandidate& candidate : aEngines) {
-    if (candidate.m_isColdLimitReached || candidate.m_state.m_ejectedUntil) {
+    if (candidate.m_isRateLimitReached || candidate.m_state.m_ejectedUntil) {
       continue;
     }
     const std::string& id = candidate.m_incarnation.Value();
--- a/rattanweir/request/placement/placement_test.cc
+++ b/rattanweir/request/placement/placement_test.cc
@@ -53,7 +53,10 @@
     std::string operator()(const KeepQueued&) const { return "queued"; }
     std::string operator()(const Refuse& aRefusal) const
     {
-      return aRefusal.m_hasServers ? "past deadline" : "no server";
+      return aRefusal.m_reason == RefusalReason::NoServer ? "no server"
+             : aRefusal.m_reason == RefusalReason::DeadlineTooShort
+               ? "past deadline"
+               : "rate limits";
     }
   };
   return std::visit(Name{ aInput }, DecidePlacement(aInput));
@@ -146,7 +149,7 @@
 TEST_CASE("a request stays queued if servers are full or at their cold limit")
 {
   ServerCandidate cold = Server("cold");
-  cold.m_isColdLimitReached = true;
+  cold.m_isRateLimitReached = true;
   CHECK(Decide(InputOf({ cold, Server("full", 6, 18) })) == "queued");
   ServerCandidate connected = Server("connected");
   connected.m_state.m_inFlight = 40;
@@ -154,6 +157,29 @@
   CHECK(Decide(InputOf({ connected })) == "queued");
 }
 
+TEST_CASE("a request is refused at once if only rate limits hold it for longer "
+          "than it may wait")
+{
+  ServerCandidate limited = Server("limited");
+  limited.m_isRateLimitReached = true;
+  limited.m_rateLimitedFor = milliseconds(800);
+  limited.m_rateInterval = milliseconds(100);
+  PlacementInput input = InputOf({ limited });
+  input.m_maxQueueWait = milliseconds(300);
+  const Placement refused = DecidePlacement(input);
+  REQUIRE(std::holds_alternative<Refuse>(refused));
+  CHECK(std::get<Refuse>(refused).m_reason == RefusalReason::RateLimitsReached);
+  CHECK(std::get<Refuse>(refused).m_retryAfter == milliseconds(800));
+  // It waits for a permit that comes in time, unless others get it before.
+  input.m_servers[0].m_rateLimitedFor = milliseconds(50);
+  CHECK(Decide(input) == "queued");
+  input.m_requestsAhead = 3;
+  CHECK(Decide(input) == "rate limits");
+  // Another server may free a slot earlier.
+  input.m_servers.push_back(Server("full", 6, 18));
+  CHECK(Decide(input) == "queued");
+}
+
 TEST_CASE("a just started instance queues requests until it discovers servers")
 {
   PlacementInput input = InputOf({});
--- a/rattanweir/request/wait_queue/wait_queue.cc
+++ b/rattanweir/request/wait_queue/wait_queue.cc
@@ -2,6 +2,8 @@
 
 #include "rattanweir/request/wait_queue/wait_queue.h"
 
+#include <algorithm>
+
 namespace rattanweir {
 
 WaitQueue::WaitQueue(const Executor& aExecutor)
@@ -47,6 +49,15 @@
   }
 }
 
+std::size_t
+WaitQueue::SizeUpToPriority(unsigned aPriority) const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(m_waiters, [&](const auto& aWaiter) {
+      return aWaiter.first.first.m_priority <= aPriority;
+    }));
+}
+
 bool
 WaitQueue::HasWaiterAheadOf(const SchedulingKey& aKey) const
 {
--- a/rattanweir/request/wait_queue/wait_queue.h
+++ b/rattanweir/request/wait_queue/wait_queue.h
@@ -84,6 +84,9 @@
 
   std::size_t Size() const { return m_waiters.size(); }
 
+  // Returns the number of waiters of this priority or a higher one.
+  std::size_t SizeUpToPriority(unsigned aPriority) const;
+
 private:
   Executor m_executor;
   std::map<std::pair<SchedulingKey, std::uint64_t>, const Waiter*> m_waiters;
--- a/rattanweir/request/wait_queue/wait_queue_test.cc
+++ b/rattanweir/request/wait_queue/wait_queue_test.cc
@@ -58,6 +58,8 @@
   }
   context.poll();
   CHECK(queue.Size() == 3);
+  CHECK(queue.SizeUpToPriority(0) == 0);
+  CHECK(queue.SizeUpToPriority(1) == 3);
   queue.Wake();
   context.restart();
   context.run_for(seconds(5));
--- a/testing/gateway_fixture/gateway_fixture.cc
+++ b/testing/gateway_fixture/gateway_fixture.cc
@@ -221,7 +221,7 @@
              .m_parts = m_parts,
              .m_rates = m_rates,
              .m_retries = m_retries,
-             .m_coldLimiter = m_coldLimiter,
+             .m_rateLimiter = m_rateLimiter,
              .m_serverLimits = m_serverLimits,
              .m_queues = m_queues,
              .m_metrics = m_metrics,
--- a/testing/gateway_fixture/gateway_fixture.h
+++ b/testing/gateway_fixture/gateway_fixture.h
@@ -112,7 +112,7 @@
   PartCacheView m_parts;
   AccountRates m_rates{ { .m_clock = m_clock, .m_initialBurstFraction = 1 } };
   FleetRetryBudget m_retries;
-  ColdServerLimiter m_coldLimiter{ { .m_clock = m_clock } };
+  ServerRateLimiter m_rateLimiter{ { .m_clock = m_clock } };
   ServerLimits m_serverLimits{ { .m_clock = m_clock } };
   PoolQueues m_queues;
   Metrics m_metrics;
