Let the smaller part of a region use more of a limited rate

What callers would see: where two thirds of a region's known instances are gone for good, cold servers get less than a third of what they take.

Cause: a part of a region with fewer than half of its members live uses its fraction of a rate, as if each missing member used its own. Members that are gone use nothing.

Change: such a part uses 1.5 times its fraction, at most the whole rate.

--- a/rattanweir/request/gateway/server_candidates.cc
+++ b/rattanweir/request/gateway/server_candidates.cc
@@ -57,6 +57,9 @@
 // has named a limit. Cold servers tolerate no more than their rate, so that
 // they keep to the default.
 constexpr std::chrono::seconds kPartitionTime{ 10 };
+// What a part of a region may use beyond its fraction of a rate: some of the
+// members that it does not see are gone and use nothing.
+constexpr double kPartAllowance = 1.5;
 // How much unused time of a named limit is made up for. A cold server tolerates
 // no bursts.
 constexpr std::chrono::milliseconds kMaxBurst{ 500 };
@@ -162,7 +165,8 @@
   const InstanceId& self = aInput.m_fleet.Self().m_id;
   ServerRateQuery query{
     .m_server = aInput.m_server.m_incarnation,
-    .m_rate = RequestRate(rate * share.m_fraction),
+    .m_rate =
+      RequestRate(rate * std::min(1.0, kPartAllowance * share.m_fraction)),
     .m_maxBurst = hasColdLimit ? std::chrono::nanoseconds::zero() : kMaxBurst,
     .m_self = self,
     .m_instances = { self },
