Reject a topic version that is not an object

What peers would see: an instance that receives a fetched topic, or a request for one, that is not a JSON object fails with an error of the JSON library instead of an RpcError that names the field.

The revision is read first now, which checks the value.

--- a/rattanweir/connection/gossip/gossip_messages.cc
+++ b/rattanweir/connection/gossip/gossip_messages.cc
@@ -239,10 +239,11 @@
 TopicVersion
 VersionFromJson(const Json::Value& aValue, const char* aRevisionName)
 {
-  return { .m_epoch = aValue.isMember("epoch")
-                        ? StoreEpoch(GetUnsigned(aValue, "epoch"))
-                        : StoreEpoch(),
-           .m_revision = GetUnsigned(aValue, aRevisionName) };
+  TopicVersion version{ .m_revision = GetUnsigned(aValue, aRevisionName) };
+  if (aValue.isMember("epoch")) {
+    version.m_epoch = StoreEpoch(GetUnsigned(aValue, "epoch"));
+  }
+  return version;
 }
 
 Json::Value
