Test harness: count each record that a child has printed

Callers of Process::Lines() saw only what the reader thread had read so far.

Cause: a record is in the pipe before the response is sent, but nothing makes the reader thread read it before the test asks. Ruled out: a run that was not recorded, since the stand-in prints it before it responds.

Lines() now reads what the pipe holds before it returns, under the lock that the reader thread takes too. The check is unchanged.

--- a/testing/harness/process.cc
+++ b/testing/harness/process.cc
@@ -1,7 +1,10 @@
 #include "testing/harness/process.h"
 
+#include <array>
+#include <cerrno>
 #include <csignal>
 #include <fcntl.h>
+#include <poll.h>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -60,7 +63,10 @@
     ::close(pipeEnds[0]);
     throw std::runtime_error("cannot start " + aOptions.m_path);
   }
-  m_reader = std::thread([this, fd = pipeEnds[0]] { ReadLines(fd); });
+  m_output = pipeEnds[0];
+  // The child's end stays blocking, since only this end has the flag.
+  ::fcntl(m_output, F_SETFL, O_NONBLOCK);
+  m_reader = std::thread([this] { ReadUntilClosed(); });
 }
 
 Process::~Process()
@@ -70,37 +76,55 @@
     ::waitpid(m_pid, nullptr, 0);
   }
   m_reader.join();
+  ::close(m_output);
 }
 
 void
-Process::ReadLines(int aFd)
+Process::ReadUntilClosed()
 {
-  std::string pending;
-  std::vector<char> buffer(kReadBytes);
   for (;;) {
-    const ssize_t count = ::read(aFd, buffer.data(), buffer.size());
+    pollfd entry{ .fd = m_output, .events = POLLIN, .revents = 0 };
+    ::poll(&entry, 1, -1);
+    const std::lock_guard lock(m_mutex);
+    ReadAvailable();
+    if (m_isClosed) {
+      return;
+    }
+  }
+}
+
+void
+Process::ReadAvailable() const
+{
+  std::array<char, kReadBytes> buffer{};
+  while (!m_isClosed) {
+    const ssize_t count = ::read(m_output, buffer.data(), buffer.size());
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count < 0 && errno == EAGAIN) {
+      return;
+    }
     if (count <= 0) {
-      break;
+      m_isClosed = true;
+      return;
     }
-    pending.append(buffer.data(), static_cast<std::size_t>(count));
-    const std::lock_guard lock(m_mutex);
+    m_pending.append(buffer.data(), static_cast<std::size_t>(count));
     std::size_t begin = 0;
     for (std::size_t end = 0;
-         (end = pending.find('\n', begin)) != std::string::npos;
+         (end = m_pending.find('\n', begin)) != std::string::npos;
          begin = end + 1) {
-      m_lines.push_back(pending.substr(begin, end - begin));
+      m_lines.push_back(m_pending.substr(begin, end - begin));
     }
-    pending.erase(0, begin);
+    m_pending.erase(0, begin);
   }
-  ::close(aFd);
-  const std::lock_guard lock(m_mutex);
-  m_isClosed = true;
 }
 
 std::vector<std::string>
 Process::Lines() const
 {
   const std::lock_guard lock(m_mutex);
+  ReadAvailable();
   return m_lines;
 }
 
--- a/testing/harness/process.h
+++ b/testing/harness/process.h
@@ -46,7 +46,8 @@
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
-  // Returns all lines of standard output and error received so far.
+  // Returns all lines of standard output and error that the child has written
+  // before the call.
   std::vector<std::string> Lines() const;
 
   // Waits for a JSON line with this `event` and returns it. Throws
@@ -67,14 +68,22 @@
   bool HasEnded();
 
 private:
-  void ReadLines(int aFd);
+  // Reads the output until the child closes it, so that the child never blocks
+  // on a full pipe.
+  void ReadUntilClosed();
+
+  // Appends the output that is available without blocking to `m_lines`.
+  // `m_mutex` is held.
+  void ReadAvailable() const;
 
   std::string m_name;
   int m_pid = -1;
+  int m_output = -1;
   std::optional<int> m_status;
   mutable std::mutex m_mutex;
-  std::vector<std::string> m_lines;
-  bool m_isClosed = false;
+  mutable std::string m_pending;
+  mutable std::vector<std::string> m_lines;
+  mutable bool m_isClosed = false;
   std::thread m_reader;
 };
 
