Stand-in engine: record a cancelled request if a write notices it

Cause: if the gateway's reset arrives between the engine's wait and its next write, the write fails and the request ended without any record. Beside load the process is often preempted there.

A failed write before the last token is now recorded as cancelled, one after it as finished. The check is unchanged.

--- a/testing/stand_in/engine.cc
+++ b/testing/stand_in/engine.cc
@@ -143,7 +143,7 @@
       m_responder.AbortConnection();
       return;
     }
-    const bool isComplete = m_isStream ? Stream() : RespondInOnePiece();
+    const bool isComplete = Respond();
     Print(isComplete ? "finished" : "cancelled");
     if (!isComplete) {
       m_responder.AbortConnection();
@@ -177,6 +177,18 @@
     PrintRecord(aEvent, record);
   }
 
+  // Returns false if the gateway closed the connection before the last token,
+  // whether that is noticed while waiting or by a write that fails. The gateway
+  // may close it before the end of a stream whose tokens it has all received.
+  bool Respond()
+  {
+    try {
+      return m_isStream ? Stream() : RespondInOnePiece();
+    } catch (const HttpError&) {
+      return m_isStream && m_offset == m_count;
+    }
+  }
+
   bool RespondInOnePiece()
   {
     const auto wait =
