Gossip: contact a member before its liveness timeout elapses

Cause: a message holds 20 of 85 records, drawn from those that were sent least often. Ruled out: that the records of a zone or region reach the others too seldom; a trial that sent them first made the tail within the region shorter and left that between regions as it was.

Each round now has one more target if a live member has no new record for 0.6 of its liveness timeout.

--- a/rattanweir/process/fleet/fleet_view.cc
+++ b/rattanweir/process/fleet/fleet_view.cc
@@ -20,6 +20,9 @@
 // An instance that sees a smaller fraction of its region's members live may be
 // cut off from the others.
 constexpr double kMinLiveFraction = 0.5;
+// A live member is overdue after this fraction of its liveness timeout without
+// a new sequence number.
+constexpr double kOverdueFraction = 0.6;
 
 // Removes a random element and returns it.
 template<class Value>
@@ -205,9 +208,13 @@
   std::vector<Endpoint> otherZones;
   std::vector<Endpoint> otherRegions;
   std::vector<Endpoint> stale;
+  std::vector<Endpoint> overdue;
   const FleetMember& self = m_options.m_self;
   for (const auto& [id, entry] : m_members) {
     const FleetMember& record = entry.m_record;
+    if (IsOverdue(entry)) {
+      overdue.push_back(record.m_peerAddress);
+    }
     if (!IsLive(entry)) {
       stale.push_back(record.m_peerAddress);
     } else if (record.m_region != self.m_region) {
@@ -237,6 +244,7 @@
       RandomCount(std::min(1.0, m_options.m_targetsInOtherRegions / regionSize),
                   aRandom));
   }
+  choose(overdue, 1);
   const bool hasNoLiveTarget = targets.empty();
   if (hasNoLiveTarget || UniformIndex(aRandom, kRoundsPerStaleTarget) == 0) {
     choose(stale, 1);
@@ -394,6 +402,15 @@
            LivenessTimeoutOf(aEntry.m_record);
 }
 
+bool
+FleetView::IsOverdue(const Entry& aEntry) const
+{
+  const std::chrono::duration<double> age =
+    m_options.m_clock.SteadyNow() - aEntry.m_lastSeenAt;
+  return IsLive(aEntry) &&
+         age > kOverdueFraction * LivenessTimeoutOf(aEntry.m_record);
+}
+
 std::chrono::nanoseconds
 FleetView::LivenessTimeoutOf(const FleetMember& aMember) const
 {
--- a/rattanweir/process/fleet/fleet_view.h
+++ b/rattanweir/process/fleet/fleet_view.h
@@ -225,6 +225,8 @@
   };
 
   bool IsLive(const Entry& aEntry) const;
+  // Returns true for a live member whose liveness timeout has elapsed in part.
+  bool IsOverdue(const Entry& aEntry) const;
   std::chrono::nanoseconds LivenessTimeoutOf(const FleetMember& aMember) const;
   // Returns the record, abridged in most cases to save bytes.
   static FleetMember RecordToSend(const FleetMember& aRecord,
--- a/rattanweir/process/fleet/fleet_view_test.cc
+++ b/rattanweir/process/fleet/fleet_view_test.cc
@@ -130,6 +130,26 @@
   }
 }
 
+TEST_CASE("a member whose record is overdue is contacted before it is silent")
+{
+  constexpr int kMembers = 30;
+  View view;
+  const auto receiveAll = [&](std::uint64_t aSequence, int aExcept) {
+    for (int number = 1; number <= kMembers; ++number) {
+      if (number != aExcept) {
+        view.Receive(Record(number, 1, aSequence), IdOf(number));
+      }
+    }
+  };
+  receiveAll(1, 0);
+  view.m_clock.Advance(seconds(4));
+  receiveAll(2, 2);
+  REQUIRE(view.m_fleet.IsLive(IdOf(2)));
+  for (int round = 0; round < 20; ++round) {
+    CHECK(Contains(view.m_fleet.ChooseTargets(view.m_random, false), 2));
+  }
+}
+
 TEST_CASE("an unreachable member is not live until it sends a record itself")
 {
   View view;
