Gossip: ask for the complete record of an unknown member

The same would keep the old address of a member that had restarted elsewhere.

Cause: three in four records are abridged and are ignored if the member is unknown; whether a complete one arrives is chance.

A message now names the members of which only abridged records have arrived, as "introduce" in the sender's own record, until a complete one arrives or the abridged ones stop. The recipient sends them complete and first in its next message, which is the response in an exchange.

--- a/rattanweir/connection/gossip/gossip_messages.cc
+++ b/rattanweir/connection/gossip/gossip_messages.cc
@@ -2,6 +2,7 @@
 
 #include "rattanweir/connection/rpc/rpc.h"
 
+#include <algorithm>
 #include <charconv>
 #include <string_view>
 
@@ -168,6 +169,9 @@
                               : Json::Value());
     value["limits"][server.Value()] = std::move(entry);
   }
+  for (const InstanceId& member : aRecord.m_membersToIntroduce) {
+    value["introduce"].append(member.Value());
+  }
   return value;
 }
 
@@ -188,6 +192,24 @@
   return limit;
 }
 
+std::vector<InstanceId>
+MembersFromJson(const Json::Value& aValue)
+{
+  const bool isStrings =
+    aValue.isArray() &&
+    std::all_of(aValue.begin(), aValue.end(), [](const Json::Value& aMember) {
+      return aMember.isString();
+    });
+  if (!isStrings) {
+    throw RpcError("introduce: expected an array of strings");
+  }
+  std::vector<InstanceId> members;
+  for (const Json::Value& member : aValue) {
+    members.emplace_back(member.asString());
+  }
+  return members;
+}
+
 FleetMember
 RecordFromJson(const Json::Value& aValue)
 {
@@ -231,6 +253,9 @@
                                     ServerLimitFromJson(limits[server]));
     }
   }
+  if (aValue.isMember("introduce")) {
+    record.m_membersToIntroduce = MembersFromJson(aValue["introduce"]);
+  }
   return record;
 }
 
--- a/rattanweir/process/fleet/fleet_view.cc
+++ b/rattanweir/process/fleet/fleet_view.cc
@@ -80,13 +80,27 @@
   // An announcement holds only the record of its sender.
   m_messagesSinceDiscovery += aRecords.size() > 1 ? 1 : 0;
   for (const FleetMember& record : aRecords) {
-    if (record.m_id != m_options.m_self.m_id) {
-      MergeRecord(record, record.m_id == aSender);
+    if (record.m_id == m_options.m_self.m_id) {
+      continue;
+    }
+    MergeRecord(record, record.m_id == aSender);
+    if (record.m_id == aSender) {
+      RecordRequests(record.m_membersToIntroduce);
     }
   }
   RemoveExpired();
 }
 
+void
+FleetView::RecordRequests(const std::vector<InstanceId>& aMembers)
+{
+  for (const InstanceId& member : aMembers) {
+    if (member == m_options.m_self.m_id || m_members.contains(member)) {
+      m_requestedByPeers.insert(member);
+    }
+  }
+}
+
 void
 FleetView::MergeRecord(const FleetMember& aRecord, bool aIsFromMember)
 {
@@ -94,6 +108,7 @@
   if (!m_members.contains(aRecord.m_id)) {
     RecordDiscovery(aRecord);
     if (isAbridged) {
+      m_toIntroduce[aRecord.m_id] = m_options.m_clock.SteadyNow();
       return;
     }
   }
@@ -113,6 +128,12 @@
     entry.m_previousIncarnations.insert(entry.m_record.m_incarnation);
   }
   const FleetMember previous = std::exchange(entry.m_record, aRecord);
+  entry.m_record.m_membersToIntroduce.clear();
+  if (!isAbridged) {
+    m_toIntroduce.erase(aRecord.m_id);
+  } else if (!isSameProcess) {
+    m_toIntroduce[aRecord.m_id] = m_options.m_clock.SteadyNow();
+  }
   if (isAbridged) {
     entry.m_record.m_region = previous.m_region;
     entry.m_record.m_zone = previous.m_zone;
@@ -141,8 +162,11 @@
 void
 FleetView::RemoveExpired()
 {
-  const SteadyTime oldest =
-    m_options.m_clock.SteadyNow() - m_options.m_removalTimeout;
+  const SteadyTime now = m_options.m_clock.SteadyNow();
+  std::erase_if(m_toIntroduce, [&](const auto& aMember) {
+    return now - aMember.second > m_options.m_livenessTimeout;
+  });
+  const SteadyTime oldest = now - m_options.m_removalTimeout;
   std::erase_if(m_members, [&](const auto& aMember) {
     return aMember.second.m_lastSeenAt < oldest;
   });
@@ -180,22 +204,30 @@
     }
   }
   std::ranges::shuffle(candidates, aRandom);
-  std::ranges::stable_sort(candidates, {}, &Entry::m_timesSent);
+  std::ranges::stable_sort(candidates, {}, [&](const Entry* aEntry) {
+    return std::pair(!m_requestedByPeers.contains(aEntry->m_record.m_id),
+                     aEntry->m_timesSent);
+  });
   candidates.resize(
     std::min(candidates.size(), m_options.m_maxRecordsPerMessage));
   std::vector<FleetMember> records = { RecordToSend(m_options.m_self,
                                                     aRandom) };
+  for (const auto& [id, heardAt] : m_toIntroduce) {
+    records.front().m_membersToIntroduce.push_back(id);
+  }
   for (Entry* entry : candidates) {
     ++entry->m_timesSent;
     records.push_back(RecordToSend(entry->m_record, aRandom));
   }
+  m_requestedByPeers.clear();
   return records;
 }
 
 FleetMember
 FleetView::RecordToSend(const FleetMember& aRecord, RandomEngine& aRandom)
 {
-  const bool isFull = aRecord.m_sequence <= kFullRecordsAtStart ||
+  const bool isFull = m_requestedByPeers.erase(aRecord.m_id) > 0 ||
+                      aRecord.m_sequence <= kFullRecordsAtStart ||
                       UniformIndex(aRandom, kRecordsPerFullRecord) == 0;
   return isFull ? aRecord : AbridgedRecord(aRecord);
 }
--- a/rattanweir/process/fleet/fleet_view.h
+++ b/rattanweir/process/fleet/fleet_view.h
@@ -72,6 +72,9 @@
   // What the instance knows of the limits that servers of its region have
   // named, by incarnation of the server.
   std::map<BackendServerId, NamedLimit> m_serverLimits;
+  // Members of which the instance needs a record that is not abridged. Set only
+  // in the record that the instance itself sends.
+  std::vector<InstanceId> m_membersToIntroduce;
 };
 
 struct FleetViewOptions
@@ -149,7 +152,9 @@
   // Merges received records. A record with a lower incarnation than the known
   // one is accepted only from the member itself, whose clock may have been set
   // back. A record without region is abridged: it omits the fields that
-  // never change, and is ignored if the member is unknown.
+  // never change. If the member or its process is unknown, the next message
+  // asks for a complete record; an abridged one of an unknown member is
+  // ignored.
   void Merge(std::span<const FleetMember> aRecords, const InstanceId& aSender);
 
   // Records that a connection to this member failed. The member is not live
@@ -229,9 +234,9 @@
   bool IsOverdue(const Entry& aEntry) const;
   std::chrono::nanoseconds LivenessTimeoutOf(const FleetMember& aMember) const;
   // Returns the record, abridged in most cases to save bytes.
-  static FleetMember RecordToSend(const FleetMember& aRecord,
-                                  RandomEngine& aRandom);
+  FleetMember RecordToSend(const FleetMember& aRecord, RandomEngine& aRandom);
   void MergeRecord(const FleetMember& aRecord, bool aIsFromMember);
+  void RecordRequests(const std::vector<InstanceId>& aMembers);
   // Notes that a record named an unknown member, which keeps the view from
   // settling.
   void RecordDiscovery(const FleetMember& aRecord);
@@ -240,6 +245,11 @@
   FleetViewOptions m_options;
   std::vector<Endpoint> m_seeds;
   std::map<InstanceId, Entry> m_members;
+  // When the last abridged record of each member arrived of which no complete
+  // one has arrived.
+  std::map<InstanceId, SteadyTime> m_toIntroduce;
+  // Members of which the next message holds a complete record.
+  std::set<InstanceId> m_requestedByPeers;
   SteadyTime m_selfUpdatedAt;
   // Time of the last record of an unknown member of this instance's region, or
   // of any region while no peer in this region is known; the start if none.
--- a/rattanweir/process/fleet/fleet_view_test.cc
+++ b/rattanweir/process/fleet/fleet_view_test.cc
@@ -263,6 +263,49 @@
   }
 }
 
+TEST_CASE("a peer sends the complete record of a member when asked for it")
+{
+  constexpr std::uint64_t kSequence = 100;
+  constexpr int kMembers = 30;
+  FleetMember abridged = Record(2, 1, kSequence);
+  abridged.m_region = RegionId();
+  View peer(1);
+  for (int number = 2; number <= kMembers; ++number) {
+    peer.Receive(Record(number, 1, kSequence), IdOf(number));
+  }
+  for (int round = 0; round < 20; ++round) {
+    View view;
+    view.Receive(abridged, IdOf(3));
+    REQUIRE(view.m_fleet.Find(IdOf(2)) == nullptr);
+    peer.m_fleet.Merge(view.m_fleet.NextMessage(view.m_random), IdOf(0));
+    view.m_fleet.Merge(peer.m_fleet.NextMessage(peer.m_random), IdOf(1));
+    CHECK(view.m_fleet.Find(IdOf(2)) != nullptr);
+  }
+}
+
+TEST_CASE("messages ask for a complete record until it arrives")
+{
+  constexpr std::uint64_t kSequence = 100;
+  View view;
+  const auto requested = [&] {
+    return view.m_fleet.NextMessage(view.m_random).front().m_membersToIntroduce;
+  };
+  view.Receive(Record(2, 1, kSequence), IdOf(2));
+  FleetMember later = Record(2, 2, kSequence);
+  later.m_region = RegionId();
+  view.Receive(later, IdOf(3));
+  CHECK(requested() == std::vector{ IdOf(2) });
+  CHECK(requested() == std::vector{ IdOf(2) });
+  view.Receive(Record(2, 2, kSequence + 1), IdOf(3));
+  CHECK(requested().empty());
+
+  later.m_id = IdOf(4);
+  view.Receive(later, IdOf(3));
+  view.m_clock.Advance(seconds(4));
+  view.Receive(Record(2, 2, kSequence + 2), IdOf(3));
+  CHECK(requested().empty());
+}
+
 TEST_CASE("a view without messages settles after the isolation timeout")
 {
   View view;
