Stop sending to a server once a response says that it leaves

Cause: the sign in responses, `Server-Leaving`, was not read; an instance knew only of the state in the store, so a server that says so in its responses alone went on to get its full share.

The sign is now read from every response of a server, also from refusals, failures, heads of streams and responses to another request, and kept for the incarnation: an older copy of its entry, a removal, a replacement and another entry don't undo it, and the next incarnation is not held to it. Peers learn of it from member records, and an instance that forwards requests from the response itself; it names the servers with each request that it forwards, so that no peer of that region sends there for it. Requests in a queue and retries are placed anew and thus go elsewhere.

Also: an incarnation that another one replaced counts as removed, so that a restored store cannot bring it back.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -376,6 +376,7 @@
   FleetMember& self = m_fleet.Self();
   self.m_usages = m_rates.LocalUsages();
   self.m_serverLimits = m_serverLimits.ToAdvertise();
+  self.m_drainingServers = m_registry.DrainingToAdvertise();
   self.m_readsStore = m_storeReader.IsStoreReachable();
   self.m_publishedVersions.clear();
   for (const auto& [topic, version] : m_published.Versions()) {
@@ -431,6 +432,17 @@
   }
 }
 
+// Records the servers that have reported themselves draining to peers.
+void
+FleetDaemon::ApplyPeerDraining()
+{
+  for (const FleetMember* peer : m_fleet.LivePeers()) {
+    for (const BackendServerId& server : peer->m_drainingServers) {
+      MarkDraining(m_state, server, peer->m_id.Value());
+    }
+  }
+}
+
 // Evicts servers that are no longer registered from the views, which keep one
 // entry per incarnation of a server.
 void
@@ -504,6 +516,7 @@
     EvictRemovedServers();
     ApplyPeerUsages();
     ApplyPeerLimits();
+    ApplyPeerDraining();
     UpdateStoreReading();
     UpdateReadiness();
     if (HasSettingsChanged()) {
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -56,6 +56,7 @@
   void EvictRemovedServers();
   void ApplyPeerUsages();
   void ApplyPeerLimits();
+  void ApplyPeerDraining();
   void UpdateStoreReading();
   void UpdateReadiness();
   void ReloadSettings(const char* aReason);
--- a/rattanweir/connection/gossip/gossip_messages.cc
+++ b/rattanweir/connection/gossip/gossip_messages.cc
@@ -169,6 +169,9 @@
                               : Json::Value());
     value["limits"][server.Value()] = std::move(entry);
   }
+  for (const BackendServerId& server : aRecord.m_drainingServers) {
+    value["draining"].append(server.Value());
+  }
   for (const InstanceId& member : aRecord.m_membersToIntroduce) {
     value["introduce"].append(member.Value());
   }
@@ -192,22 +195,24 @@
   return limit;
 }
 
-std::vector<InstanceId>
-MembersFromJson(const Json::Value& aValue)
+// Returns the strings of an array, or nothing if the field is missing.
+std::vector<std::string>
+GetStrings(const Json::Value& aObject, const char* aName)
 {
+  const Json::Value& value = aObject[aName];
   const bool isStrings =
-    aValue.isArray() &&
-    std::all_of(aValue.begin(), aValue.end(), [](const Json::Value& aMember) {
-      return aMember.isString();
+    value.isArray() &&
+    std::all_of(value.begin(), value.end(), [](const Json::Value& aElement) {
+      return aElement.isString();
     });
-  if (!isStrings) {
-    throw RpcError("introduce: expected an array of strings");
+  if (!isStrings && !value.isNull()) {
+    throw RpcError(std::string(aName) + ": expected an array of strings");
   }
-  std::vector<InstanceId> members;
-  for (const Json::Value& member : aValue) {
-    members.emplace_back(member.asString());
+  std::vector<std::string> strings;
+  for (const Json::Value& element : value) {
+    strings.push_back(element.asString());
   }
-  return members;
+  return strings;
 }
 
 FleetMember
@@ -253,8 +258,11 @@
                                     ServerLimitFromJson(limits[server]));
     }
   }
-  if (aValue.isMember("introduce")) {
-    record.m_membersToIntroduce = MembersFromJson(aValue["introduce"]);
+  for (std::string& server : GetStrings(aValue, "draining")) {
+    record.m_drainingServers.emplace(std::move(server));
+  }
+  for (std::string& member : GetStrings(aValue, "introduce")) {
+    record.m_membersToIntroduce.emplace_back(std::move(member));
   }
   return record;
 }
--- a/rattanweir/connection/gossip/gossip_test.cc
+++ b/rattanweir/connection/gossip/gossip_test.cc
@@ -212,6 +212,7 @@
   record.m_serverLimits[BackendServerId("s@1")] = { .m_rate = RequestRate(2.5),
                                                     .m_version = 3 };
   record.m_serverLimits[BackendServerId("t@1")] = { .m_version = 4 };
+  record.m_drainingServers = { BackendServerId("s@1"), BackendServerId("u@2") };
   record.m_membersToIntroduce = { InstanceId("j"), InstanceId("k") };
   const std::vector<FleetMember> records =
     FleetMembersFromJson(ToJson({ record }));
@@ -229,6 +230,7 @@
   CHECK(usage.m_admitted == 9'000);
   CHECK(records[0].m_pools.at(PoolId("p")).m_startDelay == milliseconds(40));
   CHECK(records[0].m_serverLimits == record.m_serverLimits);
+  CHECK(records[0].m_drainingServers == record.m_drainingServers);
   CHECK(records[0].m_membersToIntroduce == record.m_membersToIntroduce);
 }
 
@@ -268,9 +270,12 @@
     INFO(members);
     Json::Value broken = message;
     broken["rows"][0]["seq"] = 4;
-    broken["rows"][0]["introduce"] = *ParseJson(members);
-    CHECK_THROWS_WITH(FleetMembersFromJson(broken),
-                      "introduce: expected an array of strings");
+    for (const char* name : { "introduce", "draining" }) {
+      Json::Value wrong = broken;
+      wrong["rows"][0][name] = *ParseJson(members);
+      CHECK_THROWS_WITH(FleetMembersFromJson(wrong),
+                        std::string(name) + ": expected an array of strings");
+    }
   }
   Fixture fixture(1);
   const std::string response = fixture.m_instances[0]->m_gossip.HandleCall(
--- a/rattanweir/process/backend_registry/backend_registry.cc
+++ b/rattanweir/process/backend_registry/backend_registry.cc
@@ -40,7 +40,10 @@
     server.m_record.m_isDraining |= entry.m_server.m_record.m_isDraining;
     server.m_coldUntil =
       std::max(server.m_coldUntil, entry.m_server.m_coldUntil);
+  } else if (!entry.m_server.m_incarnation.IsEmpty()) {
+    RememberRemoval(entry.m_server);
   }
+  server.m_record.m_isDraining |= IsReportedDraining(server.m_incarnation);
   const auto removed = m_removed.find(server.m_incarnation);
   std::optional<SteadyTime> confirmAt;
   if (removed != m_removed.end()) {
@@ -82,10 +85,7 @@
   Entry& entry = aEntry->second;
   if (aReason == RemovalReason::Published ||
       entry.m_server.m_record.m_isDraining) {
-    m_removed[entry.m_server.m_incarnation] = {
-      .m_at = m_options.m_clock.SteadyNow(),
-      .m_wasDraining = entry.m_server.m_record.m_isDraining,
-    };
+    RememberRemoval(entry.m_server);
     m_servers.erase(aEntry);
   } else if (!entry.m_removeAt) {
     entry.m_removeAt =
@@ -93,6 +93,15 @@
   }
 }
 
+void
+BackendRegistry::RememberRemoval(const RegisteredServer& aServer)
+{
+  m_removed[aServer.m_incarnation] = {
+    .m_at = m_options.m_clock.SteadyNow(),
+    .m_wasDraining = aServer.m_record.m_isDraining,
+  };
+}
+
 void
 BackendRegistry::SetEvacuatedZones(
   const std::set<AvailabilityZoneId>& aZones,
@@ -121,12 +130,28 @@
   }
 }
 
-void
+bool
 BackendRegistry::MarkDraining(const BackendServerId& aIncarnation)
 {
   if (Entry* entry = FindIncarnation(aIncarnation)) {
     entry->m_server.m_record.m_isDraining = true;
   }
+  return m_reportedDraining
+    .try_emplace(aIncarnation, m_options.m_clock.SteadyNow())
+    .second;
+}
+
+std::set<BackendServerId>
+BackendRegistry::DrainingToAdvertise() const
+{
+  const SteadyTime now = m_options.m_clock.SteadyNow();
+  std::set<BackendServerId> draining;
+  for (const auto& [incarnation, reportedAt] : m_reportedDraining) {
+    if (now - reportedAt <= m_options.m_drainingAdvertisement) {
+      draining.insert(incarnation);
+    }
+  }
+  return draining;
 }
 
 void
@@ -134,7 +159,9 @@
 {
   // Keeps the entry: after its removal, an outdated copy of the entry would
   // register this incarnation as usable again.
-  MarkDraining(aIncarnation);
+  if (Entry* entry = FindIncarnation(aIncarnation)) {
+    entry->m_server.m_record.m_isDraining = true;
+  }
 }
 
 void
@@ -147,6 +174,10 @@
   std::erase_if(m_removed, [&](const auto& aRemoved) {
     return now - aRemoved.second.m_at > m_options.m_removalMemory;
   });
+  std::erase_if(m_reportedDraining, [&](const auto& aReport) {
+    return now - aReport.second > m_options.m_removalMemory &&
+           FindIncarnation(aReport.first) == nullptr;
+  });
   for (auto& [id, entry] : m_servers) {
     if (entry.m_confirmAt && *entry.m_confirmAt <= now) {
       entry.m_server.m_isUnconfirmed = false;
--- a/rattanweir/process/backend_registry/backend_registry.h
+++ b/rattanweir/process/backend_registry/backend_registry.h
@@ -9,7 +9,8 @@
 // An incarnation is one run of a server process, identified by the server's id
 // and start time. A restart under the same id creates a new incarnation, which
 // inherits no state from the previous one. An incarnation that has been seen
-// draining never accepts requests again.
+// draining never accepts requests again: neither an older copy of its entry nor
+// a removal and a later entry changes that.
 //
 // While the store is unreachable, an entry may disappear merely because its
 // server could not renew it: the entry has lapsed. The server of a lapsed entry
@@ -107,8 +108,11 @@
   // How long a reappeared entry stands until its server counts as running: the
   // store removes it after three heartbeat intervals without a renewal.
   std::chrono::nanoseconds m_confirmationTime{ std::chrono::seconds(4) };
-  // How long removed incarnations are remembered.
-  std::chrono::nanoseconds m_removalMemory{ std::chrono::minutes(2) };
+  // How long removed incarnations are remembered, and those that were reported
+  // draining.
+  std::chrono::nanoseconds m_removalMemory{ std::chrono::minutes(30) };
+  // How long peers are told that a server was reported draining.
+  std::chrono::nanoseconds m_drainingAdvertisement{ std::chrono::minutes(1) };
 };
 
 class BackendRegistry
@@ -140,8 +144,20 @@
   void MarkCold(const BackendServerId& aIncarnation,
                 std::chrono::nanoseconds aDuration);
 
-  // Records that the server reported itself draining.
-  void MarkDraining(const BackendServerId& aIncarnation);
+  // Records that the server reported itself draining, to this instance or to a
+  // peer. The incarnation need not be registered. Returns true if it was not
+  // recorded before.
+  bool MarkDraining(const BackendServerId& aIncarnation);
+
+  // Returns the incarnations for which MarkDraining was called recently, to be
+  // told to peers.
+  std::set<BackendServerId> DrainingToAdvertise() const;
+
+  // Returns true if MarkDraining was called for the incarnation.
+  bool IsReportedDraining(const BackendServerId& aIncarnation) const
+  {
+    return m_reportedDraining.contains(aIncarnation);
+  }
 
   // Records that a different server responded at this incarnation's address.
   void MarkReplaced(const BackendServerId& aIncarnation);
@@ -191,10 +207,13 @@
 
   Entry* FindIncarnation(const BackendServerId& aIncarnation);
   void RemoveEntry(Entries::iterator aEntry, RemovalReason aReason);
+  void RememberRemoval(const RegisteredServer& aServer);
 
   BackendRegistryOptions m_options;
   Entries m_servers;
   std::map<BackendServerId, Removed> m_removed;
+  // When each incarnation was first reported draining.
+  std::map<BackendServerId, SteadyTime> m_reportedDraining;
   std::set<AvailabilityZoneId> m_evacuatedZones;
 };
 
--- a/rattanweir/process/backend_registry/backend_registry_test.cc
+++ b/rattanweir/process/backend_registry/backend_registry_test.cc
@@ -66,6 +66,34 @@
   CHECK(fixture.UsableIncarnations() == Ids{ "s@2" });
 }
 
+TEST_CASE("a server that was reported draining stays so, registered or not")
+{
+  Fixture fixture;
+  const BackendServerId first("s@1");
+  CHECK(fixture.m_registry.MarkDraining(first));
+  CHECK_FALSE(fixture.m_registry.MarkDraining(first));
+  fixture.m_registry.Put(Fixture::Record("s"));
+  CHECK(fixture.UsableIncarnations().empty());
+  fixture.m_registry.Put(Fixture::Record("s", 2));
+  CHECK(fixture.UsableIncarnations() == Ids{ "s@2" });
+  fixture.m_clock.Advance(std::chrono::minutes(2));
+  fixture.m_registry.Tick();
+  CHECK(fixture.m_registry.DrainingToAdvertise().empty());
+  fixture.m_registry.Put(Fixture::Record("s"));
+  CHECK(fixture.UsableIncarnations().empty());
+}
+
+TEST_CASE("an incarnation that was replaced while draining does not return")
+{
+  Fixture fixture;
+  ServerRecord record = Fixture::Record("s");
+  record.m_isDraining = true;
+  fixture.m_registry.Put(record);
+  fixture.m_registry.Put(Fixture::Record("s", 2));
+  fixture.m_registry.Put(Fixture::Record("s"));
+  CHECK(fixture.UsableIncarnations().empty());
+}
+
 TEST_CASE("Incarnations returns the current incarnation of each server")
 {
   Fixture fixture;
--- a/rattanweir/process/fleet/fleet_view.h
+++ b/rattanweir/process/fleet/fleet_view.h
@@ -72,6 +72,9 @@
   // What the instance knows of the limits that servers of its region have
   // named, by incarnation of the server.
   std::map<BackendServerId, NamedLimit> m_serverLimits;
+  // Incarnations of servers that have recently reported themselves draining, to
+  // the instance or to a peer.
+  std::set<BackendServerId> m_drainingServers;
   // Members of which the instance needs a record that is not abridged. Set only
   // in the record that the instance itself sends.
   std::vector<InstanceId> m_membersToIntroduce;
--- a/rattanweir/request/gateway/gateway_admission.cc
+++ b/rattanweir/request/gateway/gateway_admission.cc
@@ -210,6 +210,12 @@
   const HeaderFields headers = aInbound.m_headers;
   AdmittedRequest request = StartAdmission(aState, std::move(aInbound));
   request.m_forwardedBy = InstanceId(RequireHeader(headers, kHopFromField));
+  for (const HeaderField& field : headers) {
+    if (IsSameHeaderName(field.m_name, kHopDrainingField)) {
+      MarkDraining(
+        aState, BackendServerId(field.m_value), request.m_forwardedBy->Value());
+    }
+  }
   const ClientAccountId accountId(RequireHeader(headers, kHopAccountField));
   const FleetAccount* account = request.m_config->FindAccount(accountId);
   if (account == nullptr && !accountId.IsEmpty()) {
--- a/rattanweir/request/gateway/gateway_admission.h
+++ b/rattanweir/request/gateway/gateway_admission.h
@@ -22,6 +22,9 @@
 inline constexpr const char* kHopResultField = "x-hop-result";
 inline constexpr const char* kHopRanField = "x-hop-ran";
 inline constexpr const char* kHopRetryAfterField = "x-hop-come-back-ms";
+// The incarnation of a server that has reported itself draining. In a request,
+// one field for each such server that the peer might choose.
+inline constexpr const char* kHopDrainingField = "x-hop-draining";
 
 // Checks the route, the key, the remaining time and the account's rate, in this
 // order. Throws RequestError.
--- a/rattanweir/request/gateway/gateway_state.h
+++ b/rattanweir/request/gateway/gateway_state.h
@@ -58,4 +58,11 @@
   std::size_t m_inFlight = 0;
 };
 
+// Records that a server reported itself draining, and logs the first report of
+// this incarnation. `aSource` is `response` or the id of the peer that said so.
+void
+MarkDraining(GatewayState& aState,
+             const BackendServerId& aIncarnation,
+             const std::string& aSource);
+
 } // namespace rattanweir
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -354,6 +354,10 @@
   const ResponseInfo info = m_state.m_protocol.ReadResponse(head);
   RecordServerState(aServer, info, aSentAt);
   CheckResponse(head, info);
+  if (info.m_isDraining && m_request.m_forwardedBy) {
+    head.m_headers.push_back(
+      { kHopDrainingField, aServer.m_incarnation.Value() });
+  }
   ResponseForwarder forwarder({ .m_sink = m_sink,
                                 .m_progress = m_progress,
                                 .m_onFirstByte = std::move(aOnFirstByte) });
@@ -373,6 +377,9 @@
           { "address", aServer.m_record.m_endpoint.ToString() } });
     return;
   }
+  if (aInfo.m_isDraining) {
+    MarkDraining(m_state, aServer.m_incarnation, "response");
+  }
   if (aInfo.m_queue) {
     m_state.m_backends.ReportQueue(aServer.m_incarnation,
                                    aInfo.m_queue->m_running,
@@ -472,6 +479,12 @@
   const auto resumeAfter = ResumeAfter();
   OutboundRequest outbound =
     MakeOutbound(m_state.m_protocol.PeerFields(resumeAfter));
+  for (const RegisteredServer* server :
+       m_state.m_registry.ServersOf(m_request.m_pool, aRegion)) {
+    if (m_state.m_registry.IsReportedDraining(server->m_incarnation)) {
+      added.push_back({ kHopDrainingField, server->m_incarnation.Value() });
+    }
+  }
   std::move(added.begin(), added.end(), std::back_inserter(outbound.m_headers));
   RegionDispatch dispatch({ .m_clock = m_state.m_clock,
                             .m_regions = m_state.m_regions,
@@ -485,6 +498,13 @@
       isPeerRefusal = true;
       throw RequestError(*refusal);
     }
+    if (const std::string* server =
+          FindHeader(head.m_headers, kHopDrainingField)) {
+      MarkDraining(m_state, BackendServerId(*server), peer.m_id.Value());
+      std::erase_if(head.m_headers, [](const HeaderField& aField) {
+        return IsSameHeaderName(aField.m_name, kHopDrainingField);
+      });
+    }
     CheckResponse(head, m_state.m_protocol.ReadResponse(head));
     ResponseForwarder forwarder(
       { .m_sink = m_sink, .m_progress = m_progress, .m_onFirstByte = [&] {
--- a/testing/gateway_fixture/gateway_fixture.cc
+++ b/testing/gateway_fixture/gateway_fixture.cc
@@ -167,6 +167,7 @@
   if (const auto* limit = FindHeader(aHead.m_headers, "limit")) {
     info.m_requestLimit = RequestRate(std::stod(*limit));
   }
+  info.m_isDraining = FindHeader(aHead.m_headers, "leaving") != nullptr;
   return info;
 }
 
