--- a/testing/gateway_fixture/gateway_fixture.cc
+++ b/testing/gateway_fixture/gateway_fixture.cc
@@ -44,13 +44,28 @@
            .m_latencyObjective = milliseconds(500) };
 }
 
+FleetMember
+Member(const char* aId, const RegionId& aRegion, const char* aPeerAddress)
+{
+  return { .m_id = InstanceId(aId),
+           .m_incarnation = Incarnation(1),
+           .m_sequence = 1,
+           .m_region = aRegion,
+           .m_callerAddress = ParseEndpoint("10.9.0.1:1"),
+           .m_peerAddress = ParseEndpoint(aPeerAddress),
+           .m_isReady = true };
+}
+
+} // namespace
+
 FleetConfigData
-Rows(std::uint64_t aVersion, bool aHasKey)
+GatewayTestConfig(std::uint64_t aVersion, bool aHasKey)
 {
   FleetConfigData rows{
     .m_version = SectionVersion(aVersion),
     .m_pools = { { .m_id = kPlain,
                    .m_maximumConnections = 100,
+                   .m_coldDuration = seconds(3),
                    .m_coldRequestsPerSecond = 10 },
                  { .m_id = kEngines,
                    .m_maximumConnections = 100,
@@ -81,20 +96,6 @@
   return rows;
 }
 
-FleetMember
-Member(const char* aId, const RegionId& aRegion, const char* aPeerAddress)
-{
-  return { .m_id = InstanceId(aId),
-           .m_incarnation = Incarnation(1),
-           .m_sequence = 1,
-           .m_region = aRegion,
-           .m_callerAddress = ParseEndpoint("10.9.0.1:1"),
-           .m_peerAddress = ParseEndpoint(aPeerAddress),
-           .m_isReady = true };
-}
-
-} // namespace
-
 std::string
 PlainProtocol::ReadRequestId(const InboundRequest& aRequest) const
 {
@@ -269,7 +270,8 @@
 void
 GatewayFixture::Configure(bool aHasKey)
 {
-  m_config.Offer(std::make_shared<FleetConfig>(Rows(++m_version, aHasKey)));
+  m_config.Offer(
+    std::make_shared<FleetConfig>(GatewayTestConfig(++m_version, aHasKey)));
 }
 
 void
--- a/testing/gateway_fixture/gateway_fixture.h
+++ b/testing/gateway_fixture/gateway_fixture.h
@@ -57,6 +57,10 @@
   HeaderFields m_headers;
 };
 
+// Returns the configuration with these routes, with or without anna's key.
+FleetConfigData
+GatewayTestConfig(std::uint64_t aVersion, bool aHasKey);
+
 // Returns a sealed response of a backend server.
 ScriptedResponse
 SealedResponse(std::string aBody, unsigned aStatus = 200);
