--- a/rattanweir/request/gateway/cold_server_fleet_test.cc
+++ b/rattanweir/request/gateway/cold_server_fleet_test.cc
@@ -257,6 +257,21 @@
   }
 }
 
+TEST_CASE("a cold server is not flooded by instances that start one after the "
+          "other and lose messages")
+{
+  for (const std::size_t instances : { 8U, 65U, 86U }) {
+    DYNAMIC_SECTION(instances << " instances")
+    {
+      for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed) {
+        CheckColdServers({ .m_instances = instances,
+                           .m_seed = seed,
+                           .m_faults = kStaggeredStarts });
+      }
+    }
+  }
+}
+
 TEST_CASE("a cold server is not flooded by instances whose views differ")
 {
   for (const std::size_t instances : { 8U, 65U, 86U, 370U }) {
--- a/testing/simulated_fleet/simulated_fleet.h
+++ b/testing/simulated_fleet/simulated_fleet.h
@@ -43,6 +43,11 @@
   // Number of instances of the first region that are gone but still known, as
   // a fraction of all running instances.
   double m_goneFraction = 0;
+  // Maximum additional delay of a start in a restart of all or most instances,
+  // as on busy machines.
+  std::chrono::milliseconds m_startDelay{};
+  // Fraction of the gossip messages that are lost.
+  double m_lostFraction = 0;
 };
 
 inline constexpr ViewFaults kAccurateViews{};
@@ -55,6 +60,12 @@
                                            .m_unknownFraction = 0.3 };
 inline constexpr ViewFaults kWrongViews{ .m_name = "wrong",
                                          .m_goneFraction = 0.2 };
+inline constexpr ViewFaults kStaggeredStarts{
+  .m_name = "staggered",
+  .m_gossipDelay = std::chrono::milliseconds(300),
+  .m_startDelay = std::chrono::milliseconds(2'000),
+  .m_lostFraction = 0.2
+};
 inline constexpr std::array kAllViewFaults{ kAccurateViews,
                                             kLateViews,
                                             kPartialViews,
@@ -226,7 +237,9 @@
   void RestartInGroup(std::size_t aIndex, milliseconds aDownTime)
   {
     const milliseconds seedDelay(aIndex < kSeeds ? 1'000 : 0);
-    Restart(aIndex, aDownTime + seedDelay + RandomDelay(milliseconds(300)));
+    Restart(aIndex,
+            aDownTime + seedDelay +
+              RandomDelay(milliseconds(300) + m_faults.m_startDelay));
   }
 
   void Restart(std::size_t aIndex, milliseconds aDownTime)
@@ -301,6 +314,10 @@
                    std::vector<FleetMember> aRecords,
                    std::function<void()> aOnMerged)
   {
+    if (m_faults.m_lostFraction > 0 &&
+        Uniform(0, 1) < m_faults.m_lostFraction) {
+      return;
+    }
     After(MessageDelay(aFrom, aTo),
           [this,
            aFrom,
