Treat a server that refused a connection as cold when it returns

Cause, in the simulated fleet: a server that ends and starts again under its id and address runs for up to a heartbeat before its new entry is known. Until then every instance of its region considers it the warm process of before, and all of them return to it as soon as their ejections end.

A refused connection shows that no process listens there. Such a server now counts as cold until its pool's cold time after its first response, or for the time in which the store removes its entry, so that the instances share the rate of a cold server. A cut or a lost packet doesn't refuse and changes nothing. The rate limiter is keyed by the id of a server, not by its incarnation: the requests before and after the new entry count together.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -456,7 +456,7 @@
   const std::set<BackendServerId> known = m_registry.Incarnations();
   m_backends.KeepOnly(known);
   m_parts.KeepOnly(known);
-  m_rateLimiter.KeepOnly(known);
+  m_rateLimiter.KeepOnly(m_registry.Ids());
   m_serverLimits.KeepOnly(known);
 }
 
--- a/rattanweir/base/result/result_code.h
+++ b/rattanweir/base/result/result_code.h
@@ -154,4 +154,15 @@
   std::optional<std::chrono::milliseconds> m_retryAfter;
 };
 
+// BackendConnectFailed because the other end refused the connection: no process
+// listens at its address.
+class ConnectionRefused : public RequestError
+{
+public:
+  explicit ConnectionRefused(const std::string& aDetail)
+    : RequestError(ResultCode::BackendConnectFailed, aDetail, Ran::No)
+  {
+  }
+};
+
 } // namespace rattanweir
--- a/rattanweir/connection/http_client/http_client.cc
+++ b/rattanweir/connection/http_client/http_client.cc
@@ -100,6 +100,9 @@
   const ErrorCode error = co_await m_stream->Connect(m_endpoint);
   if (error) {
     ThrowIfEnded();
+    if (error == asio::error::connection_refused) {
+      throw ConnectionRefused(error.message() + " (" + Peer() + ")");
+    }
     Fail(ResultCode::BackendConnectFailed,
          m_stream->Socket().HasExpired() ? "the connection attempt timed out"
                                          : error.message());
--- a/rattanweir/connection/http_client/http_client.h
+++ b/rattanweir/connection/http_client/http_client.h
@@ -9,7 +9,8 @@
 // the next request was sent, this class can't detect it; attempt ids do.
 //
 // All errors are RequestError, as listed in exchange.h:
-// - BackendConnectFailed: no byte was sent.
+// - BackendConnectFailed: no byte was sent. ConnectionRefused if the other end
+//   refused the connection.
 // - BackendReset: the connection broke after a byte was sent and before the
 //   response head arrived.
 // - AnswerIncomplete: the response is malformed, its header exceeds the limit,
--- a/rattanweir/process/backend_registry/backend_registry.cc
+++ b/rattanweir/process/backend_registry/backend_registry.cc
@@ -40,6 +40,7 @@
     server.m_record.m_isDraining |= entry.m_server.m_record.m_isDraining;
     server.m_coldUntil =
       std::max(server.m_coldUntil, entry.m_server.m_coldUntil);
+    server.m_hasRefused = entry.m_server.m_hasRefused;
   } else if (!entry.m_server.m_incarnation.IsEmpty()) {
     RememberRemoval(entry.m_server);
   }
@@ -130,6 +131,26 @@
   }
 }
 
+void
+BackendRegistry::RecordRefusedConnection(const BackendServerId& aIncarnation,
+                                         std::chrono::nanoseconds aColdTime)
+{
+  if (Entry* entry = FindIncarnation(aIncarnation)) {
+    entry->m_server.m_hasRefused = true;
+    MarkCold(aIncarnation, m_options.m_restartTime + aColdTime);
+  }
+}
+
+void
+BackendRegistry::RecordResponse(const BackendServerId& aIncarnation,
+                                std::chrono::nanoseconds aColdTime)
+{
+  Entry* entry = FindIncarnation(aIncarnation);
+  if (entry != nullptr && std::exchange(entry->m_server.m_hasRefused, false)) {
+    entry->m_server.m_coldUntil = m_options.m_clock.SteadyNow() + aColdTime;
+  }
+}
+
 bool
 BackendRegistry::MarkDraining(const BackendServerId& aIncarnation)
 {
@@ -233,6 +254,16 @@
   return incarnations;
 }
 
+std::set<BackendServerId>
+BackendRegistry::Ids() const
+{
+  std::set<BackendServerId> ids;
+  for (const auto& [id, entry] : m_servers) {
+    ids.insert(id);
+  }
+  return ids;
+}
+
 BackendRegistry::Entry*
 BackendRegistry::FindIncarnation(const BackendServerId& aIncarnation)
 {
--- a/rattanweir/process/backend_registry/backend_registry.h
+++ b/rattanweir/process/backend_registry/backend_registry.h
@@ -22,7 +22,9 @@
 // until its entry is published again or has outlived its server's heartbeats.
 //
 // A server is cold for some time after its start, or after its evacuated zone
-// is restored; callers of this class limit the request rate to a cold server.
+// is restored; callers of this class limit the request rate to a cold server. A
+// server that has refused a connection counts as cold too, since it may start
+// again under its id before its new entry is known.
 //
 // Not thread-safe.
 
@@ -73,6 +75,8 @@
   bool m_isEvacuated = false;
   // The entry reappeared in a restored store, and the server may be gone.
   bool m_isUnconfirmed = false;
+  // The server has refused a connection and has not responded since.
+  bool m_hasRefused = false;
 
   bool AcceptsRequests() const
   {
@@ -108,6 +112,9 @@
   // How long a reappeared entry stands until its server counts as running: the
   // store removes it after three heartbeat intervals without a renewal.
   std::chrono::nanoseconds m_confirmationTime{ std::chrono::seconds(4) };
+  // How long after its end the process of a server may be replaced by one with
+  // the same id while no entry says so: until then the store removes the entry.
+  std::chrono::nanoseconds m_restartTime{ std::chrono::seconds(4) };
   // How long removed incarnations are remembered, and those that were reported
   // draining.
   std::chrono::nanoseconds m_removalMemory{ std::chrono::minutes(30) };
@@ -144,6 +151,17 @@
   void MarkCold(const BackendServerId& aIncarnation,
                 std::chrono::nanoseconds aDuration);
 
+  // Records that the server refused a connection: its process has ended, and a
+  // new process may start at its address before an entry says so. The server
+  // counts as cold for that time and the given cold time.
+  void RecordRefusedConnection(const BackendServerId& aIncarnation,
+                               std::chrono::nanoseconds aColdTime);
+
+  // Records that the server responded. After a refused connection, it has just
+  // started and counts as cold for `aColdTime`.
+  void RecordResponse(const BackendServerId& aIncarnation,
+                      std::chrono::nanoseconds aColdTime);
+
   // Records that the server reported itself draining, to this instance or to a
   // peer. The incarnation need not be registered. Returns true if it was not
   // recorded before.
@@ -181,6 +199,9 @@
   // Returns all registered incarnations, so that other views can drop the rest.
   std::set<BackendServerId> Incarnations() const;
 
+  // Returns the ids of all registered servers.
+  std::set<BackendServerId> Ids() const;
+
   const std::set<AvailabilityZoneId>& EvacuatedZones() const
   {
     return m_evacuatedZones;
--- a/rattanweir/request/gateway/gateway_limit_test.cc
+++ b/rattanweir/request/gateway/gateway_limit_test.cc
@@ -92,6 +92,31 @@
   }
 }
 
+TEST_CASE("a server that refused a connection gets only what a cold one takes")
+{
+  GatewayFixture fixture;
+  fixture.m_fleet.MarkUnreachable(InstanceId("south-1"));
+  for (int request = 0; request < 2'000; ++request) {
+    fixture.ScriptAll(SealedResponse("x"));
+  }
+  fixture.Advance(seconds(11));
+  fixture.m_upstream.m_scripts[kServerOne].push_front(
+    { .m_kind = ResponseKind::RefusesConnection });
+  while (!fixture.m_registry.Find(BackendServerId("s1@1"))->m_hasRefused) {
+    fixture.Start(kRead);
+    fixture.Advance(kStep);
+  }
+  // The other server takes nothing, and the ejection ends.
+  fixture.m_registry.Remove(BackendServerId("s2"), RemovalReason::Published);
+  fixture.Advance(milliseconds(1'100));
+  const auto arrivals = SendForSeconds(fixture, kServerOne, seconds(1));
+  const auto total =
+    std::accumulate(arrivals.begin(), arrivals.end(), std::size_t{ 0 });
+  // The rate of a cold server is 10 a second.
+  CHECK(total > 0);
+  CHECK(total <= 10);
+}
+
 TEST_CASE("what limited servers cannot take is refused at once, with the time "
           "until they take another request")
 {
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -313,6 +313,13 @@
     };
     co_await ReadResponse(*exchange, server, sentAt, std::move(onFirstByte));
     dispatch.EndWith(ResultCode::Ok);
+  } catch (const ConnectionRefused& error) {
+    if (pool != nullptr) {
+      m_state.m_registry.RecordRefusedConnection(server.m_incarnation,
+                                                 pool->m_coldDuration);
+    }
+    dispatch.EndWith(error.Code());
+    throw;
   } catch (const RequestError& error) {
     dispatch.EndWith(error.Code());
     throw;
@@ -377,6 +384,10 @@
           { "address", aServer.m_record.m_endpoint.ToString() } });
     return;
   }
+  if (const Pool* pool = m_request.m_config->FindPool(m_request.m_pool)) {
+    m_state.m_registry.RecordResponse(aServer.m_incarnation,
+                                      pool->m_coldDuration);
+  }
   if (aInfo.m_isDraining) {
     MarkDraining(m_state, aServer.m_incarnation, "response");
   }
--- a/rattanweir/request/gateway/server_candidates.cc
+++ b/rattanweir/request/gateway/server_candidates.cc
@@ -164,7 +164,8 @@
                               : aInput.m_fleet.ShareOfRegion(kPartitionTime);
   const InstanceId& self = aInput.m_fleet.Self().m_id;
   ServerRateQuery query{
-    .m_server = aInput.m_server.m_incarnation,
+    // A new incarnation may run before its entry is known.
+    .m_server = aInput.m_server.m_record.m_id,
     .m_rate =
       RequestRate(rate * std::min(1.0, kPartAllowance * share.m_fraction)),
     .m_maxBurst = hasColdLimit ? std::chrono::nanoseconds::zero() : kMaxBurst,
--- a/testing/pipeline_fixture/scripted_upstream.cc
+++ b/testing/pipeline_fixture/scripted_upstream.cc
@@ -131,6 +131,9 @@
     throw RequestError(
       ResultCode::BackendConnectFailed, "connection failed", Ran::No);
   }
+  if (response.m_kind == ResponseKind::RefusesConnection) {
+    throw ConnectionRefused("connection refused");
+  }
   std::string attemptId = response.m_attemptId;
   const std::string* sent = FindHeader(aRequest.m_headers, "x-attempt-id");
   if (attemptId.empty() && sent != nullptr) {
--- a/testing/pipeline_fixture/scripted_upstream.h
+++ b/testing/pipeline_fixture/scripted_upstream.h
@@ -32,6 +32,8 @@
   Responds,
   // The connection fails before any byte is sent.
   ConnectFails,
+  // The same, since no process listens at the endpoint.
+  RefusesConnection,
   // The connection is reset after the request, before the response head.
   Resets,
   DeadlinePasses,
