Do not go back to an earlier incarnation that a restored store lists

An entry of a restored store with an earlier start time than the incarnation that is known is now unconfirmed, like one that was removed before, until the server writes its entry again or would have been removed.

A process that starts while a restored store still lists the earlier incarnation takes it for the current one until the server writes again, within a heartbeat: not changed.

--- a/rattanweir/process/backend_registry/backend_registry.cc
+++ b/rattanweir/process/backend_registry/backend_registry.cc
@@ -49,8 +49,11 @@
   std::optional<SteadyTime> confirmAt;
   if (removed != m_removed.end()) {
     server.m_record.m_isDraining |= removed->second.m_wasDraining;
-    server.m_isUnconfirmed = aOrigin == RecordOrigin::Restored;
   }
+  const bool isOutdated =
+    removed != m_removed.end() ||
+    server.m_record.m_startedAtMs < entry.m_server.m_record.m_startedAtMs;
+  server.m_isUnconfirmed = isOutdated && aOrigin == RecordOrigin::Restored;
   if (server.m_isUnconfirmed) {
     confirmAt = m_options.m_clock.SteadyNow() + m_options.m_confirmationTime;
   }
--- a/rattanweir/request/gateway/returning_server_fleet_test.cc
+++ b/rattanweir/request/gateway/returning_server_fleet_test.cc
@@ -86,6 +86,17 @@
   // Publishes the current entry of the server to all instances.
   void Publish() { PublishToAll(RecordOrigin::Published); }
 
+  // Restores the store from a copy that has the server's entry before this one,
+  // which no longer names a cold time.
+  void RestoreEarlierEntry()
+  {
+    const ServerRecord current = m_record;
+    m_record.m_startedAtMs -= 1'000;
+    m_record.m_coldFor = {};
+    PublishToAll(RecordOrigin::Restored);
+    m_record = current;
+  }
+
   SimulatedFleet<SendingProcess>& Fleet() { return m_fleet; }
 
   // Returns the maximum number of requests that were sent and arrived within
@@ -104,6 +115,7 @@
     return maximum;
   }
 
+  void ForgetArrivals() { m_coldArrivals.clear(); }
   std::size_t ArrivedWhileCold() const { return m_coldArrivals.size(); }
   std::size_t Arrived() const { return m_arrivals; }
 
@@ -263,5 +275,28 @@
   });
 }
 
+TEST_CASE(
+  "a cold server is not flooded after the store is restored from a copy "
+  "with its earlier incarnation")
+{
+  ForEachFleet([](ReturningServerFleet& aServer) {
+    SimulatedFleet<SendingProcess>& fleet = aServer.Fleet();
+    const milliseconds newsTime =
+      milliseconds(200) + fleet.Faults().m_newsDelay;
+    // The instances that start now know the new incarnation only.
+    aServer.EndServer();
+    fleet.RestartAll(milliseconds(800));
+    aServer.StartServer(seconds(30));
+    fleet.RunFor(seconds(15) + newsTime);
+    aServer.ForgetArrivals();
+    aServer.RestoreEarlierEntry();
+    fleet.RunFor(milliseconds(1'200) + newsTime);
+    aServer.Publish();
+    fleet.RunFor(seconds(5));
+    CHECK(static_cast<double>(aServer.MaxWhileCold()) <= kMaxPerSecond);
+    CHECK(aServer.ArrivedWhileCold() > 0);
+  });
+}
+
 } // namespace
 } // namespace rattanweir
