Reject a stream that ends without an event, and bound bodies without length

A response, a stream too, may have neither length nor chunks and end with its connection. Two cases were wrong:

- A stream whose connection was closed before its first event was passed on as complete, empty success.
An engine that crashes as it begins to answer ends like that.
It now counts as broken off: AnswerIncomplete, retried where the route permits it.
A stream that continues an earlier attempt may end without a further event, as before.
- Such a body had no bound but the deadline.
More than 32 MiB end the call with AnswerTooLarge, and count as a failure of the server.

--- a/rattanweir/connection/http_client/internal/client_stream.cc
+++ b/rattanweir/connection/http_client/internal/client_stream.cc
@@ -242,7 +242,7 @@
   state.StartParser();
   do {
     if (state.m_parser->is_header_done()) {
-      // Skips an informational (1xx) response before the final one.
+      // Skips an informational response.
       state.StartParser();
     }
     co_await http::async_read_header(
@@ -260,6 +260,7 @@
   const ResponseParser& parser = *state.m_parser;
   outcome.m_isUnusable =
     !parser.is_done() && parser.need_eof() && !state.m_acceptsCloseDelimited;
+  outcome.m_head.m_isCloseDelimited = !parser.is_done() && parser.need_eof();
   outcome.m_head.m_status = parser.get().result_int();
   outcome.m_head.m_headers = FieldsOf(parser);
   if (const auto length = parser.content_length()) {
--- a/rattanweir/request/exchange/exchange.h
+++ b/rattanweir/request/exchange/exchange.h
@@ -65,6 +65,9 @@
   HeaderFields m_headers;
   // The length of the body in bytes, if known in advance.
   std::optional<std::uint64_t> m_contentLength;
+  // The body has neither a length nor chunks and ends with its connection. Only
+  // in received responses.
+  bool m_isCloseDelimited = false;
 };
 
 // Writes one response to the caller.
--- a/rattanweir/request/gateway/response_forwarder.cc
+++ b/rattanweir/request/gateway/response_forwarder.cc
@@ -14,6 +14,9 @@
 constexpr std::string_view kEventStream = "text/event-stream";
 // A response up to this length is forwarded only once it is complete.
 constexpr std::uint64_t kMaxBufferedBytes = std::uint64_t{ 64 } * 1024;
+// Limit on a body that ends with its connection.
+constexpr std::uint64_t kMaxCloseDelimitedBytes =
+  std::uint64_t{ 32 } * 1024 * 1024;
 
 bool
 IsSuccess(const ResponseHead& aHead)
@@ -97,6 +100,11 @@
     throw RequestError(ResultCode::AnswerIncomplete,
                        "the stream ended within an event");
   }
+  if (aHead.m_isCloseDelimited && !progress.m_lastEventId &&
+      !progress.m_hasEventWithoutId) {
+    throw RequestError(ResultCode::AnswerIncomplete,
+                       "the connection was closed before the first event");
+  }
   if (!std::exchange(progress.m_hasForwardedHead, true)) {
     co_await m_options.m_sink.WriteHead(aHead);
   }
@@ -124,11 +132,18 @@
 ResponseForwarder::ForwardChunks(UpstreamExchange& aExchange,
                                  ResponseHead aHead)
 {
+  const bool isCloseDelimited = aHead.m_isCloseDelimited;
+  std::uint64_t received = 0;
   auto chunk = co_await aExchange.ReadChunk();
   ReportFirstByte();
   m_options.m_progress.m_hasForwardedHead = true;
   co_await m_options.m_sink.WriteHead(std::move(aHead));
   while (chunk) {
+    received += chunk->size();
+    if (isCloseDelimited && received > kMaxCloseDelimitedBytes) {
+      throw RequestError(ResultCode::AnswerTooLarge,
+                         "a body without length or chunks exceeds 32 MiB");
+    }
     co_await m_options.m_sink.WriteChunk(std::move(*chunk));
     chunk = co_await aExchange.ReadChunk();
   }
--- a/rattanweir/request/gateway/response_forwarder.h
+++ b/rattanweir/request/gateway/response_forwarder.h
@@ -45,8 +45,9 @@
 public:
   explicit ResponseForwarder(ResponseForwarderOptions aOptions);
 
-  // Throws RequestError with AnswerIncomplete or AnswerMismatch, and rethrows
-  // what the exchange and the sink throw.
+  // Throws RequestError with AnswerIncomplete, AnswerMismatch or, for a body
+  // that ends with its connection, AnswerTooLarge. Rethrows what the exchange
+  // and the sink throw.
   Task<void> Run(UpstreamExchange& aExchange, ResponseHead aHead);
 
 private:
--- a/rattanweir/request/gateway/server_dispatch.cc
+++ b/rattanweir/request/gateway/server_dispatch.cc
@@ -18,6 +18,7 @@
     case ResultCode::BackendReset:
     case ResultCode::AnswerIncomplete:
     case ResultCode::AnswerMismatch:
+    case ResultCode::AnswerTooLarge:
     case ResultCode::BackendFailed:
     case ResultCode::DeadlineExceeded:
       return AttemptOutcome::Failed;
--- /dev/null
+++ b/testing/gateway_chain/gateway_chain.h
@@ -0,0 +1,125 @@
+// Two gateways of different regions, connected by sockets, before a backend
+// server that a test scripts byte by byte. For what a caller sees of faulty
+// responses, directly or through a peer.
+//
+//   GatewayChain chain;
+//   RunTask(chain.m_context, [&]() -> Task<void> {
+//     RawPeer caller = co_await chain.Call(ServedBy::Peer, "/read/1");
+//     RawPeer server = co_await chain.AcceptRequest();
+//     co_await server.Write("HTTP/1.1 200 OK\r\nseal: s\r\n\r\nx");
+//     server.Close();
+//     const std::string response = co_await caller.ReadToEnd();
+//   });
+//
+// The routes are those of GatewayFixture. All servers of both regions have the
+// address of one listener.
+
+#pragma once
+
+#include "rattanweir/connection/http_client/http_client.h"
+#include "rattanweir/connection/http_server/http_server.h"
+#include "testing/gateway_fixture/gateway_fixture.h"
+#include "testing/raw_peer/raw_peer.h"
+
+#include <memory>
+#include <string>
+
+namespace rattanweir {
+
+enum class ServedBy
+{
+  // The instance that the caller is connected to.
+  Entry,
+  // A peer in the other region.
+  Peer,
+};
+
+// One instance of the chain.
+class GatewayNode
+{
+public:
+  struct Options
+  {
+    asio::io_context& m_context;
+    const char* m_id;
+    const char* m_region;
+  };
+
+  explicit GatewayNode(const Options& aOptions);
+  ~GatewayNode();
+  GatewayNode(const GatewayNode&) = delete;
+  GatewayNode& operator=(const GatewayNode&) = delete;
+
+  FleetMember Record();
+  void AddPeer(FleetMember aRecord);
+  void AddServer(const char* aId,
+                 const char* aPool,
+                 const char* aZone,
+                 const Endpoint& aAddress);
+
+  Endpoint CallerAddress() const { return m_callerServer.LocalEndpoint(); }
+  std::size_t IdleServerConnections() const
+  {
+    return m_backendUpstream.IdleConnections();
+  }
+  BackendState StateOf(const char* aIncarnation) const
+  {
+    return m_backends.StateOf(BackendServerId(aIncarnation));
+  }
+
+private:
+  HttpServerOptions ServerOptions(RequestHandler& aHandler) const;
+
+  asio::io_context& m_context;
+  const Clock& m_clock = SystemClock();
+  RandomEngine m_random{ 5 };
+  PlainProtocol m_protocol;
+  FleetConfigStore m_config;
+  FleetView m_fleet;
+  BackendRegistry m_registry;
+  BackendView m_backends{ { .m_clock = m_clock } };
+  BackendView m_regions{ { .m_clock = m_clock } };
+  PartCacheView m_parts;
+  AccountRates m_rates{ { .m_clock = m_clock, .m_initialBurstFraction = 1 } };
+  FleetRetryBudget m_retries;
+  ServerRateLimiter m_rateLimiter{ { .m_clock = m_clock } };
+  ServerLimits m_serverLimits{ { .m_clock = m_clock } };
+  PoolQueues m_queues;
+  Metrics m_metrics;
+  HttpUpstream m_backendUpstream;
+  HttpUpstream m_peerUpstream;
+  GatewayState m_state;
+  GatewayEntryHandler m_entry{ m_state };
+  GatewayPeerHandler m_peer;
+  HttpServer m_callerServer;
+  HttpServer m_peerServer;
+};
+
+class GatewayChain
+{
+public:
+  GatewayChain();
+
+  // Connects to the entry instance and sends a request.
+  Task<RawPeer> Call(ServedBy aServedBy, std::string aTarget);
+
+  // Accepts a connection as the backend server and reads the request.
+  Task<RawPeer> AcceptRequest();
+
+  // Returns the instance that sends to the backend server.
+  GatewayNode& Server(ServedBy aServedBy)
+  {
+    return aServedBy == ServedBy::Entry ? *m_entry : *m_peer;
+  }
+
+  asio::io_context m_context;
+
+private:
+  RawListener m_listener;
+  // Without servers in its own region, the entry instance forwards.
+  std::unique_ptr<GatewayNode> m_entry;
+  std::unique_ptr<GatewayNode> m_peer;
+  std::unique_ptr<GatewayNode> m_forwarder;
+};
+
+} // namespace rattanweir
