Bound the informational responses before a response

Informational (1xx) responses without end from a server kept the client reading heads; the test with such a server did not end within ten minutes, far beyond the deadline of its request. The 17th one now ends the call as an invalid response, and the connection is closed.

--- a/rattanweir/connection/http_client/internal/client_stream.cc
+++ b/rattanweir/connection/http_client/internal/client_stream.cc
@@ -34,6 +34,8 @@
 // time, and doubles each time a read fills it.
 constexpr std::size_t kFirstReadBytes = 4UL * 1024;
 constexpr std::size_t kMaxReadBytes = 64UL * 1024;
+// Informational (1xx) responses before the final one.
+constexpr unsigned kMaxInformationalResponses = 16;
 
 // Whether the request has a Content-Length. POST, PUT and PATCH have one even
 // without a body.
@@ -240,10 +242,15 @@
   State& state = *m_state;
   state.m_buffer.reserve(kFirstReadBytes);
   state.StartParser();
+  unsigned informational = 0;
   do {
     if (state.m_parser->is_header_done()) {
       // Skips an informational response.
       state.StartParser();
+      if (++informational > kMaxInformationalResponses) {
+        outcome.m_error = http::error::header_limit;
+        break;
+      }
     }
     co_await http::async_read_header(
       state.m_socket.Get(),
