Quarantine the parts of prompts that crash engines

Cause: nothing connected the crashes. A dead engine is an unreachable server, whatever it ran, so each such request took the next engine, and the retry of each one more.

PromptQuarantine keeps evidence by part, under the identity of the part alone: which engines broke off a request with it before they were past the start of an answer. A crash breaks off all requests of the engine, so the evidence is dropped once a request with the part that was sent later is answered, at any instance, or once the engine responds again. Three breaks in turn put a part in quarantine (six if it had been answered before); what it explains doesn't count against the parts beside it, and parts that cannot be told apart are refused together only. Engines that die within 250 ms count once: a lost zone or a power failure is no evidence. Reports go round with gossip, and news of it at once to a few members, which pass it on.

A request with a quarantined part is refused at once, at the entry, at the peer and in a queue, with its own result code 112 and without Retry-After. One instance tries again after 10 s if there is little evidence, then after 2 minutes, 10 minutes and an hour, and on new software. What an engine broke off is retried only if its parts are known to be answered.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -127,6 +127,7 @@
       { .m_clock = m_clock, .m_limits = MakeRetryLimits(*m_settings.m_fleet) })
   , m_rateLimiter({ .m_clock = m_clock })
   , m_serverLimits({ .m_clock = m_clock })
+  , m_quarantine({ .m_clock = m_clock })
   , m_configLag({ .m_clock = m_clock })
   , m_queues(m_context.get_executor())
   , m_recordApplier({ .m_published = m_published,
@@ -153,6 +154,7 @@
                .m_fleet = m_fleet,
                .m_published = m_published,
                .m_metrics = m_metrics,
+               .m_quarantine = &m_quarantine,
                .m_updateSelf = [this] { UpdateSelf(); } })
   , m_storeReader({ .m_executor = m_context.get_executor(),
                     .m_clock = m_clock,
@@ -244,6 +246,7 @@
            .m_retries = m_retries,
            .m_rateLimiter = m_rateLimiter,
            .m_serverLimits = m_serverLimits,
+           .m_quarantine = m_quarantine,
            .m_queues = m_queues,
            .m_metrics = m_metrics,
            .m_backendUpstream = m_backendUpstream,
@@ -319,6 +322,12 @@
   });
   m_metrics.SetGauge("rattanweir_ready",
                      [this] { return m_fleet.Self().m_isReady ? 1.0 : 0.0; });
+  m_metrics.SetGauge("rattanweir_quarantined_parts", [this] {
+    return static_cast<double>(m_quarantinedParts.size());
+  });
+  m_metrics.SetGauge("rattanweir_parts_with_evidence", [this] {
+    return static_cast<double>(m_quarantine.PartsWithEvidence());
+  });
   m_metrics.SetGauge("rattanweir_config_version", [this] {
     const FleetConfigPtr config = m_config.InForce();
     return config ? static_cast<double>(config->Version().Value()) : 0.0;
@@ -458,6 +467,41 @@
   m_parts.KeepOnly(known);
   m_rateLimiter.KeepOnly(m_registry.Ids());
   m_serverLimits.KeepOnly(known);
+  m_quarantine.KeepOnly(known);
+}
+
+// Forgets outdated evidence, tells peers what is new and logs changes.
+void
+FleetDaemon::UpdateQuarantine()
+{
+  m_quarantine.Tick([this](const std::string& aSoftware) {
+    return m_registry.IsSoftwareRunning(aSoftware);
+  });
+  if (m_quarantine.TakeNews()) {
+    m_gossip.SpreadQuarantine();
+  }
+  std::set<PartKey> parts;
+  for (const QuarantinedGroup& group : m_quarantine.Groups()) {
+    for (const PartKey part : group.m_parts) {
+      parts.insert(part);
+      if (m_quarantinedParts.contains(part)) {
+        continue;
+      }
+      Log(LogLevel::Warning,
+          "prompt_part_quarantined",
+          { { "part", PartKeyText(part) },
+            { "engines", std::to_string(group.m_engines.size()) },
+            { "last", group.m_engines.rbegin()->Value() } });
+    }
+  }
+  for (const PartKey part : m_quarantinedParts) {
+    if (!parts.contains(part)) {
+      Log(LogLevel::Warning,
+          "prompt_part_released",
+          { { "part", PartKeyText(part) } });
+    }
+  }
+  m_quarantinedParts = std::move(parts);
 }
 
 // Enables reading from the store at start and if the instance is one of the few
@@ -517,6 +561,7 @@
     ApplyPeerUsages();
     ApplyPeerLimits();
     ApplyPeerDraining();
+    UpdateQuarantine();
     UpdateStoreReading();
     UpdateReadiness();
     if (HasSettingsChanged()) {
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -57,6 +57,7 @@
   void ApplyPeerUsages();
   void ApplyPeerLimits();
   void ApplyPeerDraining();
+  void UpdateQuarantine();
   void UpdateStoreReading();
   void UpdateReadiness();
   void ReloadSettings(const char* aReason);
@@ -87,6 +88,7 @@
   FleetRetryBudget m_retries;
   ServerRateLimiter m_rateLimiter;
   ServerLimits m_serverLimits;
+  PromptQuarantine m_quarantine;
   PublishedItems m_published;
   ConfigLagDetector m_configLag;
   PoolQueues m_queues;
@@ -115,6 +117,8 @@
   asio::signal_set m_reloadSignals;
   SteadyTime m_lastSettingsCheckAt;
   SteadyTime m_lastEvictionAt;
+  // Parts that were in quarantine at the last tick.
+  std::set<PartKey> m_quarantinedParts;
   // Versions of the topics that were last announced to peers.
   std::map<TopicId, TopicVersion> m_announcedVersions;
   bool m_isStopped = false;
--- a/rattanweir/base/result/result_code.cc
+++ b/rattanweir/base/result/result_code.cc
@@ -49,6 +49,7 @@
     409,
     Ran::Maybe,
     kNever },
+  { ResultCode::PromptQuarantined, "prompt_quarantined", 422, Ran::No, kNever },
   { ResultCode::RateExceeded,
     "rate_exceeded",
     429,
--- a/rattanweir/base/result/result_code.h
+++ b/rattanweir/base/result/result_code.h
@@ -50,6 +50,7 @@
   IdempotencyKeyMalformed = 109,
   IdempotencyKeyExpired = 110,
   IdempotencyKeyMismatch = 111,
+  PromptQuarantined = 112,
 
   // The request is valid but cannot be served at this time.
   RateExceeded = 200,
--- a/rattanweir/connection/gossip/gossip.cc
+++ b/rattanweir/connection/gossip/gossip.cc
@@ -29,6 +29,11 @@
                           MergeRecords(aParameters);
                           return Json::Value(Json::objectValue);
                         });
+  m_dispatcher.Register(kQuarantineMethod,
+                        [this](const Json::Value& aParameters) {
+                          MergeQuarantine(aParameters);
+                          return Json::Value(Json::objectValue);
+                        });
   m_dispatcher.Register(kFetchTopicMethod,
                         [this](const Json::Value& aParameters) {
                           return HandleFetchTopic(aParameters);
@@ -75,23 +80,44 @@
       continue;
     }
     asio::co_spawn(m_options.m_executor,
-                   SendAnnouncement(peer->m_peerAddress, record),
+                   SendNews(peer->m_peerAddress, kAnnounceMethod, record),
+                   asio::detached);
+  }
+}
+
+void
+Gossip::SpreadQuarantine()
+{
+  Json::Value message;
+  AddQuarantine(m_options.m_quarantine->ToAdvertise(), message);
+  for (const Endpoint& target :
+       m_options.m_fleet.ChooseNewsTargets(m_options.m_random)) {
+    asio::co_spawn(m_options.m_executor,
+                   SendNews(target, kQuarantineMethod, message),
                    asio::detached);
   }
 }
 
+void
+Gossip::MergeQuarantine(const Json::Value& aMessage)
+{
+  if (m_options.m_quarantine != nullptr) {
+    m_options.m_quarantine->Merge(QuarantineFromJson(aMessage));
+  }
+}
+
 Task<void>
-Gossip::SendAnnouncement(Endpoint aTarget, Json::Value aRecord)
+Gossip::SendNews(Endpoint aTarget, std::string aMethod, Json::Value aParameters)
 {
   try {
     PeerCall call;
     call.m_endpoint = aTarget;
-    call.m_method = kAnnounceMethod;
-    call.m_parameters = std::move(aRecord);
+    call.m_method = std::move(aMethod);
+    call.m_parameters = std::move(aParameters);
     call.m_deadline = m_options.m_clock.SteadyNow() + kCallTimeout;
     co_await CallPeer(m_options.m_upstream, std::move(call));
   } catch (const std::exception& error) {
-    // A later round delivers the record.
+    // A later round delivers the news.
     m_options.m_metrics.Count("rattanweir_gossip_failures_total");
     Log(LogLevel::Debug,
         "news_failed",
@@ -103,7 +129,12 @@
 Gossip::NextMessage()
 {
   m_options.m_updateSelf();
-  return ToJson(m_options.m_fleet.NextMessage(m_options.m_random));
+  Json::Value message =
+    ToJson(m_options.m_fleet.NextMessage(m_options.m_random));
+  if (m_options.m_quarantine != nullptr) {
+    AddQuarantine(m_options.m_quarantine->ToAdvertise(), message);
+  }
+  return message;
 }
 
 Task<void>
@@ -140,6 +171,7 @@
 {
   const std::vector<FleetMember> records = FleetMembersFromJson(aMessage);
   const InstanceId& sender = records.front().m_id;
+  MergeQuarantine(aMessage);
   m_options.m_fleet.Merge(records, sender);
   if (const FleetMember* member = m_options.m_fleet.Find(sender)) {
     FetchNewerTopics(*member);
--- a/rattanweir/connection/gossip/gossip.h
+++ b/rattanweir/connection/gossip/gossip.h
@@ -21,6 +21,7 @@
 #include "rattanweir/connection/rpc/rpc.h"
 #include "rattanweir/process/fleet/fleet_view.h"
 #include "rattanweir/process/metrics/metrics.h"
+#include "rattanweir/process/prompt_quarantine/prompt_quarantine.h"
 #include "rattanweir/process/published/published_items.h"
 #include "rattanweir/request/exchange/exchange.h"
 
@@ -45,6 +46,8 @@
   // Every Nth round includes members of other regions. Links between regions
   // are slower and cost more.
   unsigned m_crossRegionRoundInterval = 2;
+  // If set, its reports travel with each message.
+  PromptQuarantine* m_quarantine = nullptr;
   // Called before each outgoing message; updates this instance's record in
   // `m_fleet`.
   std::function<void()> m_updateSelf;
@@ -66,6 +69,10 @@
   // live member of each other region.
   void Announce();
 
+  // Sends what the quarantine knows to a few random members, which pass on what
+  // is new to them.
+  void SpreadQuarantine();
+
   // Handles one RPC request of a peer and returns the encoded response.
   std::string HandleCall(const std::string& aRequest);
 
@@ -76,7 +83,10 @@
 private:
   Task<void> RunRounds();
   Task<void> Exchange(Endpoint aTarget);
-  Task<void> SendAnnouncement(Endpoint aTarget, Json::Value aRecord);
+  Task<void> SendNews(Endpoint aTarget,
+                      std::string aMethod,
+                      Json::Value aParameters);
+  void MergeQuarantine(const Json::Value& aMessage);
   Task<void> FetchTopic(Endpoint aPeer, TopicId aTopic);
   Json::Value HandleGossip(const Json::Value& aParameters);
   Json::Value HandleFetchTopic(const Json::Value& aParameters) const;
--- a/rattanweir/connection/gossip/gossip_messages.cc
+++ b/rattanweir/connection/gossip/gossip_messages.cc
@@ -81,6 +81,25 @@
   }
 }
 
+Json::UInt64
+ToMilliseconds(std::chrono::nanoseconds aDuration)
+{
+  return static_cast<Json::UInt64>(
+    std::max<std::int64_t>(0, duration_cast<milliseconds>(aDuration).count()));
+}
+
+// Throws RpcError for anything but a number of milliseconds up to a day.
+milliseconds
+GetAge(const Json::Value& aValue)
+{
+  constexpr milliseconds kMaxAge = std::chrono::hours(24);
+  if (!aValue.isUInt64() ||
+      aValue.asUInt64() > static_cast<std::uint64_t>(kMaxAge.count())) {
+    throw RpcError("quarantine: expected an age in milliseconds");
+  }
+  return milliseconds(aValue.asInt64());
+}
+
 // Encodes the usage of all accounts in one string, as a sequence of
 // `ACCOUNT=DEMAND:ADMITTED,`. Encoded as JSON members, the accounts would take
 // most of the processing time of a message.
@@ -304,6 +323,65 @@
   return records;
 }
 
+void
+AddQuarantine(const std::vector<PartReport>& aReports, Json::Value& aMessage)
+{
+  for (const PartReport& report : aReports) {
+    Json::Value entry;
+    entry["part"] = Json::UInt64(static_cast<std::uint64_t>(report.m_part));
+    entry["asked_ms"] = ToMilliseconds(report.m_requestAge);
+    entry["breaks"] = Json::Value(Json::arrayValue);
+    for (const BreakReport& broken : report.m_breaks) {
+      Json::Value fields(Json::arrayValue);
+      fields.append(broken.m_engine.m_incarnation.Value());
+      fields.append(broken.m_engine.m_software);
+      fields.append(ToMilliseconds(broken.m_age));
+      fields.append(broken.m_isExcused);
+      fields.append(broken.m_wasAnswered);
+      entry["breaks"].append(std::move(fields));
+    }
+    aMessage["quarantine"].append(std::move(entry));
+  }
+}
+
+std::vector<PartReport>
+QuarantineFromJson(const Json::Value& aMessage)
+{
+  std::vector<PartReport> reports;
+  if (!aMessage.isObject() || !aMessage.isMember("quarantine")) {
+    return reports;
+  }
+  const Json::Value& list = aMessage["quarantine"];
+  if (!list.isArray()) {
+    throw RpcError("quarantine: expected an array");
+  }
+  for (const Json::Value& entry : list) {
+    PartReport report{
+      .m_part = static_cast<PartKey>(GetUnsigned(entry, "part")),
+      .m_requestAge = GetAge(GetField(entry, "asked_ms")),
+    };
+    const Json::Value& breaks = GetField(entry, "breaks");
+    if (!breaks.isArray()) {
+      throw RpcError("breaks: expected an array");
+    }
+    for (const Json::Value& fields : breaks) {
+      if (!fields.isArray() || fields.size() != 5 || !fields[0].isString() ||
+          !fields[1].isString() || !fields[3].isBool() || !fields[4].isBool()) {
+        throw RpcError(
+          "breaks: expected [SERVER, SOFTWARE, AGE, EXCUSED, ANSWERED]");
+      }
+      report.m_breaks.push_back(
+        { .m_engine = { .m_incarnation = BackendServerId(fields[0].asString()),
+                        .m_software = fields[1].asString() },
+          .m_age = GetAge(fields[2]),
+          .m_isExcused = fields[3].asBool(),
+          .m_wasAnswered = fields[4].asBool() });
+    }
+    reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
 Json::Value
 ToJson(const TopicSnapshot& aSnapshot)
 {
--- a/rattanweir/connection/gossip/gossip_messages.h
+++ b/rattanweir/connection/gossip/gossip_messages.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "rattanweir/process/fleet/fleet_view.h"
+#include "rattanweir/process/prompt_quarantine/prompt_quarantine.h"
 #include "rattanweir/process/published/published_items.h"
 
 #include <json/value.h>
@@ -22,6 +23,8 @@
 inline constexpr char kGossipMethod[] = "gossip";
 // Carries the sender's record only; the result is an empty object.
 inline constexpr char kAnnounceMethod[] = "news";
+// Carries the sender's quarantine only; the result is an empty object.
+inline constexpr char kQuarantineMethod[] = "quarantine";
 inline constexpr char kFetchTopicMethod[] = "fetch_topic";
 
 // The first record is the sender's own.
@@ -30,6 +33,13 @@
 std::vector<FleetMember>
 FleetMembersFromJson(const Json::Value& aValue);
 
+// Adds the field `quarantine` to a message, unless there is nothing to tell,
+// and reads it.
+void
+AddQuarantine(const std::vector<PartReport>& aReports, Json::Value& aMessage);
+std::vector<PartReport>
+QuarantineFromJson(const Json::Value& aMessage);
+
 // Reads the field `epoch`, 0 if it is missing as in messages of earlier
 // releases, and the given field for the revision.
 TopicVersion
--- a/rattanweir/process/backend_registry/backend_registry.cc
+++ b/rattanweir/process/backend_registry/backend_registry.cc
@@ -257,6 +257,14 @@
   return incarnations;
 }
 
+bool
+BackendRegistry::IsSoftwareRunning(const std::string& aSoftware) const
+{
+  return std::ranges::any_of(m_servers, [&](const auto& aEntry) {
+    return aEntry.second.m_server.Software() == aSoftware;
+  });
+}
+
 std::set<BackendServerId>
 BackendRegistry::Ids() const
 {
--- a/rattanweir/process/backend_registry/backend_registry.h
+++ b/rattanweir/process/backend_registry/backend_registry.h
@@ -60,6 +60,8 @@
   bool m_isDraining = false;
   // Remaining time for which the server is cold.
   std::chrono::nanoseconds m_coldFor{};
+  // Version of the server's software; empty if not stated.
+  std::string m_softwareVersion;
 };
 
 // The current incarnation of a published server.
@@ -78,6 +80,13 @@
   // The server has refused a connection and has not responded since.
   bool m_hasRefused = false;
 
+  // Returns the pool and the software version; servers with the same value run
+  // the same software.
+  std::string Software() const
+  {
+    return m_record.m_pool.Value() + " " + m_record.m_softwareVersion;
+  }
+
   bool AcceptsRequests() const
   {
     return !m_record.m_isDraining && !m_isEvacuated && !m_isUnconfirmed;
@@ -199,6 +208,9 @@
   // Returns all registered incarnations, so that other views can drop the rest.
   std::set<BackendServerId> Incarnations() const;
 
+  // Returns whether a registered server has this value of Software().
+  bool IsSoftwareRunning(const std::string& aSoftware) const;
+
   // Returns the ids of all registered servers.
   std::set<BackendServerId> Ids() const;
 
--- a/rattanweir/process/fleet/fleet_view.cc
+++ b/rattanweir/process/fleet/fleet_view.cc
@@ -24,6 +24,8 @@
 // a new sequence number.
 constexpr double kOverdueFraction = 0.6;
 
+constexpr std::size_t kNewsTargetsInRegion = 3;
+
 // Removes a random element and returns it.
 template<class Value>
 Value
@@ -291,6 +293,25 @@
   return targets;
 }
 
+std::vector<Endpoint>
+FleetView::ChooseNewsTargets(RandomEngine& aRandom) const
+{
+  std::vector<Endpoint> local;
+  std::vector<Endpoint> remote;
+  for (const FleetMember* peer : LivePeers()) {
+    (peer->m_region == m_options.m_self.m_region ? local : remote)
+      .push_back(peer->m_peerAddress);
+  }
+  std::vector<Endpoint> targets;
+  while (!local.empty() && targets.size() < kNewsTargetsInRegion) {
+    targets.push_back(ExtractRandom(local, aRandom));
+  }
+  if (!remote.empty()) {
+    targets.push_back(ExtractRandom(remote, aRandom));
+  }
+  return targets;
+}
+
 bool
 FleetView::ShouldReadStore() const
 {
--- a/rattanweir/process/fleet/fleet_view.h
+++ b/rattanweir/process/fleet/fleet_view.h
@@ -178,6 +178,10 @@
   std::vector<Endpoint> ChooseTargets(RandomEngine& aRandom,
                                       bool aIncludesOtherRegions) const;
 
+  // Returns the peer addresses to which news is sent that members pass on: a
+  // few random live members of this region and one of another.
+  std::vector<Endpoint> ChooseNewsTargets(RandomEngine& aRandom) const;
+
   // Returns true if this instance is one of the members that read the
   // platform's store for their region, or if no other live member of the region
   // reads it.
--- a/rattanweir/request/gateway/gateway_admission.cc
+++ b/rattanweir/request/gateway/gateway_admission.cc
@@ -1,7 +1,10 @@
 #include "rattanweir/request/gateway/gateway_admission.h"
 
+#include "rattanweir/process/logging/log.h"
 #include "rattanweir/request/exchange/header_fields.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -160,9 +163,47 @@
   ApplyRoute(request);
   request.m_partChain =
     BuildPartChain(request.m_info.m_model.Value(), request.m_info.m_parts);
+  request.m_sharedParts = SharedPartsOf(request.m_info.m_parts);
   return request;
 }
 
+// Returns how many instances precede this one in the order, the same at all
+// instances, in which they try the group.
+std::size_t
+TrialRank(const FleetView& aFleet, const QuarantinedGroup& aGroup)
+{
+  const auto seed = static_cast<std::uint64_t>(*aGroup.m_parts.begin());
+  const auto weight = [&](const FleetMember& aMember) {
+    const std::string& id = aMember.m_id.Value();
+    return XXH64(id.data(), id.size(), seed);
+  };
+  const std::uint64_t own = weight(aFleet.Self());
+  return static_cast<std::size_t>(
+    std::ranges::count_if(aFleet.ServingMembers(), [&](const auto* aMember) {
+      return weight(*aMember) > own;
+    }));
+}
+
+void
+CheckPrompt(GatewayState& aState, AdmittedRequest& aRequest)
+{
+  const auto rankOf = [&](const QuarantinedGroup& aGroup) {
+    return TrialRank(aState.m_fleet, aGroup);
+  };
+  switch (aState.m_quarantine.Check(aRequest.m_sharedParts, rankOf)) {
+    case QuarantineDecision::Admit:
+      return;
+    case QuarantineDecision::Trial:
+      aRequest.m_isQuarantineTrial = true;
+      Log(LogLevel::Warning,
+          "prompt_tried",
+          { { "request", aRequest.m_info.m_id.Value() } });
+      return;
+    case QuarantineDecision::Refuse:
+      RefuseRequest(ResultCode::PromptQuarantined, kQuarantinedDetail);
+  }
+}
+
 const std::string&
 RequireHeader(const HeaderFields& aHeaders, const char* aName)
 {
@@ -176,6 +217,19 @@
 
 } // namespace
 
+PartKeys
+SharedPartsOf(const std::vector<PromptPart>& aParts)
+{
+  PartKeys keys;
+  for (std::size_t index = 0; index + 1 < aParts.size(); ++index) {
+    const PartKey key = PartKeyOf(aParts[index].m_id);
+    if (std::ranges::find(keys, key) == keys.end()) {
+      keys.push_back(key);
+    }
+  }
+  return keys;
+}
+
 void
 ApplyAccount(AdmittedRequest& aRequest, const FleetAccount* aAccount)
 {
@@ -200,6 +254,7 @@
     RefuseRequest(ResultCode::DeadlineTooShort, "the deadline has passed");
   }
   request.m_pool = ChoosePool(request.m_route, aState.m_random);
+  CheckPrompt(aState, request);
   ConsumeRateTokens(aState, request);
   return request;
 }
@@ -230,6 +285,11 @@
                   "a header field of the forwarding peer is invalid");
   }
   request.m_deadline = request.m_receivedAt + milliseconds(*timeLeft);
+  request.m_isQuarantineTrial = FindHeader(headers, kHopTrialField) != nullptr;
+  if (!request.m_isQuarantineTrial &&
+      aState.m_quarantine.IsQuarantined(request.m_sharedParts)) {
+    RefuseRequest(ResultCode::PromptQuarantined, kQuarantinedDetail);
+  }
   if (!request.IsPermittedIn(aState.m_fleet.Self().m_region)) {
     RefuseRequest(ResultCode::ResidencyRefused,
                   "the request may not be served in this region");
--- a/rattanweir/request/gateway/gateway_admission.h
+++ b/rattanweir/request/gateway/gateway_admission.h
@@ -26,8 +26,11 @@
 // one field for each such server that the peer might choose.
 inline constexpr const char* kHopDrainingField = "x-hop-draining";
 
-// Checks the route, the key, the remaining time and the account's rate, in this
-// order. Throws RequestError.
+// Set in a request that is sent although parts of its prompt are in quarantine.
+inline constexpr const char* kHopTrialField = "x-hop-trial";
+
+// Checks the route, the key, the remaining time, the prompt and the account's
+// rate, in this order. Throws RequestError.
 AdmittedRequest
 AdmitFromCaller(GatewayState& aState, InboundRequest aInbound);
 
@@ -38,6 +41,14 @@
 AdmittedRequest
 AdmitFromPeer(GatewayState& aState, InboundRequest aInbound);
 
+// The detail of PromptQuarantined.
+inline constexpr const char* kQuarantinedDetail =
+  "engines have crashed on a part of the prompt";
+
+// Returns the keys of all parts but the last, each once.
+PartKeys
+SharedPartsOf(const std::vector<PromptPart>& aParts);
+
 // Sets the account, the priority and the cost, and restricts the regions to the
 // home regions of both route and account. Without an account, the route's
 // priority and home regions apply.
--- a/rattanweir/request/gateway/gateway_report.cc
+++ b/rattanweir/request/gateway/gateway_report.cc
@@ -162,6 +162,19 @@
     row["config"] = Json::UInt64(member->m_configVersion.Value());
     status["members"].append(std::move(row));
   }
+  status["quarantine"] = Json::Value(Json::arrayValue);
+  for (const QuarantinedGroup& group : aState.m_quarantine.Groups()) {
+    Json::Value row;
+    for (const PartKey part : group.m_parts) {
+      row["parts"].append(PartKeyText(part));
+    }
+    for (const BackendServerId& engine : group.m_engines) {
+      row["engines"].append(engine.Value());
+    }
+    row["last_ms"] =
+      MillisecondsOf(aState.m_clock.SteadyNow() - group.m_lastBreakAt);
+    status["quarantine"].append(std::move(row));
+  }
   status["servers"] = Json::Value(Json::arrayValue);
   if (!config) {
     return status;
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -112,6 +112,7 @@
   for (;;) {
     ThrowIfEnded();
     co_await WaitForDestination();
+    ThrowIfQuarantined();
     const PlacementInput input = BuildPlacementInput(Query());
     const Placement placement = DecidePlacement(input);
     if (const auto* refusal = std::get_if<Refuse>(&placement)) {
@@ -154,6 +155,21 @@
   }
 }
 
+// What was admitted may have been quarantined while it waited.
+void
+RequestDispatcher::ThrowIfQuarantined() const
+{
+  if (m_request.m_isQuarantineTrial ||
+      !m_state.m_quarantine.IsQuarantined(m_request.m_sharedParts)) {
+    return;
+  }
+  if (m_lastFailure) {
+    throw WithRan(*m_lastFailure);
+  }
+  throw RequestError(
+    ResultCode::PromptQuarantined, kQuarantinedDetail, m_report.m_ran);
+}
+
 // Returns once no queued request precedes this one and the placement decision
 // is not KeepQueued.
 Task<void>
@@ -219,6 +235,7 @@
                           const Placement& aPlacement)
 {
   m_report.m_timeToFirstByte.reset();
+  m_progress.m_eventsInAttempt = 0;
   ++m_report.m_dispatches;
   try {
     if (const auto* server =
@@ -321,11 +338,36 @@
     dispatch.EndWith(error.Code());
     throw;
   } catch (const RequestError& error) {
+    if (IsBrokenOff(error)) {
+      m_state.m_quarantine.RecordBreak(m_request.m_sharedParts,
+                                       { .m_incarnation = server.m_incarnation,
+                                         .m_software = server.Software() });
+    }
     dispatch.EndWith(error.Code());
     throw;
   }
 }
 
+// Returns whether the server of an engine pool broke the connection before it
+// was past the start of its answer.
+bool
+RequestDispatcher::IsBrokenOff(const RequestError& aError) const
+{
+  const Pool* pool = m_request.m_config->FindPool(m_request.m_pool);
+  return pool != nullptr && pool->m_engine &&
+         m_progress.m_eventsInAttempt <= 1 &&
+         (aError.Code() == ResultCode::BackendReset ||
+          aError.Code() == ResultCode::AnswerIncomplete);
+}
+
+std::function<void()>
+RequestDispatcher::AnswerRecorder(SteadyTime aSentAt)
+{
+  return [this, aSentAt] {
+    m_state.m_quarantine.RecordAnswer(m_request.m_sharedParts, aSentAt);
+  };
+}
+
 void
 RequestDispatcher::RecordLimitedRequest(const Pool& aPool,
                                         const RegisteredServer& aServer)
@@ -367,7 +409,8 @@
   }
   ResponseForwarder forwarder({ .m_sink = m_sink,
                                 .m_progress = m_progress,
-                                .m_onFirstByte = std::move(aOnFirstByte) });
+                                .m_onFirstByte = std::move(aOnFirstByte),
+                                .m_onAnswered = AnswerRecorder(aSentAt) });
   co_await forwarder.Run(aExchange, std::move(head));
 }
 
@@ -388,6 +431,7 @@
     m_state.m_registry.RecordResponse(aServer.m_incarnation,
                                       pool->m_coldDuration);
   }
+  m_state.m_quarantine.RecordResponse(aServer.m_incarnation, aSentAt);
   if (aInfo.m_isDraining) {
     MarkDraining(m_state, aServer.m_incarnation, "response");
   }
@@ -490,6 +534,9 @@
   const auto resumeAfter = ResumeAfter();
   OutboundRequest outbound =
     MakeOutbound(m_state.m_protocol.PeerFields(resumeAfter));
+  if (m_request.m_isQuarantineTrial) {
+    added.push_back({ kHopTrialField, "1" });
+  }
   for (const RegisteredServer* server :
        m_state.m_registry.ServersOf(m_request.m_pool, aRegion)) {
     if (m_state.m_registry.IsReportedDraining(server->m_incarnation)) {
@@ -501,6 +548,7 @@
                             .m_regions = m_state.m_regions,
                             .m_key = RegionKey(aRegion, m_request.m_pool) });
   bool isPeerRefusal = false;
+  const SteadyTime sentAt = m_state.m_clock.SteadyNow();
   try {
     const auto exchange = co_await m_state.m_peerUpstream.Send(
       peer.m_peerAddress, std::move(outbound), m_cancel);
@@ -517,11 +565,15 @@
       });
     }
     CheckResponse(head, m_state.m_protocol.ReadResponse(head));
-    ResponseForwarder forwarder(
-      { .m_sink = m_sink, .m_progress = m_progress, .m_onFirstByte = [&] {
-         m_report.m_timeToFirstByte =
-           dispatch.RecordResponseStart(EnginePromptTokens(m_request));
-       } });
+    ResponseForwarder forwarder({ .m_sink = m_sink,
+                                  .m_progress = m_progress,
+                                  .m_onFirstByte =
+                                    [&] {
+                                      m_report.m_timeToFirstByte =
+                                        dispatch.RecordResponseStart(
+                                          EnginePromptTokens(m_request));
+                                    },
+                                  .m_onAnswered = AnswerRecorder(sentAt) });
     co_await forwarder.Run(*exchange, std::move(head));
     dispatch.EndWith(ResultCode::Ok);
   } catch (const RequestError& error) {
@@ -568,7 +620,12 @@
   const bool isNonRetryable = aFailure.Code() == ResultCode::CallerGone ||
                               aFailure.Code() == ResultCode::CallerTooSlow ||
                               aFailure.Code() == ResultCode::DeadlineExceeded ||
-                              aFailure.Code() == ResultCode::InstanceDraining;
+                              aFailure.Code() == ResultCode::InstanceDraining ||
+                              aFailure.Code() == ResultCode::PromptQuarantined;
+  // What an engine broke off may crash the next one as well.
+  const bool mayCrashAnother =
+    IsBrokenOff(aFailure) &&
+    !m_state.m_quarantine.MayRetry(m_request.m_sharedParts);
   const bool mayRunAgain =
     route.IsRetryable() && m_report.m_possibleRuns < route.m_maxAttempts &&
     !m_request.m_forwardedBy &&
@@ -576,8 +633,8 @@
     !m_progress.m_hasEventWithoutId;
   const bool hasDispatchesLeft =
     m_report.m_dispatches < route.m_maxAttempts + kExtraDispatchesNotRun;
-  const bool isPermitted = !isNonRetryable && hasDispatchesLeft &&
-                           (!hasRun || mayRunAgain) &&
+  const bool isPermitted = !isNonRetryable && !mayCrashAnother &&
+                           hasDispatchesLeft && (!hasRun || mayRunAgain) &&
                            TimeLeft() >= kMinTimeForRetry;
   // If the connection failed, no server has received the request, so the next
   // dispatch consumes no retry.
--- a/rattanweir/request/gateway/request_dispatcher.h
+++ b/rattanweir/request/gateway/request_dispatcher.h
@@ -68,6 +68,7 @@
   using Failure = std::optional<RequestError>;
 
   void ThrowIfEnded() const;
+  void ThrowIfQuarantined() const;
   Task<void> WaitForDestination();
   Task<Failure> SendTo(const PlacementInput& aInput,
                        const Placement& aPlacement);
@@ -77,6 +78,9 @@
                           const RegisteredServer& aServer,
                           SteadyTime aSentAt,
                           std::function<void()> aOnFirstByte);
+  bool IsBrokenOff(const RequestError& aError) const;
+  // Returns a function that records that the request was answered.
+  std::function<void()> AnswerRecorder(SteadyTime aSentAt);
   void CheckResponse(const ResponseHead& aHead,
                      const ResponseInfo& aInfo) const;
   // Counts a request to a server that takes only a limited rate, and logs the
--- a/rattanweir/request/gateway/response_forwarder.cc
+++ b/rattanweir/request/gateway/response_forwarder.cc
@@ -14,6 +14,7 @@
 constexpr std::string_view kEventStream = "text/event-stream";
 // A response up to this length is forwarded only once it is complete.
 constexpr std::uint64_t kMaxBufferedBytes = std::uint64_t{ 64 } * 1024;
+constexpr std::size_t kEventsToCountAsAnswered = 3;
 // Limit on a body that ends with its connection.
 constexpr std::uint64_t kMaxCloseDelimitedBytes =
   std::uint64_t{ 32 } * 1024 * 1024;
@@ -56,6 +57,14 @@
   }
 }
 
+void
+ResponseForwarder::ReportAnswered()
+{
+  if (!std::exchange(m_hasReportedAnswered, true) && m_options.m_onAnswered) {
+    m_options.m_onAnswered();
+  }
+}
+
 Task<void>
 ResponseForwarder::Run(UpstreamExchange& aExchange, ResponseHead aHead)
 {
@@ -71,6 +80,7 @@
   } else {
     co_await ForwardChunks(aExchange, std::move(aHead));
   }
+  ReportAnswered();
 }
 
 Task<void>
@@ -86,6 +96,9 @@
     for (const StreamEvent& event : splitter.Add(*chunk)) {
       RecordEvent(event, progress);
       text += event.m_text;
+      if (++progress.m_eventsInAttempt == kEventsToCountAsAnswered) {
+        ReportAnswered();
+      }
     }
     if (text.empty()) {
       continue;
--- a/rattanweir/request/gateway/response_forwarder.h
+++ b/rattanweir/request/gateway/response_forwarder.h
@@ -27,6 +27,8 @@
   bool m_hasForwardedHead = false;
   // The id of the last event that was forwarded.
   std::optional<std::uint64_t> m_lastEventId;
+  // Number of events received in the current attempt.
+  std::size_t m_eventsInAttempt = 0;
   // An event without an id was received, so the stream cannot be resumed.
   bool m_hasEventWithoutId = false;
 };
@@ -38,6 +40,9 @@
   // Called once, when the first chunk of the body or its end is received. May
   // be empty.
   std::function<void()> m_onFirstByte;
+  // Called once the server is past the start of its answer: after the third
+  // event of a stream, or when the response is complete. May be empty.
+  std::function<void()> m_onAnswered;
 };
 
 class ResponseForwarder
@@ -55,9 +60,11 @@
   Task<void> ForwardBuffered(UpstreamExchange& aExchange, ResponseHead aHead);
   Task<void> ForwardChunks(UpstreamExchange& aExchange, ResponseHead aHead);
   void ReportFirstByte();
+  void ReportAnswered();
 
   ResponseForwarderOptions m_options;
   bool m_hasReportedFirstByte = false;
+  bool m_hasReportedAnswered = false;
 };
 
 } // namespace rattanweir
--- a/testing/gateway_chain/gateway_chain.cc
+++ b/testing/gateway_chain/gateway_chain.cc
@@ -45,6 +45,7 @@
              .m_retries = m_retries,
              .m_rateLimiter = m_rateLimiter,
              .m_serverLimits = m_serverLimits,
+             .m_quarantine = m_quarantine,
              .m_queues = m_queues,
              .m_metrics = m_metrics,
              .m_backendUpstream = m_backendUpstream,
--- a/testing/gateway_fixture/gateway_fixture.cc
+++ b/testing/gateway_fixture/gateway_fixture.cc
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <sstream>
 #include <utility>
 
 namespace rattanweir {
@@ -120,6 +121,13 @@
     info.m_parts = { { .m_id = *guide, .m_tokens = kGuideTokens } };
     info.m_promptTokens = kGuideTokens + kUniqueTokens;
   }
+  if (const auto* parts = FindHeader(aRequest.m_headers, "parts")) {
+    std::istringstream names(*parts);
+    for (std::string name; std::getline(names, name, ',');) {
+      info.m_parts.push_back({ .m_id = name, .m_tokens = kUniqueTokens });
+    }
+    info.m_promptTokens = kUniqueTokens;
+  }
   for (const HeaderField& field : aRequest.m_headers) {
     if (field.m_name != "key" && field.m_name != "resume-after") {
       info.m_forwardedFields.push_back(field);
@@ -225,6 +233,7 @@
              .m_retries = m_retries,
              .m_rateLimiter = m_rateLimiter,
              .m_serverLimits = m_serverLimits,
+             .m_quarantine = m_quarantine,
              .m_queues = m_queues,
              .m_metrics = m_metrics,
              .m_backendUpstream = m_upstream,
--- a/testing/gateway_fixture/gateway_fixture.h
+++ b/testing/gateway_fixture/gateway_fixture.h
@@ -47,7 +47,8 @@
 // Routes: /read/ is idempotent with two attempts, /write/ is not idempotent,
 // /stream/ is a stream that can be resumed, /talk/ is one that cannot, /south/
 // is served only in region south, /open/ needs no key. The header field `guide`
-// names the long prefix that a prompt shares with others.
+// names the long prefix that a prompt shares with others, `parts` all parts of
+// a prompt, separated by commas.
 struct GatewayTestRequest
 {
   std::string m_method = "GET";
@@ -118,6 +119,7 @@
   FleetRetryBudget m_retries;
   ServerRateLimiter m_rateLimiter{ { .m_clock = m_clock } };
   ServerLimits m_serverLimits{ { .m_clock = m_clock } };
+  PromptQuarantine m_quarantine{ { .m_clock = m_clock } };
   PoolQueues m_queues;
   Metrics m_metrics;
   ScriptedUpstream m_upstream{ m_context };
--- a/testing/simulated_fleet/simulated_fleet.h
+++ b/testing/simulated_fleet/simulated_fleet.h
@@ -120,6 +120,27 @@
   void OnStart(Handler aHandler) { m_onStart = std::move(aHandler); }
   void OnStep(Handler aHandler) { m_onStep = std::move(aHandler); }
 
+  // Sets what a process adds to each of its gossip messages: a function that
+  // the receiver runs.
+  using Attachment = std::function<void(Process&)>;
+  void OnMessage(std::function<Attachment(Process&)> aAttach)
+  {
+    m_attach = std::move(aAttach);
+  }
+
+  // Sends something to the instance with this address, which runs it.
+  void Send(std::size_t aFrom, const Endpoint& aTo, Attachment aContent)
+  {
+    const std::size_t to = aTo.m_port - std::size_t{ kFirstPort };
+    if (to < m_processes.size() && !IsLost()) {
+      After(MessageDelay(aFrom, to), [this, to, content = std::move(aContent)] {
+        if (m_processes[to]) {
+          content(*m_processes[to]);
+        }
+      });
+    }
+  }
+
   void RunFor(milliseconds aDuration)
   {
     const SteadyTime end = m_clock.SteadyNow() + aDuration;
@@ -302,6 +323,12 @@
     });
   }
 
+  bool IsLost()
+  {
+    return m_faults.m_lostFraction > 0 &&
+           Uniform(0, 1) < m_faults.m_lostFraction;
+  }
+
   milliseconds MessageDelay(std::size_t aFrom, std::size_t aTo)
   {
     const bool isLocal = aFrom % m_regions == aTo % m_regions;
@@ -314,15 +341,19 @@
                    std::vector<FleetMember> aRecords,
                    std::function<void()> aOnMerged)
   {
-    if (m_faults.m_lostFraction > 0 &&
-        Uniform(0, 1) < m_faults.m_lostFraction) {
+    if (IsLost()) {
       return;
     }
+    Attachment attachment;
+    if (m_attach) {
+      attachment = m_attach(*m_processes[aFrom]);
+    }
     After(MessageDelay(aFrom, aTo),
           [this,
            aFrom,
            aTo,
            records = std::move(aRecords),
+           attachment = std::move(attachment),
            onMerged = std::move(aOnMerged)]() mutable {
             if (!m_processes[aTo]) {
               return;
@@ -331,6 +362,9 @@
               return m_unknownTo[aTo].contains(aRecord.m_id);
             });
             m_processes[aTo]->m_fleet.Merge(records, IdOf(aFrom));
+            if (attachment) {
+              attachment(*m_processes[aTo]);
+            }
             BecomeReady(aTo);
             onMerged();
           });
@@ -365,6 +399,7 @@
   std::multimap<SteadyTime, std::function<void()>> m_events;
   Handler m_onStart;
   Handler m_onStep;
+  std::function<Attachment(Process&)> m_attach;
 };
 
 } // namespace rattanweir
