Keep to the pauses for which backend servers ask

The end of the pause is kept for each incarnation at this instance. Until then the server counts as one whose rate limit is reached: requests go to others within the retry budget, wait, or are refused at once with the time until the first server takes requests again. Neither a later success nor a shorter pause ends it early. Turning away is no failure: ejection and failure rate of the server don't change.

--- a/rattanweir/process/backend_view/backend_view.cc
+++ b/rattanweir/process/backend_view/backend_view.cc
@@ -118,6 +118,29 @@
   return std::exp2(-age / halfLife);
 }
 
+void
+BackendView::Pause(const BackendServerId& aId,
+                   std::chrono::nanoseconds aDuration)
+{
+  BackendState& state = m_entries[aId].m_state;
+  const SteadyTime until = m_options.m_clock.SteadyNow() + aDuration;
+  state.m_pausedUntil = std::max(state.m_pausedUntil.value_or(until), until);
+  state.m_isReturning = true;
+}
+
+void
+BackendView::RecordNoPause(const BackendServerId& aId, SteadyTime aSentAt)
+{
+  const auto found = m_entries.find(aId);
+  if (found == m_entries.end()) {
+    return;
+  }
+  BackendState& state = found->second.m_state;
+  if (state.m_isReturning && aSentAt >= *state.m_pausedUntil) {
+    state.m_isReturning = false;
+  }
+}
+
 void
 BackendView::MarkDraining(const BackendServerId& aId)
 {
@@ -148,6 +171,10 @@
       *state.m_ejectedUntil <= m_options.m_clock.SteadyNow()) {
     state.m_ejectedUntil.reset();
   }
+  if (state.m_pausedUntil &&
+      *state.m_pausedUntil <= m_options.m_clock.SteadyNow()) {
+    state.m_pausedUntil.reset();
+  }
   return state;
 }
 
--- a/rattanweir/process/backend_view/backend_view.h
+++ b/rattanweir/process/backend_view/backend_view.h
@@ -90,6 +90,11 @@
   // End of the ejection. Callers may still use the server if too much of its
   // pool is ejected.
   std::optional<SteadyTime> m_ejectedUntil;
+  // End of the pause for which the server asked this instance, if any.
+  std::optional<SteadyTime> m_pausedUntil;
+  // The server has asked for a pause, and has not responded since without
+  // asking for another one.
+  bool m_isReturning = false;
 };
 
 // How a dispatch ended.
@@ -147,6 +152,13 @@
   void ObserveStartDelay(const BackendServerId& aId,
                          std::chrono::nanoseconds aDelay);
 
+  // Records that the server asked this instance for a pause. Never shortens
+  // one.
+  void Pause(const BackendServerId& aId, std::chrono::nanoseconds aDuration);
+  // Records a response that asks for no pause. Responses to requests that were
+  // sent before the end of the pause say nothing about what follows it.
+  void RecordNoPause(const BackendServerId& aId, SteadyTime aSentAt);
+
   // Records the server's own draining signal, which is advertised to peers.
   void MarkDraining(const BackendServerId& aId);
   // Records that a peer advertised the server as draining. This is not
--- a/rattanweir/request/gateway/gateway_report.cc
+++ b/rattanweir/request/gateway/gateway_report.cc
@@ -31,6 +31,9 @@
     return "its zone is evacuated";
   }
   const BackendState state = aState.m_backends.StateOf(aServer.m_incarnation);
+  if (state.m_pausedUntil) {
+    return "it has asked for a pause";
+  }
   return state.m_ejectedUntil ? "it failed too often" : "";
 }
 
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -29,6 +29,10 @@
 // have run.
 constexpr unsigned kExtraDispatchesNotRun = 2;
 constexpr unsigned kMinServerErrorStatus = 500;
+// The longest pause that a server gets at a time: after it, one request asks
+// again.
+constexpr std::chrono::seconds kMaxPause{ 60 };
+constexpr std::chrono::seconds kMaxReturnSpread{ 1 };
 
 std::string
 MillisecondsText(nanoseconds aDuration)
@@ -87,7 +91,7 @@
     case RefusalReason::DeadlineTooShort:
       return "no backend server can start the response before the deadline";
     case RefusalReason::RateLimitsReached:
-      return "the rate limits of all backend servers are reached";
+      return "all backend servers are paused or have reached their rate limits";
   }
   return "";
 }
@@ -132,13 +136,40 @@
 void
 RequestDispatcher::ThrowRefusal(const Refuse& aRefusal) const
 {
-  if (m_lastFailure) {
+  const std::optional<nanoseconds> pauseLeft = PauseLeft();
+  const auto retryAfter = std::chrono::ceil<milliseconds>(
+    std::max(aRefusal.m_retryAfter, pauseLeft.value_or(nanoseconds::zero())));
+  if (m_lastFailure && (m_report.m_ran != Ran::No || !pauseLeft)) {
     throw WithRan(*m_lastFailure);
   }
+  if (m_lastFailure) {
+    throw RequestError(
+      m_lastFailure->Code(), m_lastFailure->what(), Ran::No, retryAfter);
+  }
   throw RequestError(ResultCodeOf(aRefusal.m_reason),
                      TextOf(aRefusal.m_reason),
                      Ran::No,
-                     std::chrono::ceil<milliseconds>(aRefusal.m_retryAfter));
+                     retryAfter);
+}
+
+std::optional<nanoseconds>
+RequestDispatcher::PauseLeft() const
+{
+  std::optional<nanoseconds> left;
+  for (const RegisteredServer* server : m_state.m_registry.ServersOf(
+         m_request.m_pool, m_state.m_fleet.Self().m_region)) {
+    if (!server->AcceptsRequests()) {
+      continue;
+    }
+    const auto until =
+      m_state.m_backends.StateOf(server->m_incarnation).m_pausedUntil;
+    if (!until) {
+      return std::nullopt;
+    }
+    const nanoseconds remaining = *until - m_state.m_clock.SteadyNow();
+    left = std::min(left.value_or(remaining), remaining);
+  }
+  return left;
 }
 
 void
@@ -236,6 +267,7 @@
 {
   m_report.m_timeToFirstByte.reset();
   m_progress.m_eventsInAttempt = 0;
+  m_wasTurnedAway = false;
   ++m_report.m_dispatches;
   try {
     if (const auto* server =
@@ -329,7 +361,9 @@
       m_report.m_timeToFirstByte = dispatch.RecordResponseStart();
     };
     co_await ReadResponse(*exchange, server, sentAt, std::move(onFirstByte));
-    dispatch.EndWith(ResultCode::Ok);
+    if (!m_wasTurnedAway) {
+      dispatch.EndWith(ResultCode::Ok);
+    }
   } catch (const ConnectionRefused& error) {
     if (pool != nullptr) {
       m_state.m_registry.RecordRefusedConnection(server.m_incarnation,
@@ -343,7 +377,10 @@
                                        { .m_incarnation = server.m_incarnation,
                                          .m_software = server.Software() });
     }
-    dispatch.EndWith(error.Code());
+    // Turning a request away is no failure.
+    if (!m_wasTurnedAway) {
+      dispatch.EndWith(error.Code());
+    }
     throw;
   }
 }
@@ -441,12 +478,36 @@
                                    aInfo.m_queue->m_waiting,
                                    aInfo.m_queue->m_slots);
   }
+  RecordPause(aServer, aInfo, aSentAt);
   if (aInfo.m_coldRemaining) {
     m_state.m_registry.MarkCold(aServer.m_incarnation, *aInfo.m_coldRemaining);
   }
   RecordServerLimit(aServer, aInfo, aSentAt);
 }
 
+void
+RequestDispatcher::RecordPause(const RegisteredServer& aServer,
+                               const ResponseInfo& aInfo,
+                               SteadyTime aSentAt)
+{
+  if (!aInfo.m_pause) {
+    m_state.m_backends.RecordNoPause(aServer.m_incarnation, aSentAt);
+    return;
+  }
+  m_wasTurnedAway = true;
+  const nanoseconds pause = std::min<nanoseconds>(*aInfo.m_pause, kMaxPause);
+  // Instances that were turned away together return one after the other.
+  const nanoseconds spread = ScaleDuration(
+    std::min<nanoseconds>(pause, kMaxReturnSpread),
+    std::uniform_real_distribution<double>(0, 1)(m_state.m_random));
+  m_state.m_backends.Pause(aServer.m_incarnation, pause + spread);
+  m_state.m_metrics.Count("rattanweir_server_pauses_total");
+  Log(LogLevel::Info,
+      "server_paused",
+      { { "server", aServer.m_incarnation.Value() },
+        { "pause_ms", MillisecondsText(pause + spread) } });
+}
+
 void
 RequestDispatcher::RecordServerLimit(const RegisteredServer& aServer,
                                      const ResponseInfo& aInfo,
--- a/rattanweir/request/gateway/request_dispatcher.h
+++ b/rattanweir/request/gateway/request_dispatcher.h
@@ -89,6 +89,12 @@
   void RecordServerState(const RegisteredServer& aServer,
                          const ResponseInfo& aInfo,
                          SteadyTime aSentAt);
+  void RecordPause(const RegisteredServer& aServer,
+                   const ResponseInfo& aInfo,
+                   SteadyTime aSentAt);
+  // Returns the time until the first server of this region ends its pause, or
+  // nullopt if not all of them are paused.
+  std::optional<std::chrono::nanoseconds> PauseLeft() const;
   void RecordServerLimit(const RegisteredServer& aServer,
                          const ResponseInfo& aInfo,
                          SteadyTime aSentAt);
@@ -113,6 +119,8 @@
   ForwardProgress m_progress;
   DispatchReport m_report;
   Failure m_lastFailure;
+  // The server of the current attempt has asked for a pause.
+  bool m_wasTurnedAway = false;
   std::set<BackendServerId> m_triedServers;
   std::set<InstanceId> m_triedPeers;
 };
--- a/rattanweir/request/gateway/server_candidates.cc
+++ b/rattanweir/request/gateway/server_candidates.cc
@@ -64,6 +64,21 @@
 // no bursts.
 constexpr std::chrono::milliseconds kMaxBurst{ 500 };
 
+// Excludes a server that asked this instance for a pause. After the pause, one
+// request shows whether the server takes requests again.
+void
+ApplyPause(SteadyTime aNow, ServerCandidate& aCandidate)
+{
+  if (const auto until = aCandidate.m_state.m_pausedUntil) {
+    aCandidate.m_isRateLimitReached = true;
+    aCandidate.m_rateLimitedFor =
+      std::max(aCandidate.m_rateLimitedFor, *until - aNow);
+  }
+  if (aCandidate.m_state.m_isReturning) {
+    aCandidate.m_maxInFlight = 1;
+  }
+}
+
 } // namespace
 
 std::size_t
@@ -115,6 +130,7 @@
           std::min(permit.m_wait, server->m_coldUntil - rate.m_now);
       }
     }
+    ApplyPause(aState.m_clock.SteadyNow(), candidate);
     candidates.push_back(std::move(candidate));
   }
   if (pool->m_engine && !aQuery.m_partChain.empty()) {
--- a/rattanweir/request/gateway/wire_protocol.h
+++ b/rattanweir/request/gateway/wire_protocol.h
@@ -97,6 +97,9 @@
   // The server states that it is draining: it finishes what it runs and expects
   // no further requests.
   bool m_isDraining = false;
+  // How long the server wants no requests from this instance, if stated by a
+  // response that turns the request away.
+  std::optional<std::chrono::nanoseconds> m_pause;
 };
 
 class WireProtocol
--- a/rattanweir/request/placement/placement.h
+++ b/rattanweir/request/placement/placement.h
@@ -61,7 +61,8 @@
   // Maximum number of requests of this instance in flight to the server.
   unsigned m_maxInFlight = 0;
   // Whether the server takes only a limited rate of requests, since it is cold
-  // or has named a limit, and this instance may not send one now.
+  // or has named a limit, or none at all, since it has asked for a pause, and
+  // this instance may not send one now.
   bool m_isRateLimitReached = false;
   // The time until this instance, or another one that may send to the server,
   // sends the next request.
--- a/testing/gateway_fixture/gateway_fixture.cc
+++ b/testing/gateway_fixture/gateway_fixture.cc
@@ -177,6 +177,9 @@
     info.m_requestLimit = RequestRate(std::stod(*limit));
   }
   info.m_isDraining = FindHeader(aHead.m_headers, "leaving") != nullptr;
+  if (const auto* pause = FindHeader(aHead.m_headers, "pause-ms")) {
+    info.m_pause = milliseconds(std::stoll(*pause));
+  }
   return info;
 }
 
