--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -336,17 +336,7 @@
                             .m_pool = m_request.m_pool,
                             .m_uncached = aCandidate.m_uncached,
                             .m_queueingFactor = QueueingFactorAt(aCandidate) });
-  HeaderFields fields = m_state.m_protocol.BackendFields(
-    { .m_id = m_request.m_info.m_id,
-      .m_server = server.m_record.m_id,
-      .m_clientAccount = m_request.m_clientAccount,
-      .m_timeLeft = TimeLeft(),
-      .m_priority = m_request.m_priority,
-      .m_isForEngine = pool != nullptr && pool->m_engine.has_value(),
-      .m_copyFrom = EndpointOf(aCandidate.m_copyFrom),
-      .m_resumeAfter = ResumeAfter() });
-  OutboundRequest outbound = MakeOutbound(std::move(fields));
-  outbound.m_needsFreshConnection = !m_request.m_route.IsRetryable();
+  OutboundRequest outbound = MakeServerRequest(aCandidate, server, pool);
   const SteadyTime sentAt = m_state.m_clock.SteadyNow();
   try {
     const auto exchange = co_await m_state.m_backendUpstream.Send(
@@ -364,19 +354,8 @@
     if (!m_wasTurnedAway) {
       dispatch.EndWith(ResultCode::Ok);
     }
-  } catch (const ConnectionRefused& error) {
-    if (pool != nullptr) {
-      m_state.m_registry.RecordRefusedConnection(server.m_incarnation,
-                                                 pool->m_coldDuration);
-    }
-    dispatch.EndWith(error.Code());
-    throw;
   } catch (const RequestError& error) {
-    if (IsBrokenOff(error)) {
-      m_state.m_quarantine.RecordBreak(m_request.m_sharedParts,
-                                       { .m_incarnation = server.m_incarnation,
-                                         .m_software = server.Software() });
-    }
+    RecordFailure(server, error);
     // Turning a request away is no failure.
     if (!m_wasTurnedAway) {
       dispatch.EndWith(error.Code());
@@ -385,6 +364,43 @@
   }
 }
 
+OutboundRequest
+RequestDispatcher::MakeServerRequest(const ServerCandidate& aCandidate,
+                                     const RegisteredServer& aServer,
+                                     const Pool* aPool) const
+{
+  HeaderFields fields = m_state.m_protocol.BackendFields(
+    { .m_id = m_request.m_info.m_id,
+      .m_server = aServer.m_record.m_id,
+      .m_clientAccount = m_request.m_clientAccount,
+      .m_timeLeft = TimeLeft(),
+      .m_priority = m_request.m_priority,
+      .m_isForEngine = aPool != nullptr && aPool->m_engine.has_value(),
+      .m_copyFrom = EndpointOf(aCandidate.m_copyFrom),
+      .m_resumeAfter = ResumeAfter() });
+  OutboundRequest outbound = MakeOutbound(std::move(fields));
+  outbound.m_needsFreshConnection = !m_request.m_route.IsRetryable();
+  return outbound;
+}
+
+void
+RequestDispatcher::RecordFailure(const RegisteredServer& aServer,
+                                 const RequestError& aError)
+{
+  const Pool* pool = m_request.m_config->FindPool(m_request.m_pool);
+  const bool isRefused =
+    dynamic_cast<const ConnectionRefused*>(&aError) != nullptr;
+  if (isRefused && pool != nullptr) {
+    m_state.m_registry.RecordRefusedConnection(aServer.m_incarnation,
+                                               pool->m_coldDuration);
+  }
+  if (IsBrokenOff(aError)) {
+    m_state.m_quarantine.RecordBreak(m_request.m_sharedParts,
+                                     { .m_incarnation = aServer.m_incarnation,
+                                       .m_software = aServer.Software() });
+  }
+}
+
 // Returns whether the server of an engine pool broke the connection before it
 // was past the start of its answer.
 bool
@@ -586,24 +602,9 @@
   m_report.m_destination = peer.m_id.Value();
   m_report.m_loadAge.reset();
   m_state.m_metrics.Count("rattanweir_forwarded_total");
-  HeaderFields added = {
-    { kHopFromField, m_state.m_fleet.Self().m_id.Value() },
-    { kHopAccountField, m_request.m_clientAccount.Value() },
-    { kHopPoolField, m_request.m_pool.Value() },
-    { kHopTimeLeftField, MillisecondsText(TimeLeft()) },
-  };
-  const auto resumeAfter = ResumeAfter();
   OutboundRequest outbound =
-    MakeOutbound(m_state.m_protocol.PeerFields(resumeAfter));
-  if (m_request.m_isQuarantineTrial) {
-    added.push_back({ kHopTrialField, "1" });
-  }
-  for (const RegisteredServer* server :
-       m_state.m_registry.ServersOf(m_request.m_pool, aRegion)) {
-    if (m_state.m_registry.IsReportedDraining(server->m_incarnation)) {
-      added.push_back({ kHopDrainingField, server->m_incarnation.Value() });
-    }
-  }
+    MakeOutbound(m_state.m_protocol.PeerFields(ResumeAfter()));
+  HeaderFields added = HopFields(aRegion);
   std::move(added.begin(), added.end(), std::back_inserter(outbound.m_headers));
   RegionDispatch dispatch({ .m_clock = m_state.m_clock,
                             .m_regions = m_state.m_regions,
@@ -618,13 +619,7 @@
       isPeerRefusal = true;
       throw RequestError(*refusal);
     }
-    if (const std::string* server =
-          FindHeader(head.m_headers, kHopDrainingField)) {
-      MarkDraining(m_state, BackendServerId(*server), peer.m_id.Value());
-      std::erase_if(head.m_headers, [](const HeaderField& aField) {
-        return IsSameHeaderName(aField.m_name, kHopDrainingField);
-      });
-    }
+    TakeDrainingServer(peer.m_id, head);
     CheckResponse(head, m_state.m_protocol.ReadResponse(head));
     ResponseForwarder forwarder({ .m_sink = m_sink,
                                   .m_progress = m_progress,
@@ -652,6 +647,41 @@
   }
 }
 
+HeaderFields
+RequestDispatcher::HopFields(const RegionId& aRegion) const
+{
+  HeaderFields fields = {
+    { kHopFromField, m_state.m_fleet.Self().m_id.Value() },
+    { kHopAccountField, m_request.m_clientAccount.Value() },
+    { kHopPoolField, m_request.m_pool.Value() },
+    { kHopTimeLeftField, MillisecondsText(TimeLeft()) },
+  };
+  if (m_request.m_isQuarantineTrial) {
+    fields.push_back({ kHopTrialField, "1" });
+  }
+  for (const RegisteredServer* server :
+       m_state.m_registry.ServersOf(m_request.m_pool, aRegion)) {
+    if (m_state.m_registry.IsReportedDraining(server->m_incarnation)) {
+      fields.push_back({ kHopDrainingField, server->m_incarnation.Value() });
+    }
+  }
+  return fields;
+}
+
+void
+RequestDispatcher::TakeDrainingServer(const InstanceId& aPeer,
+                                      ResponseHead& aHead)
+{
+  const std::string* server = FindHeader(aHead.m_headers, kHopDrainingField);
+  if (server == nullptr) {
+    return;
+  }
+  MarkDraining(m_state, BackendServerId(*server), aPeer.Value());
+  std::erase_if(aHead.m_headers, [](const HeaderField& aField) {
+    return IsSameHeaderName(aField.m_name, kHopDrainingField);
+  });
+}
+
 OutboundRequest
 RequestDispatcher::MakeOutbound(HeaderFields aAddedFields) const
 {
--- a/rattanweir/request/gateway/request_dispatcher.h
+++ b/rattanweir/request/gateway/request_dispatcher.h
@@ -78,6 +78,18 @@
                           const RegisteredServer& aServer,
                           SteadyTime aSentAt,
                           std::function<void()> aOnFirstByte);
+  OutboundRequest MakeServerRequest(const ServerCandidate& aCandidate,
+                                    const RegisteredServer& aServer,
+                                    const Pool* aPool) const;
+  // Returns the header fields between instances for a request to this region.
+  HeaderFields HopFields(const RegionId& aRegion) const;
+  // Records the draining server that a peer names in its response, and removes
+  // the field.
+  void TakeDrainingServer(const InstanceId& aPeer, ResponseHead& aHead);
+  // Records what the failure of an attempt says about the server and the
+  // prompt.
+  void RecordFailure(const RegisteredServer& aServer,
+                     const RequestError& aError);
   bool IsBrokenOff(const RequestError& aError) const;
   // Returns a function that records that the request was answered.
   std::function<void()> AnswerRecorder(SteadyTime aSentAt);
--- a/rattanweir/request/gateway/returning_server_fleet_test.cc
+++ b/rattanweir/request/gateway/returning_server_fleet_test.cc
@@ -180,7 +180,7 @@
     m_fleet.AfterIn(
       aIndex,
       milliseconds(2),
-      [this, aIncarnation, isAccepted](SendingProcess& aProcess) {
+      [aIncarnation, isAccepted](SendingProcess& aProcess) {
         const AttemptOutcome outcome =
           isAccepted ? AttemptOutcome::Succeeded : AttemptOutcome::Unreachable;
         aProcess.m_backends.EndDispatch(aIncarnation,
