--- a/rattanweir/connection/gossip/gossip_test.cc
+++ b/rattanweir/connection/gossip/gossip_test.cc
@@ -234,6 +234,47 @@
   CHECK(records[0].m_membersToIntroduce == record.m_membersToIntroduce);
 }
 
+TEST_CASE("the quarantine travels with a message")
+{
+  const std::vector<PartReport> reports = {
+    { .m_part = PartKeyOf("a"),
+      .m_requestAge = milliseconds(70),
+      .m_breaks = { { .m_engine = { .m_incarnation = BackendServerId("e@1"),
+                                    .m_software = "engines v1" },
+                      .m_age = milliseconds(1'200),
+                      .m_isExcused = true,
+                      .m_wasAnswered = true } } },
+  };
+  Json::Value message(Json::objectValue);
+  AddQuarantine({}, message);
+  CHECK_FALSE(message.isMember("quarantine"));
+  CHECK(QuarantineFromJson(message).empty());
+  AddQuarantine(reports, message);
+  const std::vector<PartReport> decoded = QuarantineFromJson(message);
+  REQUIRE(decoded.size() == 1);
+  REQUIRE(decoded[0].m_breaks.size() == 1);
+  const BreakReport& broken = decoded[0].m_breaks[0];
+  CHECK(decoded[0].m_part == reports[0].m_part);
+  CHECK(decoded[0].m_requestAge == milliseconds(70));
+  CHECK(broken.m_engine.m_incarnation == BackendServerId("e@1"));
+  CHECK(broken.m_engine.m_software == "engines v1");
+  CHECK(broken.m_age == milliseconds(1'200));
+  CHECK(broken.m_isExcused);
+  CHECK(broken.m_wasAnswered);
+  for (const char* entry : { "3",
+                             "{}",
+                             R"({"part":1,"asked_ms":-1,"breaks":[]})",
+                             R"({"part":1,"asked_ms":1e18,"breaks":[]})",
+                             R"({"part":"x","asked_ms":1,"breaks":[]})",
+                             R"({"part":1,"asked_ms":1,"breaks":{}})",
+                             R"({"part":1,"asked_ms":1,"breaks":[[1]]})" }) {
+    INFO(entry);
+    Json::Value broken = message;
+    broken["quarantine"][0] = *ParseJson(entry);
+    CHECK_THROWS_AS(QuarantineFromJson(broken), RpcError);
+  }
+}
+
 TEST_CASE(
   "an invalid message is rejected with the field name and changes nothing")
 {
--- a/testing/parser_fuzz/parser_fuzz_test.cc
+++ b/testing/parser_fuzz/parser_fuzz_test.cc
@@ -198,10 +198,14 @@
                        "Rattanweir-Server-Load: 3,0,8\n"
                        "Rattanweir-Cold-Ms: 250\n"
                        "Rattanweir-Instance-Id: i-02d9e6b4\n"
-                       "Rattanweir-Not-Run: 1\n" },
+                       "Rattanweir-Not-Run: 1\n",
+                       "Server-Leaving: 1\nServer-Limit: 2.5\n"
+                       "Retry-After: 1.25\n" },
          .m_parse = [&](const std::string& aText) {
-           protocol.ReadResponse(
-             { .m_status = 200, .m_headers = ParseHeaderLines(aText) });
+           for (const unsigned status : { 200U, 503U }) {
+             protocol.ReadResponse(
+               { .m_status = status, .m_headers = ParseHeaderLines(aText) });
+           }
          } });
   Fuzz({ .m_name = "event stream",
          .m_corpus = { "id: 1\nevent: token\ndata: {\"t\":1}\n\n"
@@ -238,6 +242,17 @@
          .m_parse = AllowingError<RpcError>([](const std::string& aText) {
            FleetMembersFromJson(ParseJsonOrNull(aText));
          }) });
+  Json::Value quarantine;
+  AddQuarantine(
+    { { .m_part = PartKeyOf("a"),
+        .m_breaks = { { .m_engine = { .m_incarnation = BackendServerId("e@1"),
+                                      .m_software = "engines v1" } } } } },
+    quarantine);
+  Fuzz({ .m_name = "gossip quarantine",
+         .m_corpus = { JsonText(quarantine) },
+         .m_parse = AllowingError<RpcError>([](const std::string& aText) {
+           QuarantineFromJson(ParseJsonOrNull(aText));
+         }) });
   Fuzz({ .m_name = "published topic",
          .m_corpus = { JsonText(ToJson(TopicSnapshot{})) },
          .m_parse = AllowingError<RpcError>([](const std::string& aText) {
