--- a/programs/rattanweirctl/command_line.cc
+++ b/programs/rattanweirctl/command_line.cc
@@ -14,6 +14,9 @@
 DEFINE_string(path, "", "path of the request to explain");
 DEFINE_string(host, "", "host of the request to explain, in a fleet");
 DEFINE_string(prompt_tokens, "", "tokens of the prompt to explain, in a fleet");
+DEFINE_string(prompt_parts,
+              "",
+              "ids of the prompt's parts, separated by commas, in a fleet");
 DEFINE_string(model, "", "model of the request to explain");
 DEFINE_string(client_account, "", "client account of the request to explain");
 DECLARE_bool(help);
@@ -45,6 +48,7 @@
   --path PATH
   --host NAME
   --prompt_tokens N
+  --prompt_parts ID,...
   --model NAME
   --client_account ID     not needed for a route that is open to all
 
@@ -115,6 +119,7 @@
     .m_path = FLAGS_path,
     .m_host = FLAGS_host,
     .m_promptTokens = FLAGS_prompt_tokens,
+    .m_promptParts = FLAGS_prompt_parts,
     .m_model = FLAGS_model,
     .m_clientAccount = FLAGS_client_account,
   };
--- a/programs/rattanweirctl/command_line.h
+++ b/programs/rattanweirctl/command_line.h
@@ -37,6 +37,7 @@
   std::string m_path;
   std::string m_host;
   std::string m_promptTokens;
+  std::string m_promptParts;
   std::string m_model;
   std::string m_clientAccount;
 };
--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -15,6 +15,7 @@
 
 #include <csignal>
 #include <exception>
+#include <sstream>
 #include <utility>
 
 namespace rattanweir {
@@ -108,6 +109,18 @@
   return Tokens(static_cast<std::int64_t>(*number));
 }
 
+// Returns the texts between the commas.
+std::vector<std::string>
+SplitList(const std::string& aText)
+{
+  std::vector<std::string> texts;
+  std::istringstream stream(aText);
+  for (std::string text; std::getline(stream, text, ',');) {
+    texts.push_back(std::move(text));
+  }
+  return texts;
+}
+
 } // namespace
 
 FleetDaemon::FleetDaemon(const Settings& aSettings, std::string aSettingsPath)
@@ -352,6 +365,7 @@
       .m_clientAccount =
         ClientAccountId(aQuery.Find("client_account").value_or("")),
       .m_promptTokens = ParseTokens(aQuery, "prompt_tokens"),
+      .m_promptParts = SplitList(aQuery.Find("prompt_parts").value_or("")),
     };
     return AdminResponse{ .m_body = JsonText(ExplainRequest(m_state, query)) };
   });
--- a/rattanweir/request/gateway/gateway_quarantine_test.cc
+++ b/rattanweir/request/gateway/gateway_quarantine_test.cc
@@ -2,6 +2,7 @@
 
 #include "rattanweir/request/exchange/header_fields.h"
 #include "rattanweir/request/gateway/gateway_admission.h"
+#include "rattanweir/request/gateway/gateway_report.h"
 #include "testing/gateway_fixture/gateway_fixture.h"
 
 #include <catch2/catch.hpp>
@@ -86,6 +87,13 @@
           ResultCode::PromptQuarantined);
     CHECK(fixture.SendRequest(RequestWith("guide,bad")).m_code ==
           ResultCode::Ok);
+    const ExplainQuery query{ .m_host = "a.example",
+                              .m_path = "/stream/1",
+                              .m_clientAccount = ClientAccountId("anna"),
+                              .m_promptParts = { "guide", "bad", "own" } };
+    CHECK(ExplainRequest(fixture.m_state, query)["result"] ==
+          "prompt_quarantined");
+    CHECK(GatewayStatus(fixture.m_state, true)["quarantine"].size() == 1);
     const HeaderFields hop = { { kHopFromField, "south-1" },
                                { kHopAccountField, "anna" },
                                { kHopPoolField, "engines" },
--- a/rattanweir/request/gateway/gateway_report.cc
+++ b/rattanweir/request/gateway/gateway_report.cc
@@ -227,6 +227,13 @@
     response["account_level"] = aState.m_rates.BucketLevel(account->m_id);
     response["cost"] = Json::Int64(request.m_cost.Value());
   }
+  std::vector<PromptPart> parts;
+  for (const std::string& id : aQuery.m_promptParts) {
+    parts.push_back({ .m_id = id });
+  }
+  const bool isQuarantined =
+    aState.m_quarantine.IsQuarantined(SharedPartsOf(parts));
+  response["quarantined"] = isQuarantined;
   response["pools"] = Json::Value(Json::arrayValue);
   for (const PoolWeight& poolWeight : route->m_pools) {
     request.m_pool = poolWeight.m_pool;
@@ -235,6 +242,10 @@
     response["result"] = row["result"];
     response["pools"].append(std::move(row));
   }
+  if (isQuarantined) {
+    response["result"] =
+      std::string(InfoOf(ResultCode::PromptQuarantined).m_name);
+  }
   return response;
 }
 
--- a/rattanweir/request/gateway/gateway_report.h
+++ b/rattanweir/request/gateway/gateway_report.h
@@ -13,6 +13,9 @@
 
 #include <json/value.h>
 
+#include <string>
+#include <vector>
+
 #include <string>
 
 namespace rattanweir {
@@ -31,6 +34,8 @@
   ClientAccountId m_clientAccount;
   // Length of the prompt; only used for a model engine.
   Tokens m_promptTokens;
+  // The ids of the prompt's parts.
+  std::vector<std::string> m_promptParts;
 };
 
 // Returns the route of such a request, the token level of its account, and for
