Keep the usage of peers in arrays instead of maps of maps

The cost grew with instances times accounts.

Now peers have positions, each bucket has an array, and only new reports are looked up. What is deducted is the same; two tests more hold what the maps did for accounts that are configured later and for peers in another order.

--- a/rattanweir/process/account_rate/account_rates.cc
+++ b/rattanweir/process/account_rate/account_rates.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <limits>
 #include <utility>
 
 namespace rattanweir {
@@ -52,6 +54,7 @@
     } else {
       bucket.m_level = m_options.m_initialBurstFraction * account.m_burst;
       bucket.m_filledAt = now;
+      bucket.m_peers.resize(m_peers.size());
     }
     bucket.m_rate = account.m_ratePerSecond;
     bucket.m_burst = account.m_burst;
@@ -64,42 +67,92 @@
 void
 AccountRates::SetPeers(const std::vector<PeerUsage>& aPeers)
 {
+  const bool isSamePeers = std::ranges::equal(
+    aPeers, m_peers, std::equal_to<>(), &PeerUsage::m_id, &Peer::m_id);
   const SteadyTime now = m_options.m_clock.SteadyNow();
   for (auto& [account, bucket] : m_buckets) {
     Advance(bucket, now);
-    ApplyPeers(account, bucket, aPeers, now);
+  }
+  if (!isSamePeers) {
+    ReplacePeers(aPeers);
+  }
+  TakeReports(aPeers);
+  for (auto& [account, bucket] : m_buckets) {
+    const double demand = DecayedValue(bucket.m_demand, now);
+    for (std::size_t peer = 0; peer < m_peers.size(); ++peer) {
+      if (m_peers[peer].m_report != ReportKind::Known ||
+          !bucket.m_peers[peer].m_hasReport) {
+        ApplyReport(UsageOf(aPeers[peer], account), demand, peer, bucket);
+      }
+      PeerState& state = bucket.m_peers[peer];
+      state.m_demand =
+        state.m_reportedDemand * Growth(demand, state.m_localDemandAtReport);
+    }
+    bucket.m_level = std::min(bucket.m_level, bucket.m_burst);
   }
 }
 
 void
-AccountRates::ApplyPeers(const ClientAccountId& aAccount,
-                         Bucket& aBucket,
-                         const std::vector<PeerUsage>& aPeers,
-                         SteadyTime aNow) const
+AccountRates::ReplacePeers(const std::vector<PeerUsage>& aPeers)
 {
-  const double demand = DecayedValue(aBucket.m_demand, aNow);
-  std::map<InstanceId, PeerState> peers;
-  for (const PeerUsage& peer : aPeers) {
-    const AccountUsage& usage = UsageOf(peer, aAccount);
-    PeerState state{ .m_incarnation = peer.m_incarnation,
-                     .m_sequence = peer.m_sequence,
-                     .m_accountedTokens = static_cast<double>(usage.m_admitted),
-                     .m_localDemandAtReport = demand };
-    const auto known = aBucket.m_peers.find(peer.m_id);
-    if (known != aBucket.m_peers.end() &&
-        known->second.m_incarnation == peer.m_incarnation) {
-      if (known->second.m_sequence == peer.m_sequence) {
-        state = known->second;
+  constexpr std::size_t kUnknown = std::numeric_limits<std::size_t>::max();
+  std::map<InstanceId, std::size_t> positions;
+  for (std::size_t peer = 0; peer < m_peers.size(); ++peer) {
+    positions.emplace(m_peers[peer].m_id, peer);
+  }
+  std::vector<Peer> peers;
+  std::vector<std::size_t> previous;
+  for (const PeerUsage& report : aPeers) {
+    const auto known = positions.find(report.m_id);
+    const bool isKnown = known != positions.end();
+    peers.push_back(isKnown ? m_peers[known->second]
+                            : Peer{ .m_id = report.m_id });
+    previous.push_back(isKnown ? known->second : kUnknown);
+  }
+  for (auto& [account, bucket] : m_buckets) {
+    std::vector<PeerState> states(peers.size());
+    for (std::size_t peer = 0; peer < peers.size(); ++peer) {
+      if (previous[peer] != kUnknown) {
+        states[peer] = bucket.m_peers[previous[peer]];
       }
-      aBucket.m_level +=
-        known->second.m_accountedTokens - state.m_accountedTokens;
     }
-    state.m_demand =
-      usage.m_demand * Growth(demand, state.m_localDemandAtReport);
-    peers.emplace(peer.m_id, state);
+    bucket.m_peers = std::move(states);
   }
-  aBucket.m_level = std::min(aBucket.m_level, aBucket.m_burst);
-  aBucket.m_peers = std::move(peers);
+  m_peers = std::move(peers);
+}
+
+void
+AccountRates::TakeReports(const std::vector<PeerUsage>& aPeers)
+{
+  for (std::size_t index = 0; index < m_peers.size(); ++index) {
+    Peer& peer = m_peers[index];
+    const PeerUsage& report = aPeers[index];
+    if (peer.m_sequence && peer.m_incarnation == report.m_incarnation) {
+      peer.m_report = peer.m_sequence == report.m_sequence ? ReportKind::Known
+                                                           : ReportKind::Next;
+    } else {
+      peer.m_report = ReportKind::First;
+    }
+    peer.m_incarnation = report.m_incarnation;
+    peer.m_sequence = report.m_sequence;
+  }
+}
+
+void
+AccountRates::ApplyReport(const AccountUsage& aUsage,
+                          double aLocalDemand,
+                          std::size_t aPeer,
+                          Bucket& aBucket) const
+{
+  const auto admitted = static_cast<double>(aUsage.m_admitted);
+  PeerState& state = aBucket.m_peers[aPeer];
+  if (m_peers[aPeer].m_report == ReportKind::Next && state.m_hasReport) {
+    aBucket.m_level += state.m_accountedTokens - admitted;
+  }
+  state = { .m_hasReport = true,
+            .m_accountedTokens = admitted,
+            .m_localDemandAtReport = aLocalDemand,
+            .m_reportedDemand = aUsage.m_demand };
 }
 
 void
@@ -108,14 +161,14 @@
   const double passed = Seconds(aNow - aBucket.m_filledAt).count();
   aBucket.m_filledAt = aNow;
   double demand = DecayedValue(aBucket.m_demand, aNow);
-  for (const auto& [id, state] : aBucket.m_peers) {
+  for (const PeerState& state : aBucket.m_peers) {
     demand += state.m_demand;
   }
   const bool isScarce =
     aBucket.m_level <= MinLevel() && demand > aBucket.m_rate;
   const double admitted = isScarce ? aBucket.m_rate / demand : 1;
   aBucket.m_level += passed * aBucket.m_rate;
-  for (auto& [id, state] : aBucket.m_peers) {
+  for (PeerState& state : aBucket.m_peers) {
     const double tokens = passed * admitted * state.m_demand;
     state.m_accountedTokens += tokens;
     aBucket.m_level -= tokens;
--- a/rattanweir/process/account_rate/account_rates.h
+++ b/rattanweir/process/account_rate/account_rates.h
@@ -35,6 +35,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -98,7 +99,8 @@
   void Configure(const FleetConfig& aConfig);
 
   // Sets the reports of all peers that may be running, and deducts what they
-  // admitted since their previous reports. Call several times per second.
+  // admitted since their previous reports. Call several times per second. The
+  // cost is lowest if the peers and their order are those of the previous call.
   void SetPeers(const std::vector<PeerUsage>& aPeers);
 
   // Counts the cost as demand, and deducts it if the request is admitted.
@@ -112,15 +114,40 @@
   double BucketLevel(const ClientAccountId& aAccount) const;
 
 private:
-  // Usage of one peer that is accounted for in the bucket.
-  struct PeerState
+  // What a report changes in each bucket.
+  enum class ReportKind
+  {
+    // The same report as before.
+    Known,
+    // A later report of the same process.
+    Next,
+    // The first report of a process.
+    First,
+  };
+
+  // The latest known report of a peer. The position in m_peers is that of the
+  // peer's usage in each bucket.
+  struct Peer
   {
+    InstanceId m_id;
     Incarnation m_incarnation;
-    std::uint64_t m_sequence = 0;
+    // Unset until the first report is applied.
+    std::optional<std::uint64_t> m_sequence;
+    // What the report that is being applied changes.
+    ReportKind m_report = ReportKind::First;
+  };
+
+  // Usage of one account by one peer that is accounted for in the bucket.
+  struct PeerState
+  {
+    // False until a report is applied.
+    bool m_hasReport = false;
     // The admitted tokens of the last report plus the estimate since then.
     double m_accountedTokens = 0;
     // The local demand when the last report arrived.
     double m_localDemandAtReport = 0;
+    // The demand of the last report.
+    double m_reportedDemand = 0;
     // Estimated demand in tokens per second.
     double m_demand = 0;
   };
@@ -140,7 +167,7 @@
     SteadyTime m_filledAt;
     Average m_demand;
     std::uint64_t m_admitted = 0;
-    std::map<InstanceId, PeerState> m_peers;
+    std::vector<PeerState> m_peers;
   };
 
   // Returns the level that the bucket must exceed to admit a request.
@@ -148,13 +175,20 @@
   double DecayedValue(const Average& aAverage, SteadyTime aNow) const;
   void AddSample(Average& aAverage, double aTokens, SteadyTime aNow) const;
   void Advance(Bucket& aBucket, SteadyTime aNow) const;
-  void ApplyPeers(const ClientAccountId& aAccount,
-                  Bucket& aBucket,
-                  const std::vector<PeerUsage>& aPeers,
-                  SteadyTime aNow) const;
+  // Gives the peers of the new reports a place in m_peers and in each bucket,
+  // and forgets the others.
+  void ReplacePeers(const std::vector<PeerUsage>& aPeers);
+  // Takes the reports, one for each of m_peers, over into m_peers.
+  void TakeReports(const std::vector<PeerUsage>& aPeers);
+  void ApplyReport(const AccountUsage& aUsage,
+                   double aLocalDemand,
+                   std::size_t aPeer,
+                   Bucket& aBucket) const;
 
   AccountRatesOptions m_options;
   std::map<ClientAccountId, Bucket> m_buckets;
+  // In the order of the reports.
+  std::vector<Peer> m_peers;
 };
 
 } // namespace rattanweir
--- a/rattanweir/process/account_rate/account_rates_test.cc
+++ b/rattanweir/process/account_rate/account_rates_test.cc
@@ -252,6 +252,43 @@
   CHECK(rates.BucketLevel(kAccount) == 600);
 }
 
+TEST_CASE("earlier usage of peers is not deducted from a new account")
+{
+  ManualClock clock;
+  AccountRates rates({ .m_clock = clock, .m_initialBurstFraction = 1 });
+  const AccountUsages usages{ { kAccount, { .m_admitted = 50'000 } } };
+  PeerUsage peer{ .m_id = InstanceId("p"),
+                  .m_incarnation = Incarnation(1),
+                  .m_usages = usages };
+  rates.SetPeers({ peer });
+  rates.Configure(Config(1'000));
+  rates.SetPeers({ peer });
+  peer.m_sequence = 1;
+  rates.SetPeers({ peer });
+  CHECK(rates.BucketLevel(kAccount) == 1'000);
+}
+
+TEST_CASE("usage is deducted once whatever the order of the peers")
+{
+  ManualClock clock;
+  AccountRates rates({ .m_clock = clock, .m_initialBurstFraction = 1 });
+  rates.Configure(Config(1'000));
+  AccountUsages first{ { kAccount, { .m_admitted = 500 } } };
+  AccountUsages second{ { kAccount, { .m_admitted = 7'000 } } };
+  PeerUsage a{ .m_id = InstanceId("a"), .m_usages = first };
+  PeerUsage b{ .m_id = InstanceId("b"), .m_usages = second };
+  rates.SetPeers({ a, b });
+  rates.SetPeers({ b, a });
+  CHECK(rates.BucketLevel(kAccount) == 1'000);
+  a.m_sequence = 1;
+  b.m_sequence = 1;
+  first.at(kAccount).m_admitted += 200;
+  second.at(kAccount).m_admitted += 300;
+  rates.SetPeers({ a, b });
+  rates.SetPeers({ b });
+  CHECK(rates.BucketLevel(kAccount) == 500);
+}
+
 TEST_CASE("an account without a rate is always admitted")
 {
   ManualClock clock;
