--- a/cmake/RattanweirDependencies.cmake
+++ b/cmake/RattanweirDependencies.cmake
@@ -35,5 +35,11 @@
   INTERFACE "${JSONRPC_SERVER_LIBRARY}" "${JSONRPC_CLIENT_LIBRARY}"
             "${JSONRPC_COMMON_LIBRARY}" rattanweir_jsoncpp)
 
+find_path(MSGPACK_INCLUDE_DIR msgpack.hpp REQUIRED)
+add_library(rattanweir_msgpack INTERFACE)
+target_include_directories(rattanweir_msgpack SYSTEM
+                           INTERFACE "${MSGPACK_INCLUDE_DIR}")
+target_link_libraries(rattanweir_msgpack INTERFACE Boost::headers)
+
 add_library(rattanweir_xxhash INTERFACE)
 target_link_libraries(rattanweir_xxhash INTERFACE "${XXHASH_LIBRARY}")
--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -171,10 +171,11 @@
                .m_updateSelf = [this] { UpdateSelf(); } })
   , m_streamOrigins({ .m_executor = m_context.get_executor(),
                       .m_clock = m_clock,
-                      .m_upstream = m_peerUpstream,
+                      .m_caller = m_gossip.Caller(),
                       .m_fleet = m_fleet,
                       .m_metrics = m_metrics,
-                      .m_dispatcher = m_gossip.Dispatcher() })
+                      .m_dispatcher = m_gossip.Dispatcher(),
+                      .m_jsonDispatcher = m_gossip.JsonDispatcher() })
   , m_storeReader({ .m_executor = m_context.get_executor(),
                     .m_clock = m_clock,
                     .m_random = m_random,
--- a/rattanweir/connection/control/peer_call.cc
+++ b/rattanweir/connection/control/peer_call.cc
@@ -30,26 +30,38 @@
 
 } // namespace
 
-Task<Json::Value>
-CallPeer(Upstream& aUpstream, PeerCall aCall)
+Task<std::string>
+SendControlMessage(Upstream& aUpstream, ControlMessage aMessage)
 {
   OutboundRequest request;
   request.m_method = "POST";
   request.m_target = kControlPath;
-  request.m_headers = { { "content-type", "application/json" } };
-  request.m_body = std::make_shared<const std::string>(
-    EncodeRpcRequest(aCall.m_method, aCall.m_parameters));
-  request.m_deadline = aCall.m_deadline;
+  request.m_headers = { { "content-type", aMessage.m_mediaType } };
+  request.m_body =
+    std::make_shared<const std::string>(std::move(aMessage.m_body));
+  request.m_deadline = aMessage.m_deadline;
 
   CancelSource cancel;
   const std::unique_ptr<UpstreamExchange> exchange =
-    co_await aUpstream.Send(aCall.m_endpoint, std::move(request), cancel);
+    co_await aUpstream.Send(aMessage.m_endpoint, std::move(request), cancel);
   const ResponseHead head = co_await exchange->ReadHead();
   if (head.m_status != kHttpOk) {
     throw RpcError("the peer responded with HTTP status " +
                    std::to_string(head.m_status));
   }
-  const std::string response = co_await ReadBody(*exchange);
+  co_return co_await ReadBody(*exchange);
+}
+
+Task<Json::Value>
+CallPeer(Upstream& aUpstream, PeerCall aCall)
+{
+  ControlMessage message;
+  message.m_endpoint = aCall.m_endpoint;
+  message.m_mediaType = "application/json";
+  message.m_body = EncodeRpcRequest(aCall.m_method, aCall.m_parameters);
+  message.m_deadline = aCall.m_deadline;
+  const std::string response =
+    co_await SendControlMessage(aUpstream, std::move(message));
   co_return DecodeRpcResponse(response);
 }
 
--- a/rattanweir/connection/control/peer_call.h
+++ b/rattanweir/connection/control/peer_call.h
@@ -22,6 +22,22 @@
   SteadyTime m_deadline;
 };
 
+// A control message in any encoding.
+struct ControlMessage
+{
+  Endpoint m_endpoint;
+  std::string m_mediaType;
+  std::string m_body;
+  SteadyTime m_deadline;
+};
+
+// Sends the message to the control path of a peer and returns the body of the
+// response. Throws RpcError if the peer does not respond with HTTP status 200,
+// and RequestError if it is unreachable or does not respond before the
+// deadline. `aUpstream` must outlive the task.
+Task<std::string>
+SendControlMessage(Upstream& aUpstream, ControlMessage aMessage);
+
 // Returns the result of the call. Throws RpcError if the peer rejects the call
 // or its response is invalid, and RequestError if the peer is unreachable or
 // does not respond before the deadline.
--- a/rattanweir/connection/gossip/gossip.cc
+++ b/rattanweir/connection/gossip/gossip.cc
@@ -2,7 +2,6 @@
 
 #include "rattanweir/connection/gossip/gossip.h"
 
-#include "rattanweir/connection/control/peer_call.h"
 #include "rattanweir/connection/gossip/gossip_messages.h"
 #include "rattanweir/process/logging/log.h"
 #include "rattanweir/request/wait/wait.h"
@@ -16,28 +15,95 @@
 // A call that times out is retried in a later round.
 constexpr std::chrono::milliseconds kCallTimeout{ 1'000 };
 
+constexpr std::uint32_t kMessageFields = 2;
+constexpr std::uint32_t kTopicCallFields = 3;
+
+void
+IgnoreResult(PackedWriter& aResult)
+{
+  aResult.pack_nil();
+}
+
 } // namespace
 
 Gossip::Gossip(const GossipOptions& aOptions)
   : m_options(aOptions)
+  , m_caller({ .m_upstream = aOptions.m_upstream,
+               .m_clock = aOptions.m_clock,
+               .m_metrics = aOptions.m_metrics })
 {
-  m_dispatcher.Register(kGossipMethod, [this](const Json::Value& aParameters) {
-    return HandleGossip(aParameters);
+  m_dispatcher.OnHandled([this](std::string_view aMethod) {
+    m_options.m_metrics.Count("rattanweir_control_" + std::string(aMethod) +
+                              "_handled_total");
   });
-  m_dispatcher.Register(kAnnounceMethod,
-                        [this](const Json::Value& aParameters) {
-                          MergeRecords(aParameters);
-                          return Json::Value(Json::objectValue);
-                        });
-  m_dispatcher.Register(kQuarantineMethod,
-                        [this](const Json::Value& aParameters) {
-                          MergeQuarantine(aParameters);
-                          return Json::Value(Json::objectValue);
-                        });
-  m_dispatcher.Register(kFetchTopicMethod,
-                        [this](const Json::Value& aParameters) {
-                          return HandleFetchTopic(aParameters);
-                        });
+  RegisterMethods();
+  RegisterJsonMethods();
+}
+
+void
+Gossip::RegisterMethods()
+{
+  m_dispatcher.Register(
+    kGossipMethod, [this](const PackedValue& aMessage, PackedWriter& aResult) {
+      ReadMessage(aMessage);
+      WriteMessage(aResult);
+    });
+  m_dispatcher.Register(
+    kAnnounceMethod,
+    [this](const PackedValue& aRecords, PackedWriter& aResult) {
+      MergeRecords(ReadRecords(aRecords, m_options.m_fleet));
+      IgnoreResult(aResult);
+    });
+  m_dispatcher.Register(
+    kQuarantineMethod,
+    [this](const PackedValue& aSuspects, PackedWriter& aResult) {
+      MergeSuspects(ReadSuspects(aSuspects));
+      IgnoreResult(aResult);
+    });
+  m_dispatcher.Register(
+    kFetchTopicMethod,
+    [this](const PackedValue& aParameters, PackedWriter& aResult) {
+      const auto fields =
+        ReadArray(aParameters, "parameters", kTopicCallFields);
+      const TopicVersion known{ .m_epoch =
+                                  StoreEpoch(ReadUnsigned(fields[1], "epoch")),
+                                .m_revision =
+                                  ReadUnsigned(fields[2], "since") };
+      WriteTopicUpdate(
+        UpdateSince(TopicId(ReadText(fields[0], "topic")), known), aResult);
+    });
+}
+
+void
+Gossip::RegisterJsonMethods()
+{
+  const Json::Value noResult(Json::objectValue);
+  m_jsonDispatcher.Register(kGossipMethod,
+                            [this](const Json::Value& aParameters) {
+                              ReadJsonMessage(aParameters);
+                              return NextJsonMessage();
+                            });
+  m_jsonDispatcher.Register(kAnnounceMethod,
+                            [=, this](const Json::Value& aParameters) {
+                              MergeRecords(FleetMembersFromJson(aParameters));
+                              return noResult;
+                            });
+  m_jsonDispatcher.Register(kQuarantineMethod,
+                            [=, this](const Json::Value& aParameters) {
+                              MergeSuspects(QuarantineFromJson(aParameters));
+                              return noResult;
+                            });
+  m_jsonDispatcher.Register(
+    kFetchTopicMethod, [this](const Json::Value& aParameters) {
+      if (!aParameters["topic"].isString()) {
+        throw RpcError("topic: expected a string");
+      }
+      const TopicUpdate update =
+        UpdateSince(TopicId(aParameters["topic"].asString()),
+                    VersionFromJson(aParameters, "since"));
+      return std::visit([](const auto& aUpdate) { return ToJson(aUpdate); },
+                        update);
+    });
 }
 
 void
@@ -70,8 +136,18 @@
 Gossip::Announce()
 {
   m_options.m_updateSelf();
-  const Json::Value record =
-    ToJson(std::vector<FleetMember>{ m_options.m_fleet.AdvanceSelf() });
+  // Copied, since the calls outlive this version of the record.
+  const auto record =
+    std::make_shared<const FleetMember>(m_options.m_fleet.AdvanceSelf());
+  const ControlCall call{
+    .m_method = kAnnounceMethod,
+    .m_writeParameters =
+      [record](PackedWriter& aWriter) {
+        WriteRecords({ OutgoingRecord{ .m_record = *record } }, aWriter);
+      },
+    .m_jsonParameters =
+      [record] { return ToJson(std::vector<FleetMember>{ *record }); },
+  };
   const RegionId localRegion = m_options.m_fleet.Self().m_region;
   std::set<RegionId> notifiedRegions;
   for (const FleetMember* peer : m_options.m_fleet.LivePeers()) {
@@ -80,7 +156,7 @@
       continue;
     }
     asio::co_spawn(m_options.m_executor,
-                   SendNews(peer->m_peerAddress, kAnnounceMethod, record),
+                   SendNews(peer->m_peerAddress, call),
                    asio::detached);
   }
 }
@@ -88,34 +164,32 @@
 void
 Gossip::SpreadQuarantine()
 {
-  Json::Value message;
-  AddQuarantine(m_options.m_quarantine->ToAdvertise(), message);
+  const auto reports =
+    std::make_shared<const std::vector<SuspectReport>>(SuspectsToAdvertise());
+  const ControlCall call{
+    .m_method = kQuarantineMethod,
+    .m_writeParameters =
+      [reports](PackedWriter& aWriter) { WriteSuspects(*reports, aWriter); },
+    .m_jsonParameters =
+      [reports] {
+        Json::Value message(Json::objectValue);
+        AddQuarantine(*reports, message);
+        return message;
+      },
+  };
   for (const Endpoint& target :
        m_options.m_fleet.ChooseNewsTargets(m_options.m_random)) {
-    asio::co_spawn(m_options.m_executor,
-                   SendNews(target, kQuarantineMethod, message),
-                   asio::detached);
-  }
-}
-
-void
-Gossip::MergeQuarantine(const Json::Value& aMessage)
-{
-  if (m_options.m_quarantine != nullptr) {
-    m_options.m_quarantine->Merge(QuarantineFromJson(aMessage));
+    asio::co_spawn(
+      m_options.m_executor, SendNews(target, call), asio::detached);
   }
 }
 
 Task<void>
-Gossip::SendNews(Endpoint aTarget, std::string aMethod, Json::Value aParameters)
+Gossip::SendNews(Endpoint aTarget, ControlCall aCall)
 {
   try {
-    PeerCall call;
-    call.m_endpoint = aTarget;
-    call.m_method = std::move(aMethod);
-    call.m_parameters = std::move(aParameters);
-    call.m_deadline = m_options.m_clock.SteadyNow() + kCallTimeout;
-    co_await CallPeer(m_options.m_upstream, std::move(call));
+    const SteadyTime deadline = m_options.m_clock.SteadyNow() + kCallTimeout;
+    co_await m_caller.Call(aTarget, std::move(aCall), deadline);
   } catch (const std::exception& error) {
     // A later round delivers the news.
     m_options.m_metrics.Count("rattanweir_gossip_failures_total");
@@ -125,18 +199,66 @@
   }
 }
 
+std::vector<OutgoingRecord>
+Gossip::NextRecords()
+{
+  if (m_options.m_fleet.IsSelfUpdateDue()) {
+    m_options.m_updateSelf();
+  }
+  return m_options.m_fleet.ChooseRecords(m_options.m_random);
+}
+
+std::vector<SuspectReport>
+Gossip::SuspectsToAdvertise() const
+{
+  return m_options.m_quarantine == nullptr
+           ? std::vector<SuspectReport>()
+           : m_options.m_quarantine->ToAdvertise();
+}
+
+void
+Gossip::WriteMessage(PackedWriter& aWriter)
+{
+  aWriter.pack_array(kMessageFields);
+  WriteRecords(NextRecords(), aWriter);
+  WriteSuspects(SuspectsToAdvertise(), aWriter);
+}
+
+void
+Gossip::ReadMessage(const PackedValue& aMessage)
+{
+  const auto fields = ReadArray(aMessage, "message", kMessageFields);
+  const std::vector<FleetMember> records =
+    ReadRecords(fields[0], m_options.m_fleet);
+  // Read before anything is applied, so that an invalid message changes
+  // nothing.
+  const std::vector<SuspectReport> suspects = ReadSuspects(fields[1]);
+  MergeSuspects(suspects);
+  MergeRecords(records);
+  m_hasExchangedWithPeer = true;
+}
+
 Json::Value
-Gossip::NextMessage()
+Gossip::NextJsonMessage()
 {
-  m_options.m_updateSelf();
-  Json::Value message =
-    ToJson(m_options.m_fleet.NextMessage(m_options.m_random));
-  if (m_options.m_quarantine != nullptr) {
-    AddQuarantine(m_options.m_quarantine->ToAdvertise(), message);
+  std::vector<FleetMember> records;
+  for (const OutgoingRecord& outgoing : NextRecords()) {
+    records.push_back(outgoing.m_record);
   }
+  Json::Value message = ToJson(records);
+  AddQuarantine(SuspectsToAdvertise(), message);
   return message;
 }
 
+void
+Gossip::ReadJsonMessage(const Json::Value& aMessage)
+{
+  const std::vector<FleetMember> records = FleetMembersFromJson(aMessage);
+  MergeSuspects(QuarantineFromJson(aMessage));
+  MergeRecords(records);
+  m_hasExchangedWithPeer = true;
+}
+
 Task<void>
 Gossip::Exchange(Endpoint aTarget)
 {
@@ -145,15 +267,18 @@
     co_return;
   }
   try {
-    PeerCall call;
-    call.m_endpoint = aTarget;
-    call.m_method = kGossipMethod;
-    call.m_parameters = NextMessage();
-    call.m_deadline = m_options.m_clock.SteadyNow() + kCallTimeout;
-    const Json::Value response =
-      co_await CallPeer(m_options.m_upstream, std::move(call));
-    MergeRecords(response);
-    m_hasExchangedWithPeer = true;
+    ControlCall call{
+      .m_method = kGossipMethod,
+      .m_writeParameters =
+        [this](PackedWriter& aWriter) { WriteMessage(aWriter); },
+      .m_readResult =
+        [this](const PackedValue& aResult) { ReadMessage(aResult); },
+      .m_jsonParameters = [this] { return NextJsonMessage(); },
+      .m_readJsonResult =
+        [this](const Json::Value& aResult) { ReadJsonMessage(aResult); },
+    };
+    const SteadyTime deadline = m_options.m_clock.SteadyNow() + kCallTimeout;
+    co_await m_caller.Call(aTarget, std::move(call), deadline);
     m_options.m_metrics.Count("rattanweir_gossip_exchanges_total");
   } catch (const std::exception& error) {
     // A failure does not mark the peer as stale: FleetView does that by the age
@@ -167,17 +292,23 @@
 }
 
 void
-Gossip::MergeRecords(const Json::Value& aMessage)
+Gossip::MergeRecords(const std::vector<FleetMember>& aRecords)
 {
-  const std::vector<FleetMember> records = FleetMembersFromJson(aMessage);
-  const InstanceId& sender = records.front().m_id;
-  MergeQuarantine(aMessage);
-  m_options.m_fleet.Merge(records, sender);
+  const InstanceId& sender = aRecords.front().m_id;
+  m_options.m_fleet.Merge(aRecords, sender);
   if (const FleetMember* member = m_options.m_fleet.Find(sender)) {
     FetchNewerTopics(*member);
   }
 }
 
+void
+Gossip::MergeSuspects(const std::vector<SuspectReport>& aReports)
+{
+  if (m_options.m_quarantine != nullptr) {
+    m_options.m_quarantine->Merge(aReports);
+  }
+}
+
 void
 Gossip::FetchNewerTopics(const FleetMember& aPeer)
 {
@@ -200,19 +331,14 @@
 {
   const TopicVersion known = m_options.m_published.VersionOf(aTopic);
   try {
-    PeerCall call;
-    call.m_endpoint = aPeer;
-    call.m_method = kFetchTopicMethod;
-    call.m_parameters["topic"] = aTopic.Value();
-    call.m_parameters["since"] = Json::UInt64(known.m_revision);
-    call.m_parameters["epoch"] = Json::UInt64(known.m_epoch.Value());
-    call.m_deadline = m_options.m_clock.SteadyNow() + kCallTimeout;
-    const Json::Value response =
-      co_await CallPeer(m_options.m_upstream, std::move(call));
+    const auto update = std::make_shared<TopicUpdate>();
+    ControlCall call = TopicCall(aTopic, known, update);
+    const SteadyTime deadline = m_options.m_clock.SteadyNow() + kCallTimeout;
+    co_await m_caller.Call(aPeer, std::move(call), deadline);
     // Discards the response if the topic changed during the call, for example
     // by a read from the store.
     if (m_options.m_published.VersionOf(aTopic) == known) {
-      ApplyTopic(aTopic, response);
+      ApplyUpdate(aTopic, std::move(*update));
       const TopicVersion now = m_options.m_published.VersionOf(aTopic);
       Log(LogLevel::Info,
           "topic_taken_from_peer",
@@ -232,53 +358,75 @@
   m_fetching.erase(aTopic);
 }
 
+ControlCall
+Gossip::TopicCall(const TopicId& aTopic,
+                  const TopicVersion& aKnown,
+                  std::shared_ptr<TopicUpdate> aUpdate) const
+{
+  return {
+    .m_method = kFetchTopicMethod,
+    .m_writeParameters =
+      [=](PackedWriter& aWriter) {
+        aWriter.pack_array(kTopicCallFields);
+        aWriter.pack(aTopic.Value());
+        aWriter.pack(aKnown.m_epoch.Value());
+        aWriter.pack(aKnown.m_revision);
+      },
+    .m_readResult =
+      [=](const PackedValue& aResult) { *aUpdate = ReadTopicUpdate(aResult); },
+    .m_jsonParameters =
+      [=] {
+        Json::Value parameters;
+        parameters["topic"] = aTopic.Value();
+        parameters["since"] = Json::UInt64(aKnown.m_revision);
+        parameters["epoch"] = Json::UInt64(aKnown.m_epoch.Value());
+        return parameters;
+      },
+    .m_readJsonResult =
+      [=](const Json::Value& aResult) {
+        if (aResult.isMember("changes")) {
+          *aUpdate = ChangesFromJson(aResult);
+        } else {
+          *aUpdate = TopicSnapshotFromJson(aResult);
+        }
+      },
+  };
+}
+
 void
-Gossip::ApplyTopic(const TopicId& aTopic, const Json::Value& aResponse)
+Gossip::ApplyUpdate(const TopicId& aTopic, TopicUpdate aUpdate)
 {
   m_options.m_metrics.Count("rattanweir_topics_from_peers_total");
-  if (aResponse.isMember("changes")) {
+  if (const auto* changes = std::get_if<std::vector<ItemChange>>(&aUpdate)) {
     // Changes are sent only to an instance that has a version of their epoch.
-    m_options.m_published.Apply(aTopic,
-                                m_options.m_published.VersionOf(aTopic).m_epoch,
-                                ChangesFromJson(aResponse));
+    m_options.m_published.Apply(
+      aTopic, m_options.m_published.VersionOf(aTopic).m_epoch, *changes);
     return;
   }
-  TopicSnapshot snapshot = TopicSnapshotFromJson(aResponse);
+  auto& snapshot = std::get<TopicSnapshot>(aUpdate);
   const TopicVersion version = snapshot.m_version;
   m_options.m_published.Replace(
     aTopic, std::move(snapshot), version, RemovalReason::Published);
 }
 
-std::string
-Gossip::HandleCall(const std::string& aRequest)
-{
-  return m_dispatcher.Handle(aRequest);
-}
-
-Json::Value
-Gossip::HandleGossip(const Json::Value& aParameters)
-{
-  MergeRecords(aParameters);
-  m_hasExchangedWithPeer = true;
-  return NextMessage();
-}
-
-Json::Value
-Gossip::HandleFetchTopic(const Json::Value& aParameters) const
+TopicUpdate
+Gossip::UpdateSince(const TopicId& aTopic, const TopicVersion& aKnown) const
 {
-  if (!aParameters["topic"].isString()) {
-    throw RpcError("topic: expected a string");
+  if (auto changes = m_options.m_published.ChangesSince(aTopic, aKnown)) {
+    return std::move(*changes);
   }
-  const TopicId topic(aParameters["topic"].asString());
-  if (const auto changes = m_options.m_published.ChangesSince(
-        topic, VersionFromJson(aParameters, "since"))) {
-    return ToJson(*changes);
-  }
-  const TopicSnapshot* snapshot = m_options.m_published.Find(topic);
+  const TopicSnapshot* snapshot = m_options.m_published.Find(aTopic);
   if (snapshot == nullptr) {
     throw RpcError("topic: unknown to this instance");
   }
-  return ToJson(*snapshot);
+  return *snapshot;
+}
+
+std::string
+Gossip::HandleCall(const std::string& aRequest)
+{
+  return IsPacked(aRequest) ? m_dispatcher.Handle(aRequest)
+                            : m_jsonDispatcher.Handle(aRequest);
 }
 
 } // namespace rattanweir
--- a/rattanweir/connection/gossip/gossip.h
+++ b/rattanweir/connection/gossip/gossip.h
@@ -18,6 +18,9 @@
 #include "rattanweir/base/asio/asio.h"
 #include "rattanweir/base/cancel/cancel.h"
 #include "rattanweir/base/random/random.h"
+#include "rattanweir/connection/gossip/packed_gossip.h"
+#include "rattanweir/connection/packed_rpc/control_caller.h"
+#include "rattanweir/connection/packed_rpc/packed_rpc.h"
 #include "rattanweir/connection/rpc/rpc.h"
 #include "rattanweir/process/crash_quarantine/crash_quarantine.h"
 #include "rattanweir/process/fleet/fleet_view.h"
@@ -27,8 +30,10 @@
 
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace rattanweir {
 
@@ -48,8 +53,8 @@
   unsigned m_crossRegionRoundInterval = 2;
   // If set, its reports travel with each message.
   CrashQuarantine* m_quarantine = nullptr;
-  // Called before each outgoing message; updates this instance's record in
-  // `m_fleet`.
+  // Called before an outgoing message that increments this instance's sequence
+  // number; updates this instance's record in `m_fleet`.
   std::function<void()> m_updateSelf;
 };
 
@@ -73,11 +78,15 @@
   // is new to them.
   void SpreadQuarantine();
 
-  // Returns the dispatcher of the calls that HandleCall receives, for further
-  // methods.
-  RpcDispatcher& Dispatcher() { return m_dispatcher; }
+  // Return the dispatchers of the calls that HandleCall receives, in
+  // MessagePack and in JSON, for further methods.
+  PackedDispatcher& Dispatcher() { return m_dispatcher; }
+  RpcDispatcher& JsonDispatcher() { return m_jsonDispatcher; }
 
-  // Handles one RPC request of a peer and returns the encoded response.
+  // Returns what sends calls to peers, for further methods.
+  ControlCaller& Caller() { return m_caller; }
+
+  // Handles one call of a peer and returns the response in the same encoding.
   std::string HandleCall(const std::string& aRequest);
 
   // Returns true if at least one exchange has succeeded, whichever side started
@@ -87,20 +96,35 @@
 private:
   Task<void> RunRounds();
   Task<void> Exchange(Endpoint aTarget);
-  Task<void> SendNews(Endpoint aTarget,
-                      std::string aMethod,
-                      Json::Value aParameters);
-  void MergeQuarantine(const Json::Value& aMessage);
+  Task<void> SendNews(Endpoint aTarget, ControlCall aCall);
   Task<void> FetchTopic(Endpoint aPeer, TopicId aTopic);
-  Json::Value HandleGossip(const Json::Value& aParameters);
-  Json::Value HandleFetchTopic(const Json::Value& aParameters) const;
-  void MergeRecords(const Json::Value& aMessage);
+  void RegisterMethods();
+  void RegisterJsonMethods();
+
+  // Writes the next message, [records, suspects].
+  void WriteMessage(PackedWriter& aWriter);
+  void ReadMessage(const PackedValue& aMessage);
+  Json::Value NextJsonMessage();
+  void ReadJsonMessage(const Json::Value& aMessage);
+
+  std::vector<OutgoingRecord> NextRecords();
+  void MergeRecords(const std::vector<FleetMember>& aRecords);
+  void MergeSuspects(const std::vector<SuspectReport>& aReports);
+  std::vector<SuspectReport> SuspectsToAdvertise() const;
+
   void FetchNewerTopics(const FleetMember& aPeer);
-  void ApplyTopic(const TopicId& aTopic, const Json::Value& aResponse);
-  Json::Value NextMessage();
+  ControlCall TopicCall(const TopicId& aTopic,
+                        const TopicVersion& aKnown,
+                        std::shared_ptr<TopicUpdate> aUpdate) const;
+  // Throws RpcError if this instance doesn't know the topic.
+  TopicUpdate UpdateSince(const TopicId& aTopic,
+                          const TopicVersion& aKnown) const;
+  void ApplyUpdate(const TopicId& aTopic, TopicUpdate aUpdate);
 
   GossipOptions m_options;
-  RpcDispatcher m_dispatcher;
+  ControlCaller m_caller;
+  PackedDispatcher m_dispatcher;
+  RpcDispatcher m_jsonDispatcher;
   // Topics with a fetch in flight.
   std::set<TopicId> m_fetching;
   // Peers with an exchange in flight that this instance started.
--- /dev/null
+++ b/rattanweir/connection/gossip/packed_gossip_test.cc
@@ -0,0 +1,315 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/base/clock/manual_clock.h"
+#include "rattanweir/base/json/json.h"
+#include "rattanweir/connection/gossip/gossip.h"
+#include "rattanweir/connection/gossip/gossip_messages.h"
+#include "rattanweir/connection/gossip/packed_gossip.h"
+#include "testing/gossip_network/gossip_network.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ClientAccountId kAccount("anna");
+
+FleetMember
+MemberOf(int aNumber)
+{
+  const std::string number = std::to_string(aNumber);
+  FleetMember record{
+    .m_id = InstanceId("i" + number),
+    .m_incarnation = Incarnation(1'700'000'000'123),
+    .m_sequence = 4,
+    .m_region = RegionId("r"),
+    .m_zone = AvailabilityZoneId("z"),
+    .m_callerAddress = { .m_address = "10.0.1." + number, .m_port = 9 },
+    .m_peerAddress = { .m_address = "10.0.0." + number, .m_port = 9 },
+    .m_isReady = true,
+    .m_isDraining = true,
+    .m_capacity = 0.25,
+    .m_configVersion = SectionVersion(8),
+    .m_readsStore = true,
+  };
+  record.m_publishedVersions.emplace(
+    "op/", TopicVersion{ .m_epoch = StoreEpoch(2), .m_revision = 3 });
+  record.m_usages[kAccount] = { .m_demand = 120, .m_admitted = 9'000 };
+  record.m_usages[ClientAccountId("bert")] = { .m_demand = 0, .m_admitted = 1 };
+  record.m_pools[PoolId("p")].m_startDelay = milliseconds(40);
+  record.m_serverLimits[BackendServerId("s@1")] = { .m_rate = RequestRate(2.5),
+                                                    .m_version = 3 };
+  record.m_serverLimits[BackendServerId("t@1")] = { .m_version = 4 };
+  record.m_drainingServers = { BackendServerId("s@1"), BackendServerId("u@2") };
+  record.m_membersToIntroduce = { InstanceId("j"), InstanceId("k") };
+  return record;
+}
+
+// Calls `aRead` with the value that `aWrite` writes, after `aDamage` has
+// changed its bytes.
+void
+Transfer(
+  const WritePacked& aWrite,
+  const ReadPacked& aRead,
+  const std::function<void(std::string&)>& aDamage = [](std::string&) {})
+{
+  PackedBuffer buffer;
+  PackedWriter writer(buffer);
+  aWrite(writer);
+  aDamage(buffer.m_bytes);
+  const msgpack::object_handle handle =
+    msgpack::unpack(buffer.m_bytes.data(), buffer.m_bytes.size());
+  aRead(handle.get());
+}
+
+struct View
+{
+  ManualClock m_clock;
+  FleetView m_fleet{ { .m_clock = m_clock, .m_self = MemberOf(0) } };
+};
+
+std::vector<FleetMember>
+Transfer(const std::vector<OutgoingRecord>& aRecords, const FleetView& aFleet)
+{
+  std::vector<FleetMember> read;
+  Transfer(
+    [&](PackedWriter& aWriter) { WriteRecords(aRecords, aWriter); },
+    [&](const PackedValue& aValue) { read = ReadRecords(aValue, aFleet); });
+  return read;
+}
+
+TEST_CASE("a member record is the same after packing and unpacking")
+{
+  const View view;
+  const FleetMember record = MemberOf(1);
+  const auto read =
+    Transfer({ OutgoingRecord{ .m_record = record } }, view.m_fleet);
+  REQUIRE(read.size() == 1);
+  CHECK(JsonText(ToJson(read)) ==
+        JsonText(ToJson(std::vector<FleetMember>{ record })));
+  const auto abridged =
+    Transfer({ OutgoingRecord{ .m_record = record, .m_isAbridged = true } },
+             view.m_fleet);
+  CHECK(abridged.at(0).m_region.IsEmpty());
+  CHECK(abridged.at(0).m_usages.size() == 2);
+}
+
+TEST_CASE("records that the receiver knows are read no further than their "
+          "sequence number")
+{
+  View view;
+  const FleetMember sender = MemberOf(1);
+  FleetMember other = MemberOf(2);
+  view.m_fleet.Merge(std::vector{ sender, other }, sender.m_id);
+  const auto transfer = [&] {
+    return Transfer({ OutgoingRecord{ .m_record = sender },
+                      OutgoingRecord{ .m_record = other } },
+                    view.m_fleet);
+  };
+  CHECK(transfer().at(0).m_usages.size() == 2);
+  CHECK(transfer().at(1).m_usages.empty());
+  CHECK(transfer().at(1).m_sequence == 4);
+  other.m_sequence = 5;
+  CHECK(transfer().at(1).m_usages.size() == 2);
+  other.m_sequence = 1;
+  other.m_incarnation = Incarnation(1'700'000'000'456);
+  CHECK(transfer().at(1).m_usages.size() == 2);
+}
+
+TEST_CASE("the quarantine is the same after packing and unpacking")
+{
+  const std::vector<SuspectReport> reports = {
+    { .m_suspect = PromptPartSuspect("a"),
+      .m_requestAge = milliseconds(70),
+      .m_breaks = { { .m_server = { .m_incarnation = BackendServerId("e@1"),
+                                    .m_software = "engines v1" },
+                      .m_age = milliseconds(1'200),
+                      .m_isExcused = true,
+                      .m_wasAnswered = true } } },
+    { .m_suspect = RequestSuspect({ .m_account = kAccount }) },
+  };
+  std::vector<SuspectReport> read;
+  Transfer([&](PackedWriter& aWriter) { WriteSuspects(reports, aWriter); },
+           [&](const PackedValue& aValue) { read = ReadSuspects(aValue); });
+  Json::Value expected;
+  Json::Value actual;
+  AddQuarantine(reports, expected);
+  AddQuarantine(read, actual);
+  CHECK(JsonText(actual) == JsonText(expected));
+}
+
+TEST_CASE("updates of a topic are the same after packing and unpacking")
+{
+  const auto transfer = [](const TopicUpdate& aUpdate) {
+    TopicUpdate read;
+    Transfer(
+      [&](PackedWriter& aWriter) { WriteTopicUpdate(aUpdate, aWriter); },
+      [&](const PackedValue& aValue) { read = ReadTopicUpdate(aValue); });
+    return read;
+  };
+  const std::vector<ItemChange> changes = {
+    { .m_key = "servers/a", .m_value = "1", .m_revision = 7 },
+    { .m_key = "servers/b",
+      .m_removal = RemovalReason::Lapsed,
+      .m_revision = 8 },
+  };
+  const TopicUpdate readChanges = transfer(changes);
+  REQUIRE(std::holds_alternative<std::vector<ItemChange>>(readChanges));
+  CHECK(JsonText(ToJson(std::get<std::vector<ItemChange>>(readChanges))) ==
+        JsonText(ToJson(changes)));
+  const TopicSnapshot snapshot{
+    .m_version = { .m_epoch = StoreEpoch(2), .m_revision = 9 },
+    .m_items = { { "servers/a", "1" }, { "servers/b", "" } }
+  };
+  const TopicUpdate readSnapshot = transfer(snapshot);
+  REQUIRE(std::holds_alternative<TopicSnapshot>(readSnapshot));
+  CHECK(JsonText(ToJson(std::get<TopicSnapshot>(readSnapshot))) ==
+        JsonText(ToJson(snapshot)));
+}
+
+struct Instance
+{
+  explicit Instance(int aNumber)
+    : m_fleet({ .m_clock = SystemClock(), .m_self = MemberOf(aNumber) })
+    , m_gossip({ .m_executor = m_context.get_executor(),
+                 .m_clock = SystemClock(),
+                 .m_random = m_random,
+                 .m_upstream = m_network,
+                 .m_fleet = m_fleet,
+                 .m_published = m_published,
+                 .m_metrics = m_metrics,
+                 .m_updateSelf = [] {} })
+  {
+  }
+
+  asio::io_context m_context;
+  testing::GossipNetwork m_network;
+  RandomEngine m_random{ 1 };
+  FleetView m_fleet;
+  PublishedItems m_published;
+  Metrics m_metrics;
+  Gossip m_gossip;
+};
+
+std::string
+GossipCallOf(const FleetMember& aSender)
+{
+  return EncodePackedCall(kGossipMethod, [&](PackedWriter& aWriter) {
+    aWriter.pack_array(2);
+    WriteRecords({ OutgoingRecord{ .m_record = aSender } }, aWriter);
+    WriteSuspects({}, aWriter);
+  });
+}
+
+TEST_CASE("a damaged packed message changes nothing")
+{
+  const std::string call = GossipCallOf(MemberOf(1));
+  // All bytes behind the method and the array of the message.
+  for (std::size_t position = 10; position < call.size(); ++position) {
+    Instance instance(0);
+    const std::string response =
+      instance.m_gossip.HandleCall(call.substr(0, position));
+    CAPTURE(position);
+    CHECK_THROWS_AS(DecodePackedResponse(response, [](const PackedValue&) {}),
+                    RpcError);
+    CHECK(instance.m_fleet.LivePeers().empty());
+  }
+  Instance instance(0);
+  CHECK_NOTHROW(DecodePackedResponse(instance.m_gossip.HandleCall(call),
+                                     [](const PackedValue&) {}));
+  CHECK(instance.m_fleet.LivePeers().size() == 1);
+}
+
+TEST_CASE("a peer of an earlier release gossips in JSON")
+{
+  Instance instance(0);
+  const Json::Value message = ToJson(std::vector<FleetMember>{ MemberOf(1) });
+  const std::vector<FleetMember> records =
+    FleetMembersFromJson(DecodeRpcResponse(
+      instance.m_gossip.HandleCall(EncodeRpcRequest(kGossipMethod, message))));
+  CHECK(records.at(0).m_id == InstanceId("i0"));
+  CHECK(instance.m_fleet.LivePeers().size() == 1);
+}
+
+TEST_CASE("instances of two releases discover each other and share topics")
+{
+  asio::io_context context;
+  testing::GossipNetwork network;
+  const TopicId topic("servers/");
+  struct Member
+  {
+    Member(int aNumber,
+           asio::io_context& aContext,
+           testing::GossipNetwork& aNetwork,
+           const TopicId& aTopic)
+      : m_fleet({ .m_clock = SystemClock(), .m_self = MemberOf(aNumber) })
+      , m_gossip({ .m_executor = aContext.get_executor(),
+                   .m_clock = SystemClock(),
+                   .m_random = m_random,
+                   .m_upstream = aNetwork,
+                   .m_fleet = m_fleet,
+                   .m_published = m_published,
+                   .m_metrics = m_metrics,
+                   .m_interval = milliseconds(5),
+                   .m_updateSelf = [this, aTopic] {
+                     m_fleet.Self().m_publishedVersions[aTopic.Value()] =
+                       m_published.VersionOf(aTopic);
+                   } })
+    {
+      const FleetMember self = MemberOf(aNumber);
+      aNetwork.m_gossips.emplace(self.m_peerAddress, &m_gossip);
+      m_fleet.SetSeeds({ MemberOf(1).m_peerAddress });
+    }
+
+    RandomEngine m_random{ 1 };
+    FleetView m_fleet;
+    PublishedItems m_published;
+    Metrics m_metrics;
+    Gossip m_gossip;
+  };
+  std::vector<std::unique_ptr<Member>> members;
+  for (int number = 1; number <= 4; ++number) {
+    members.push_back(
+      std::make_unique<Member>(number, context, network, topic));
+  }
+  // These answer what they don't understand like an earlier release.
+  for (const int number : { 1, 3 }) {
+    network.m_jsonOnly.insert(MemberOf(number).m_peerAddress);
+  }
+  members[0]->m_published.Apply(
+    topic,
+    StoreEpoch(1),
+    { { .m_key = "servers/a", .m_value = "1", .m_revision = 7 } });
+  for (const auto& member : members) {
+    member->m_gossip.Start();
+  }
+  const auto isDone = [&] {
+    return std::ranges::all_of(members, [&](const auto& aMember) {
+      return aMember->m_fleet.LivePeers().size() == 3 &&
+             aMember->m_published.VersionOf(topic).m_revision == 7;
+    });
+  };
+  const SteadyTime end = SystemClock().SteadyNow() + seconds(20);
+  while (!isDone() && SystemClock().SteadyNow() < end) {
+    context.restart();
+    context.run_for(milliseconds(5));
+  }
+  CHECK(isDone());
+  CHECK(members[1]->m_metrics.Counter("rattanweir_control_json_calls_total") >
+        0);
+  for (const auto& member : members) {
+    member->m_gossip.Stop();
+  }
+  context.restart();
+  context.run_for(seconds(5));
+}
+
+} // namespace
+} // namespace rattanweir
--- a/rattanweir/connection/stream_origins/stream_origin_exchange.cc
+++ b/rattanweir/connection/stream_origins/stream_origin_exchange.cc
@@ -2,7 +2,6 @@
 
 #include "rattanweir/connection/stream_origins/stream_origin_exchange.h"
 
-#include "rattanweir/connection/control/peer_call.h"
 #include "rattanweir/process/logging/log.h"
 #include "rattanweir/request/wait/wait.h"
 
@@ -18,15 +17,23 @@
 namespace rattanweir {
 namespace {
 
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 using std::chrono::nanoseconds;
 
 constexpr char kTellMethod[] = "stream_origins";
 constexpr char kAskMethod[] = "find_stream_origin";
 constexpr milliseconds kTellTimeout{ 1'000 };
-// Limit on what a peer may ask this instance to remember a stream for.
-constexpr std::chrono::minutes kMaxLifetime{ 10 };
+
+// Returns the key in a question for a stream's origin.
+StreamKey
+KeyFromJson(const Json::Value& aParameters)
+{
+  const Json::Value& key = aParameters["key"];
+  if (!key.isUInt64()) {
+    throw RpcError("key: expected a non-negative integer");
+  }
+  return static_cast<StreamKey>(key.asUInt64());
+}
 
 } // namespace
 
@@ -56,13 +63,38 @@
   const StreamOriginExchangeOptions& aOptions)
   : m_options(aOptions)
   , m_origins({ .m_clock = aOptions.m_clock })
+{
+  RegisterMethods();
+  RegisterJsonMethods();
+}
+
+void
+StreamOriginExchange::RegisterMethods()
 {
   m_options.m_dispatcher.Register(
-    kTellMethod,
-    [this](const Json::Value& aParameters) { return HandleTell(aParameters); });
+    kTellMethod, [this](const PackedValue& aStreams, PackedWriter& aResult) {
+      RecordFromPeer(ReadBatches(aStreams));
+      aResult.pack_nil();
+    });
   m_options.m_dispatcher.Register(
-    kAskMethod,
-    [this](const Json::Value& aParameters) { return HandleAsk(aParameters); });
+    kAskMethod, [this](const PackedValue& aKey, PackedWriter& aResult) {
+      const auto key = static_cast<StreamKey>(ReadUnsigned(aKey, "key"));
+      WriteFoundOrigin(m_origins.Find(key), aResult);
+    });
+}
+
+void
+StreamOriginExchange::RegisterJsonMethods()
+{
+  m_options.m_jsonDispatcher.Register(
+    kTellMethod, [this](const Json::Value& aParameters) {
+      RecordFromPeer(BatchesFromJson(aParameters));
+      return Json::Value(Json::objectValue);
+    });
+  m_options.m_jsonDispatcher.Register(
+    kAskMethod, [this](const Json::Value& aParameters) {
+      return FoundOriginToJson(m_origins.Find(KeyFromJson(aParameters)));
+    });
 }
 
 void
@@ -83,7 +115,7 @@
                              nanoseconds aLifetime)
 {
   m_origins.Record(aKey, aOrigin, aLifetime);
-  Batch& batch = m_batches[aOrigin];
+  StreamOriginBatch& batch = m_batches[aOrigin];
   batch.m_keys.push_back(aKey);
   batch.m_lifetime = std::max(batch.m_lifetime, aLifetime);
 }
@@ -92,22 +124,18 @@
 StreamOriginExchange::SendBatches()
 {
   while (!m_stop.Reason()) {
-    Json::Value streams(Json::arrayValue);
-    for (const auto& [origin, batch] : std::exchange(m_batches, {})) {
-      Json::Value entry;
-      entry["pool"] = origin.m_pool.Value();
-      entry["version"] = origin.m_version;
-      entry["lifetime_ms"] =
-        Json::Int64(duration_cast<milliseconds>(batch.m_lifetime).count());
-      for (const StreamKey key : batch.m_keys) {
-        entry["keys"].append(Json::UInt64(static_cast<std::uint64_t>(key)));
-      }
-      streams.append(std::move(entry));
-    }
-    if (!streams.empty()) {
+    if (!m_batches.empty()) {
+      const auto batches = std::make_shared<const StreamOriginBatches>(
+        std::exchange(m_batches, {}));
+      const ControlCall call{
+        .m_method = kTellMethod,
+        .m_writeParameters =
+          [batches](PackedWriter& aWriter) { WriteBatches(*batches, aWriter); },
+        .m_jsonParameters = [batches] { return BatchesToJson(*batches); },
+      };
       for (const FleetMember* partner : PartnersOf(m_options.m_fleet)) {
         asio::co_spawn(m_options.m_executor,
-                       SendBatch(partner->m_peerAddress, streams),
+                       SendBatch(partner->m_peerAddress, call),
                        asio::detached);
       }
     }
@@ -116,15 +144,11 @@
 }
 
 Task<void>
-StreamOriginExchange::SendBatch(Endpoint aPeer, Json::Value aBatch)
+StreamOriginExchange::SendBatch(Endpoint aPeer, ControlCall aCall)
 {
   try {
-    PeerCall call;
-    call.m_endpoint = aPeer;
-    call.m_method = kTellMethod;
-    call.m_parameters["streams"] = std::move(aBatch);
-    call.m_deadline = m_options.m_clock.SteadyNow() + kTellTimeout;
-    co_await CallPeer(m_options.m_upstream, std::move(call));
+    const SteadyTime deadline = m_options.m_clock.SteadyNow() + kTellTimeout;
+    co_await m_options.m_caller.Call(aPeer, std::move(aCall), deadline);
     m_options.m_metrics.Count("rattanweir_stream_origin_batches_total");
   } catch (const std::exception& error) {
     // This instance and the other partner still know the streams.
@@ -135,51 +159,14 @@
   }
 }
 
-Json::Value
-StreamOriginExchange::HandleTell(const Json::Value& aParameters)
+void
+StreamOriginExchange::RecordFromPeer(const StreamOriginBatches& aBatches)
 {
-  const Json::Value& streams = aParameters["streams"];
-  if (!streams.isArray()) {
-    throw RpcError("streams: expected an array");
-  }
-  for (const Json::Value& entry : streams) {
-    if (!entry.isObject() || !entry["pool"].isString() ||
-        !entry["version"].isString() || !entry["lifetime_ms"].isUInt64() ||
-        !entry["keys"].isArray()) {
-      throw RpcError("streams: expected pool, version, lifetime_ms and keys");
-    }
-    const StreamOrigin origin{ .m_pool = PoolId(entry["pool"].asString()),
-                               .m_version = entry["version"].asString() };
-    const milliseconds lifetime(
-      static_cast<std::int64_t>(std::min<std::uint64_t>(
-        entry["lifetime_ms"].asUInt64(), milliseconds(kMaxLifetime).count())));
-    for (const Json::Value& key : entry["keys"]) {
-      if (!key.isUInt64()) {
-        throw RpcError("keys: expected non-negative integers");
-      }
-      m_origins.Record(
-        static_cast<StreamKey>(key.asUInt64()), origin, lifetime);
+  for (const auto& [origin, batch] : aBatches) {
+    for (const StreamKey key : batch.m_keys) {
+      m_origins.Record(key, origin, batch.m_lifetime);
     }
   }
-  return Json::Value(Json::objectValue);
-}
-
-Json::Value
-StreamOriginExchange::HandleAsk(const Json::Value& aParameters) const
-{
-  const Json::Value& key = aParameters["key"];
-  if (!key.isUInt64()) {
-    throw RpcError("key: expected a non-negative integer");
-  }
-  Json::Value response(Json::objectValue);
-  const FoundOrigin found =
-    m_origins.Find(static_cast<StreamKey>(key.asUInt64()));
-  response["ambiguous"] = found.m_isAmbiguous;
-  if (found.m_origin) {
-    response["pool"] = found.m_origin->m_pool.Value();
-    response["version"] = found.m_origin->m_version;
-  }
-  return response;
 }
 
 Task<std::optional<StreamOrigin>>
@@ -253,21 +240,32 @@
                           std::shared_ptr<Search> aSearch)
 {
   try {
-    PeerCall call;
-    call.m_endpoint = aPeer;
-    call.m_method = kAskMethod;
-    call.m_parameters["key"] = Json::UInt64(static_cast<std::uint64_t>(aKey));
-    call.m_deadline = aSearch->m_deadline;
-    const Json::Value response =
-      co_await CallPeer(m_options.m_upstream, std::move(call));
-    FoundOrigin found{ .m_isAmbiguous = response["ambiguous"].isBool() &&
-                                        response["ambiguous"].asBool() };
-    if (response["pool"].isString() && response["version"].isString()) {
-      found.m_origin =
-        StreamOrigin{ .m_pool = PoolId(response["pool"].asString()),
-                      .m_version = response["version"].asString() };
-    }
-    aSearch->m_found.Merge(found);
+    const auto merge = [aSearch](const FoundOrigin& aFound) {
+      aSearch->m_found.Merge(aFound);
+    };
+    ControlCall call{
+      .m_method = kAskMethod,
+      .m_writeParameters =
+        [aKey](PackedWriter& aWriter) {
+          aWriter.pack(static_cast<std::uint64_t>(aKey));
+        },
+      .m_readResult =
+        [merge](const PackedValue& aResult) {
+          merge(ReadFoundOrigin(aResult));
+        },
+      .m_jsonParameters =
+        [aKey] {
+          Json::Value parameters;
+          parameters["key"] = Json::UInt64(static_cast<std::uint64_t>(aKey));
+          return parameters;
+        },
+      .m_readJsonResult =
+        [merge](const Json::Value& aResult) {
+          merge(FoundOriginFromJson(aResult));
+        },
+    };
+    co_await m_options.m_caller.Call(
+      aPeer, std::move(call), aSearch->m_deadline);
   } catch (const std::exception& error) {
     m_options.m_metrics.Count("rattanweir_stream_origin_failures_total");
     Log(LogLevel::Debug,
--- a/rattanweir/connection/stream_origins/stream_origin_exchange.h
+++ b/rattanweir/connection/stream_origins/stream_origin_exchange.h
@@ -23,15 +23,15 @@
 
 #include "rattanweir/base/asio/asio.h"
 #include "rattanweir/base/cancel/cancel.h"
+#include "rattanweir/connection/packed_rpc/control_caller.h"
+#include "rattanweir/connection/packed_rpc/packed_rpc.h"
 #include "rattanweir/connection/rpc/rpc.h"
+#include "rattanweir/connection/stream_origins/stream_origin_messages.h"
 #include "rattanweir/process/fleet/fleet_view.h"
 #include "rattanweir/process/metrics/metrics.h"
 #include "rattanweir/process/stream_origins/stream_origins.h"
-#include "rattanweir/request/exchange/exchange.h"
 #include "rattanweir/request/gateway/stream_origin_directory.h"
 
-#include <json/value.h>
-
 #include <chrono>
 #include <map>
 #include <memory>
@@ -44,11 +44,12 @@
 {
   Executor m_executor;
   const Clock& m_clock;
-  Upstream& m_upstream;
+  ControlCaller& m_caller;
   const FleetView& m_fleet;
   Metrics& m_metrics;
-  // Receives the methods that peers call.
-  RpcDispatcher& m_dispatcher;
+  // Receive the methods that peers call, in MessagePack and in JSON.
+  PackedDispatcher& m_dispatcher;
+  RpcDispatcher& m_jsonDispatcher;
   std::chrono::nanoseconds m_batchInterval{ std::chrono::milliseconds(100) };
   std::chrono::nanoseconds m_askTimeout{ std::chrono::milliseconds(500) };
 };
@@ -80,16 +81,11 @@
 private:
   struct Search;
 
-  // The streams of one origin that partners are to be told of.
-  struct Batch
-  {
-    std::vector<StreamKey> m_keys;
-    // The longest of their lifetimes.
-    std::chrono::nanoseconds m_lifetime{};
-  };
-
   Task<void> SendBatches();
-  Task<void> SendBatch(Endpoint aPeer, Json::Value aBatch);
+  Task<void> SendBatch(Endpoint aPeer, ControlCall aCall);
+  void RecordFromPeer(const StreamOriginBatches& aBatches);
+  void RegisterMethods();
+  void RegisterJsonMethods();
   // Asks peers and merges what they know into `aKnown`. Ends with the first
   // origin, or with the last answer.
   Task<FoundOrigin> AskPeers(std::vector<Endpoint> aPeers,
@@ -100,12 +96,9 @@
   // Returns the addresses of the live peers in this region, or of the others.
   std::vector<Endpoint> PeersIn(bool aIsLocal) const;
   Task<void> Ask(Endpoint aPeer, StreamKey aKey, std::shared_ptr<Search>);
-  Json::Value HandleTell(const Json::Value& aParameters);
-  Json::Value HandleAsk(const Json::Value& aParameters) const;
-
   StreamOriginExchangeOptions m_options;
   StreamOrigins m_origins;
-  std::map<StreamOrigin, Batch> m_batches;
+  StreamOriginBatches m_batches;
   CancelSource m_stop;
 };
 
--- a/rattanweir/connection/stream_origins/stream_origin_exchange_test.cc
+++ b/rattanweir/connection/stream_origins/stream_origin_exchange_test.cc
@@ -58,7 +58,7 @@
       found->second->Handle(*aRequest.m_body));
   }
 
-  std::map<Endpoint, RpcDispatcher*> m_instances;
+  std::map<Endpoint, PackedDispatcher*> m_instances;
   std::size_t m_calls = 0;
   std::size_t m_bytes = 0;
 };
@@ -82,12 +82,16 @@
            Network& aNetwork,
            const FleetMember& aSelf)
     : m_fleet({ .m_clock = SystemClock(), .m_self = aSelf })
+    , m_caller({ .m_upstream = aNetwork,
+                 .m_clock = SystemClock(),
+                 .m_metrics = m_metrics })
     , m_exchange({ .m_executor = aContext.get_executor(),
                    .m_clock = SystemClock(),
-                   .m_upstream = aNetwork,
+                   .m_caller = m_caller,
                    .m_fleet = m_fleet,
                    .m_metrics = m_metrics,
                    .m_dispatcher = m_dispatcher,
+                   .m_jsonDispatcher = m_jsonDispatcher,
                    .m_batchInterval = milliseconds(5),
                    .m_askTimeout = seconds(20) })
   {
@@ -95,7 +99,9 @@
 
   FleetView m_fleet;
   Metrics m_metrics;
-  RpcDispatcher m_dispatcher;
+  ControlCaller m_caller;
+  PackedDispatcher m_dispatcher;
+  RpcDispatcher m_jsonDispatcher;
   StreamOriginExchange m_exchange;
 };
 
@@ -317,7 +323,7 @@
         R"({"jsonrpc":"2.0","id":1,"method":"stream_origins","params":{"streams":)") +
       streams + "}}";
     CHECK_THROWS_AS(
-      DecodeRpcResponse(fleet.m_instances[0]->m_dispatcher.Handle(call)),
+      DecodeRpcResponse(fleet.m_instances[0]->m_jsonDispatcher.Handle(call)),
       RpcError);
   }
   CHECK(fleet.m_instances[0]->m_exchange.Size() == 0);
--- a/rattanweir/process/fleet/fleet_view.cc
+++ b/rattanweir/process/fleet/fleet_view.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <random>
+#include <tuple>
 #include <utility>
 
 namespace rattanweir {
@@ -188,50 +189,103 @@
 {
   m_selfUpdatedAt = m_options.m_clock.SteadyNow();
   ++m_options.m_self.m_sequence;
+  m_options.m_self.m_membersToIntroduce.clear();
   return m_options.m_self;
 }
 
+bool
+FleetView::IsSelfUpdateDue() const
+{
+  return m_options.m_clock.SteadyNow() - m_selfUpdatedAt >=
+         m_options.m_selfUpdateInterval;
+}
+
 std::vector<FleetMember>
 FleetView::NextMessage(RandomEngine& aRandom)
 {
-  if (m_options.m_clock.SteadyNow() - m_selfUpdatedAt >=
-      m_options.m_selfUpdateInterval) {
+  std::vector<FleetMember> records;
+  for (const auto& [record, isAbridged] : ChooseRecords(aRandom)) {
+    records.push_back(isAbridged ? AbridgedRecord(record) : record);
+  }
+  return records;
+}
+
+std::vector<OutgoingRecord>
+FleetView::ChooseRecords(RandomEngine& aRandom)
+{
+  if (IsSelfUpdateDue()) {
     AdvanceSelf();
   }
   // Records that were sent least often come first, so that updates spread fast.
-  std::vector<Entry*> candidates;
+  // The order of the others is random.
+  struct Candidate
+  {
+    std::tuple<bool, unsigned, RandomEngine::result_type> m_order;
+    Entry* m_entry = nullptr;
+  };
+  const SteadyTime now = m_options.m_clock.SteadyNow();
+  std::vector<Candidate> candidates;
+  candidates.reserve(m_members.size());
   for (auto& [id, entry] : m_members) {
-    if (IsLive(entry)) {
-      candidates.push_back(&entry);
+    if (IsLive(entry, now)) {
+      const bool isRequested = m_requestedByPeers.contains(id);
+      candidates.push_back(
+        { .m_order = { !isRequested, entry.m_timesSent, aRandom() },
+          .m_entry = &entry });
     }
   }
-  std::ranges::shuffle(candidates, aRandom);
-  std::ranges::stable_sort(candidates, {}, [&](const Entry* aEntry) {
-    return std::pair(!m_requestedByPeers.contains(aEntry->m_record.m_id),
-                     aEntry->m_timesSent);
-  });
-  candidates.resize(
-    std::min(candidates.size(), m_options.m_maxRecordsPerMessage));
-  std::vector<FleetMember> records = { RecordToSend(m_options.m_self,
-                                                    aRandom) };
-  for (const auto& [id, heardAt] : m_toIntroduce) {
-    records.front().m_membersToIntroduce.push_back(id);
-  }
-  for (Entry* entry : candidates) {
-    ++entry->m_timesSent;
-    records.push_back(RecordToSend(entry->m_record, aRandom));
+  const std::size_t count =
+    std::min(candidates.size(), m_options.m_maxRecordsPerMessage);
+  std::ranges::partial_sort(candidates,
+                            candidates.begin() +
+                              static_cast<std::ptrdiff_t>(count),
+                            {},
+                            &Candidate::m_order);
+  candidates.resize(count);
+  m_options.m_self.m_membersToIntroduce = MembersToIntroduce(aRandom);
+  std::vector<OutgoingRecord> records;
+  records.reserve(count + 1);
+  records.push_back(RecordToSend(m_options.m_self, aRandom));
+  for (const Candidate& candidate : candidates) {
+    ++candidate.m_entry->m_timesSent;
+    records.push_back(RecordToSend(candidate.m_entry->m_record, aRandom));
   }
   m_requestedByPeers.clear();
   return records;
 }
 
-FleetMember
+std::vector<InstanceId>
+FleetView::MembersToIntroduce(RandomEngine& aRandom) const
+{
+  std::vector<InstanceId> members;
+  for (const auto& [id, heardAt] : m_toIntroduce) {
+    members.push_back(id);
+  }
+  // The response holds no more records; the others are asked for later.
+  if (members.size() > m_options.m_maxRecordsPerMessage) {
+    std::ranges::shuffle(members, aRandom);
+    members.resize(m_options.m_maxRecordsPerMessage);
+  }
+  return members;
+}
+
+OutgoingRecord
 FleetView::RecordToSend(const FleetMember& aRecord, RandomEngine& aRandom)
 {
   const bool isFull = m_requestedByPeers.erase(aRecord.m_id) > 0 ||
                       aRecord.m_sequence <= kFullRecordsAtStart ||
                       UniformIndex(aRandom, kRecordsPerFullRecord) == 0;
-  return isFull ? aRecord : AbridgedRecord(aRecord);
+  return { .m_record = aRecord, .m_isAbridged = !isFull };
+}
+
+bool
+FleetView::IsNews(const InstanceId& aId,
+                  Incarnation aIncarnation,
+                  std::uint64_t aSequence) const
+{
+  const FleetMember* known = Find(aId);
+  return known == nullptr || known->m_incarnation != aIncarnation ||
+         known->m_sequence < aSequence;
 }
 
 std::vector<Endpoint>
@@ -244,12 +298,13 @@
   std::vector<Endpoint> stale;
   std::vector<Endpoint> overdue;
   const FleetMember& self = m_options.m_self;
+  const SteadyTime now = m_options.m_clock.SteadyNow();
   for (const auto& [id, entry] : m_members) {
     const FleetMember& record = entry.m_record;
-    if (IsOverdue(entry)) {
+    if (IsOverdue(entry, now)) {
       overdue.push_back(record.m_peerAddress);
     }
-    if (!IsLive(entry)) {
+    if (!IsLive(entry, now)) {
       stale.push_back(record.m_peerAddress);
     } else if (record.m_region != self.m_region) {
       otherRegions.push_back(record.m_peerAddress);
@@ -328,9 +383,11 @@
 std::vector<const FleetMember*>
 FleetView::LivePeers() const
 {
+  const SteadyTime now = m_options.m_clock.SteadyNow();
   std::vector<const FleetMember*> peers;
+  peers.reserve(m_members.size());
   for (const auto& [id, entry] : m_members) {
-    if (IsLive(entry)) {
+    if (IsLive(entry, now)) {
       peers.push_back(&entry.m_record);
     }
   }
@@ -340,10 +397,13 @@
 std::vector<const FleetMember*>
 FleetView::LivePeersIn(const RegionId& aRegion) const
 {
-  std::vector<const FleetMember*> peers = LivePeers();
-  std::erase_if(peers, [&](const FleetMember* aPeer) {
-    return aPeer->m_region != aRegion;
-  });
+  const SteadyTime now = m_options.m_clock.SteadyNow();
+  std::vector<const FleetMember*> peers;
+  for (const auto& [id, entry] : m_members) {
+    if (entry.m_record.m_region == aRegion && IsLive(entry, now)) {
+      peers.push_back(&entry.m_record);
+    }
+  }
   return peers;
 }
 
@@ -371,9 +431,11 @@
 std::vector<const FleetMember*>
 FleetView::PossiblyRunning() const
 {
+  const SteadyTime now = m_options.m_clock.SteadyNow();
   std::vector<const FleetMember*> members;
+  members.reserve(m_members.size());
   for (const auto& [id, entry] : m_members) {
-    if (IsLive(entry) || !entry.m_record.m_isDraining) {
+    if (IsLive(entry, now) || !entry.m_record.m_isDraining) {
       members.push_back(&entry.m_record);
     }
   }
@@ -409,7 +471,7 @@
     if (entry.m_record.m_region != m_options.m_self.m_region) {
       continue;
     }
-    if (IsLive(entry)) {
+    if (IsLive(entry, now)) {
       share.m_peers.push_back(&entry.m_record);
     } else if (!entry.m_record.m_isDraining) {
       ++stale;
@@ -444,23 +506,22 @@
 FleetView::IsLive(const InstanceId& aId) const
 {
   const auto found = m_members.find(aId);
-  return found != m_members.end() && IsLive(found->second);
+  return found != m_members.end() &&
+         IsLive(found->second, m_options.m_clock.SteadyNow());
 }
 
 bool
-FleetView::IsLive(const Entry& aEntry) const
+FleetView::IsLive(const Entry& aEntry, SteadyTime aNow) const
 {
   return !aEntry.m_isUnreachable &&
-         m_options.m_clock.SteadyNow() - aEntry.m_lastSeenAt <=
-           LivenessTimeoutOf(aEntry.m_record);
+         aNow - aEntry.m_lastSeenAt <= LivenessTimeoutOf(aEntry.m_record);
 }
 
 bool
-FleetView::IsOverdue(const Entry& aEntry) const
+FleetView::IsOverdue(const Entry& aEntry, SteadyTime aNow) const
 {
-  const std::chrono::duration<double> age =
-    m_options.m_clock.SteadyNow() - aEntry.m_lastSeenAt;
-  return IsLive(aEntry) &&
+  const std::chrono::duration<double> age = aNow - aEntry.m_lastSeenAt;
+  return IsLive(aEntry, aNow) &&
          age > kOverdueFraction * LivenessTimeoutOf(aEntry.m_record);
 }
 
--- a/rattanweir/process/fleet/fleet_view.h
+++ b/rattanweir/process/fleet/fleet_view.h
@@ -80,6 +80,15 @@
   std::vector<InstanceId> m_membersToIntroduce;
 };
 
+// A record of a gossip message, in the view that it is sent from.
+struct OutgoingRecord
+{
+  const FleetMember& m_record;
+  // The fields that never change are omitted; the receiver knows them from an
+  // earlier complete record.
+  bool m_isAbridged = false;
+};
+
 struct FleetViewOptions
 {
   const Clock& m_clock;
@@ -168,10 +177,23 @@
   // immediate announcement.
   const FleetMember& AdvanceSelf();
 
+  // Returns true if the next message increments this instance's sequence
+  // number, so that changes of its record before that reach the peers.
+  bool IsSelfUpdateDue() const;
+
   // Returns the records for the next gossip message: this instance's own first,
   // then those of live members that were sent least often.
   std::vector<FleetMember> NextMessage(RandomEngine& aRandom);
 
+  // Chooses the same records as NextMessage, without copying them. They are
+  // valid until the view changes.
+  std::vector<OutgoingRecord> ChooseRecords(RandomEngine& aRandom);
+
+  // Returns true unless this record is known or older than the known one.
+  bool IsNews(const InstanceId& aId,
+              Incarnation aIncarnation,
+              std::uint64_t aSequence) const;
+
   // Returns the peer addresses for one round of exchanges. Members of other
   // regions are chosen only if `aIncludesOtherRegions` is set or no other
   // member of this instance's region is live.
@@ -236,12 +258,16 @@
     std::set<Incarnation> m_previousIncarnations;
   };
 
-  bool IsLive(const Entry& aEntry) const;
+  bool IsLive(const Entry& aEntry, SteadyTime aNow) const;
   // Returns true for a live member whose liveness timeout has elapsed in part.
-  bool IsOverdue(const Entry& aEntry) const;
+  bool IsOverdue(const Entry& aEntry, SteadyTime aNow) const;
   std::chrono::nanoseconds LivenessTimeoutOf(const FleetMember& aMember) const;
-  // Returns the record, abridged in most cases to save bytes.
-  FleetMember RecordToSend(const FleetMember& aRecord, RandomEngine& aRandom);
+  // Chooses the form in which the record is sent: abridged in most cases, to
+  // save bytes.
+  OutgoingRecord RecordToSend(const FleetMember& aRecord,
+                              RandomEngine& aRandom);
+  // Returns the members of which the next message asks for complete records.
+  std::vector<InstanceId> MembersToIntroduce(RandomEngine& aRandom) const;
   void MergeRecord(const FleetMember& aRecord, bool aIsFromMember);
   void RecordRequests(const std::vector<InstanceId>& aMembers);
   // Notes that a record named an unknown member, which keeps the view from
--- a/testing/gossip_network/gossip_network.cc
+++ b/testing/gossip_network/gossip_network.cc
@@ -42,8 +42,11 @@
     throw RequestError(
       ResultCode::BackendConnectFailed, "unreachable", Ran::No);
   }
-  co_return std::make_unique<ImmediateExchange>(
-    found->second->HandleCall(*aRequest.m_body));
+  std::string response =
+    m_jsonOnly.contains(aEndpoint)
+      ? found->second->JsonDispatcher().Handle(*aRequest.m_body)
+      : found->second->HandleCall(*aRequest.m_body);
+  co_return std::make_unique<ImmediateExchange>(std::move(response));
 }
 
 } // namespace rattanweir::testing
--- a/testing/gossip_network/gossip_network.h
+++ b/testing/gossip_network/gossip_network.h
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 namespace rattanweir::testing {
 
@@ -25,6 +26,8 @@
 
   std::map<Endpoint, Gossip*> m_gossips;
   bool m_isPartitioned = false;
+  // Instances that understand only JSON, like an earlier release.
+  std::set<Endpoint> m_jsonOnly;
 };
 
 } // namespace rattanweir::testing
--- a/testing/parser_fuzz/parser_fuzz_test.cc
+++ b/testing/parser_fuzz/parser_fuzz_test.cc
@@ -11,10 +11,14 @@
 #include "platform/protocol/platform_protocol.h"
 #include "platform/records/records.h"
 #include "platform/store/store_items.h"
+#include "rattanweir/base/clock/manual_clock.h"
 #include "rattanweir/base/json/json.h"
 #include "rattanweir/connection/admin/admin_query.h"
 #include "rattanweir/connection/gossip/gossip_messages.h"
+#include "rattanweir/connection/gossip/packed_gossip.h"
+#include "rattanweir/connection/packed_rpc/packed_rpc.h"
 #include "rattanweir/connection/rpc/rpc.h"
+#include "rattanweir/connection/stream_origins/stream_origin_messages.h"
 #include "rattanweir/process/idempotency/idempotency_key.h"
 #include "rattanweir/process/instance_list/instance_list.h"
 #include "rattanweir/process/settings/settings.h"
@@ -262,6 +266,60 @@
          .m_parse = AllowingError<RpcError>([](const std::string& aText) {
            TopicSnapshotFromJson(ParseJsonOrNull(aText));
          }) });
+  PackedDispatcher packed;
+  ManualClock clock;
+  const FleetView fleet({ .m_clock = clock, .m_self = {} });
+  packed.Register("gossip", [&](const PackedValue& aValue, PackedWriter&) {
+    const auto fields = ReadArray(aValue, "message", 2);
+    ReadRecords(fields[0], fleet);
+    ReadSuspects(fields[1]);
+  });
+  Fuzz({ .m_name = "packed gossip call",
+         .m_corpus = { EncodePackedCall("gossip",
+                                        [&](PackedWriter& aWriter) {
+                                          aWriter.pack_array(2);
+                                          WriteRecords(
+                                            { OutgoingRecord{ member } },
+                                            aWriter);
+                                          WriteSuspects({}, aWriter);
+                                        }) },
+         .m_parse = [&](const std::string& aText) { packed.Handle(aText); } });
+  const auto fuzzPacked = [](const char* aName,
+                             const WritePacked& aWrite,
+                             const ReadPacked& aRead) {
+    PackedDispatcher dispatcher;
+    dispatcher.Register(
+      "x", [&](const PackedValue&, PackedWriter& aResult) { aWrite(aResult); });
+    const std::string call =
+      EncodePackedCall("x", [](PackedWriter& aWriter) { aWriter.pack_nil(); });
+    Fuzz({ .m_name = aName,
+           .m_corpus = { dispatcher.Handle(call) },
+           .m_parse = AllowingError<RpcError>([&](const std::string& aText) {
+             DecodePackedResponse(aText, aRead);
+           }) });
+  };
+  fuzzPacked(
+    "packed topic",
+    [](PackedWriter& aWriter) {
+      WriteTopicUpdate(TopicSnapshot{ .m_items = { { "a", "b" } } }, aWriter);
+    },
+    [](const PackedValue& aValue) { ReadTopicUpdate(aValue); });
+  fuzzPacked(
+    "packed stream origins",
+    [](PackedWriter& aWriter) {
+      WriteBatches({ { { .m_pool = PoolId("p"), .m_version = "v1" },
+                       { .m_keys = { StreamKeyOfContent(7) } } } },
+                   aWriter);
+    },
+    [](const PackedValue& aValue) { ReadBatches(aValue); });
+  fuzzPacked(
+    "packed stream origin",
+    [](PackedWriter& aWriter) {
+      WriteFoundOrigin({ .m_origin = StreamOrigin{ .m_pool = PoolId("p"),
+                                                   .m_version = "v1" } },
+                       aWriter);
+    },
+    [](const PackedValue& aValue) { ReadFoundOrigin(aValue); });
   Fuzz({ .m_name = "rpc response",
          .m_corpus = { R"({"jsonrpc":"2.0","id":1,"result":{"a":1}})",
                        R"({"jsonrpc":"2.0","id":1,"error":{"code":-1,)"
