Refuse take-ups whose stream may have begun unknown to all that can be asked

Operators saw streams that were taken up after a kill of all instances and joined from two software versions.

Cause: one origin that some instances know was taken for all origins there are. After a restart of all, three peers are asked instead of all.

Test: simulated fleets of 8, 65 and 195 instances, two and three versions, twelve streams of which six have a twin at another version.

What remains: a stream whose instance ends within the 0.1 s before its partners are told, with a twin at another version.

--- a/rattanweir/connection/stream_origins/stream_origin_exchange.cc
+++ b/rattanweir/connection/stream_origins/stream_origin_exchange.cc
@@ -23,6 +23,8 @@
 constexpr char kTellMethod[] = "stream_origins";
 constexpr char kAskMethod[] = "find_stream_origin";
 constexpr milliseconds kTellTimeout{ 1'000 };
+// How long members that are not seen any more may still begin streams.
+constexpr std::chrono::seconds kPartitionTime{ 10 };
 
 // Returns the key in a question for a stream's origin.
 StreamKey
@@ -37,24 +39,36 @@
 
 } // namespace
 
-// The state of one search, shared by the calls to the peers.
+// What the peers have answered so far, shared by the calls to them.
 struct StreamOriginExchange::Search
 {
-  explicit Search(const Executor& aExecutor)
-    : m_end(aExecutor)
+  StreamKey m_key{};
+  FoundOrigin m_found;
+  // How far back the memories of the peers that have answered reach.
+  std::map<InstanceId, nanoseconds> m_memories;
+  bool m_endsWithFirst = false;
+  SteadyTime m_deadline;
+};
+
+// Calls that are made at once.
+struct StreamOriginExchange::Round
+{
+  Round(const Executor& aExecutor, std::size_t aCalls, SteadyTime aDeadline)
+    : m_callsLeft(aCalls)
+    , m_deadline(aDeadline)
+    , m_end(aExecutor, aDeadline)
   {
   }
 
-  void EndCall()
+  void EndCall(const Search& aSearch)
   {
-    if (--m_callsLeft == 0 || (m_endsWithFirst && m_found.m_origin)) {
+    if (--m_callsLeft == 0 ||
+        (aSearch.m_endsWithFirst && aSearch.m_found.m_origin)) {
       m_end.cancel();
     }
   }
 
-  FoundOrigin m_found;
-  bool m_endsWithFirst = false;
-  std::size_t m_callsLeft = 0;
+  std::size_t m_callsLeft;
   SteadyTime m_deadline;
   asio::steady_timer m_end;
 };
@@ -63,6 +77,7 @@
   const StreamOriginExchangeOptions& aOptions)
   : m_options(aOptions)
   , m_origins({ .m_clock = aOptions.m_clock })
+  , m_startedAt(aOptions.m_clock.SteadyNow())
 {
   RegisterMethods();
   RegisterJsonMethods();
@@ -79,7 +94,7 @@
   m_options.m_dispatcher.Register(
     kAskMethod, [this](const PackedValue& aKey, PackedWriter& aResult) {
       const auto key = static_cast<StreamKey>(ReadUnsigned(aKey, "key"));
-      WriteFoundOrigin(m_origins.Find(key), aResult);
+      WriteAnswer(AnswerTo(key), aResult);
     });
 }
 
@@ -93,7 +108,7 @@
     });
   m_options.m_jsonDispatcher.Register(
     kAskMethod, [this](const Json::Value& aParameters) {
-      return FoundOriginToJson(m_origins.Find(KeyFromJson(aParameters)));
+      return AnswerToJson(AnswerTo(KeyFromJson(aParameters)));
     });
 }
 
@@ -169,110 +184,174 @@
   }
 }
 
+OriginAnswer
+StreamOriginExchange::AnswerTo(StreamKey aKey) const
+{
+  return { .m_found = m_origins.Find(aKey),
+           .m_memory = m_options.m_clock.SteadyNow() - m_startedAt };
+}
+
+std::shared_ptr<StreamOriginExchange::Search>
+StreamOriginExchange::StartSearch(StreamKey aKey,
+                                  SteadyTime aDeadline,
+                                  bool aEndsWithFirst) const
+{
+  auto search = std::make_shared<Search>();
+  search->m_key = aKey;
+  search->m_found = m_origins.Find(aKey);
+  search->m_endsWithFirst = aEndsWithFirst;
+  search->m_deadline = aDeadline;
+  return search;
+}
+
 Task<std::optional<StreamOrigin>>
 StreamOriginExchange::Find(StreamKey aKey, SteadyTime aDeadline)
 {
-  FoundOrigin found = m_origins.Find(aKey);
+  const auto search = StartSearch(aKey, aDeadline, true);
   for (const bool isLocal : { true, false }) {
-    if (found.m_origin || found.m_isAmbiguous) {
+    if (search->m_found.m_origin || search->m_found.m_isAmbiguous) {
       break;
     }
-    found = co_await AskPeers(PeersIn(isLocal), aKey, aDeadline, found, true);
+    co_await AskPeers(PeersIn(isLocal), search);
   }
-  co_return found.m_origin;
+  co_return search->m_found.m_origin;
 }
 
 Task<std::optional<StreamOrigin>>
-StreamOriginExchange::FindCommon(StreamKey aKey, SteadyTime aDeadline)
+StreamOriginExchange::FindCommon(StreamKey aKey,
+                                 nanoseconds aMaxAge,
+                                 SteadyTime aDeadline)
 {
-  std::vector<Endpoint> peers = PeersIn(true);
-  const std::vector<Endpoint> others = PeersIn(false);
-  peers.insert(peers.end(), others.begin(), others.end());
-  const FoundOrigin known = m_origins.Find(aKey);
-  const FoundOrigin found =
-    co_await AskPeers(std::move(peers), aKey, aDeadline, known, false);
-  co_return found.m_origin;
+  const auto search = StartSearch(aKey, aDeadline, false);
+  const bool hasRestarted = co_await HasFleetRestarted(search, aMaxAge);
+  if (hasRestarted) {
+    co_return std::nullopt;
+  }
+  std::vector<FleetMember> peers = PeersIn(true);
+  std::ranges::move(PeersIn(false), std::back_inserter(peers));
+  co_await AskPeers(std::move(peers), search);
+  if (!IsConclusive(HoldersIn(*search, aMaxAge))) {
+    m_options.m_metrics.Count("rattanweir_stream_origins_inconclusive_total");
+    co_return std::nullopt;
+  }
+  co_return search->m_found.m_origin;
 }
 
-std::vector<Endpoint>
+Task<bool>
+StreamOriginExchange::HasFleetRestarted(std::shared_ptr<Search> aSearch,
+                                        nanoseconds aMaxAge)
+{
+  constexpr std::size_t kPeersToAsk = 3;
+  if (m_options.m_clock.SteadyNow() - m_startedAt >= aMaxAge) {
+    co_return false;
+  }
+  std::vector<FleetMember> peers = PeersIn(false);
+  peers.resize(std::min(peers.size(), kPeersToAsk));
+  co_await AskPeers(std::move(peers), aSearch);
+  const bool hasRestarted =
+    std::ranges::any_of(aSearch->m_memories, [&](const auto& aMemory) {
+      return aMemory.second < aMaxAge;
+    });
+  if (hasRestarted) {
+    m_options.m_metrics.Count("rattanweir_stream_origins_inconclusive_total");
+  }
+  co_return hasRestarted;
+}
+
+std::vector<OriginHolder>
+StreamOriginExchange::HoldersIn(const Search& aSearch,
+                                nanoseconds aMaxAge) const
+{
+  const nanoseconds ownMemory = m_options.m_clock.SteadyNow() - m_startedAt;
+  std::vector<OriginHolder> holders = {
+    { .m_region = m_options.m_fleet.Self().m_region,
+      .m_isCovered = ownMemory >= aMaxAge },
+  };
+  for (const FleetMember* member :
+       m_options.m_fleet.SeenWithin(aMaxAge + kPartitionTime)) {
+    const auto memory = aSearch.m_memories.find(member->m_id);
+    holders.push_back({ .m_region = member->m_region,
+                        .m_isCovered = memory != aSearch.m_memories.end() &&
+                                       memory->second >= aMaxAge });
+  }
+  return holders;
+}
+
+std::vector<FleetMember>
 StreamOriginExchange::PeersIn(bool aIsLocal) const
 {
   const RegionId& region = m_options.m_fleet.Self().m_region;
-  std::vector<Endpoint> peers;
+  std::vector<FleetMember> peers;
   for (const FleetMember* peer : m_options.m_fleet.LivePeers()) {
     if ((peer->m_region == region) == aIsLocal) {
-      peers.push_back(peer->m_peerAddress);
+      peers.push_back(
+        { .m_id = peer->m_id, .m_peerAddress = peer->m_peerAddress });
     }
   }
   return peers;
 }
 
-Task<FoundOrigin>
-StreamOriginExchange::AskPeers(std::vector<Endpoint> aPeers,
-                               StreamKey aKey,
-                               SteadyTime aDeadline,
-                               FoundOrigin aKnown,
-                               bool aEndsWithFirst)
+Task<void>
+StreamOriginExchange::AskPeers(std::vector<FleetMember> aPeers,
+                               std::shared_ptr<Search> aSearch)
 {
+  std::erase_if(aPeers, [&](const FleetMember& aPeer) {
+    return aSearch->m_memories.contains(aPeer.m_id);
+  });
   if (aPeers.empty()) {
-    co_return aKnown;
+    co_return;
   }
-  const SteadyTime now = m_options.m_clock.SteadyNow();
-  const auto search = std::make_shared<Search>(m_options.m_executor);
-  search->m_found = std::move(aKnown);
-  search->m_endsWithFirst = aEndsWithFirst;
-  search->m_callsLeft = aPeers.size();
-  search->m_deadline = std::min(aDeadline, now + m_options.m_askTimeout);
-  search->m_end.expires_after(search->m_deadline - now);
-  for (const Endpoint& peer : aPeers) {
+  const SteadyTime deadline =
+    std::min(aSearch->m_deadline,
+             m_options.m_clock.SteadyNow() + m_options.m_askTimeout);
+  const auto round =
+    std::make_shared<Round>(m_options.m_executor, aPeers.size(), deadline);
+  for (const FleetMember& peer : aPeers) {
     asio::co_spawn(
-      m_options.m_executor, Ask(peer, aKey, search), asio::detached);
+      m_options.m_executor, Ask(peer, round, aSearch), asio::detached);
   }
   boost::system::error_code ignored;
-  co_await search->m_end.async_wait(
+  co_await round->m_end.async_wait(
     asio::redirect_error(asio::use_awaitable, ignored));
-  co_return search->m_found;
 }
 
 Task<void>
-StreamOriginExchange::Ask(Endpoint aPeer,
-                          StreamKey aKey,
+StreamOriginExchange::Ask(FleetMember aPeer,
+                          std::shared_ptr<Round> aRound,
                           std::shared_ptr<Search> aSearch)
 {
   try {
-    const auto merge = [aSearch](const FoundOrigin& aFound) {
-      aSearch->m_found.Merge(aFound);
+    const StreamKey key = aSearch->m_key;
+    const auto merge = [aSearch, &aPeer](const OriginAnswer& aAnswer) {
+      aSearch->m_found.Merge(aAnswer.m_found);
+      aSearch->m_memories[aPeer.m_id] = aAnswer.m_memory;
     };
     ControlCall call{
       .m_method = kAskMethod,
       .m_writeParameters =
-        [aKey](PackedWriter& aWriter) {
-          aWriter.pack(static_cast<std::uint64_t>(aKey));
+        [key](PackedWriter& aWriter) {
+          aWriter.pack(static_cast<std::uint64_t>(key));
         },
       .m_readResult =
-        [merge](const PackedValue& aResult) {
-          merge(ReadFoundOrigin(aResult));
-        },
+        [merge](const PackedValue& aResult) { merge(ReadAnswer(aResult)); },
       .m_jsonParameters =
-        [aKey] {
+        [key] {
           Json::Value parameters;
-          parameters["key"] = Json::UInt64(static_cast<std::uint64_t>(aKey));
+          parameters["key"] = Json::UInt64(static_cast<std::uint64_t>(key));
           return parameters;
         },
       .m_readJsonResult =
-        [merge](const Json::Value& aResult) {
-          merge(FoundOriginFromJson(aResult));
-        },
+        [merge](const Json::Value& aResult) { merge(AnswerFromJson(aResult)); },
     };
     co_await m_options.m_caller.Call(
-      aPeer, std::move(call), aSearch->m_deadline);
+      aPeer.m_peerAddress, std::move(call), aRound->m_deadline);
   } catch (const std::exception& error) {
     m_options.m_metrics.Count("rattanweir_stream_origin_failures_total");
     Log(LogLevel::Debug,
         "stream_origin_not_asked",
-        { { "peer", aPeer.ToString() }, { "detail", error.what() } });
+        { { "peer", aPeer.m_id.Value() }, { "detail", error.what() } });
   }
-  aSearch->EndCall();
+  aRound->EndCall(*aSearch);
 }
 
 std::vector<const FleetMember*>
@@ -282,11 +361,16 @@
   const FleetMember& self = aFleet.Self();
   const std::string& ownId = self.m_id.Value();
   const std::uint64_t seed = XXH64(ownId.data(), ownId.size(), 0);
-  std::vector<const FleetMember*> ranked = aFleet.LivePeers();
-  std::ranges::sort(ranked, std::greater<>(), [&](const FleetMember* aPeer) {
-    const std::string& id = aPeer->m_id.Value();
-    return XXH64(id.data(), id.size(), seed);
-  });
+  std::vector<std::pair<std::uint64_t, const FleetMember*>> weights;
+  for (const FleetMember* peer : aFleet.LivePeers()) {
+    const std::string& id = peer->m_id.Value();
+    weights.emplace_back(XXH64(id.data(), id.size(), seed), peer);
+  }
+  std::ranges::sort(weights, std::greater<>());
+  std::vector<const FleetMember*> ranked;
+  for (const auto& [weight, peer] : weights) {
+    ranked.push_back(peer);
+  }
   std::vector<const FleetMember*> partners;
   const auto addFirst = [&](const auto& aPredicate) {
     const auto found =
--- a/rattanweir/connection/stream_origins/stream_origin_exchange.h
+++ b/rattanweir/connection/stream_origins/stream_origin_exchange.h
@@ -16,6 +16,11 @@
 // take up few streams, so the calls for this are rare, while streams begin all
 // the time. Nothing is stored elsewhere.
 //
+// Several streams may have a common key. One origin that some instances know
+// does not stand for all of them: after a restart of all instances, only the
+// streams that began since are known. `origin_coverage.h` decides whether the
+// answers are conclusive.
+//
 // Not thread-safe. Must outlive the work that remains on the executor after
 // Stop.
 
@@ -29,6 +34,7 @@
 #include "rattanweir/connection/stream_origins/stream_origin_messages.h"
 #include "rattanweir/process/fleet/fleet_view.h"
 #include "rattanweir/process/metrics/metrics.h"
+#include "rattanweir/process/stream_origins/origin_coverage.h"
 #include "rattanweir/process/stream_origins/stream_origins.h"
 #include "rattanweir/request/gateway/stream_origin_directory.h"
 
@@ -73,6 +79,7 @@
                                          SteadyTime aDeadline) override;
 
   Task<std::optional<StreamOrigin>> FindCommon(StreamKey aKey,
+                                               std::chrono::nanoseconds aMaxAge,
                                                SteadyTime aDeadline) override;
 
   // Returns the number of streams that this instance knows.
@@ -80,24 +87,38 @@
 
 private:
   struct Search;
+  struct Round;
 
   Task<void> SendBatches();
   Task<void> SendBatch(Endpoint aPeer, ControlCall aCall);
   void RecordFromPeer(const StreamOriginBatches& aBatches);
   void RegisterMethods();
   void RegisterJsonMethods();
-  // Asks peers and merges what they know into `aKnown`. Ends with the first
-  // origin, or with the last answer.
-  Task<FoundOrigin> AskPeers(std::vector<Endpoint> aPeers,
-                             StreamKey aKey,
-                             SteadyTime aDeadline,
-                             FoundOrigin aKnown,
-                             bool aEndsWithFirst);
-  // Returns the addresses of the live peers in this region, or of the others.
-  std::vector<Endpoint> PeersIn(bool aIsLocal) const;
-  Task<void> Ask(Endpoint aPeer, StreamKey aKey, std::shared_ptr<Search>);
+  // Asks peers and merges what they know into the search. Ends with the first
+  // origin if the search does, or with the last answer.
+  Task<void> AskPeers(std::vector<FleetMember> aPeers,
+                      std::shared_ptr<Search> aSearch);
+  Task<void> Ask(FleetMember aPeer,
+                 std::shared_ptr<Round> aRound,
+                 std::shared_ptr<Search> aSearch);
+  OriginAnswer AnswerTo(StreamKey aKey) const;
+  std::shared_ptr<Search> StartSearch(StreamKey aKey,
+                                      SteadyTime aDeadline,
+                                      bool aEndsWithFirst) const;
+  // Returns this instance and the members that may have known the stream, and
+  // whether the search has covered them.
+  std::vector<OriginHolder> HoldersIn(const Search& aSearch,
+                                      std::chrono::nanoseconds aMaxAge) const;
+  // Returns whether this instance and a peer of another region have started so
+  // recently that no answer of the others is conclusive. Asks a few peers.
+  Task<bool> HasFleetRestarted(std::shared_ptr<Search> aSearch,
+                               std::chrono::nanoseconds aMaxAge);
+  // Returns the live peers in this region, or the others.
+  std::vector<FleetMember> PeersIn(bool aIsLocal) const;
+
   StreamOriginExchangeOptions m_options;
   StreamOrigins m_origins;
+  SteadyTime m_startedAt;
   StreamOriginBatches m_batches;
   CancelSource m_stop;
 };
--- a/rattanweir/connection/stream_origins/stream_origin_exchange_test.cc
+++ b/rattanweir/connection/stream_origins/stream_origin_exchange_test.cc
@@ -76,6 +76,18 @@
                                 static_cast<std::uint16_t>(1'000 + aIndex) } };
 }
 
+// The time of a process that has run for longer than the test.
+struct AgedClock final : public Clock
+{
+  SteadyTime SteadyNow() const override
+  {
+    return SystemClock().SteadyNow() + m_age;
+  }
+  WallTime WallNow() const override { return SystemClock().WallNow(); }
+
+  milliseconds m_age{};
+};
+
 struct Instance
 {
   Instance(asio::io_context& aContext,
@@ -86,7 +98,7 @@
                  .m_clock = SystemClock(),
                  .m_metrics = m_metrics })
     , m_exchange({ .m_executor = aContext.get_executor(),
-                   .m_clock = SystemClock(),
+                   .m_clock = m_clock,
                    .m_caller = m_caller,
                    .m_fleet = m_fleet,
                    .m_metrics = m_metrics,
@@ -97,6 +109,7 @@
   {
   }
 
+  AgedClock m_clock;
   FleetView m_fleet;
   Metrics m_metrics;
   ControlCaller m_caller;
@@ -108,18 +121,16 @@
 class Fleet
 {
 public:
-  Fleet(std::size_t aInstances, std::size_t aZones)
+  Fleet(std::size_t aInstances,
+        std::size_t aZones,
+        milliseconds aAge = milliseconds(0))
   {
-    std::vector<FleetMember> members;
     for (std::size_t index = 0; index < aInstances; ++index) {
-      members.push_back(MemberOf(index, aZones));
+      m_members.push_back(MemberOf(index, aZones));
     }
-    for (const FleetMember& self : members) {
-      auto& instance = m_instances.emplace_back(
-        std::make_unique<Instance>(m_context, m_network, self));
-      instance->m_fleet.Merge(members, self.m_id);
-      instance->m_exchange.Start();
-      m_network.m_instances[self.m_peerAddress] = &instance->m_dispatcher;
+    for (std::size_t index = 0; index < aInstances; ++index) {
+      m_instances.push_back(Start(index));
+      m_instances.back()->m_clock.m_age = aAge;
     }
   }
 
@@ -131,6 +142,24 @@
     Run(milliseconds(20));
   }
 
+  std::unique_ptr<Instance> Start(std::size_t aIndex)
+  {
+    const FleetMember& self = m_members[aIndex];
+    auto instance = std::make_unique<Instance>(m_context, m_network, self);
+    instance->m_fleet.Merge(m_members, self.m_id);
+    instance->m_exchange.Start();
+    m_network.m_instances[self.m_peerAddress] = &instance->m_dispatcher;
+    return instance;
+  }
+
+  // Replaces the process of an instance by one that knows no streams.
+  void Restart(std::size_t aIndex)
+  {
+    m_instances[aIndex]->m_exchange.Stop();
+    m_ended.push_back(std::move(m_instances[aIndex]));
+    m_instances[aIndex] = Start(aIndex);
+  }
+
   void Run(milliseconds aDuration)
   {
     m_context.restart();
@@ -201,9 +230,30 @@
     return found;
   }
 
+  std::optional<StreamOrigin> FindCommon(std::size_t aInstance,
+                                         StreamKey aKey,
+                                         milliseconds aMaxAge = milliseconds(0))
+  {
+    std::optional<StreamOrigin> found;
+    bool hasEnded = false;
+    asio::co_spawn(m_context,
+                   m_instances[aInstance]->m_exchange.FindCommon(
+                     aKey, aMaxAge, SystemClock().SteadyNow() + seconds(60)),
+                   [&](const std::exception_ptr&,
+                       const std::optional<StreamOrigin>& aOrigin) {
+                     found = aOrigin;
+                     hasEnded = true;
+                   });
+    RunUntil([&] { return hasEnded; });
+    return found;
+  }
+
   asio::io_context m_context;
   Network m_network;
+  std::vector<FleetMember> m_members;
   std::vector<std::unique_ptr<Instance>> m_instances;
+  // Processes that were replaced.
+  std::vector<std::unique_ptr<Instance>> m_ended;
 };
 
 TEST_CASE(
@@ -236,35 +286,103 @@
 {
   Fleet fleet(8, 3);
   const StreamKey common = StreamKeyOfContent(7);
-  const auto find = [&](std::size_t aInstance) {
-    std::optional<StreamOrigin> found;
-    bool hasEnded = false;
-    asio::co_spawn(fleet.m_context,
-                   fleet.m_instances[aInstance]->m_exchange.FindCommon(
-                     common, SystemClock().SteadyNow() + seconds(20)),
-                   [&](const std::exception_ptr&,
-                       const std::optional<StreamOrigin>& aOrigin) {
-                     found = aOrigin;
-                     hasEnded = true;
-                   });
-    fleet.RunUntil([&] { return hasEnded; });
-    return found;
-  };
   for (const std::size_t instance : { 0U, 1U }) {
     fleet.m_instances[instance]->m_exchange.Record(
       common, kOrigin, seconds(60));
   }
   fleet.RunUntil([&] { return fleet.Known() >= 5; });
-  CHECK(find(0) == kOrigin);
-  CHECK(find(5) == kOrigin);
+  CHECK(fleet.FindCommon(0, common) == kOrigin);
+  CHECK(fleet.FindCommon(5, common) == kOrigin);
   const StreamOrigin other{ .m_pool = kOrigin.m_pool, .m_version = "v2" };
   fleet.m_instances[2]->m_exchange.Record(common, other, seconds(60));
   fleet.Run(milliseconds(300));
   for (std::size_t instance = 0; instance < 8; ++instance) {
-    CHECK_FALSE(find(instance));
+    CHECK_FALSE(fleet.FindCommon(instance, common));
+  }
+}
+
+// Callers take up streams that began before some instances ended, while another
+// stream with the same content has begun since at another version.
+struct TakeUps
+{
+  std::size_t m_joined = 0;
+  std::size_t m_goOn = 0;
+};
+
+TakeUps
+CountTakeUps(std::size_t aInstances,
+             std::size_t aVersions,
+             const std::function<bool(std::size_t)>& aIsRestarted)
+{
+  constexpr std::size_t kStreams = 12;
+  Fleet fleet(aInstances, 3, milliseconds(10'000));
+  const auto originOf = [&](std::size_t aStream) {
+    return StreamOrigin{ .m_pool = kOrigin.m_pool,
+                         .m_version =
+                           "v" + std::to_string(aStream % aVersions) };
+  };
+  const auto keyOf = [](std::size_t aStream) {
+    return StreamKeyOfContent(100 + aStream);
+  };
+  for (std::size_t stream = 0; stream < kStreams; ++stream) {
+    fleet.m_instances[stream * 5 % aInstances]->m_exchange.Record(
+      keyOf(stream), originOf(stream), seconds(60));
+  }
+  fleet.RunUntil([&] { return fleet.Known() >= 3 * kStreams; });
+  for (std::size_t index = 0; index < aInstances; ++index) {
+    if (aIsRestarted(index)) {
+      fleet.Restart(index);
+    }
+  }
+  // Each second stream has a twin that begins after the restart.
+  for (std::size_t stream = 0; stream < kStreams; stream += 2) {
+    fleet.m_instances[stream * 7 % aInstances]->m_exchange.Record(
+      keyOf(stream), originOf(stream + 1), seconds(60));
+  }
+  fleet.Run(milliseconds(100));
+  TakeUps takeUps;
+  for (std::size_t stream = 0; stream < kStreams; ++stream) {
+    const auto found = fleet.FindCommon(
+      (stream * 11 + 1) % aInstances, keyOf(stream), milliseconds(8'000));
+    takeUps.m_joined += found && found != originOf(stream) ? 1 : 0;
+    takeUps.m_goOn += found == originOf(stream) ? 1 : 0;
+  }
+  return takeUps;
+}
+
+TEST_CASE("no stream is joined from two versions, whichever instances restart")
+{
+  for (const std::size_t instances : { 8U, 65U, 195U }) {
+    for (const std::size_t versions : { 2U, 3U }) {
+      CAPTURE(instances, versions);
+      const TakeUps none =
+        CountTakeUps(instances, versions, [](std::size_t) { return false; });
+      CHECK(none.m_joined == 0);
+      CHECK(none.m_goOn == 6);
+      const TakeUps one = CountTakeUps(
+        instances, versions, [](std::size_t aIndex) { return aIndex == 3; });
+      CHECK(one.m_joined == 0);
+      CHECK(one.m_goOn == 6);
+      const TakeUps region =
+        CountTakeUps(instances, versions, [](std::size_t aIndex) {
+          return aIndex % 3 == 0;
+        });
+      CHECK(region.m_joined == 0);
+      const TakeUps all =
+        CountTakeUps(instances, versions, [](std::size_t) { return true; });
+      CHECK(all.m_joined == 0);
+    }
   }
 }
 
+TEST_CASE("a take-up after a restart of all asks few instances")
+{
+  Fleet fleet(195, 3, milliseconds(0));
+  fleet.m_network.m_calls = 0;
+  CHECK_FALSE(fleet.FindCommon(5, StreamKeyOfContent(7), milliseconds(8'000)));
+  CHECK(fleet.m_network.m_calls <= 3);
+}
+
 TEST_CASE("what no instance knows is not found")
 {
   Fleet fleet(8, 3);
--- a/rattanweir/connection/stream_origins/stream_origin_messages.cc
+++ b/rattanweir/connection/stream_origins/stream_origin_messages.cc
@@ -111,54 +111,65 @@
 }
 
 void
-WriteFoundOrigin(const FoundOrigin& aFound, PackedWriter& aWriter)
+WriteAnswer(const OriginAnswer& aAnswer, PackedWriter& aWriter)
 {
-  constexpr std::uint32_t kFields = 3;
+  constexpr std::uint32_t kFields = 4;
+  const FoundOrigin& found = aAnswer.m_found;
   aWriter.pack_array(kFields);
-  aWriter.pack(aFound.m_isAmbiguous);
-  if (aFound.m_origin) {
-    aWriter.pack(aFound.m_origin->m_pool.Value());
-    aWriter.pack(aFound.m_origin->m_version);
+  aWriter.pack(found.m_isAmbiguous);
+  if (found.m_origin) {
+    aWriter.pack(found.m_origin->m_pool.Value());
+    aWriter.pack(found.m_origin->m_version);
   } else {
     aWriter.pack_nil();
     aWriter.pack_nil();
   }
+  aWriter.pack(ToMilliseconds(aAnswer.m_memory));
 }
 
-FoundOrigin
-ReadFoundOrigin(const PackedValue& aValue)
+OriginAnswer
+ReadAnswer(const PackedValue& aValue)
 {
-  const auto fields = ReadArray(aValue, "found", 3);
-  FoundOrigin found{ .m_isAmbiguous = ReadBool(fields[0], "ambiguous") };
+  const auto fields = ReadArray(aValue, "answer", 4);
+  OriginAnswer answer{
+    .m_found = { .m_isAmbiguous = ReadBool(fields[0], "ambiguous") },
+    .m_memory = BoundedLifetime(ReadUnsigned(fields[3], "memory"))
+  };
   if (!fields[1].is_nil()) {
-    found.m_origin = { .m_pool = PoolId(ReadText(fields[1], "pool")),
-                       .m_version = ReadText(fields[2], "version") };
+    answer.m_found.m_origin = { .m_pool = PoolId(ReadText(fields[1], "pool")),
+                                .m_version = ReadText(fields[2], "version") };
   }
-  return found;
+  return answer;
 }
 
 Json::Value
-FoundOriginToJson(const FoundOrigin& aFound)
+AnswerToJson(const OriginAnswer& aAnswer)
 {
+  const FoundOrigin& found = aAnswer.m_found;
   Json::Value value(Json::objectValue);
-  value["ambiguous"] = aFound.m_isAmbiguous;
-  if (aFound.m_origin) {
-    value["pool"] = aFound.m_origin->m_pool.Value();
-    value["version"] = aFound.m_origin->m_version;
+  value["ambiguous"] = found.m_isAmbiguous;
+  if (found.m_origin) {
+    value["pool"] = found.m_origin->m_pool.Value();
+    value["version"] = found.m_origin->m_version;
   }
+  value["memory_ms"] = Json::UInt64(ToMilliseconds(aAnswer.m_memory));
   return value;
 }
 
-FoundOrigin
-FoundOriginFromJson(const Json::Value& aValue)
+OriginAnswer
+AnswerFromJson(const Json::Value& aValue)
 {
-  FoundOrigin found{ .m_isAmbiguous = aValue["ambiguous"].isBool() &&
-                                      aValue["ambiguous"].asBool() };
+  OriginAnswer answer{ .m_found = { .m_isAmbiguous =
+                                      aValue["ambiguous"].isBool() &&
+                                      aValue["ambiguous"].asBool() } };
   if (aValue["pool"].isString() && aValue["version"].isString()) {
-    found.m_origin = { .m_pool = PoolId(aValue["pool"].asString()),
-                       .m_version = aValue["version"].asString() };
+    answer.m_found.m_origin = { .m_pool = PoolId(aValue["pool"].asString()),
+                                .m_version = aValue["version"].asString() };
+  }
+  if (aValue["memory_ms"].isUInt64()) {
+    answer.m_memory = BoundedLifetime(aValue["memory_ms"].asUInt64());
   }
-  return found;
+  return answer;
 }
 
 } // namespace rattanweir
--- a/rattanweir/connection/stream_origins/stream_origin_messages.h
+++ b/rattanweir/connection/stream_origins/stream_origin_messages.h
@@ -41,13 +41,21 @@
 StreamOriginBatches
 BatchesFromJson(const Json::Value& aValue);
 
+// What an instance answers when it is asked for a stream's origin.
+struct OriginAnswer
+{
+  FoundOrigin m_found;
+  // How far back its memory reaches; zero in answers of earlier releases.
+  std::chrono::nanoseconds m_memory{};
+};
+
 void
-WriteFoundOrigin(const FoundOrigin& aFound, PackedWriter& aWriter);
-FoundOrigin
-ReadFoundOrigin(const PackedValue& aValue);
+WriteAnswer(const OriginAnswer& aAnswer, PackedWriter& aWriter);
+OriginAnswer
+ReadAnswer(const PackedValue& aValue);
 Json::Value
-FoundOriginToJson(const FoundOrigin& aFound);
-FoundOrigin
-FoundOriginFromJson(const Json::Value& aValue);
+AnswerToJson(const OriginAnswer& aAnswer);
+OriginAnswer
+AnswerFromJson(const Json::Value& aValue);
 
 } // namespace rattanweir
--- a/rattanweir/process/fleet/fleet_view.h
+++ b/rattanweir/process/fleet/fleet_view.h
@@ -225,6 +225,11 @@
   // ones, and the stale ones that were not draining.
   std::vector<const FleetMember*> PossiblyRunning() const;
 
+  // Returns the members that are live or were within this time, without this
+  // instance.
+  std::vector<const FleetMember*> SeenWithin(
+    std::chrono::nanoseconds aTime) const;
+
   // Returns true once this instance's region has been discovered: peers have
   // sent messages for the settling time without naming an unknown member of the
   // region. Remains true. Until then, members that share a limit with this
--- a/rattanweir/process/stream_origins/stream_origins.h
+++ b/rattanweir/process/stream_origins/stream_origins.h
@@ -40,6 +40,9 @@
 StreamKey
 StreamKeyOfContent(std::uint64_t aRequestHash);
 
+// How long after its deadline the origin of a stream is remembered.
+inline constexpr std::chrono::seconds kOriginMargin{ 2 };
+
 // The pool and the software version of the server that wrote the first event.
 struct StreamOrigin
 {
--- a/rattanweir/request/gateway/gateway_admission.cc
+++ b/rattanweir/request/gateway/gateway_admission.cc
@@ -252,8 +252,10 @@
     origin = co_await origins.Find(key, aRequest.m_deadline);
   } else {
     // The caller sends the same request as before, but not its id.
-    origin =
-      co_await origins.FindCommon(ContentKeyOf(aRequest), aRequest.m_deadline);
+    // A stream began within the time that its caller waits.
+    const nanoseconds maxAge = aRequest.m_route.m_timeout + kOriginMargin;
+    origin = co_await origins.FindCommon(
+      ContentKeyOf(aRequest), maxAge, aRequest.m_deadline);
   }
   const bool isPoolOfRoute =
     origin &&
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -29,8 +29,6 @@
 // have run.
 constexpr unsigned kExtraDispatchesNotRun = 2;
 constexpr unsigned kMinServerErrorStatus = 500;
-// How long after its deadline the origin of a stream is remembered.
-constexpr std::chrono::seconds kOriginMargin{ 2 };
 // The longest pause that a server gets at a time: after it, one request asks
 // again.
 constexpr std::chrono::seconds kMaxPause{ 60 };
--- a/rattanweir/request/gateway/stream_origin_directory.h
+++ b/rattanweir/request/gateway/stream_origin_directory.h
@@ -31,9 +31,11 @@
 
   // Does the same for a key that several streams may have: waits for all
   // instances that are asked, and returns nullopt if they know different
-  // origins.
+  // origins, or if all that knew another one may be lost. `aMaxAge` is the
+  // longest time since such a stream began.
   virtual Task<std::optional<StreamOrigin>> FindCommon(
     StreamKey aKey,
+    std::chrono::nanoseconds aMaxAge,
     SteadyTime aDeadline) = 0;
 };
 
--- a/testing/gateway_fixture/gateway_fixture.cc
+++ b/testing/gateway_fixture/gateway_fixture.cc
@@ -207,7 +207,9 @@
 }
 
 Task<std::optional<StreamOrigin>>
-LocalStreamOrigins::FindCommon(StreamKey aKey, SteadyTime aDeadline)
+LocalStreamOrigins::FindCommon(StreamKey aKey,
+                               std::chrono::nanoseconds /*aMaxAge*/,
+                               SteadyTime aDeadline)
 {
   return Find(aKey, aDeadline);
 }
--- a/testing/gateway_fixture/gateway_fixture.h
+++ b/testing/gateway_fixture/gateway_fixture.h
@@ -59,6 +59,7 @@
   Task<std::optional<StreamOrigin>> Find(StreamKey aKey,
                                          SteadyTime aDeadline) override;
   Task<std::optional<StreamOrigin>> FindCommon(StreamKey aKey,
+                                               std::chrono::nanoseconds aMaxAge,
                                                SteadyTime aDeadline) override;
 
 private:
--- a/testing/parser_fuzz/parser_fuzz_test.cc
+++ b/testing/parser_fuzz/parser_fuzz_test.cc
@@ -315,11 +315,10 @@
   fuzzPacked(
     "packed stream origin",
     [](PackedWriter& aWriter) {
-      WriteFoundOrigin({ .m_origin = StreamOrigin{ .m_pool = PoolId("p"),
-                                                   .m_version = "v1" } },
-                       aWriter);
+      const StreamOrigin origin{ .m_pool = PoolId("p"), .m_version = "v1" };
+      WriteAnswer({ .m_found = { .m_origin = origin } }, aWriter);
     },
-    [](const PackedValue& aValue) { ReadFoundOrigin(aValue); });
+    [](const PackedValue& aValue) { ReadAnswer(aValue); });
   Fuzz({ .m_name = "rpc response",
          .m_corpus = { R"({"jsonrpc":"2.0","id":1,"result":{"a":1}})",
                        R"({"jsonrpc":"2.0","id":1,"error":{"code":-1,)"
