Keep an instance running when one of its recurring steps fails

Operators of similar systems saw an unexpected error take a whole process down. It could happen here: requests convert every error, but the tick of FleetDaemon ran its steps (registry, usages, quarantine, readiness) in one coroutine whose exception left run() and ended the process, callers' requests included.

PeriodicSteps runs each step for itself: a failure is logged as step_failed and counted, the other steps run, and the step runs again at the next tick. process_periodic_steps_test holds that; what it replaces had no such class, and the failure was found by reading.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -129,6 +129,7 @@
   , m_clock(SystemClock())
   , m_startedAt(m_clock.SteadyNow())
   , m_random(RandomNumber())
+  , m_periodicSteps(m_metrics)
   , m_fleet({ .m_clock = m_clock, .m_self = MakeSelf() })
   , m_registry({ .m_clock = m_clock,
                  .m_regionOfZone = m_settings.m_fleet->m_regionOfZone })
@@ -200,6 +201,7 @@
   m_fleet.SetSeeds(m_settings.m_fleet->m_seeds);
   m_config.OnAccepted(
     [this](const FleetConfig& aConfig) { ApplyConfig(aConfig); });
+  RegisterPeriodicSteps();
   RegisterGauges();
   RegisterAdminRoutes();
   platform::RegisterDirectoryRoute(m_directoryRoutes, m_state);
@@ -593,23 +595,34 @@
   m_gossip.Announce();
 }
 
+void
+FleetDaemon::RegisterPeriodicSteps()
+{
+  const auto add = [this](const char* aName, void (FleetDaemon::*aStep)()) {
+    m_periodicSteps.Add(aName, [this, aStep] { (this->*aStep)(); });
+  };
+  m_periodicSteps.Add("tick_registry", [this] { m_registry.Tick(); });
+  m_periodicSteps.Add("apply_records", [this] { m_recordApplier.Tick(); });
+  add("evict_servers", &FleetDaemon::EvictRemovedServers);
+  add("apply_usages", &FleetDaemon::ApplyPeerUsages);
+  add("apply_limits", &FleetDaemon::ApplyPeerLimits);
+  add("apply_draining", &FleetDaemon::ApplyPeerDraining);
+  add("update_quarantine", &FleetDaemon::UpdateQuarantine);
+  add("update_store_reading", &FleetDaemon::UpdateStoreReading);
+  add("update_readiness", &FleetDaemon::UpdateReadiness);
+  m_periodicSteps.Add("reload_settings", [this] {
+    if (HasSettingsChanged()) {
+      ReloadSettings("the file changed");
+    }
+  });
+}
+
 Task<void>
 FleetDaemon::TickUntilStopped()
 {
   CancelSource never;
   while (!m_isStopped) {
-    m_registry.Tick();
-    m_recordApplier.Tick();
-    EvictRemovedServers();
-    ApplyPeerUsages();
-    ApplyPeerLimits();
-    ApplyPeerDraining();
-    UpdateQuarantine();
-    UpdateStoreReading();
-    UpdateReadiness();
-    if (HasSettingsChanged()) {
-      ReloadSettings("the file changed");
-    }
+    m_periodicSteps.RunAll();
     co_await WaitFor(m_context.get_executor(), kTickInterval, never);
   }
 }
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -19,6 +19,7 @@
 #include "rattanweir/connection/http_server/http_server.h"
 #include "rattanweir/connection/stream_origins/stream_origin_exchange.h"
 #include "rattanweir/process/config_lag/config_lag.h"
+#include "rattanweir/process/periodic_steps/periodic_steps.h"
 #include "rattanweir/process/settings/settings.h"
 #include "rattanweir/request/gateway/gateway_handlers.h"
 
@@ -67,6 +68,7 @@
   void ReloadSettings(const char* aReason);
   bool HasSettingsChanged();
 
+  void RegisterPeriodicSteps();
   Task<void> TickUntilStopped();
   Task<void> AwaitStopSignals();
   Task<void> AwaitReloadSignals();
@@ -82,6 +84,7 @@
   asio::io_context m_context;
 
   Metrics m_metrics;
+  PeriodicSteps m_periodicSteps;
   FleetConfigStore m_config;
   FleetView m_fleet;
   BackendRegistry m_registry;
