Split what chooses the records of a message, and long tests

No behaviour changes: EntriesToSend is apart from ChooseRecords, the tests that grew over 60 lines are split, and names follow the linter's rules.

--- a/rattanweir/connection/gossip/packed_gossip.cc
+++ b/rattanweir/connection/gossip/packed_gossip.cc
@@ -16,27 +16,27 @@
 // The fields of a record, in their order in the message.
 enum RecordField : std::size_t
 {
-  kId,
-  kIncarnation,
-  kSequence,
-  kIsReady,
-  kIsDraining,
-  kReadsStore,
-  kConfigVersion,
+  FieldId,
+  FieldIncarnation,
+  FieldSequence,
+  FieldIsReady,
+  FieldIsDraining,
+  FieldReadsStore,
+  FieldConfigVersion,
   // Nil in an abridged record, else [region, zone, caller address, peer
   // address, capacity].
-  kConstants,
+  FieldConstants,
   // [topic, epoch, revision] each.
-  kTopics,
+  FieldTopics,
   // [account, demand, admitted] each.
-  kUsages,
+  FieldUsages,
   // [pool, start delay in milliseconds] each.
-  kPools,
+  FieldPools,
   // [server, version, rate or nil] each.
-  kLimits,
-  kDraining,
-  kToIntroduce,
-  kRecordFields
+  FieldLimits,
+  FieldDraining,
+  FieldToIntroduce,
+  FieldCount
 };
 
 std::uint64_t
@@ -139,7 +139,7 @@
 WriteRecord(const OutgoingRecord& aOutgoing, PackedWriter& aWriter)
 {
   const FleetMember& record = aOutgoing.m_record;
-  aWriter.pack_array(kRecordFields);
+  aWriter.pack_array(FieldCount);
   aWriter.pack(record.m_id.Value());
   aWriter.pack(record.m_incarnation.Value());
   aWriter.pack(record.m_sequence);
@@ -222,30 +222,31 @@
 void
 ReadLists(std::span<const PackedValue> aFields, FleetMember& aRecord)
 {
-  for (const PackedValue& entry : ReadArray(aFields[kTopics], "topics")) {
+  for (const PackedValue& entry : ReadArray(aFields[FieldTopics], "topics")) {
     const auto topic = ReadArray(entry, "topic", 3);
     aRecord.m_publishedVersions.emplace(
       ReadText(topic[0], "topic"),
       TopicVersion{ .m_epoch = StoreEpoch(ReadUnsigned(topic[1], "epoch")),
                     .m_revision = ReadUnsigned(topic[2], "revision") });
   }
-  aRecord.m_usages = ReadUsages(aFields[kUsages]);
-  for (const PackedValue& entry : ReadArray(aFields[kPools], "pools")) {
+  aRecord.m_usages = ReadUsages(aFields[FieldUsages]);
+  for (const PackedValue& entry : ReadArray(aFields[FieldPools], "pools")) {
     const auto pool = ReadArray(entry, "pool", 2);
     aRecord.m_pools.emplace(
       PoolId(ReadText(pool[0], "pool")),
       PoolReport{ .m_startDelay = ReadMilliseconds(pool[1], "delay") });
   }
-  for (const PackedValue& entry : ReadArray(aFields[kLimits], "limits")) {
+  for (const PackedValue& entry : ReadArray(aFields[FieldLimits], "limits")) {
     const auto limit = ReadArray(entry, "limit", 3);
     aRecord.m_serverLimits.emplace(ReadText(limit[0], "server"),
                                    ReadLimit(limit));
   }
-  for (const PackedValue& server : ReadArray(aFields[kDraining], "draining")) {
+  for (const PackedValue& server :
+       ReadArray(aFields[FieldDraining], "draining")) {
     aRecord.m_drainingServers.emplace(ReadText(server, "draining"));
   }
   for (const PackedValue& member :
-       ReadArray(aFields[kToIntroduce], "introduce")) {
+       ReadArray(aFields[FieldToIntroduce], "introduce")) {
     aRecord.m_membersToIntroduce.emplace_back(ReadText(member, "introduce"));
   }
 }
@@ -375,22 +376,22 @@
 {
   std::vector<FleetMember> records;
   for (const PackedValue& value : ReadArray(aValue, "records", 1)) {
-    const auto fields = ReadArray(value, "record", kRecordFields);
+    const auto fields = ReadArray(value, "record", FieldCount);
     FleetMember& record = records.emplace_back(FleetMember{
-      .m_id = InstanceId(ReadText(fields[kId], "id")),
+      .m_id = InstanceId(ReadText(fields[FieldId], "id")),
       .m_incarnation =
-        Incarnation(ReadUnsigned(fields[kIncarnation], "incarnation")),
-      .m_sequence = ReadUnsigned(fields[kSequence], "sequence") });
+        Incarnation(ReadUnsigned(fields[FieldIncarnation], "incarnation")),
+      .m_sequence = ReadUnsigned(fields[FieldSequence], "sequence") });
     if (records.size() > 1 &&
         !aFleet.IsNews(record.m_id, record.m_incarnation, record.m_sequence)) {
       continue;
     }
-    record.m_isReady = ReadBool(fields[kIsReady], "ready");
-    record.m_isDraining = ReadBool(fields[kIsDraining], "draining");
-    record.m_readsStore = ReadBool(fields[kReadsStore], "reads_store");
+    record.m_isReady = ReadBool(fields[FieldIsReady], "ready");
+    record.m_isDraining = ReadBool(fields[FieldIsDraining], "draining");
+    record.m_readsStore = ReadBool(fields[FieldReadsStore], "reads_store");
     record.m_configVersion =
-      SectionVersion(ReadUnsigned(fields[kConfigVersion], "config"));
-    ReadConstants(fields[kConstants], record);
+      SectionVersion(ReadUnsigned(fields[FieldConfigVersion], "config"));
+    ReadConstants(fields[FieldConstants], record);
     ReadLists(fields, record);
   }
   return records;
--- a/rattanweir/connection/gossip/packed_gossip_test.cc
+++ b/rattanweir/connection/gossip/packed_gossip_test.cc
@@ -20,6 +20,7 @@
 using std::chrono::seconds;
 
 const ClientAccountId kAccount("anna");
+const TopicId kTopic("servers/");
 
 FleetMember
 MemberOf(int aNumber)
@@ -238,33 +239,28 @@
   CHECK(instance.m_fleet.LivePeers().size() == 1);
 }
 
-TEST_CASE("instances of two releases discover each other and share topics")
+// Instances that gossip in one process.
+struct Fleet
 {
-  asio::io_context context;
-  testing::GossipNetwork network;
-  const TopicId topic("servers/");
   struct Member
   {
-    Member(int aNumber,
-           asio::io_context& aContext,
-           testing::GossipNetwork& aNetwork,
-           const TopicId& aTopic)
+    Member(int aNumber, Fleet& aFleet)
       : m_fleet({ .m_clock = SystemClock(), .m_self = MemberOf(aNumber) })
-      , m_gossip({ .m_executor = aContext.get_executor(),
+      , m_gossip({ .m_executor = aFleet.m_context.get_executor(),
                    .m_clock = SystemClock(),
                    .m_random = m_random,
-                   .m_upstream = aNetwork,
+                   .m_upstream = aFleet.m_network,
                    .m_fleet = m_fleet,
                    .m_published = m_published,
                    .m_metrics = m_metrics,
                    .m_interval = milliseconds(5),
-                   .m_updateSelf = [this, aTopic] {
-                     m_fleet.Self().m_publishedVersions[aTopic.Value()] =
-                       m_published.VersionOf(aTopic);
+                   .m_updateSelf = [this] {
+                     m_fleet.Self().m_publishedVersions[kTopic.Value()] =
+                       m_published.VersionOf(kTopic);
                    } })
     {
-      const FleetMember self = MemberOf(aNumber);
-      aNetwork.m_gossips.emplace(self.m_peerAddress, &m_gossip);
+      aFleet.m_network.m_gossips.emplace(MemberOf(aNumber).m_peerAddress,
+                                         &m_gossip);
       m_fleet.SetSeeds({ MemberOf(1).m_peerAddress });
     }
 
@@ -274,41 +270,62 @@
     Metrics m_metrics;
     Gossip m_gossip;
   };
-  std::vector<std::unique_ptr<Member>> members;
-  for (int number = 1; number <= 4; ++number) {
-    members.push_back(
-      std::make_unique<Member>(number, context, network, topic));
+
+  explicit Fleet(int aMembers)
+  {
+    for (int number = 1; number <= aMembers; ++number) {
+      m_members.push_back(std::make_unique<Member>(number, *this));
+    }
+  }
+
+  ~Fleet()
+  {
+    for (const auto& member : m_members) {
+      member->m_gossip.Stop();
+    }
+    m_context.restart();
+    m_context.run_for(seconds(5));
+  }
+
+  // Returns whether the condition holds within a time that only a fault
+  // exceeds.
+  bool RunUntil(const std::function<bool()>& aCondition)
+  {
+    const SteadyTime end = SystemClock().SteadyNow() + seconds(20);
+    while (!aCondition() && SystemClock().SteadyNow() < end) {
+      m_context.restart();
+      m_context.run_for(milliseconds(5));
+    }
+    return aCondition();
   }
+
+  asio::io_context m_context;
+  testing::GossipNetwork m_network;
+  std::vector<std::unique_ptr<Member>> m_members;
+};
+
+TEST_CASE("instances of two releases discover each other and share topics")
+{
+  Fleet fleet(4);
   // These answer what they don't understand like an earlier release.
   for (const int number : { 1, 3 }) {
-    network.m_jsonOnly.insert(MemberOf(number).m_peerAddress);
+    fleet.m_network.m_jsonOnly.insert(MemberOf(number).m_peerAddress);
   }
-  members[0]->m_published.Apply(
-    topic,
+  fleet.m_members[0]->m_published.Apply(
+    kTopic,
     StoreEpoch(1),
     { { .m_key = "servers/a", .m_value = "1", .m_revision = 7 } });
-  for (const auto& member : members) {
+  for (const auto& member : fleet.m_members) {
     member->m_gossip.Start();
   }
-  const auto isDone = [&] {
-    return std::ranges::all_of(members, [&](const auto& aMember) {
+  CHECK(fleet.RunUntil([&] {
+    return std::ranges::all_of(fleet.m_members, [](const auto& aMember) {
       return aMember->m_fleet.LivePeers().size() == 3 &&
-             aMember->m_published.VersionOf(topic).m_revision == 7;
+             aMember->m_published.VersionOf(kTopic).m_revision == 7;
     });
-  };
-  const SteadyTime end = SystemClock().SteadyNow() + seconds(20);
-  while (!isDone() && SystemClock().SteadyNow() < end) {
-    context.restart();
-    context.run_for(milliseconds(5));
-  }
-  CHECK(isDone());
-  CHECK(members[1]->m_metrics.Counter("rattanweir_control_json_calls_total") >
-        0);
-  for (const auto& member : members) {
-    member->m_gossip.Stop();
-  }
-  context.restart();
-  context.run_for(seconds(5));
+  }));
+  const Metrics& metrics = fleet.m_members[1]->m_metrics;
+  CHECK(metrics.Counter("rattanweir_control_json_calls_total") > 0);
 }
 
 } // namespace
--- a/rattanweir/connection/packed_rpc/packed_value.h
+++ b/rattanweir/connection/packed_rpc/packed_value.h
@@ -30,6 +30,8 @@
 // The stream that PackedWriter writes to.
 struct PackedBuffer
 {
+  // msgpack::packer requires this name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   void write(const char* aBytes, std::size_t aSize)
   {
     m_bytes.append(aBytes, aSize);
--- a/rattanweir/process/fleet/fleet_spread_test.cc
+++ b/rattanweir/process/fleet/fleet_spread_test.cc
@@ -26,50 +26,56 @@
   double m_recordsBetweenRegions = 0;
 };
 
+FleetMember
+MemberOf(int aNumber)
+{
+  return { .m_id = InstanceId("i" + std::to_string(aNumber)),
+           .m_incarnation = Incarnation(1),
+           .m_sequence = 1,
+           .m_region = RegionId("r" + std::to_string(aNumber % 3)),
+           .m_zone = AvailabilityZoneId("z" + std::to_string(aNumber % 6)),
+           .m_peerAddress = AddressOf(aNumber),
+           .m_isReady = true };
+}
+
+// Returns the number of records in messages between regions.
+std::size_t
+Exchange(FleetView& aFrom, FleetView& aTo, RandomEngine& aRandom)
+{
+  const InstanceId& fromId = aFrom.Self().m_id;
+  const InstanceId& toId = aTo.Self().m_id;
+  const auto request = aFrom.NextMessage(aRandom, aFrom.Find(toId));
+  aTo.Merge(request, fromId);
+  const auto response = aTo.NextMessage(aRandom, aTo.Find(fromId));
+  aFrom.Merge(response, toId);
+  return aFrom.Self().m_region == aTo.Self().m_region
+           ? 0
+           : request.size() + response.size();
+}
+
 Spread
 RunGossip(int aInstances, std::uint64_t aSeed)
 {
   constexpr milliseconds kRound{ 500 };
+  constexpr int kFirstRounds = 20;
+  constexpr int kRounds = 60;
   ManualClock clock;
   RandomEngine random{ aSeed };
   std::vector<FleetView> fleet;
   for (int number = 0; number < aInstances; ++number) {
-    const std::string text = std::to_string(number);
-    FleetMember self{ .m_id = InstanceId("i" + text),
-                      .m_incarnation = Incarnation(1),
-                      .m_sequence = 1,
-                      .m_region = RegionId("r" + std::to_string(number % 3)),
-                      .m_zone =
-                        AvailabilityZoneId("z" + std::to_string(number % 6)),
-                      .m_peerAddress = AddressOf(number),
-                      .m_isReady = true };
     fleet.emplace_back(
-      FleetViewOptions{ .m_clock = clock, .m_self = std::move(self) });
+      FleetViewOptions{ .m_clock = clock, .m_self = MemberOf(number) });
     fleet.back().SetSeeds({ AddressOf(0), AddressOf(1), AddressOf(2) });
   }
-  const auto exchange = [&](int aFrom, int aTo) {
-    FleetView& from = fleet[static_cast<std::size_t>(aFrom)];
-    FleetView& to = fleet[static_cast<std::size_t>(aTo)];
-    const InstanceId& fromId = from.Self().m_id;
-    const InstanceId& toId = to.Self().m_id;
-    const auto request = from.NextMessage(random, from.Find(toId));
-    to.Merge(request, fromId);
-    const auto response = to.NextMessage(random, to.Find(fromId));
-    from.Merge(response, toId);
-    return from.Self().m_region == to.Self().m_region
-             ? 0
-             : request.size() + response.size();
-  };
   Spread spread{ .m_minLivePeers = static_cast<std::size_t>(aInstances) };
-  constexpr int kFirstRounds = 20;
-  constexpr int kRounds = 60;
   std::size_t records = 0;
   for (int round = 0; round < kRounds; ++round) {
-    for (int from = 0; from < aInstances; ++from) {
+    for (FleetView& from : fleet) {
       for (const Endpoint& target :
-           fleet[static_cast<std::size_t>(from)].ChooseTargets(
-             random, round % 2 == 0)) {
-        const auto sent = exchange(from, std::stoi(target.m_address.substr(7)));
+           from.ChooseTargets(random, round % 2 == 0)) {
+        const auto to =
+          static_cast<std::size_t>(std::stoi(target.m_address.substr(7)));
+        const std::size_t sent = Exchange(from, fleet[to], random);
         records += round < kFirstRounds ? 0 : sent;
       }
     }
--- a/rattanweir/process/fleet/fleet_view.cc
+++ b/rattanweir/process/fleet/fleet_view.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <random>
+#include <span>
 #include <tuple>
 #include <utility>
 
@@ -214,6 +215,22 @@
   if (IsSelfUpdateDue()) {
     AdvanceSelf();
   }
+  const std::vector<Entry*> entries = EntriesToSend(aRandom, aReceiver);
+  m_options.m_self.m_membersToIntroduce = MembersToIntroduce(aRandom);
+  std::vector<OutgoingRecord> records;
+  records.reserve(entries.size() + 1);
+  records.push_back(RecordToSend(m_options.m_self, aRandom));
+  for (Entry* entry : entries) {
+    ++entry->m_timesSent;
+    records.push_back(RecordToSend(entry->m_record, aRandom));
+  }
+  m_requestedByPeers.clear();
+  return records;
+}
+
+std::vector<FleetView::Entry*>
+FleetView::EntriesToSend(RandomEngine& aRandom, const FleetMember* aReceiver)
+{
   // Records that were sent least often come first, so that updates spread fast.
   // The order of the others is random.
   struct Candidate
@@ -247,28 +264,18 @@
   }
   std::size_t count = m_options.m_maxRecordsPerMessage;
   if (isToOtherRegion) {
-    count =
-      std::max(count,
-               static_cast<std::size_t>(m_options.m_regionFractionPerMessage *
-                                        static_cast<double>(regionSize)));
+    const double ofRegion =
+      m_options.m_regionFractionPerMessage * static_cast<double>(regionSize);
+    count = std::max(count, static_cast<std::size_t>(ofRegion));
   }
   count = std::min(count, candidates.size());
-  std::ranges::partial_sort(candidates,
-                            candidates.begin() +
-                              static_cast<std::ptrdiff_t>(count),
-                            {},
-                            &Candidate::m_order);
-  candidates.resize(count);
-  m_options.m_self.m_membersToIntroduce = MembersToIntroduce(aRandom);
-  std::vector<OutgoingRecord> records;
-  records.reserve(count + 1);
-  records.push_back(RecordToSend(m_options.m_self, aRandom));
-  for (const Candidate& candidate : candidates) {
-    ++candidate.m_entry->m_timesSent;
-    records.push_back(RecordToSend(candidate.m_entry->m_record, aRandom));
+  const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(count);
+  std::ranges::partial_sort(candidates, end, {}, &Candidate::m_order);
+  std::vector<Entry*> entries;
+  for (const Candidate& candidate : std::span(candidates.begin(), end)) {
+    entries.push_back(candidate.m_entry);
   }
-  m_requestedByPeers.clear();
-  return records;
+  return entries;
 }
 
 std::vector<InstanceId>
--- a/rattanweir/process/fleet/fleet_view.h
+++ b/rattanweir/process/fleet/fleet_view.h
@@ -283,6 +283,9 @@
   // Returns true for a live member whose liveness timeout has elapsed in part.
   bool IsOverdue(const Entry& aEntry, SteadyTime aNow) const;
   std::chrono::nanoseconds LivenessTimeoutOf(const FleetMember& aMember) const;
+  // Returns the members whose records the next message holds.
+  std::vector<Entry*> EntriesToSend(RandomEngine& aRandom,
+                                    const FleetMember* aReceiver);
   // Chooses the form in which the record is sent: abridged in most cases, to
   // save bytes.
   OutgoingRecord RecordToSend(const FleetMember& aRecord,
--- a/testing/parser_fuzz/parser_fuzz_test.cc
+++ b/testing/parser_fuzz/parser_fuzz_test.cc
@@ -266,6 +266,41 @@
          .m_parse = AllowingError<RpcError>([](const std::string& aText) {
            TopicSnapshotFromJson(ParseJsonOrNull(aText));
          }) });
+  Fuzz({ .m_name = "rpc response",
+         .m_corpus = { R"({"jsonrpc":"2.0","id":1,"result":{"a":1}})",
+                       R"({"jsonrpc":"2.0","id":1,"error":{"code":-1,)"
+                       R"("message":"no"}})" },
+         .m_parse = AllowingError<RpcError>(
+           [](const std::string& aText) { DecodeRpcResponse(aText); }) });
+  Fuzz({ .m_name = "admin target",
+         .m_corpus = { "/explain?request=12&full=%41", "/status" },
+         .m_parse = AllowingError<RequestError>(
+           [](const std::string& aText) { ParseAdminTarget(aText); }) });
+}
+
+// Damages a packed response whose result `aWrite` writes.
+void
+FuzzPacked(const char* aName,
+           const WritePacked& aWrite,
+           const ReadPacked& aRead)
+{
+  PackedDispatcher dispatcher;
+  dispatcher.Register(
+    "x", [&](const PackedValue&, PackedWriter& aResult) { aWrite(aResult); });
+  const std::string call =
+    EncodePackedCall("x", [](PackedWriter& aWriter) { aWriter.pack_nil(); });
+  Fuzz({ .m_name = aName,
+         .m_corpus = { dispatcher.Handle(call) },
+         .m_parse = AllowingError<RpcError>([&](const std::string& aText) {
+           DecodePackedResponse(aText, aRead);
+         }) });
+}
+
+TEST_CASE("no malformed packed message from a peer crashes an instance")
+{
+  FleetMember member{ .m_id = InstanceId("north-1"),
+                      .m_region = RegionId("north") };
+  member.m_peerAddress = { "10.0.0.1", 7500 };
   PackedDispatcher packed;
   ManualClock clock;
   const FleetView fleet({ .m_clock = clock, .m_self = {} });
@@ -284,27 +319,13 @@
                                           WriteSuspects({}, aWriter);
                                         }) },
          .m_parse = [&](const std::string& aText) { packed.Handle(aText); } });
-  const auto fuzzPacked = [](const char* aName,
-                             const WritePacked& aWrite,
-                             const ReadPacked& aRead) {
-    PackedDispatcher dispatcher;
-    dispatcher.Register(
-      "x", [&](const PackedValue&, PackedWriter& aResult) { aWrite(aResult); });
-    const std::string call =
-      EncodePackedCall("x", [](PackedWriter& aWriter) { aWriter.pack_nil(); });
-    Fuzz({ .m_name = aName,
-           .m_corpus = { dispatcher.Handle(call) },
-           .m_parse = AllowingError<RpcError>([&](const std::string& aText) {
-             DecodePackedResponse(aText, aRead);
-           }) });
-  };
-  fuzzPacked(
+  FuzzPacked(
     "packed topic",
     [](PackedWriter& aWriter) {
       WriteTopicUpdate(TopicSnapshot{ .m_items = { { "a", "b" } } }, aWriter);
     },
     [](const PackedValue& aValue) { ReadTopicUpdate(aValue); });
-  fuzzPacked(
+  FuzzPacked(
     "packed stream origins",
     [](PackedWriter& aWriter) {
       WriteBatches({ { { .m_pool = PoolId("p"), .m_version = "v1" },
@@ -312,23 +333,13 @@
                    aWriter);
     },
     [](const PackedValue& aValue) { ReadBatches(aValue); });
-  fuzzPacked(
+  FuzzPacked(
     "packed stream origin",
     [](PackedWriter& aWriter) {
       const StreamOrigin origin{ .m_pool = PoolId("p"), .m_version = "v1" };
       WriteAnswer({ .m_found = { .m_origin = origin } }, aWriter);
     },
     [](const PackedValue& aValue) { ReadAnswer(aValue); });
-  Fuzz({ .m_name = "rpc response",
-         .m_corpus = { R"({"jsonrpc":"2.0","id":1,"result":{"a":1}})",
-                       R"({"jsonrpc":"2.0","id":1,"error":{"code":-1,)"
-                       R"("message":"no"}})" },
-         .m_parse = AllowingError<RpcError>(
-           [](const std::string& aText) { DecodeRpcResponse(aText); }) });
-  Fuzz({ .m_name = "admin target",
-         .m_corpus = { "/explain?request=12&full=%41", "/status" },
-         .m_parse = AllowingError<RequestError>(
-           [](const std::string& aText) { ParseAdminTarget(aText); }) });
 }
 
 TEST_CASE("no malformed settings or configuration file crashes an instance")
