Name members to their own region through another one

Now members that have just started are named to all, a receiver that has just started gets records of all regions, and one in eight messages to another region holds records of all regions too, so that parts of a region that do not know of each other meet. The new test, seeds in one region at 8 and 90 instances, fails without the change.

--- a/rattanweir/connection/gossip/gossip.cc
+++ b/rattanweir/connection/gossip/gossip.cc
@@ -77,21 +77,20 @@
 void
 Gossip::RegisterJsonMethods()
 {
-  const Json::Value noResult(Json::objectValue);
   m_jsonDispatcher.Register(kGossipMethod,
                             [this](const Json::Value& aParameters) {
                               ReadJsonMessage(aParameters);
                               return NextJsonMessage();
                             });
   m_jsonDispatcher.Register(kAnnounceMethod,
-                            [=, this](const Json::Value& aParameters) {
+                            [this](const Json::Value& aParameters) {
                               MergeRecords(FleetMembersFromJson(aParameters));
-                              return noResult;
+                              return Json::Value(Json::objectValue);
                             });
   m_jsonDispatcher.Register(kQuarantineMethod,
-                            [=, this](const Json::Value& aParameters) {
+                            [this](const Json::Value& aParameters) {
                               MergeSuspects(QuarantineFromJson(aParameters));
-                              return noResult;
+                              return Json::Value(Json::objectValue);
                             });
   m_jsonDispatcher.Register(
     kFetchTopicMethod, [this](const Json::Value& aParameters) {
@@ -364,7 +363,7 @@
 ControlCall
 Gossip::TopicCall(const TopicId& aTopic,
                   const TopicVersion& aKnown,
-                  std::shared_ptr<TopicUpdate> aUpdate) const
+                  const std::shared_ptr<TopicUpdate>& aUpdate) const
 {
   return {
     .m_method = kFetchTopicMethod,
--- a/rattanweir/connection/gossip/gossip.h
+++ b/rattanweir/connection/gossip/gossip.h
@@ -116,7 +116,7 @@
   void FetchNewerTopics(const FleetMember& aPeer);
   ControlCall TopicCall(const TopicId& aTopic,
                         const TopicVersion& aKnown,
-                        std::shared_ptr<TopicUpdate> aUpdate) const;
+                        const std::shared_ptr<TopicUpdate>& aUpdate) const;
   // Throws RpcError if this instance doesn't know the topic.
   TopicUpdate UpdateSince(const TopicId& aTopic,
                           const TopicVersion& aKnown) const;
--- a/rattanweir/connection/packed_rpc/packed_rpc_test.cc
+++ b/rattanweir/connection/packed_rpc/packed_rpc_test.cc
@@ -83,8 +83,7 @@
     // Another format.
     "\x93\x07" + call.substr(2),
     // A string that claims more bytes than there are.
-    "\x93\x01\xdb\xff\xff\xff\xff"
-    "double",
+    std::string("\x93\x01\xdb\xff\xff\xff\xff") + "double",
     // A map, which no message holds.
     "\x81\x01\x01",
   };
--- a/rattanweir/process/fleet/fleet_spread_test.cc
+++ b/rattanweir/process/fleet/fleet_spread_test.cc
@@ -54,7 +54,11 @@
 }
 
 Spread
-RunGossip(int aInstances, std::uint64_t aSeed)
+RunGossip(int aInstances,
+          std::uint64_t aSeed,
+          const std::vector<Endpoint>& aSeeds = { AddressOf(0),
+                                                  AddressOf(1),
+                                                  AddressOf(2) })
 {
   constexpr milliseconds kRound{ 500 };
   constexpr int kFirstRounds = 20;
@@ -65,7 +69,7 @@
   for (int number = 0; number < aInstances; ++number) {
     fleet.emplace_back(
       FleetViewOptions{ .m_clock = clock, .m_self = MemberOf(number) });
-    fleet.back().SetSeeds({ AddressOf(0), AddressOf(1), AddressOf(2) });
+    fleet.back().SetSeeds(aSeeds);
   }
   Spread spread{ .m_minLivePeers = static_cast<std::size_t>(aInstances) };
   std::size_t records = 0;
@@ -109,6 +113,17 @@
   }
 }
 
+TEST_CASE(
+  "members of a region discover each other through seeds of another one")
+{
+  for (const int instances : { 8, 90 }) {
+    INFO(instances << " instances");
+    const Spread spread =
+      RunGossip(instances, 7, { AddressOf(0), AddressOf(3), AddressOf(6) });
+    CHECK(spread.m_minLivePeers == static_cast<std::size_t>(instances - 1));
+  }
+}
+
 TEST_CASE("a machine's share of the records between regions does not grow with "
           "the fleet")
 {
--- a/rattanweir/process/fleet/fleet_view.cc
+++ b/rattanweir/process/fleet/fleet_view.cc
@@ -26,6 +26,13 @@
 
 constexpr std::size_t kNewsTargetsInRegion = 3;
 
+// A member whose sequence number is not higher has just started: its region may
+// not know it, nor it its region.
+constexpr std::uint64_t kSequenceAtDiscovery = 12;
+// One of so many messages to another region holds records of all regions, so
+// that members of one region that do not know of each other meet.
+constexpr std::size_t kMessagesPerMixedMessage = 8;
+
 // Removes a random element and returns it.
 template<class Value>
 Value
@@ -240,8 +247,10 @@
   };
   const SteadyTime now = m_options.m_clock.SteadyNow();
   const RegionId& region = m_options.m_self.m_region;
-  const bool isToOtherRegion =
-    aReceiver != nullptr && aReceiver->m_region != region;
+  const bool isForOtherRegion =
+    aReceiver != nullptr && aReceiver->m_region != region &&
+    aReceiver->m_sequence > kSequenceAtDiscovery &&
+    UniformIndex(aRandom, kMessagesPerMixedMessage) != 0;
   std::vector<Candidate> candidates;
   candidates.reserve(m_members.size());
   std::size_t regionSize = 1;
@@ -249,21 +258,24 @@
     if (!IsLive(entry, now)) {
       continue;
     }
-    const bool isOfRegion = entry.m_record.m_region == region;
+    const FleetMember& record = entry.m_record;
+    const bool isOfRegion = record.m_region == region;
     regionSize += isOfRegion ? 1 : 0;
-    const bool isRequested = m_requestedByPeers.contains(id);
-    if (isToOtherRegion && !isRequested &&
-        entry.m_record.m_region == aReceiver->m_region) {
+    const bool isUrgent = m_requestedByPeers.contains(id) ||
+                          record.m_sequence <= kSequenceAtDiscovery;
+    if (isForOtherRegion && !isUrgent &&
+        record.m_region == aReceiver->m_region) {
       continue;
     }
-    candidates.push_back({ .m_order = { !isRequested,
-                                        isToOtherRegion && !isOfRegion,
-                                        entry.m_timesSent,
-                                        aRandom() },
-                           .m_entry = &entry });
+    candidates.push_back(
+      { .m_order = { !m_requestedByPeers.contains(id),
+                     isForOtherRegion && !isOfRegion && !isUrgent,
+                     entry.m_timesSent,
+                     aRandom() },
+        .m_entry = &entry });
   }
   std::size_t count = m_options.m_maxRecordsPerMessage;
-  if (isToOtherRegion) {
+  if (isForOtherRegion) {
     const double ofRegion =
       m_options.m_regionFractionPerMessage * static_cast<double>(regionSize);
     count = std::max(count, static_cast<std::size_t>(ofRegion));
