--- a/rattanweir/connection/stream_origins/stream_origin_exchange.cc
+++ b/rattanweir/connection/stream_origins/stream_origin_exchange.cc
@@ -368,6 +368,7 @@
   }
   std::ranges::sort(weights, std::greater<>());
   std::vector<const FleetMember*> ranked;
+  ranked.reserve(weights.size());
   for (const auto& [weight, peer] : weights) {
     ranked.push_back(peer);
   }
--- a/rattanweir/process/fleet/fleet_view.cc
+++ b/rattanweir/process/fleet/fleet_view.cc
@@ -210,7 +210,9 @@
 FleetView::NextMessage(RandomEngine& aRandom, const FleetMember* aReceiver)
 {
   std::vector<FleetMember> records;
-  for (const auto& [record, isAbridged] : ChooseRecords(aRandom, aReceiver)) {
+  const std::vector<OutgoingRecord> chosen = ChooseRecords(aRandom, aReceiver);
+  records.reserve(chosen.size());
+  for (const auto& [record, isAbridged] : chosen) {
     records.push_back(isAbridged ? AbridgedRecord(record) : record);
   }
   return records;
@@ -284,6 +286,7 @@
   const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(count);
   std::ranges::partial_sort(candidates, end, {}, &Candidate::m_order);
   std::vector<Entry*> entries;
+  entries.reserve(count);
   for (const Candidate& candidate : std::span(candidates.begin(), end)) {
     entries.push_back(candidate.m_entry);
   }
@@ -294,6 +297,7 @@
 FleetView::MembersToIntroduce(RandomEngine& aRandom) const
 {
   std::vector<InstanceId> members;
+  members.reserve(m_toIntroduce.size());
   for (const auto& [id, heardAt] : m_toIntroduce) {
     members.push_back(id);
   }
