Contact seeds as before until the view has settled; name no young members first

Named first are none now. Until its view has settled, an instance contacts the seeds as often as before.

--- a/rattanweir/process/fleet/fleet_view.cc
+++ b/rattanweir/process/fleet/fleet_view.cc
@@ -11,8 +11,10 @@
 namespace {
 
 // On average, one stale member is contacted in one of kRoundsPerStaleTarget
-// rounds. This reconnects a partitioned fleet within seconds.
+// rounds, and the seeds in one of kRoundsPerSeedExchange rounds until the view
+// has settled. This reconnects a partitioned fleet within seconds.
 constexpr std::size_t kRoundsPerStaleTarget = 2;
+constexpr std::size_t kRoundsPerSeedExchange = 8;
 // The first kFullRecordsAtStart records of a process are sent in full, later
 // records only with probability 1 / kRecordsPerFullRecord.
 constexpr std::uint64_t kFullRecordsAtStart = 6;
@@ -26,8 +28,8 @@
 
 constexpr std::size_t kNewsTargetsInRegion = 3;
 
-// A member whose sequence number is not higher has just started: its region may
-// not know it, nor it its region.
+// A member whose sequence number is not higher has just started and may not
+// know its region.
 constexpr std::uint64_t kSequenceAtDiscovery = 12;
 // One of so many messages to another region holds records of all regions, so
 // that members of one region that do not know of each other meet.
@@ -263,18 +265,16 @@
     const FleetMember& record = entry.m_record;
     const bool isOfRegion = record.m_region == region;
     regionSize += isOfRegion ? 1 : 0;
-    const bool isUrgent = m_requestedByPeers.contains(id) ||
-                          record.m_sequence <= kSequenceAtDiscovery;
-    if (isForOtherRegion && !isUrgent &&
+    const bool isRequested = m_requestedByPeers.contains(id);
+    if (isForOtherRegion && !isRequested &&
         record.m_region == aReceiver->m_region) {
       continue;
     }
-    candidates.push_back(
-      { .m_order = { !m_requestedByPeers.contains(id),
-                     isForOtherRegion && !isOfRegion && !isUrgent,
-                     entry.m_timesSent,
-                     aRandom() },
-        .m_entry = &entry });
+    candidates.push_back({ .m_order = { !isRequested,
+                                        isForOtherRegion && !isOfRegion,
+                                        entry.m_timesSent,
+                                        aRandom() },
+                           .m_entry = &entry });
   }
   std::size_t count = m_options.m_maxRecordsPerMessage;
   if (isForOtherRegion) {
@@ -381,7 +381,8 @@
   // Stale members may all be gone.
   std::vector<Endpoint> seeds = m_seeds;
   std::erase(seeds, self.m_peerAddress);
-  if (hasNoLiveTarget) {
+  if (hasNoLiveTarget ||
+      (!HasSettled() && UniformIndex(aRandom, kRoundsPerSeedExchange) == 0)) {
     choose(seeds, seeds.size());
   } else if (std::uniform_real_distribution<double>(0, regionSize)(aRandom) <
              m_options.m_seedExchangesPerRegion) {
--- a/rattanweir/process/fleet/fleet_view.h
+++ b/rattanweir/process/fleet/fleet_view.h
@@ -191,8 +191,9 @@
   // Returns the records for the next gossip message: this instance's own first,
   // then those of live members that were sent least often. A message to another
   // region mostly omits that region's records and prefers those of this region,
-  // which the receiver learns from nobody else; members that have just started
-  // are named to all. nullptr stands for a receiver that is not known.
+  // which the receiver learns from nobody else; a receiver that has just
+  // started gets records of all regions. nullptr stands for a receiver that is
+  // not known.
   std::vector<FleetMember> NextMessage(RandomEngine& aRandom,
                                        const FleetMember* aReceiver = nullptr);
 
