Log and count how late requests are read and departures noticed

Now the end of a request says how long the request lay unread (unread_ms, from the system's own count) and how long the last exchange outlived its caller's noticed departure (gone_ms); a tick that runs 250 ms late or more is logged (instance_late). All three are quantiles on the metrics address.

connection_timed_socket_test has a case for the unread time.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -13,6 +13,7 @@
 
 #include <boost/asio/redirect_error.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <exception>
 #include <sstream>
@@ -27,6 +28,9 @@
 using std::chrono::seconds;
 
 constexpr milliseconds kTickInterval{ 100 };
+// A timer that runs this late is logged: the instance has more to do than its
+// processor share allows.
+constexpr milliseconds kNotableLateness{ 250 };
 // An instance that reaches no peer becomes ready after this time: about three
 // rounds of gossip with seeds that may be down.
 constexpr milliseconds kPeerDiscoveryTimeout{ 1'500 };
@@ -623,7 +627,25 @@
   CancelSource never;
   while (!m_isStopped) {
     m_periodicSteps.RunAll();
+    const SteadyTime due = m_clock.SteadyNow() + kTickInterval;
     co_await WaitFor(m_context.get_executor(), kTickInterval, never);
+    RecordLateness(m_clock.SteadyNow() - due);
+  }
+}
+
+// Records how late a timer ran. Requests and closed connections wait as long to
+// be noticed.
+void
+FleetDaemon::RecordLateness(nanoseconds aLateness)
+{
+  m_metrics.Observe("rattanweir_timer_lateness_seconds",
+                    std::max(aLateness, nanoseconds::zero()));
+  if (aLateness >= kNotableLateness) {
+    Log(LogLevel::Warning,
+        "instance_late",
+        { { "late_ms",
+            std::to_string(duration_cast<milliseconds>(aLateness).count()) },
+          { "in_flight", std::to_string(m_state.m_inFlight) } });
   }
 }
 
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -66,6 +66,7 @@
   void UpdateStoreReading();
   void UpdateReadiness();
   void ReloadSettings(const char* aReason);
+  void RecordLateness(std::chrono::nanoseconds aLateness);
   bool HasSettingsChanged();
 
   void RegisterPeriodicSteps();
--- a/rattanweir/connection/http_server/internal/server_connection.cc
+++ b/rattanweir/connection/http_server/internal/server_connection.cc
@@ -231,6 +231,7 @@
   }
   reservation.ShrinkTo(request.m_body.size());
   request.m_receivedAt = m_server->m_options.m_clock.SteadyNow();
+  request.m_unreadFor = m_stream.Socket().TimeSinceLastBytes();
   request.m_id = m_request;
   co_return co_await Respond(std::move(request), aFrame.m_keepsAlive);
 }
--- a/rattanweir/connection/timed_socket/timed_socket.cc
+++ b/rattanweir/connection/timed_socket/timed_socket.cc
@@ -4,9 +4,11 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <cstddef>
 #include <utility>
 
 namespace rattanweir {
@@ -136,6 +138,24 @@
          (entry.revents & (POLLRDHUP | POLLERR | POLLHUP | POLLNVAL)) != 0;
 }
 
+std::optional<std::chrono::milliseconds>
+TimedSocket::TimeSinceLastBytes() const
+{
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  constexpr socklen_t kNeeded =
+    offsetof(tcp_info, tcpi_last_data_recv) + sizeof info.tcpi_last_data_recv;
+  if (::getsockopt(m_state->m_socket.native_handle(),
+                   IPPROTO_TCP,
+                   TCP_INFO,
+                   &info,
+                   &size) != 0 ||
+      size < kNeeded) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 tcp::endpoint
 ToAsioEndpoint(const Endpoint& aEndpoint)
 {
--- a/rattanweir/connection/timed_socket/timed_socket.h
+++ b/rattanweir/connection/timed_socket/timed_socket.h
@@ -19,6 +19,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 
 namespace rattanweir {
 
@@ -54,6 +55,10 @@
   // if unread bytes remain.
   bool IsClosedByPeer() const;
 
+  // Returns the time since the last bytes arrived from the peer, whether they
+  // were read or not; nullopt if the system doesn't tell.
+  std::optional<std::chrono::milliseconds> TimeSinceLastBytes() const;
+
 private:
   struct State;
   std::shared_ptr<State> m_state;
--- a/rattanweir/connection/timed_socket/timed_socket_test.cc
+++ b/rattanweir/connection/timed_socket/timed_socket_test.cc
@@ -90,5 +90,18 @@
   });
 }
 
+TEST_CASE("a socket tells how long ago its last bytes arrived, read or not")
+{
+  RunConnected([](TimedSocket& aSocket, RawPeer& aPeer) -> Task<void> {
+    co_await aPeer.Write("a");
+    co_await WaitUntil([&] { return aSocket.IsReadable(); });
+    co_await WaitUntil([&] { return aSocket.TimeSinceLastBytes() >= 30ms; });
+    co_await ReadByte(aSocket);
+    CHECK(aSocket.TimeSinceLastBytes() >= 30ms);
+    co_await aPeer.Write("b");
+    co_await WaitUntil([&] { return aSocket.TimeSinceLastBytes() < 30ms; });
+  });
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/request/exchange/exchange.h
+++ b/rattanweir/request/exchange/exchange.h
@@ -52,6 +52,8 @@
   HeaderFields m_headers;
   std::string m_body;
   SteadyTime m_receivedAt;
+  // How long the complete request lay unread, if the system tells.
+  std::optional<std::chrono::milliseconds> m_unreadFor;
   // Assigned by the connection, which includes it in every response. On the
   // listener for peers it is the ID that the entry instance assigned.
   RequestId m_id;
--- a/rattanweir/request/gateway/admitted_request.h
+++ b/rattanweir/request/gateway/admitted_request.h
@@ -23,6 +23,8 @@
   std::string m_target;
   std::shared_ptr<const std::string> m_body;
   SteadyTime m_receivedAt;
+  // How long the request lay unread, if the system tells.
+  std::optional<std::chrono::nanoseconds> m_unreadFor;
   // The earlier of the caller's and the route's timeout.
   SteadyTime m_deadline;
   // The configuration version in force at admission; used until the request
--- a/rattanweir/request/gateway/gateway_admission.cc
+++ b/rattanweir/request/gateway/gateway_admission.cc
@@ -156,6 +156,7 @@
   request.m_body =
     std::make_shared<const std::string>(std::move(aInbound.m_body));
   request.m_receivedAt = aInbound.m_receivedAt;
+  request.m_unreadFor = aInbound.m_unreadFor;
   std::erase_if(request.m_info.m_forwardedFields,
                 [](const HeaderField& aField) {
                   return HeaderNameStartsWith(aField.m_name, kHopFieldPrefix);
--- a/rattanweir/request/gateway/gateway_handlers.cc
+++ b/rattanweir/request/gateway/gateway_handlers.cc
@@ -73,6 +73,8 @@
       { "load_age_ms", MillisecondsText(aReport.m_loadAge) },
       { "total_ms",
         MillisecondsText(aState.m_clock.SteadyNow() - aRequest.m_receivedAt) },
+      { "unread_ms", MillisecondsText(aRequest.m_unreadFor) },
+      { "gone_ms", MillisecondsText(aReport.m_sinceCallerLeft) },
       { "from_peer",
         aRequest.m_forwardedBy ? aRequest.m_forwardedBy->Value() : "none" },
       { "detail", aError ? aError->what() : "" } });
@@ -90,6 +92,14 @@
     aState.m_metrics.Observe("rattanweir_first_byte_seconds",
                              *aReport.m_timeToFirstByte);
   }
+  if (aRequest.m_unreadFor) {
+    aState.m_metrics.Observe("rattanweir_request_unread_seconds",
+                             *aRequest.m_unreadFor);
+  }
+  if (aReport.m_sinceCallerLeft) {
+    aState.m_metrics.Observe("rattanweir_departed_caller_seconds",
+                             *aReport.m_sinceCallerLeft);
+  }
 }
 
 // Serves the request, logs and counts its completion, and rethrows its error.
@@ -104,14 +114,21 @@
                                  .m_request = aRequest,
                                  .m_sink = aSink,
                                  .m_cancel = aCancel });
+  std::optional<SteadyTime> cancelledAt;
+  const auto registration =
+    aCancel.OnCancel([&] { cancelledAt = aState.m_clock.SteadyNow(); });
   std::optional<RequestError> failure;
   try {
     co_await dispatcher.Run();
   } catch (const RequestError& error) {
     failure = error;
   }
-  LogCompletion(aState, aRequest, dispatcher.Report(), failure);
-  ObserveCompletion(aState, aRequest, dispatcher.Report());
+  DispatchReport report = dispatcher.Report();
+  if (cancelledAt && aCancel.Reason() == ResultCode::CallerGone) {
+    report.m_sinceCallerLeft = aState.m_clock.SteadyNow() - *cancelledAt;
+  }
+  LogCompletion(aState, aRequest, report, failure);
+  ObserveCompletion(aState, aRequest, report);
   if (failure) {
     throw RequestError(*failure);
   }
--- a/rattanweir/request/gateway/request_dispatcher.h
+++ b/rattanweir/request/gateway/request_dispatcher.h
@@ -51,6 +51,9 @@
   std::optional<std::chrono::nanoseconds> m_timeToFirstByte;
   // The age of the load report that the last placement decision used.
   std::optional<std::chrono::nanoseconds> m_loadAge;
+  // The time from the moment at which the caller was noticed to have left to
+  // the end of the last exchange; nullopt if it stayed.
+  std::optional<std::chrono::nanoseconds> m_sinceCallerLeft;
 };
 
 class RequestDispatcher
