Show requests that are sent to a server after their caller has left

Without a kept connection to the server a connection is opened and closed again, and no request is sent: the close is noticed while it is opened.

--- a/testing/gateway_chain/gateway_chain.cc
+++ b/testing/gateway_chain/gateway_chain.cc
@@ -151,9 +151,17 @@
 
 Task<RawPeer>
 GatewayChain::AcceptRequest()
+{
+  std::string ignored;
+  RawPeer server = co_await AcceptRequest(ignored);
+  co_return server;
+}
+
+Task<RawPeer>
+GatewayChain::AcceptRequest(std::string& aHeader)
 {
   RawPeer server = co_await m_listener.Accept();
-  co_await server.ReadUntil("\r\n\r\n");
+  aHeader = co_await server.ReadUntil("\r\n\r\n");
   co_return server;
 }
 
--- a/testing/gateway_chain/gateway_chain.h
+++ b/testing/gateway_chain/gateway_chain.h
@@ -58,6 +58,7 @@
                  const Endpoint& aAddress);
 
   Endpoint CallerAddress() const { return m_callerServer.LocalEndpoint(); }
+  Endpoint PeerAddress() const { return m_peerServer.LocalEndpoint(); }
   std::size_t IdleServerConnections() const
   {
     return m_backendUpstream.IdleConnections();
@@ -107,6 +108,8 @@
 
   // Accepts a connection as the backend server and reads the request.
   Task<RawPeer> AcceptRequest();
+  // The same, and returns the request's header.
+  Task<RawPeer> AcceptRequest(std::string& aHeader);
 
   // Returns the instance that sends to the backend server.
   GatewayNode& Server(ServedBy aServedBy)
--- a/testing/raw_peer/raw_peer.cc
+++ b/testing/raw_peer/raw_peer.cc
@@ -78,6 +78,13 @@
   co_return text;
 }
 
+void
+RawPeer::WriteAndClose(const std::string& aText)
+{
+  asio::write(m_socket, asio::buffer(aText));
+  m_socket.close();
+}
+
 void
 RawPeer::Close()
 {
@@ -111,6 +118,16 @@
   co_return RawPeer(std::move(socket));
 }
 
+void
+SendAndLeave(const Endpoint& aEndpoint, const std::string& aText)
+{
+  asio::io_context context;
+  tcp::socket socket(context);
+  socket.connect(
+    { asio::ip::make_address(aEndpoint.m_address), aEndpoint.m_port });
+  asio::write(socket, asio::buffer(aText));
+}
+
 void
 RunTask(asio::io_context& aContext, std::function<Task<void>()> aTask)
 {
--- a/testing/raw_peer/raw_peer.h
+++ b/testing/raw_peer/raw_peer.h
@@ -42,6 +42,10 @@
   Task<std::string> ReadUntil(std::string aText);
   Task<std::string> ReadToEnd();
 
+  // Writes the text and closes the connection at once: nothing else of this
+  // thread runs in between.
+  void WriteAndClose(const std::string& aText);
+
   // Close the connection gracefully, or with a TCP reset.
   void Close();
   void Reset();
@@ -70,6 +74,11 @@
   asio::ip::tcp::acceptor m_acceptor;
 };
 
+// Connects, writes the text and closes the connection at once, while nothing
+// else of this thread runs.
+void
+SendAndLeave(const Endpoint& aEndpoint, const std::string& aText);
+
 // Runs the context until the task has completed, and rethrows its exception.
 // Throws std::runtime_error if the task does not complete within 20 s, which is
 // longer than any correct run.
