Look whether the caller has left before work for its request begins

A request that lies unread behind an instance that is busy is read after its caller has given up, together with the close. The handler ran in the turn in which the connection's monitor was set up, the monitor's first check in a later one, and with a kept connection to a server at hand the request was written before anyone had looked. The same at a peer that reads a forwarded request late.

Class of fault: an event that cancels work is acted on in the order in which the event loop gets to it, not before the work that it would save.

CancelSource has a check that looks for the cause itself; the monitor of a caller's connection sets it (one poll). It is asked before the handler runs and before a request's first byte is written to a server or peer, so that retries, requests that waited or connected meanwhile, and the product's own pipeline are covered by the same line.

--- a/rattanweir/base/cancel/cancel.cc
+++ b/rattanweir/base/cancel/cancel.cc
@@ -57,6 +57,21 @@
   }
 }
 
+void
+CancelSource::SetCheck(std::function<void()> aCheck)
+{
+  m_check = std::move(aCheck);
+}
+
+std::optional<ResultCode>
+CancelSource::CheckNow()
+{
+  if (!m_reason && m_check) {
+    m_check();
+  }
+  return m_reason;
+}
+
 CancelSource::Registration
 CancelSource::OnCancel(std::function<void()> aFunction)
 {
--- a/rattanweir/base/cancel/cancel.h
+++ b/rattanweir/base/cancel/cancel.h
@@ -8,6 +8,10 @@
 //   cancel.Cancel(ResultCode::KeyWithdrawn);
 //   assert(cancel.Reason() == ResultCode::KeyWithdrawn);
 //
+// A cause that is reported by an event, such as a closed connection, is noticed
+// only when the event loop gets to it. Code that is about to start work for the
+// request calls CheckNow, which looks for the cause itself.
+//
 // Not thread-safe. The callbacks run inside Cancel, in the order of
 // registration; they must not throw.
 
@@ -56,12 +60,20 @@
   // Returns the reason of the cancellation, or nullopt if not cancelled.
   std::optional<ResultCode> Reason() const { return m_reason; }
 
+  // Sets a function that looks for a cause of cancellation and calls Cancel if
+  // there is one. An empty function removes it.
+  void SetCheck(std::function<void()> aCheck);
+
+  // Looks for a cause of cancellation now, then returns the same as Reason.
+  std::optional<ResultCode> CheckNow();
+
   // Calls `aFunction` once on Cancel, or immediately if already cancelled.
   Registration OnCancel(std::function<void()> aFunction);
 
 private:
   std::shared_ptr<Registration::Functions> m_functions;
   std::optional<ResultCode> m_reason;
+  std::function<void()> m_check;
   std::uint64_t m_nextId = 1;
 };
 
--- a/rattanweir/base/cancel/cancel_test.cc
+++ b/rattanweir/base/cancel/cancel_test.cc
@@ -61,5 +61,30 @@
   registration.reset();
 }
 
+TEST_CASE("a check cancels the source before its cause is reported")
+{
+  CancelSource cancel;
+  CHECK(cancel.CheckNow() == std::nullopt);
+  bool isClosed = false;
+  cancel.SetCheck([&] {
+    if (isClosed) {
+      cancel.Cancel(ResultCode::CallerGone);
+    }
+  });
+  CHECK(cancel.CheckNow() == std::nullopt);
+  isClosed = true;
+  CHECK(cancel.Reason() == std::nullopt);
+  CHECK(cancel.CheckNow() == ResultCode::CallerGone);
+  CHECK(cancel.Reason() == ResultCode::CallerGone);
+}
+
+TEST_CASE("a check that was removed is not called")
+{
+  CancelSource cancel;
+  cancel.SetCheck([&] { cancel.Cancel(ResultCode::CallerGone); });
+  cancel.SetCheck({});
+  CHECK(cancel.CheckNow() == std::nullopt);
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/connection/http_client/http_client.cc
+++ b/rattanweir/connection/http_client/http_client.cc
@@ -113,6 +113,7 @@
 Task<bool>
 HttpExchange::Write()
 {
+  m_cancel.CheckNow();
   ThrowIfEnded();
   // The timer also covers the reads of the response.
   m_stream->Socket().ExpireAfter(TimeLeft());
--- a/rattanweir/connection/http_client/http_client_test.cc
+++ b/rattanweir/connection/http_client/http_client_test.cc
@@ -220,5 +220,23 @@
   }
 }
 
+TEST_CASE("nothing is written if the cause of a cancellation is there but was "
+          "not reported yet")
+{
+  ClientBench bench;
+  bench.m_cancel.SetCheck(
+    [&] { bench.m_cancel.Cancel(ResultCode::CallerGone); });
+  bench.Run([&]() -> Task<void> {
+    const auto error = co_await CatchRequestError(
+      [&]() -> Task<void> { co_await bench.Send(bench.Request("body")); });
+    RawPeer server = co_await bench.m_listener.Accept();
+    const std::string received = co_await server.ReadToEnd();
+    REQUIRE(error);
+    CHECK(error->Code() == ResultCode::CallerGone);
+    CHECK(error->HasRun() == Ran::No);
+    CHECK(received.empty());
+  });
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/connection/http_server/internal/caller_disconnect_monitor.cc
+++ b/rattanweir/connection/http_server/internal/caller_disconnect_monitor.cc
@@ -36,11 +36,20 @@
       });
   }
 
+  // Returns whether the caller has left; cancels the request if so.
+  bool CancelIfClosed()
+  {
+    if (!m_socket->IsClosedByPeer()) {
+      return false;
+    }
+    m_cancel->Cancel(ResultCode::CallerGone);
+    m_socket->Interrupt();
+    return true;
+  }
+
   void CheckConnection(const error_code& aError)
   {
-    if (m_socket->IsClosedByPeer()) {
-      m_cancel->Cancel(ResultCode::CallerGone);
-      m_socket->Interrupt();
+    if (CancelIfClosed()) {
       return;
     }
     if (aError && m_socket->HasExpired()) {
@@ -76,12 +85,14 @@
                                                  CancelSource& aCancel)
   : m_state(std::make_shared<State>(aSocket, aCancel))
 {
+  aCancel.SetCheck([state = m_state] { state->CancelIfClosed(); });
   m_state->Wait();
 }
 
 CallerDisconnectMonitor::~CallerDisconnectMonitor()
 {
   m_state->m_isActive = false;
+  m_state->m_cancel->SetCheck({});
   error_code ignored;
   m_state->m_socket->Get().cancel(ignored);
   if (m_state->m_timer) {
--- a/rattanweir/connection/http_server/internal/caller_disconnect_monitor.h
+++ b/rattanweir/connection/http_server/internal/caller_disconnect_monitor.h
@@ -11,8 +11,9 @@
 namespace rattanweir {
 
 // Cancels the request with CallerGone and interrupts the socket's waits once
-// the caller has closed its sending side. Consumes no bytes from the socket.
-// The socket and the cancel source must outlive the monitor.
+// the caller has closed its sending side, and is the source's check. Consumes
+// no bytes from the socket. The socket and the cancel source must outlive the
+// monitor.
 class CallerDisconnectMonitor
 {
 public:
--- a/rattanweir/connection/http_server/internal/server_connection.cc
+++ b/rattanweir/connection/http_server/internal/server_connection.cc
@@ -259,7 +259,12 @@
   } else {
     const ScopedCount counted(m_server->m_requests);
     const CallerDisconnectMonitor monitor(m_stream.Socket(), *m_cancel);
-    error = co_await RunHandler(std::move(aRequest), writer);
+    if (const auto reason = m_cancel->CheckNow()) {
+      error.emplace(
+        *reason, "the caller left before its request was read", Ran::No);
+    } else {
+      error = co_await RunHandler(std::move(aRequest), writer);
+    }
   }
   const Next next = co_await FinishResponse(writer, std::move(error));
   m_cancel.reset();
