Note which servers an instance can open connections to

ServerReach takes the outcome of each new connection and tells lost links from the loss of a server or a rack: several servers that fail with no success in between, and probes (a connection without a request) of others on each new failure. Nothing depends on it yet.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -8,6 +8,7 @@
 #include "rattanweir/request/exchange/header_fields.h"
 #include "rattanweir/request/gateway/gateway_report.h"
 #include "rattanweir/request/gateway/server_candidates.h"
+#include "rattanweir/request/gateway/server_links.h"
 #include "rattanweir/request/wait/wait.h"
 #include "rattanweir/version/text_file/text_file.h"
 
@@ -138,6 +139,7 @@
   , m_registry({ .m_clock = m_clock,
                  .m_regionOfZone = m_settings.m_fleet->m_regionOfZone })
   , m_backends({ .m_clock = m_clock })
+  , m_reach({ .m_clock = m_clock })
   , m_regions({ .m_clock = m_clock })
   , m_rates(
       { .m_clock = m_clock, .m_tolerance = RateTolerance(*m_settings.m_fleet) })
@@ -159,12 +161,24 @@
                         .m_maxIdlePerEndpoint = kMaxIdleConnectionsPerServer,
                         .m_idleTimeout = kBackendIdleTimeout,
                         .m_acceptsCloseDelimitedResponses = true,
-                        .m_tcpLiveness = kKeepAlive })
+                        .m_tcpLiveness = kKeepAlive,
+                        .m_onConnect =
+                          [this](const Endpoint& aServer, bool aIsOpen) {
+                            RecordConnection(m_state, aServer, aIsOpen);
+                          } })
   , m_peerUpstream({ .m_executor = m_context.get_executor(),
                      .m_clock = m_clock,
                      .m_connectTimeout = kPeerConnectTimeout,
                      .m_tcpLiveness = kKeepAlive })
   , m_state(MakeState())
+  , m_prober({ .m_executor = m_context.get_executor(),
+               .m_reach = m_reach,
+               .m_onProbed =
+                 [this](const Endpoint& aServer, bool aIsReached) {
+                   m_metrics.Count("rattanweir_server_probes_total");
+                   RecordConnection(m_state, aServer, aIsReached);
+                 },
+               .m_connectTimeout = kBackendConnectTimeout })
   , m_gossip({ .m_executor = m_context.get_executor(),
                .m_clock = m_clock,
                .m_random = m_random,
@@ -267,6 +281,7 @@
            .m_fleet = m_fleet,
            .m_registry = m_registry,
            .m_backends = m_backends,
+           .m_reach = m_reach,
            .m_regions = m_regions,
            .m_parts = m_parts,
            .m_rates = m_rates,
@@ -348,6 +363,11 @@
     const auto silence = m_storeReader.Silence().value_or(nanoseconds::zero());
     return std::chrono::duration<double>(silence).count();
   });
+  m_metrics.SetGauge("rattanweir_servers_unreachable", [this] {
+    return static_cast<double>(m_reach.CountUnreachable());
+  });
+  m_metrics.SetGauge("rattanweir_links_lost",
+                     [this] { return m_reach.HasLostLinks() ? 1.0 : 0.0; });
   m_metrics.SetGauge("rattanweir_ready",
                      [this] { return m_fleet.Self().m_isReady ? 1.0 : 0.0; });
   RegisterQuarantineGauges(SuspectKind::PromptPart,
@@ -606,6 +626,8 @@
     m_periodicSteps.Add(aName, [this, aStep] { (this->*aStep)(); });
   };
   m_periodicSteps.Add("tick_registry", [this] { m_registry.Tick(); });
+  m_periodicSteps.Add("probe_servers",
+                      [this] { m_prober.Step(ServersToReach(m_state)); });
   m_periodicSteps.Add("apply_records", [this] { m_recordApplier.Tick(); });
   add("evict_servers", &FleetDaemon::EvictRemovedServers);
   add("apply_usages", &FleetDaemon::ApplyPeerUsages);
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -17,6 +17,7 @@
 #include "rattanweir/connection/gossip/gossip.h"
 #include "rattanweir/connection/http_client/http_client.h"
 #include "rattanweir/connection/http_server/http_server.h"
+#include "rattanweir/connection/server_prober/server_prober.h"
 #include "rattanweir/connection/stream_origins/stream_origin_exchange.h"
 #include "rattanweir/process/config_lag/config_lag.h"
 #include "rattanweir/process/periodic_steps/periodic_steps.h"
@@ -90,6 +91,7 @@
   FleetView m_fleet;
   BackendRegistry m_registry;
   BackendView m_backends;
+  ServerReach m_reach;
   BackendView m_regions;
   PartCacheView m_parts;
   AccountRates m_rates;
@@ -106,6 +108,7 @@
   HttpUpstream m_backendUpstream;
   HttpUpstream m_peerUpstream;
   GatewayState m_state;
+  ServerProber m_prober;
   Gossip m_gossip;
   StreamOriginExchange m_streamOrigins;
   platform::StoreReader m_storeReader;
--- a/rattanweir/connection/http_client/http_client.cc
+++ b/rattanweir/connection/http_client/http_client.cc
@@ -47,6 +47,12 @@
   std::string Peer() const { return m_endpoint.ToString(); }
 
   Task<void> Connect();
+  void ReportConnect(bool aIsOpen) const
+  {
+    if (m_options.m_onConnect) {
+      m_options.m_onConnect(m_endpoint, aIsOpen);
+    }
+  }
   Task<bool> Write();
   // Throws if the exchange was cancelled or its deadline has passed. Called
   // before each wait as well, because either may happen between two waits.
@@ -100,6 +106,9 @@
   const ErrorCode error = co_await m_stream->Connect(m_endpoint);
   if (error) {
     ThrowIfEnded();
+    if (m_stream->Socket().HasExpired() || IsConnectionFailure(error)) {
+      ReportConnect(false);
+    }
     if (error == asio::error::connection_refused) {
       throw ConnectionRefused(error.message() + " (" + Peer() + ")");
     }
@@ -107,6 +116,7 @@
          m_stream->Socket().HasExpired() ? "the connection attempt timed out"
                                          : error.message());
   }
+  ReportConnect(true);
 }
 
 // Returns false if the connection broke before a byte was sent.
--- a/rattanweir/connection/http_client/http_client.h
+++ b/rattanweir/connection/http_client/http_client.h
@@ -31,6 +31,7 @@
 #include "rattanweir/request/exchange/exchange.h"
 
 #include <chrono>
+#include <functional>
 #include <memory>
 
 namespace rattanweir {
@@ -66,6 +67,9 @@
   // body ends with the orderly close of the connection.
   bool m_acceptsCloseDelimitedResponses = false;
   TcpLivenessOptions m_tcpLiveness;
+  // Called for each new connection: with true once it is open, with false if
+  // the other end refused it or did not respond. Must not throw.
+  std::function<void(const Endpoint&, bool)> m_onConnect;
 };
 
 class ConnectionPool;
--- a/rattanweir/connection/timed_socket/timed_socket.cc
+++ b/rattanweir/connection/timed_socket/timed_socket.cc
@@ -156,6 +156,16 @@
   return std::chrono::milliseconds(info.tcpi_last_data_recv);
 }
 
+bool
+IsConnectionFailure(const boost::system::error_code& aError)
+{
+  return aError == asio::error::connection_refused ||
+         aError == asio::error::connection_reset ||
+         aError == asio::error::timed_out ||
+         aError == asio::error::host_unreachable ||
+         aError == asio::error::network_unreachable;
+}
+
 tcp::endpoint
 ToAsioEndpoint(const Endpoint& aEndpoint)
 {
--- a/rattanweir/connection/timed_socket/timed_socket.h
+++ b/rattanweir/connection/timed_socket/timed_socket.h
@@ -16,6 +16,7 @@
 #include "rattanweir/base/endpoint/endpoint.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/system/error_code.hpp>
 
 #include <chrono>
 #include <memory>
@@ -64,6 +65,11 @@
   std::shared_ptr<State> m_state;
 };
 
+// Returns whether a connection attempt failed for want of a path or a listener,
+// and not for a reason within this process.
+bool
+IsConnectionFailure(const boost::system::error_code& aError);
+
 // Convert between Endpoint and Asio's endpoint type.
 asio::ip::tcp::endpoint
 ToAsioEndpoint(const Endpoint& aEndpoint);
--- a/rattanweir/process/backend_registry/backend_registry.cc
+++ b/rattanweir/process/backend_registry/backend_registry.cc
@@ -235,6 +235,19 @@
   return servers;
 }
 
+std::vector<const RegisteredServer*>
+BackendRegistry::ServersIn(const RegionId& aRegion) const
+{
+  std::vector<const RegisteredServer*> servers;
+  for (const auto& [id, entry] : m_servers) {
+    if (entry.m_server.m_region == aRegion &&
+        entry.m_server.AcceptsRequests()) {
+      servers.push_back(&entry.m_server);
+    }
+  }
+  return servers;
+}
+
 std::set<RegionId>
 BackendRegistry::RegionsOf(const PoolId& aPool,
                            const std::optional<std::string>& aVersion) const
--- a/rattanweir/process/backend_registry/backend_registry.h
+++ b/rattanweir/process/backend_registry/backend_registry.h
@@ -207,6 +207,9 @@
   std::vector<const RegisteredServer*> ServersOf(const PoolId& aPool,
                                                  const RegionId& aRegion) const;
 
+  // Returns all servers in a region that accept requests.
+  std::vector<const RegisteredServer*> ServersIn(const RegionId& aRegion) const;
+
   // Returns the regions in which at least one server of the pool accepts
   // requests; nullopt stands for any software version.
   std::set<RegionId> RegionsOf(
--- a/rattanweir/request/gateway/gateway_state.h
+++ b/rattanweir/request/gateway/gateway_state.h
@@ -21,6 +21,7 @@
 #include "rattanweir/process/metrics/metrics.h"
 #include "rattanweir/process/part_cache/part_cache.h"
 #include "rattanweir/process/server_limits/server_limits.h"
+#include "rattanweir/process/server_reach/server_reach.h"
 #include "rattanweir/process/shared_budget/shared_budget.h"
 #include "rattanweir/request/exchange/exchange.h"
 #include "rattanweir/request/gateway/pool_queues.h"
@@ -41,6 +42,8 @@
   BackendRegistry& m_registry;
   // Load and health of the backend servers of this region.
   BackendView& m_backends;
+  // Which of those servers this instance can open connections to.
+  ServerReach& m_reach;
   // Load and health of other regions; one entry per region and pool
   // (RegionKey).
   BackendView& m_regions;
--- a/rattanweir/request/gateway/gateway_test.cc
+++ b/rattanweir/request/gateway/gateway_test.cc
@@ -84,6 +84,7 @@
                       .m_fleet = fixture.m_fleet,
                       .m_registry = fixture.m_registry,
                       .m_backends = fixture.m_backends,
+                      .m_reach = fixture.m_reach,
                       .m_regions = fixture.m_regions,
                       .m_parts = fixture.m_parts,
                       .m_rates = fixture.m_rates,
--- a/testing/gateway_chain/gateway_chain.h
+++ b/testing/gateway_chain/gateway_chain.h
@@ -79,6 +79,7 @@
   FleetView m_fleet;
   BackendRegistry m_registry;
   BackendView m_backends{ { .m_clock = m_clock } };
+  ServerReach m_reach{ { .m_clock = m_clock } };
   BackendView m_regions{ { .m_clock = m_clock } };
   PartCacheView m_parts;
   AccountRates m_rates{ { .m_clock = m_clock, .m_initialBurstFraction = 1 } };
--- a/testing/gateway_fixture/gateway_fixture.cc
+++ b/testing/gateway_fixture/gateway_fixture.cc
@@ -255,6 +255,7 @@
              .m_fleet = m_fleet,
              .m_registry = m_registry,
              .m_backends = m_backends,
+             .m_reach = m_reach,
              .m_regions = m_regions,
              .m_parts = m_parts,
              .m_rates = m_rates,
