Serve through a peer of the region when the instance's own links are lost

Cause: reachability was taken for a property of a server, where it is one of a pair of instance and server. An instance forwarded to peers of other regions only, its ejections and refused connections counted against the servers (as failures, and as cold servers that start again), connections that were never made used up a request's dispatches, peers without links were chosen like others, and a peer that reported a failed connection to a server was itself taken for unreachable.

Change: a server that ServerReach says can't be reached is not used while a peer of the region that reaches servers of the pool, or another region, can serve; one hop at most. Instances say in gossip of which pools they reach no server, at once when it changes; peers that do are not chosen, and refuse what they are sent all the same (306, servers_unreachable). Dispatches without a connection do not count as attempts, up to eight. Links that are back end the ejections of before, and refusals while they were lost leave servers as cold as they were. Requests that were written are sent again only as their route permits, as before.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -472,6 +472,17 @@
   }
 }
 
+// Tells peers at once when this instance loses or regains servers.
+void
+FleetDaemon::AnnounceReach()
+{
+  std::set<PoolId> unreachable = UnreachablePools(m_state);
+  if (unreachable != m_fleet.Self().m_unreachablePools) {
+    m_fleet.Self().m_unreachablePools = std::move(unreachable);
+    m_gossip.Announce();
+  }
+}
+
 // Applies the usage advertised by peers to the account rates, and the fleet
 // size to the retry budget.
 void
@@ -628,6 +639,7 @@
   m_periodicSteps.Add("tick_registry", [this] { m_registry.Tick(); });
   m_periodicSteps.Add("probe_servers",
                       [this] { m_prober.Step(ServersToReach(m_state)); });
+  add("announce_reach", &FleetDaemon::AnnounceReach);
   m_periodicSteps.Add("apply_records", [this] { m_recordApplier.Tick(); });
   add("evict_servers", &FleetDaemon::EvictRemovedServers);
   add("apply_usages", &FleetDaemon::ApplyPeerUsages);
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -59,6 +59,7 @@
 
   void ApplyConfig(const FleetConfig& aConfig);
   void UpdateSelf();
+  void AnnounceReach();
   void EvictRemovedServers();
   void ApplyPeerUsages();
   void ApplyPeerLimits();
--- a/rattanweir/base/result/result_code.h
+++ b/rattanweir/base/result/result_code.h
@@ -69,6 +69,7 @@
   LoopRefused = 303,
   PeerUnreachable = 304,
   StreamNotResumable = 305,
+  ServersUnreachable = 306,
 
   // An attempt was made and failed.
   BackendConnectFailed = 400,
--- a/rattanweir/connection/gossip/gossip_messages.cc
+++ b/rattanweir/connection/gossip/gossip_messages.cc
@@ -194,6 +194,9 @@
   for (const BackendServerId& server : aRecord.m_drainingServers) {
     value["draining"].append(server.Value());
   }
+  for (const PoolId& pool : aRecord.m_unreachablePools) {
+    value["unreachable"].append(pool.Value());
+  }
   for (const InstanceId& member : aRecord.m_membersToIntroduce) {
     value["introduce"].append(member.Value());
   }
@@ -283,6 +286,9 @@
   for (std::string& server : GetStrings(aValue, "draining")) {
     record.m_drainingServers.emplace(std::move(server));
   }
+  for (std::string& pool : GetStrings(aValue, "unreachable")) {
+    record.m_unreachablePools.emplace(std::move(pool));
+  }
   for (std::string& member : GetStrings(aValue, "introduce")) {
     record.m_membersToIntroduce.emplace_back(std::move(member));
   }
--- a/rattanweir/connection/gossip/gossip_test.cc
+++ b/rattanweir/connection/gossip/gossip_test.cc
@@ -214,6 +214,7 @@
   record.m_serverLimits[BackendServerId("t@1")] = { .m_version = 4 };
   record.m_drainingServers = { BackendServerId("s@1"), BackendServerId("u@2") };
   record.m_membersToIntroduce = { InstanceId("j"), InstanceId("k") };
+  record.m_unreachablePools = { PoolId("p"), PoolId("q") };
   const std::vector<FleetMember> records =
     FleetMembersFromJson(ToJson({ record }));
   REQUIRE(records.size() == 1);
@@ -232,6 +233,7 @@
   CHECK(records[0].m_serverLimits == record.m_serverLimits);
   CHECK(records[0].m_drainingServers == record.m_drainingServers);
   CHECK(records[0].m_membersToIntroduce == record.m_membersToIntroduce);
+  CHECK(records[0].m_unreachablePools == record.m_unreachablePools);
 }
 
 TEST_CASE("the quarantine travels with a message")
--- a/rattanweir/connection/gossip/packed_gossip.cc
+++ b/rattanweir/connection/gossip/packed_gossip.cc
@@ -36,6 +36,8 @@
   FieldLimits,
   FieldDraining,
   FieldToIntroduce,
+  // Records of earlier releases end here.
+  FieldUnreachablePools,
   FieldCount
 };
 
@@ -171,6 +173,7 @@
   WriteLimits(record.m_serverLimits, aWriter);
   WriteIds(record.m_drainingServers, aWriter);
   WriteIds(record.m_membersToIntroduce, aWriter);
+  WriteIds(record.m_unreachablePools, aWriter);
 }
 
 void
@@ -249,6 +252,13 @@
        ReadArray(aFields[FieldToIntroduce], "introduce")) {
     aRecord.m_membersToIntroduce.emplace_back(ReadText(member, "introduce"));
   }
+  if (aFields.size() <= FieldUnreachablePools) {
+    return;
+  }
+  for (const PackedValue& pool :
+       ReadArray(aFields[FieldUnreachablePools], "unreachable")) {
+    aRecord.m_unreachablePools.emplace(ReadText(pool, "unreachable"));
+  }
 }
 
 std::vector<BreakReport>
@@ -376,7 +386,7 @@
 {
   std::vector<FleetMember> records;
   for (const PackedValue& value : ReadArray(aValue, "records", 1)) {
-    const auto fields = ReadArray(value, "record", FieldCount);
+    const auto fields = ReadArray(value, "record", FieldUnreachablePools);
     FleetMember& record = records.emplace_back(FleetMember{
       .m_id = InstanceId(ReadText(fields[FieldId], "id")),
       .m_incarnation =
--- a/rattanweir/connection/gossip/packed_gossip_test.cc
+++ b/rattanweir/connection/gossip/packed_gossip_test.cc
@@ -328,5 +328,39 @@
   CHECK(metrics.Counter("rattanweir_control_json_calls_total") > 0);
 }
 
+TEST_CASE("a record of a release before the last field is understood")
+{
+  const View view;
+  const FleetMember record = MemberOf(1);
+  std::vector<FleetMember> read;
+  Transfer(
+    [&](PackedWriter& aWriter) {
+      WriteRecords({ OutgoingRecord{ .m_record = record } }, aWriter);
+    },
+    [&](const PackedValue& aValue) {
+      read = ReadRecords(aValue, view.m_fleet);
+    },
+    [](std::string& aBytes) {
+      constexpr char kArrayOf14 = '\x9e';
+      constexpr char kEmptyArray = '\x90';
+      REQUIRE(aBytes.back() == kEmptyArray);
+      aBytes.pop_back();
+      aBytes[1] = kArrayOf14;
+    });
+  REQUIRE(read.size() == 1);
+  CHECK(read[0].m_membersToIntroduce.size() == 2);
+  CHECK(read[0].m_unreachablePools.empty());
+}
+
+TEST_CASE("unreachable pools are the same after packing and unpacking")
+{
+  const View view;
+  FleetMember record = MemberOf(1);
+  record.m_unreachablePools = { PoolId("p"), PoolId("q") };
+  const auto read =
+    Transfer({ OutgoingRecord{ .m_record = record } }, view.m_fleet);
+  CHECK(read.at(0).m_unreachablePools == record.m_unreachablePools);
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/process/backend_registry/backend_registry.cc
+++ b/rattanweir/process/backend_registry/backend_registry.cc
@@ -151,11 +151,24 @@
                                          std::chrono::nanoseconds aColdTime)
 {
   if (Entry* entry = FindIncarnation(aIncarnation)) {
-    entry->m_server.m_hasRefused = true;
+    if (!std::exchange(entry->m_server.m_hasRefused, true)) {
+      entry->m_coldBeforeRefusal = entry->m_server.m_coldUntil;
+    }
     MarkCold(aIncarnation, m_options.m_restartTime + aColdTime);
   }
 }
 
+void
+BackendRegistry::ForgiveRefusals(const RegionId& aRegion)
+{
+  for (auto& [id, entry] : m_servers) {
+    if (entry.m_server.m_region == aRegion &&
+        std::exchange(entry.m_server.m_hasRefused, false)) {
+      entry.m_server.m_coldUntil = entry.m_coldBeforeRefusal;
+    }
+  }
+}
+
 void
 BackendRegistry::RecordResponse(const BackendServerId& aIncarnation,
                                 std::chrono::nanoseconds aColdTime)
--- a/rattanweir/process/backend_registry/backend_registry.h
+++ b/rattanweir/process/backend_registry/backend_registry.h
@@ -175,6 +175,11 @@
   void RecordRefusedConnection(const BackendServerId& aIncarnation,
                                std::chrono::nanoseconds aColdTime);
 
+  // Records that the connections refused since their latest responses were not
+  // refused by the servers of this region, but for want of a path: the servers
+  // are as cold as they were before.
+  void ForgiveRefusals(const RegionId& aRegion);
+
   // Records that the server responded. After a refused connection, it has just
   // started and counts as cold for `aColdTime`.
   void RecordResponse(const BackendServerId& aIncarnation,
@@ -243,6 +248,8 @@
     RegisteredServer m_server;
     // End of the grace period; set if the entry lapsed.
     std::optional<SteadyTime> m_removeAt;
+    // Until when the server was cold before it refused a connection.
+    SteadyTime m_coldBeforeRefusal;
     // Set if the server is unconfirmed.
     std::optional<SteadyTime> m_confirmAt;
   };
--- a/rattanweir/process/backend_registry/backend_registry_test.cc
+++ b/rattanweir/process/backend_registry/backend_registry_test.cc
@@ -198,5 +198,30 @@
   CHECK_FALSE(fixture.m_registry.IsSuperseded(first));
 }
 
+TEST_CASE("refusals for want of a path leave a server as cold as it was")
+{
+  Fixture fixture;
+  fixture.m_registry.Put(Fixture::Record("warm"));
+  fixture.m_registry.Put(Fixture::Record("cold"));
+  const BackendServerId warm("warm@1");
+  const BackendServerId cold("cold@1");
+  fixture.m_registry.MarkCold(cold, seconds(2));
+  const SteadyTime coldUntil = fixture.m_registry.Find(cold)->m_coldUntil;
+  for (const BackendServerId& server : { warm, cold }) {
+    fixture.m_registry.RecordRefusedConnection(server, seconds(3));
+    fixture.m_registry.RecordRefusedConnection(server, seconds(3));
+  }
+  REQUIRE(fixture.m_registry.Find(warm)->m_coldUntil >
+          fixture.m_clock.SteadyNow());
+  fixture.m_registry.ForgiveRefusals(kRegion);
+  CHECK(fixture.m_registry.Find(warm)->m_coldUntil <=
+        fixture.m_clock.SteadyNow());
+  CHECK(fixture.m_registry.Find(cold)->m_coldUntil == coldUntil);
+  // The next response is not that of a server that has just started.
+  fixture.m_registry.RecordResponse(warm, seconds(3));
+  CHECK(fixture.m_registry.Find(warm)->m_coldUntil <=
+        fixture.m_clock.SteadyNow());
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/process/backend_view/backend_view.cc
+++ b/rattanweir/process/backend_view/backend_view.cc
@@ -141,6 +141,19 @@
   }
 }
 
+void
+BackendView::RecordRestoredPath(const BackendServerId& aId)
+{
+  const auto found = m_entries.find(aId);
+  if (found == m_entries.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  entry.m_consecutiveFailures = 0;
+  entry.m_state.m_ejectedUntil.reset();
+  entry.m_state.m_failureRate = 0;
+}
+
 void
 BackendView::MarkDraining(const BackendServerId& aId)
 {
--- a/rattanweir/process/backend_view/backend_view.h
+++ b/rattanweir/process/backend_view/backend_view.h
@@ -159,6 +159,10 @@
   // sent before the end of the pause say nothing about what follows it.
   void RecordNoPause(const BackendServerId& aId, SteadyTime aSentAt);
 
+  // Records that the path to the server was restored: earlier failures say
+  // nothing about the server, so that its ejection ends.
+  void RecordRestoredPath(const BackendServerId& aId);
+
   // Records the server's own draining signal, which is advertised to peers.
   void MarkDraining(const BackendServerId& aId);
   // Records that a peer advertised the server as draining. This is not
--- a/rattanweir/process/backend_view/backend_view_test.cc
+++ b/rattanweir/process/backend_view/backend_view_test.cc
@@ -135,5 +135,27 @@
   CHECK(state.m_endsSinceQueueReport == 1);
 }
 
+TEST_CASE("a restored path ends an ejection")
+{
+  ManualClock clock;
+  BackendView view({ .m_clock = clock });
+  const BackendServerId server("s");
+  for (int failure = 0; failure < 6; ++failure) {
+    view.AddDispatch(server, 1);
+    view.EndDispatch(server,
+                     { .m_load = 1, .m_outcome = AttemptOutcome::Unreachable });
+  }
+  REQUIRE(view.StateOf(server).m_ejectedUntil);
+  view.RecordRestoredPath(server);
+  CHECK_FALSE(view.StateOf(server).m_ejectedUntil);
+  CHECK(view.StateOf(server).m_failureRate == 0);
+  // The next failure counts like a first one.
+  view.AddDispatch(server, 1);
+  view.EndDispatch(server,
+                   { .m_load = 1, .m_outcome = AttemptOutcome::Unreachable });
+  CHECK(*view.StateOf(server).m_ejectedUntil <=
+        clock.SteadyNow() + std::chrono::seconds(1));
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/process/fleet/fleet_view.cc
+++ b/rattanweir/process/fleet/fleet_view.cc
@@ -192,6 +192,15 @@
   }
 }
 
+void
+FleetView::MarkPoolUnreachable(const InstanceId& aId, const PoolId& aPool)
+{
+  const auto found = m_members.find(aId);
+  if (found != m_members.end()) {
+    found->second.m_record.m_unreachablePools.insert(aPool);
+  }
+}
+
 const FleetMember&
 FleetView::AdvanceSelf()
 {
--- a/rattanweir/process/fleet/fleet_view.h
+++ b/rattanweir/process/fleet/fleet_view.h
@@ -24,6 +24,7 @@
 #include "rattanweir/process/published/topic_version.h"
 #include "rattanweir/process/server_limits/server_limits.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -78,6 +79,25 @@
   // Members of which the instance needs a record that is not abridged. Set only
   // in the record that the instance itself sends.
   std::vector<InstanceId> m_membersToIntroduce;
+  // Pools that have servers in the instance's region, of which the instance can
+  // open a connection to none.
+  std::set<PoolId> m_unreachablePools;
+
+  // Returns whether the instance can open connections to servers of the pool,
+  // as far as it has said.
+  bool Reaches(const PoolId& aPool) const
+  {
+    return !m_unreachablePools.contains(aPool);
+  }
+
+  // Returns true if the instance reaches no server of any pool of its region.
+  bool IsCutOff() const
+  {
+    return !m_unreachablePools.empty() &&
+           std::ranges::all_of(m_pools, [&](const auto& aEntry) {
+             return !Reaches(aEntry.first);
+           });
+  }
 };
 
 // A record of a gossip message, in the view that it is sent from.
@@ -180,6 +200,10 @@
   // until a new record arrives from the member itself.
   void MarkUnreachable(const InstanceId& aId);
 
+  // Records that this member has just said that it reaches no server of the
+  // pool. Holds until a new record arrives.
+  void MarkPoolUnreachable(const InstanceId& aId, const PoolId& aPool);
+
   // Increments this instance's sequence number and returns its record, for an
   // immediate announcement.
   const FleetMember& AdvanceSelf();
--- a/rattanweir/request/gateway/build_placement_input.cc
+++ b/rattanweir/request/gateway/build_placement_input.cc
@@ -3,6 +3,7 @@
 #include "rattanweir/request/gateway/build_placement_input.h"
 
 #include "rattanweir/request/gateway/server_candidates.h"
+#include "rattanweir/request/gateway/server_links.h"
 #include "rattanweir/request/placement/placement_input.h"
 
 #include <algorithm>
@@ -18,8 +19,9 @@
   return pool != nullptr && pool->m_engine.has_value();
 }
 
-// Returns the other regions that have servers for the request and an instance
-// that was not tried yet.
+// Returns the regions that have servers for the request and an instance that
+// reaches them and was not tried yet. The local region is one only if this
+// instance can't connect to some of the servers.
 std::vector<RegionCandidate>
 RegionCandidates(const PlacementQuery& aQuery)
 {
@@ -27,15 +29,20 @@
   const AdmittedRequest& request = aQuery.m_request;
   std::map<RegionId, RegionCandidate> candidates;
   const RegionId& localRegion = state.m_fleet.Self().m_region;
-  const std::set<RegionId> regions =
+  std::set<RegionId> regions =
     state.m_registry.RegionsOf(request.m_pool, aQuery.m_softwareVersion);
+  if (!HasUnreachableServer(state, request.m_pool)) {
+    regions.erase(localRegion);
+  }
   for (const FleetMember* peer : state.m_fleet.ServingMembers()) {
     const RegionId& region = peer->m_region;
-    if (region == localRegion || !regions.contains(region) ||
-        !request.IsPermittedIn(region) ||
+    if (!regions.contains(region) || !request.IsPermittedIn(region) ||
+        peer->m_id == state.m_fleet.Self().m_id ||
+        !peer->Reaches(request.m_pool) ||
         aQuery.m_triedPeers.contains(peer->m_id)) {
       continue;
     }
+    const bool isLocal = region == localRegion;
     const auto report = peer->m_pools.find(request.m_pool);
     const std::chrono::nanoseconds delay = report == peer->m_pools.end()
                                              ? std::chrono::nanoseconds::zero()
@@ -44,9 +51,12 @@
       region,
       RegionCandidate{
         .m_region = region,
+        .m_isLocal = isLocal,
         .m_startDelay = delay,
         .m_state = state.m_regions.StateOf(RegionKey(region, request.m_pool)),
-        .m_uncached = UncachedInOtherRegion(EnginePromptTokens(request)) });
+        .m_uncached = isLocal
+                        ? Tokens(0)
+                        : UncachedInOtherRegion(EnginePromptTokens(request)) });
     entry->second.m_startDelay = std::min(entry->second.m_startDelay, delay);
   }
   std::vector<RegionCandidate> list;
@@ -89,6 +99,8 @@
                                    request.m_deadline - request.m_receivedAt),
     .m_untilDeadline = request.m_deadline - now,
     .m_isDiscovering = state.m_isDiscovering,
+    .m_hasLostLinks = state.m_reach.HasLostLinks(),
+    .m_isForwarded = request.m_forwardedBy.has_value(),
     .m_regionMargin =
       RegionMargin(IsForEngine(request), request.m_route.m_latencyObjective),
     .m_transferCost = TransferCost(ByteCount(request.m_body->size())),
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -28,6 +28,8 @@
 // Dispatches beyond the route's attempts, for those that a server states not to
 // have run.
 constexpr unsigned kExtraDispatchesNotRun = 2;
+// Dispatches for which no connection is made, beyond those.
+constexpr unsigned kMaxUnsentDispatches = 8;
 constexpr unsigned kMinServerErrorStatus = 500;
 // The longest pause that a server gets at a time: after it, one request asks
 // again.
@@ -88,6 +90,8 @@
   switch (aReason) {
     case RefusalReason::NoServer:
       return "no backend server accepts requests";
+    case RefusalReason::ServersUnreachable:
+      return "this instance reaches none of the backend servers";
     case RefusalReason::DeadlineTooShort:
       return "no backend server can start the response before the deadline";
     case RefusalReason::RateLimitsReached:
@@ -399,7 +403,7 @@
   const Pool* pool = m_request.m_config->FindPool(m_request.m_pool);
   const bool isRefused =
     dynamic_cast<const ConnectionRefused*>(&aError) != nullptr;
-  if (isRefused && pool != nullptr) {
+  if (isRefused && pool != nullptr && !m_state.m_reach.HasLostLinks()) {
     m_state.m_registry.RecordRefusedConnection(aServer.m_incarnation,
                                                pool->m_coldDuration);
   }
@@ -603,7 +607,9 @@
 {
   std::vector<const FleetMember*> peers;
   for (const FleetMember* peer : m_state.m_fleet.ServingMembers()) {
-    if (peer->m_region == aRegion && !m_triedPeers.contains(peer->m_id)) {
+    if (peer->m_region == aRegion && peer->Reaches(m_request.m_pool) &&
+        peer->m_id != m_state.m_fleet.Self().m_id &&
+        !m_triedPeers.contains(peer->m_id)) {
       peers.push_back(peer);
     }
   }
@@ -622,14 +628,17 @@
   m_triedPeers.insert(peer.m_id);
   m_report.m_destination = peer.m_id.Value();
   m_report.m_loadAge.reset();
-  m_state.m_metrics.Count("rattanweir_forwarded_total");
+  const bool isLocal = aRegion == m_state.m_fleet.Self().m_region;
+  m_state.m_metrics.Count(isLocal ? "rattanweir_forwarded_in_region_total"
+                                  : "rattanweir_forwarded_total");
   OutboundRequest outbound =
     MakeOutbound(m_state.m_protocol.PeerFields(ResumeAfter()));
   HeaderFields added = HopFields(aRegion);
   std::move(added.begin(), added.end(), std::back_inserter(outbound.m_headers));
   RegionDispatch dispatch({ .m_clock = m_state.m_clock,
                             .m_regions = m_state.m_regions,
-                            .m_key = RegionKey(aRegion, m_request.m_pool) });
+                            .m_key = RegionKey(aRegion, m_request.m_pool),
+                            .m_hopLatency = HopLatency(isLocal) });
   bool isPeerRefusal = false;
   const SteadyTime sentAt = m_state.m_clock.SteadyNow();
   try {
@@ -657,7 +666,10 @@
     dispatch.EndWith(ResultCode::Ok);
   } catch (const RequestError& error) {
     dispatch.EndWith(error.Code());
-    if (error.Code() == ResultCode::BackendConnectFailed) {
+    if (isPeerRefusal && error.Code() == ResultCode::ServersUnreachable) {
+      m_state.m_fleet.MarkPoolUnreachable(peer.m_id, m_request.m_pool);
+    }
+    if (!isPeerRefusal && error.Code() == ResultCode::BackendConnectFailed) {
       m_state.m_fleet.MarkUnreachable(peer.m_id);
       Log(LogLevel::Warning,
           "peer_unreachable",
@@ -808,18 +820,19 @@
     !m_request.m_forwardedBy &&
     (!m_progress.m_hasForwardedHead || route.m_resumesStreams) &&
     (!m_isBound || m_version) && !m_progress.m_hasEventWithoutId;
-  const bool hasDispatchesLeft =
-    m_report.m_dispatches < route.m_maxAttempts + kExtraDispatchesNotRun;
+  // If no connection was made, no server has received the request.
+  const bool isUnsent = aFailure.Code() == ResultCode::BackendConnectFailed ||
+                        aFailure.Code() == ResultCode::PeerUnreachable ||
+                        aFailure.Code() == ResultCode::ServersUnreachable;
+  m_unsentDispatches += isUnsent ? 1 : 0;
+  const bool hasDispatchesLeft = m_unsentDispatches <= kMaxUnsentDispatches &&
+                                 m_report.m_dispatches - m_unsentDispatches <
+                                   route.m_maxAttempts + kExtraDispatchesNotRun;
   const bool isPermitted = !isNonRetryable && !mayCrashAnother &&
                            hasDispatchesLeft && (!hasRun || mayRunAgain) &&
                            TimeLeft() >= kMinTimeForRetry;
-  // If the connection failed, no server has received the request, so the next
-  // dispatch consumes no retry.
-  const bool consumesRetry =
-    aFailure.Code() != ResultCode::BackendConnectFailed &&
-    aFailure.Code() != ResultCode::PeerUnreachable;
   if (!isPermitted ||
-      (consumesRetry && !m_state.m_retries.TryConsumeRetry(m_request.m_pool))) {
+      (!isUnsent && !m_state.m_retries.TryConsumeRetry(m_request.m_pool))) {
     throw WithRan(aFailure);
   }
   m_state.m_metrics.CountRetry(aFailure.Code());
--- a/rattanweir/request/gateway/request_dispatcher.h
+++ b/rattanweir/request/gateway/request_dispatcher.h
@@ -76,8 +76,8 @@
   Task<Failure> SendTo(const PlacementInput& aInput,
                        const Placement& aPlacement);
   Task<void> SendToServer(ServerCandidate aCandidate);
-  // Returns a random serving peer of the region that was not tried. Throws
-  // RequestError if there is none.
+  // Returns a random serving peer of the region that reaches servers of the
+  // pool and was not tried. Throws RequestError if there is none.
   FleetMember ChoosePeer(const RegionId& aRegion) const;
   Task<void> SendToRegion(RegionId aRegion);
   Task<void> ReadResponse(UpstreamExchange& aExchange,
@@ -153,6 +153,8 @@
   ForwardProgress m_progress;
   DispatchReport m_report;
   Failure m_lastFailure;
+  // Number of dispatches for which no connection was made.
+  unsigned m_unsentDispatches = 0;
   // Number of attempts that a server broke off before it had begun to answer.
   unsigned m_brokenOff = 0;
   // An event was forwarded, or the request resumes a stream: the stream goes on
--- a/rattanweir/request/gateway/server_dispatch.cc
+++ b/rattanweir/request/gateway/server_dispatch.cc
@@ -111,7 +111,7 @@
   }
   m_hasResponseStarted = true;
   m_options.m_regions.StartResponse(m_options.m_key, 1);
-  const auto expected = kCrossRegionLatency + PrefillTime(aPromptTokens);
+  const auto expected = m_options.m_hopLatency + PrefillTime(aPromptTokens);
   m_options.m_regions.ObserveStartDelay(
     m_options.m_key,
     std::max(std::chrono::nanoseconds::zero(), elapsed - expected));
--- a/rattanweir/request/gateway/server_dispatch.h
+++ b/rattanweir/request/gateway/server_dispatch.h
@@ -65,10 +65,12 @@
   BackendView& m_regions;
   // The key of the region and the pool in that view (RegionKey).
   BackendServerId m_key;
+  // The time that the hop and back takes.
+  std::chrono::nanoseconds m_hopLatency{};
 };
 
-// One dispatch to another region, counted in the view of regions from
-// construction to destruction.
+// One dispatch to a peer of this or another region, counted in the view of
+// regions from construction to destruction.
 class RegionDispatch
 {
 public:
--- a/rattanweir/request/gateway/server_links.cc
+++ b/rattanweir/request/gateway/server_links.cc
@@ -4,6 +4,8 @@
 
 #include "rattanweir/process/logging/log.h"
 
+#include <algorithm>
+
 namespace rattanweir {
 namespace {
 
@@ -19,6 +21,25 @@
         { "unreachable", std::to_string(aState.m_reach.CountUnreachable()) } });
 }
 
+// The failures before say nothing about the servers whose path is back.
+void
+ForgetFailures(GatewayState& aState, std::optional<Endpoint> aServer)
+{
+  const RegionId& region = aState.m_fleet.Self().m_region;
+  for (const RegisteredServer* server : aState.m_registry.ServersIn(region)) {
+    const Endpoint& endpoint = server->m_record.m_endpoint;
+    if (endpoint == aServer.value_or(endpoint)) {
+      aState.m_backends.RecordRestoredPath(server->m_incarnation);
+    }
+  }
+}
+
+bool
+IsUnreachable(const GatewayState& aState, const RegisteredServer& aServer)
+{
+  return !aState.m_reach.IsReachable(aServer.m_record.m_endpoint);
+}
+
 } // namespace
 
 void
@@ -30,6 +51,7 @@
     const bool wasReachable = reach.IsReachable(aServer);
     if (reach.RecordFailure(aServer)) {
       LogReach(aState, "links_lost", aServer);
+      aState.m_registry.ForgiveRefusals(aState.m_fleet.Self().m_region);
     } else if (wasReachable) {
       LogReach(aState, "server_unreachable", aServer);
     }
@@ -38,7 +60,40 @@
   if (reach.RecordContact(aServer)) {
     LogReach(
       aState, hadLostLinks ? "links_regained" : "server_reached", aServer);
+    ForgetFailures(aState,
+                   hadLostLinks ? std::nullopt : std::optional(aServer));
+    aState.m_queues.WakeAll();
+  }
+}
+
+bool
+HasUnreachableServer(const GatewayState& aState, const PoolId& aPool)
+{
+  return std::ranges::any_of(
+    aState.m_registry.ServersOf(aPool, aState.m_fleet.Self().m_region),
+    [&](const RegisteredServer* aServer) {
+      return aServer->AcceptsRequests() && IsUnreachable(aState, *aServer);
+    });
+}
+
+std::set<PoolId>
+UnreachablePools(const GatewayState& aState)
+{
+  std::set<PoolId> unreachable;
+  if (!aState.m_reach.HasLostLinks() &&
+      aState.m_reach.CountUnreachable() == 0) {
+    return unreachable;
+  }
+  std::set<PoolId> reached;
+  for (const RegisteredServer* server :
+       aState.m_registry.ServersIn(aState.m_fleet.Self().m_region)) {
+    std::set<PoolId>& pools =
+      IsUnreachable(aState, *server) ? unreachable : reached;
+    pools.insert(server->m_record.m_pool);
   }
+  std::erase_if(unreachable,
+                [&](const PoolId& aPool) { return reached.contains(aPool); });
+  return unreachable;
 }
 
 std::vector<Endpoint>
--- a/rattanweir/request/gateway/server_links.h
+++ b/rattanweir/request/gateway/server_links.h
@@ -9,6 +9,7 @@
 
 #include "rattanweir/request/gateway/gateway_state.h"
 
+#include <set>
 #include <vector>
 
 namespace rattanweir {
@@ -18,6 +19,16 @@
 void
 RecordConnection(GatewayState& aState, const Endpoint& aServer, bool aIsOpen);
 
+// Returns whether there is a server of the pool in this region that this
+// instance can't connect to.
+bool
+HasUnreachableServer(const GatewayState& aState, const PoolId& aPool);
+
+// Returns the pools that have servers in this region of which this instance can
+// connect to none.
+std::set<PoolId>
+UnreachablePools(const GatewayState& aState);
+
 // Returns the addresses of the servers that this instance sends requests to.
 std::vector<Endpoint>
 ServersToReach(const GatewayState& aState);
--- a/rattanweir/request/placement/placement.cc
+++ b/rattanweir/request/placement/placement.cc
@@ -28,6 +28,8 @@
 constexpr double kCacheWaitFraction = 0.75;
 // Minimum retry delay for refused requests.
 constexpr milliseconds kMinRetryAfter{ 100 };
+// Retry delay while no server can be reached: several probes of their links.
+constexpr milliseconds kUnreachableRetryAfter{ 500 };
 
 // Returns the time until a server would start to process one more request.
 nanoseconds
@@ -75,13 +77,25 @@
   }
 };
 
+bool
+AreAllUnreachable(const PlacementInput& aInput)
+{
+  return !aInput.m_servers.empty() &&
+         std::ranges::all_of(aInput.m_servers,
+                             [](const ServerCandidate& aServer) {
+                               return aServer.m_isUnreachable;
+                             });
+}
+
+// Considers either the servers that can be reached, or the others.
 BestCandidate
-FindBestServer(const PlacementInput& aInput)
+FindBestServer(const PlacementInput& aInput, bool aIsUnreachable)
 {
   BestCandidate best;
   for (std::size_t index = 0; index < aInput.m_servers.size(); ++index) {
     const ServerCandidate& server = aInput.m_servers[index];
-    if (server.m_isRateLimitReached || server.m_state.m_ejectedUntil ||
+    if (server.m_isUnreachable != aIsUnreachable ||
+        server.m_isRateLimitReached || server.m_state.m_ejectedUntil ||
         IsFull(aInput, server)) {
       continue;
     }
@@ -94,11 +108,14 @@
 FindBestRegion(const PlacementInput& aInput)
 {
   BestCandidate best;
-  if (aInput.m_waited > aInput.m_maxQueueWait) {
-    // The request would have to queue again in the other region.
-    return best;
-  }
+  // A request that has waited would have to queue again in the other region.
+  // One that could not be sent to a server has not been in a queue.
+  const bool hasWaited =
+    aInput.m_waited > aInput.m_maxQueueWait && !AreAllUnreachable(aInput);
   for (std::size_t index = 0; index < aInput.m_regions.size(); ++index) {
+    if (hasWaited && !aInput.m_regions[index].m_isLocal) {
+      continue;
+    }
     best.Consider(index,
                   EstimateTimeToFirstByte(aInput, aInput.m_regions[index]));
   }
@@ -169,10 +186,17 @@
                         const RegionCandidate& aRegion)
 {
   const BackendState& state = aRegion.m_state;
+  const nanoseconds transferCost =
+    aRegion.m_isLocal ? nanoseconds::zero() : aInput.m_transferCost;
   return std::max(aRegion.m_startDelay, state.m_startDelay) +
-         PrefillTime(aRegion.m_uncached) + kCrossRegionLatency +
-         aInput.m_transferCost +
-         ScaleDuration(kFailurePenalty, state.m_failureRate);
+         PrefillTime(aRegion.m_uncached) + HopLatency(aRegion.m_isLocal) +
+         transferCost + ScaleDuration(kFailurePenalty, state.m_failureRate);
+}
+
+nanoseconds
+HopLatency(bool aIsLocal)
+{
+  return aIsLocal ? kLocalHopLatency : kCrossRegionLatency;
 }
 
 ResultCode
@@ -183,6 +207,8 @@
       return ResultCode::DeadlineTooShort;
     case RefusalReason::RateLimitsReached:
       return ResultCode::TooManyRequests;
+    case RefusalReason::ServersUnreachable:
+      return ResultCode::ServersUnreachable;
     case RefusalReason::NoServer:
       break;
   }
@@ -192,8 +218,15 @@
 Placement
 DecidePlacement(const PlacementInput& aInput)
 {
-  const BestCandidate server = FindBestServer(aInput);
+  BestCandidate server = FindBestServer(aInput, false);
   const BestCandidate region = FindBestRegion(aInput);
+  if (!server.m_index && !region.m_index && AreAllUnreachable(aInput)) {
+    if (aInput.m_isForwarded || aInput.m_hasLostLinks) {
+      return Refuse{ .m_reason = RefusalReason::ServersUnreachable,
+                     .m_retryAfter = kUnreachableRetryAfter };
+    }
+    server = FindBestServer(aInput, true);
+  }
   const bool hasServers =
     !aInput.m_servers.empty() || !aInput.m_regions.empty();
   if (!server.m_index && !region.m_index) {
--- a/rattanweir/request/placement/placement.h
+++ b/rattanweir/request/placement/placement.h
@@ -1,5 +1,6 @@
-// Decides the placement of a request: a backend server of the local region,
-// another region, the wait queue, or refusal. Used by the users' platform
+// Decides the placement of a request: a backend server of the local region, a
+// peer of this or another region, the wait queue, or refusal. Used by the
+// users' platform
 // (`request/gateway`); the product's own interface uses `request/routing`.
 //
 //   const Placement placement = DecidePlacement(input);
@@ -20,6 +21,11 @@
 // delay that this instance has observed for its own requests. Another region is
 // chosen only if its estimate is better by a margin.
 //
+// A server that this instance can't connect to is not used while a peer of the
+// region that reaches it, or another region, can serve the request. A request
+// that a peer has forwarded is refused instead, so that the peer can try
+// another instance.
+//
 // An engine with a long queue counts as full. A request first waits in the
 // queue for an engine that has its prompt cached; later, the prompt may be
 // copied to another engine.
@@ -70,12 +76,21 @@
   // The least time between two requests of this instance to a server that has
   // named a limit; 0 if it sends none, or if there is no such limit.
   std::chrono::nanoseconds m_rateInterval{};
+  // Whether this instance can't open connections to the server.
+  bool m_isUnreachable = false;
 };
 
-// Another region in which the request may be served.
+// Round trip between two regions plus the processing time of the hop.
+inline constexpr std::chrono::milliseconds kCrossRegionLatency{ 125 };
+// The same between two instances of a region.
+inline constexpr std::chrono::milliseconds kLocalHopLatency{ 6 };
+
+// A region in which a peer may serve the request. The local region is one if
+// this instance can't connect to some of its servers.
 struct RegionCandidate
 {
   RegionId m_region;
+  bool m_isLocal = false;
   // Time until a server of the region would start to respond, as advertised by
   // the region's instances.
   std::chrono::nanoseconds m_startDelay{};
@@ -105,6 +120,10 @@
   // Whether this instance has just started and may still discover servers and
   // peers.
   bool m_isDiscovering = false;
+  // Whether this instance has lost its links to the local region's servers.
+  bool m_hasLostLinks = false;
+  // A peer has forwarded the request, and no other instance follows.
+  bool m_isForwarded = false;
   // Minimum advantage in the estimate for choosing another region.
   std::chrono::nanoseconds m_regionMargin{ std::chrono::milliseconds(20) };
   // Cost of sending the request body to another region, in addition to the
@@ -133,6 +152,8 @@
 enum class RefusalReason
 {
   NoServer,
+  // This instance can't connect to the servers.
+  ServersUnreachable,
   // No server can start to respond before the deadline.
   DeadlineTooShort,
   // All servers take only a limited rate of requests, and none takes another
@@ -150,13 +171,14 @@
 
 using Placement = std::variant<SendToServer, SendToRegion, KeepQueued, Refuse>;
 
-// Round trip between two regions plus the processing time of the hop.
-inline constexpr std::chrono::milliseconds kCrossRegionLatency{ 125 };
-
 // Default prefill rate of an engine: that of a large model on a current
 // accelerator.
 inline constexpr double kPromptTokensPerMillisecond = 60;
 
+// Returns the time that the hop to the region and back takes.
+std::chrono::nanoseconds
+HopLatency(bool aIsLocal);
+
 // Returns the result of a request that is refused for this reason.
 ResultCode
 ResultCodeOf(RefusalReason aReason);
--- a/rattanweir/request/placement/placement_test.cc
+++ b/rattanweir/request/placement/placement_test.cc
@@ -54,6 +54,8 @@
     std::string operator()(const Refuse& aRefusal) const
     {
       return aRefusal.m_reason == RefusalReason::NoServer ? "no server"
+             : aRefusal.m_reason == RefusalReason::ServersUnreachable
+               ? "unreachable"
              : aRefusal.m_reason == RefusalReason::DeadlineTooShort
                ? "past deadline"
                : "rate limits";
@@ -195,5 +197,48 @@
   CHECK(Decide(InputOf({})) == "no server");
 }
 
+TEST_CASE("servers that can't be reached are left to peers that reach them")
+{
+  ServerCandidate lost = Server("lost");
+  lost.m_isUnreachable = true;
+  const RegionCandidate local{ .m_region = RegionId("north"),
+                               .m_isLocal = true };
+  const RegionCandidate other{ .m_region = RegionId("south") };
+  CHECK(Decide(InputOf({ lost, Server("busy", 6, 6) })) == "busy");
+  CHECK(Decide(InputOf({ lost }, { other, local })) == "r1");
+  CHECK(Decide(InputOf({ lost }, { other })) == "r0");
+
+  // A peer's server is not better than one that can be reached.
+  CHECK(Decide(InputOf({ lost, Server("near") }, { local })) == "near");
+  CHECK(Decide(InputOf({ lost, Server("full", 6, 18) }, { local })) == "r0");
+}
+
+TEST_CASE(
+  "time that went into connections that were never made is no reason to "
+  "stay in the region")
+{
+  ServerCandidate lost = Server("lost");
+  lost.m_isUnreachable = true;
+  PlacementInput input =
+    InputOf({ lost }, { { .m_region = RegionId("south") } });
+  input.m_maxQueueWait = milliseconds(300);
+  input.m_waited = milliseconds(800);
+  CHECK(Decide(input) == "r0");
+}
+
+TEST_CASE("a request that nobody can take to a server is refused at once")
+{
+  ServerCandidate lost = Server("lost");
+  lost.m_isUnreachable = true;
+  PlacementInput input = InputOf({ lost });
+  // The server may have failed, and not the links.
+  CHECK(Decide(input) == "lost");
+  input.m_hasLostLinks = true;
+  CHECK(Decide(input) == "unreachable");
+  input.m_hasLostLinks = false;
+  input.m_isForwarded = true;
+  CHECK(Decide(input) == "unreachable");
+}
+
 } // namespace
 } // namespace rattanweir
--- a/testing/gateway_fleet/gateway_fleet.cc
+++ b/testing/gateway_fleet/gateway_fleet.cc
@@ -288,6 +288,7 @@
         EstimateLocalStartDelay(m_state, *m_config.InForce(), kPool)) {
     self.m_pools[kPool].m_startDelay = *delay;
   }
+  self.m_unreachablePools = UnreachablePools(m_state);
 }
 
 void
