--- a/rattanweir/request/gateway/entry_list.cc
+++ b/rattanweir/request/gateway/entry_list.cc
@@ -21,6 +21,16 @@
   return matching;
 }
 
+// Leaves out the instances that reach no backend server, unless these are more
+// than half: the others would have to serve all callers.
+Members
+PreferConnected(Members aMembers)
+{
+  Members connected = Filter(
+    aMembers, [](const FleetMember* aMember) { return !aMember->IsCutOff(); });
+  return 2 * connected.size() >= aMembers.size() ? connected : aMembers;
+}
+
 // Returns the instances that accept requests in the caller's zone, else in its
 // region, else in all regions.
 Members
@@ -62,7 +72,7 @@
                      const EntryQuery& aQuery,
                      RandomEngine& aRandom)
 {
-  Members members = SelectByLocality(aFleet, aQuery);
+  Members members = PreferConnected(SelectByLocality(aFleet, aQuery));
   SampleByCapacity(members, aRandom);
   std::shuffle(members.begin(), members.end(), aRandom);
   members.resize(std::min(members.size(), aQuery.m_maxEntries));
--- a/rattanweir/request/gateway/entry_list_test.cc
+++ b/rattanweir/request/gateway/entry_list_test.cc
@@ -90,5 +90,49 @@
   CHECK(bothReturned < kResponses / 3);
 }
 
+TEST_CASE("instances that reach no server are left out while at least half do")
+{
+  ManualClock clock;
+  RandomEngine random{ 3 };
+  const RegionId region("r");
+  FleetView fleet({ .m_clock = clock,
+                    .m_self = { .m_id = InstanceId("self"),
+                                .m_region = region,
+                                .m_callerAddress = ParseEndpoint("10.0.0.9:1"),
+                                .m_isReady = true } });
+  std::uint64_t sequence = 0;
+  const auto setMember = [&](int aNumber, bool aIsCutOff) {
+    FleetMember row{ .m_id = InstanceId(std::to_string(aNumber)),
+                     .m_incarnation = Incarnation(1),
+                     .m_sequence = ++sequence,
+                     .m_region = region,
+                     .m_callerAddress = { .m_address = "10.0.0.1",
+                                          .m_port = std::uint16_t(aNumber) },
+                     .m_isReady = true };
+    row.m_pools = { { PoolId("p"), {} }, { PoolId("q"), {} } };
+    if (aIsCutOff) {
+      row.m_unreachablePools = { PoolId("p"), PoolId("q") };
+    } else {
+      // The pool's servers may have failed.
+      row.m_unreachablePools = { PoolId("q") };
+    }
+    fleet.Merge(std::span(&row, 1), row.m_id);
+  };
+  const auto entries = [&] {
+    return SelectEntryEndpoints(fleet, { .m_region = region }, random).size();
+  };
+  for (int number = 1; number <= 5; ++number) {
+    setMember(number, false);
+  }
+  CHECK(entries() == 6);
+  setMember(1, true);
+  CHECK(entries() == 5);
+  setMember(2, true);
+  setMember(3, true);
+  CHECK(entries() == 3);
+  setMember(4, true);
+  CHECK(entries() == 6);
+}
+
 } // namespace
 } // namespace rattanweir
