--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -147,6 +147,7 @@
       { .m_clock = m_clock, .m_limits = MakeRetryLimits(*m_settings.m_fleet) })
   , m_rateLimiter({ .m_clock = m_clock })
   , m_serverLimits({ .m_clock = m_clock })
+  , m_rooms({ .m_clock = m_clock, .m_random = m_random })
   , m_quarantine({ .m_clock = m_clock })
   , m_configLag({ .m_clock = m_clock })
   , m_queues(m_context.get_executor())
@@ -288,6 +289,7 @@
            .m_retries = m_retries,
            .m_rateLimiter = m_rateLimiter,
            .m_serverLimits = m_serverLimits,
+           .m_rooms = m_rooms,
            .m_quarantine = m_quarantine,
            .m_streamOrigins = m_streamOrigins,
            .m_queues = m_queues,
@@ -452,6 +454,8 @@
   FleetMember& self = m_fleet.Self();
   self.m_usages = m_rates.LocalUsages();
   self.m_serverLimits = m_serverLimits.ToAdvertise();
+  self.m_maxRefusals = m_rooms.StatementsToAdvertise();
+  self.m_refusedRooms = m_rooms.RefusalsToAdvertise();
   self.m_drainingServers = m_registry.DrainingToAdvertise();
   self.m_readsStore = m_storeReader.IsStoreReachable();
   self.m_publishedVersions.clear();
@@ -519,6 +523,25 @@
   }
 }
 
+// Applies what peers say about the room at servers, and tells them at once of a
+// new refusal.
+void
+FleetDaemon::ExchangeRooms()
+{
+  MergeRoomsOfPeers(m_state);
+  std::map<BackendServerId, RefusedRoom> refused =
+    m_rooms.RefusalsToAdvertise();
+  const bool hasNews = std::ranges::any_of(refused, [&](const auto& aEntry) {
+    const auto announced = m_announcedRooms.find(aEntry.first);
+    return announced == m_announcedRooms.end() ||
+           announced->second != aEntry.second;
+  });
+  m_announcedRooms = std::move(refused);
+  if (hasNews) {
+    m_gossip.Announce();
+  }
+}
+
 // Records the servers that have reported themselves draining to peers.
 void
 FleetDaemon::ApplyPeerDraining()
@@ -545,6 +568,7 @@
   m_parts.KeepOnly(known);
   m_rateLimiter.KeepOnly(m_registry.Ids());
   m_serverLimits.KeepOnly(known);
+  m_rooms.KeepOnly(known);
   m_quarantine.KeepOnly(known);
 }
 
@@ -644,6 +668,7 @@
   add("evict_servers", &FleetDaemon::EvictRemovedServers);
   add("apply_usages", &FleetDaemon::ApplyPeerUsages);
   add("apply_limits", &FleetDaemon::ApplyPeerLimits);
+  add("exchange_rooms", &FleetDaemon::ExchangeRooms);
   add("apply_draining", &FleetDaemon::ApplyPeerDraining);
   add("update_quarantine", &FleetDaemon::UpdateQuarantine);
   add("update_store_reading", &FleetDaemon::UpdateStoreReading);
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -60,6 +60,7 @@
   void ApplyConfig(const FleetConfig& aConfig);
   void UpdateSelf();
   void AnnounceReach();
+  void ExchangeRooms();
   void EvictRemovedServers();
   void ApplyPeerUsages();
   void ApplyPeerLimits();
@@ -99,6 +100,7 @@
   FleetRetryBudget m_retries;
   ServerRateLimiter m_rateLimiter;
   ServerLimits m_serverLimits;
+  ServerRooms m_rooms;
   CrashQuarantine m_quarantine;
   PublishedItems m_published;
   ConfigLagDetector m_configLag;
@@ -134,6 +136,8 @@
   std::set<Suspect> m_quarantined;
   // Versions of the topics that were last announced to peers.
   std::map<TopicId, TopicVersion> m_announcedVersions;
+  // The refusals by servers that were last announced to peers.
+  std::map<BackendServerId, RefusedRoom> m_announcedRooms;
   bool m_isStopped = false;
 };
 
--- a/rattanweir/connection/gossip/gossip_messages.cc
+++ b/rattanweir/connection/gossip/gossip_messages.cc
@@ -197,6 +197,15 @@
   for (const PoolId& pool : aRecord.m_unreachablePools) {
     value["unreachable"].append(pool.Value());
   }
+  for (const auto& [pool, refusals] : aRecord.m_maxRefusals) {
+    value["max_refusals"][pool.Value()] = refusals.Value();
+  }
+  for (const auto& [server, room] : aRecord.m_refusedRooms) {
+    Json::Value entry(Json::arrayValue);
+    entry.append(Json::UInt64(room.m_version));
+    entry.append(room.m_room);
+    value["rooms"][server.Value()] = std::move(entry);
+  }
   for (const InstanceId& member : aRecord.m_membersToIntroduce) {
     value["introduce"].append(member.Value());
   }
@@ -220,6 +229,25 @@
   return limit;
 }
 
+RefusedRoom
+RefusedRoomFromJson(const Json::Value& aValue)
+{
+  if (!aValue.isArray() || aValue.size() != 2 || !aValue[0].isUInt64() ||
+      !aValue[1].isUInt()) {
+    throw RpcError("rooms: expected [VERSION, ROOM]");
+  }
+  return { .m_room = aValue[1].asUInt(), .m_version = aValue[0].asUInt64() };
+}
+
+RequestRate
+RateFromJson(const Json::Value& aValue)
+{
+  if (!aValue.isNumeric() || !(aValue.asDouble() >= 0)) {
+    throw RpcError("max_refusals: expected a non-negative number");
+  }
+  return RequestRate(aValue.asDouble());
+}
+
 // Returns the strings of an array, or nothing if the field is missing.
 std::vector<std::string>
 GetStrings(const Json::Value& aObject, const char* aName)
@@ -286,6 +314,18 @@
   for (std::string& server : GetStrings(aValue, "draining")) {
     record.m_drainingServers.emplace(std::move(server));
   }
+  if (aValue.isMember("max_refusals")) {
+    const Json::Value& refusals = GetObject(aValue, "max_refusals");
+    for (const std::string& pool : refusals.getMemberNames()) {
+      record.m_maxRefusals.emplace(pool, RateFromJson(refusals[pool]));
+    }
+  }
+  if (aValue.isMember("rooms")) {
+    const Json::Value& rooms = GetObject(aValue, "rooms");
+    for (const std::string& server : rooms.getMemberNames()) {
+      record.m_refusedRooms.emplace(server, RefusedRoomFromJson(rooms[server]));
+    }
+  }
   for (std::string& pool : GetStrings(aValue, "unreachable")) {
     record.m_unreachablePools.emplace(std::move(pool));
   }
--- a/rattanweir/connection/gossip/packed_gossip.cc
+++ b/rattanweir/connection/gossip/packed_gossip.cc
@@ -38,6 +38,10 @@
   FieldToIntroduce,
   // Records of earlier releases end here.
   FieldUnreachablePools,
+  // [pool, refusals a second] each.
+  FieldMaxRefusals,
+  // [server, version, room] each.
+  FieldRefusedRooms,
   FieldCount
 };
 
@@ -137,6 +141,26 @@
   }
 }
 
+void
+WriteRooms(const FleetMember& aRecord, PackedWriter& aWriter)
+{
+  constexpr std::uint32_t kRefusalFields = 2;
+  constexpr std::uint32_t kRoomFields = 3;
+  WriteSize(aRecord.m_maxRefusals, aWriter);
+  for (const auto& [pool, refusals] : aRecord.m_maxRefusals) {
+    aWriter.pack_array(kRefusalFields);
+    aWriter.pack(pool.Value());
+    aWriter.pack(refusals.Value());
+  }
+  WriteSize(aRecord.m_refusedRooms, aWriter);
+  for (const auto& [server, room] : aRecord.m_refusedRooms) {
+    aWriter.pack_array(kRoomFields);
+    aWriter.pack(server.Value());
+    aWriter.pack(room.m_version);
+    aWriter.pack(room.m_room);
+  }
+}
+
 void
 WriteRecord(const OutgoingRecord& aOutgoing, PackedWriter& aWriter)
 {
@@ -174,6 +198,7 @@
   WriteIds(record.m_drainingServers, aWriter);
   WriteIds(record.m_membersToIntroduce, aWriter);
   WriteIds(record.m_unreachablePools, aWriter);
+  WriteRooms(record, aWriter);
 }
 
 void
@@ -222,6 +247,33 @@
   return limit;
 }
 
+void
+ReadRooms(std::span<const PackedValue> aFields, FleetMember& aRecord)
+{
+  for (const PackedValue& entry :
+       ReadArray(aFields[FieldMaxRefusals], "max_refusals")) {
+    const auto fields = ReadArray(entry, "max_refusals", 2);
+    const double refusals = ReadNumber(fields[1], "max_refusals");
+    if (refusals < 0) {
+      throw RpcError("max_refusals: expected a non-negative number");
+    }
+    aRecord.m_maxRefusals.emplace(ReadText(fields[0], "pool"),
+                                  RequestRate(refusals));
+  }
+  for (const PackedValue& entry :
+       ReadArray(aFields[FieldRefusedRooms], "rooms")) {
+    const auto fields = ReadArray(entry, "room", 3);
+    const std::uint64_t room = ReadUnsigned(fields[2], "room");
+    if (room > std::numeric_limits<unsigned>::max()) {
+      throw RpcError("room: expected a 32-bit integer");
+    }
+    aRecord.m_refusedRooms.emplace(
+      ReadText(fields[0], "server"),
+      RefusedRoom{ .m_room = static_cast<unsigned>(room),
+                   .m_version = ReadUnsigned(fields[1], "version") });
+  }
+}
+
 void
 ReadLists(std::span<const PackedValue> aFields, FleetMember& aRecord)
 {
@@ -252,13 +304,14 @@
        ReadArray(aFields[FieldToIntroduce], "introduce")) {
     aRecord.m_membersToIntroduce.emplace_back(ReadText(member, "introduce"));
   }
-  if (aFields.size() <= FieldUnreachablePools) {
+  if (aFields.size() < FieldCount) {
     return;
   }
   for (const PackedValue& pool :
        ReadArray(aFields[FieldUnreachablePools], "unreachable")) {
     aRecord.m_unreachablePools.emplace(ReadText(pool, "unreachable"));
   }
+  ReadRooms(aFields, aRecord);
 }
 
 std::vector<BreakReport>
--- a/rattanweir/connection/gossip/packed_gossip_test.cc
+++ b/rattanweir/connection/gossip/packed_gossip_test.cc
@@ -341,25 +341,34 @@
       read = ReadRecords(aValue, view.m_fleet);
     },
     [](std::string& aBytes) {
-      constexpr char kArrayOf14 = '\x9e';
+      const std::string arrayOf14 = "\x9e";
+      const std::string arrayOf17("\xdc\x00\x11", 3);
       constexpr char kEmptyArray = '\x90';
-      REQUIRE(aBytes.back() == kEmptyArray);
-      aBytes.pop_back();
-      aBytes[1] = kArrayOf14;
+      for (int field = 0; field < 3; ++field) {
+        REQUIRE(aBytes.back() == kEmptyArray);
+        aBytes.pop_back();
+      }
+      REQUIRE(aBytes.substr(1, 3) == arrayOf17);
+      aBytes.replace(1, 3, arrayOf14);
     });
   REQUIRE(read.size() == 1);
   CHECK(read[0].m_membersToIntroduce.size() == 2);
   CHECK(read[0].m_unreachablePools.empty());
 }
 
-TEST_CASE("unreachable pools are the same after packing and unpacking")
+TEST_CASE("reach and room of servers are the same after packing and unpacking")
 {
   const View view;
   FleetMember record = MemberOf(1);
   record.m_unreachablePools = { PoolId("p"), PoolId("q") };
+  record.m_maxRefusals = { { PoolId("p"), RequestRate(7.5) } };
+  record.m_refusedRooms = { { BackendServerId("s@1"),
+                              { .m_room = 5, .m_version = 2 } } };
   const auto read =
     Transfer({ OutgoingRecord{ .m_record = record } }, view.m_fleet);
   CHECK(read.at(0).m_unreachablePools == record.m_unreachablePools);
+  CHECK(read.at(0).m_maxRefusals == record.m_maxRefusals);
+  CHECK(read.at(0).m_refusedRooms == record.m_refusedRooms);
 }
 
 } // namespace
--- a/rattanweir/process/fleet/fleet_view.h
+++ b/rattanweir/process/fleet/fleet_view.h
@@ -23,6 +23,7 @@
 #include "rattanweir/process/account_rate/account_rates.h"
 #include "rattanweir/process/published/topic_version.h"
 #include "rattanweir/process/server_limits/server_limits.h"
+#include "rattanweir/process/server_room/server_room.h"
 
 #include <algorithm>
 #include <chrono>
@@ -82,6 +83,12 @@
   // Pools that have servers in the instance's region, of which the instance can
   // open a connection to none.
   std::set<PoolId> m_unreachablePools;
+  // The refusals a second that servers of a pool bear, as they have recently
+  // told the instance.
+  std::map<PoolId, RequestRate> m_maxRefusals;
+  // Servers that have recently refused a request of the instance for want of
+  // room, by incarnation.
+  std::map<BackendServerId, RefusedRoom> m_refusedRooms;
 
   // Returns whether the instance can open connections to servers of the pool,
   // as far as it has said.
--- a/rattanweir/request/gateway/build_placement_input.cc
+++ b/rattanweir/request/gateway/build_placement_input.cc
@@ -3,11 +3,9 @@
 #include "rattanweir/request/gateway/build_placement_input.h"
 
 #include "rattanweir/request/gateway/server_candidates.h"
-#include "rattanweir/request/gateway/server_links.h"
 #include "rattanweir/request/placement/placement_input.h"
 
 #include <algorithm>
-#include <map>
 
 namespace rattanweir {
 namespace {
@@ -19,52 +17,49 @@
   return pool != nullptr && pool->m_engine.has_value();
 }
 
+std::chrono::nanoseconds
+AdvertisedDelay(const FleetMember& aPeer, const PoolId& aPool)
+{
+  const auto report = aPeer.m_pools.find(aPool);
+  return report == aPeer.m_pools.end() ? std::chrono::nanoseconds::zero()
+                                       : report->second.m_startDelay;
+}
+
 // Returns the regions that have servers for the request and an instance that
-// reaches them and was not tried yet. The local region is one only if this
-// instance can't connect to some of the servers.
+// can send to them and was not tried yet. The local region is one only if this
+// instance leaves some of the servers to peers.
 std::vector<RegionCandidate>
 RegionCandidates(const PlacementQuery& aQuery)
 {
   const GatewayState& state = aQuery.m_state;
   const AdmittedRequest& request = aQuery.m_request;
-  std::map<RegionId, RegionCandidate> candidates;
   const RegionId& localRegion = state.m_fleet.Self().m_region;
-  std::set<RegionId> regions =
-    state.m_registry.RegionsOf(request.m_pool, aQuery.m_softwareVersion);
-  if (!HasUnreachableServer(state, request.m_pool)) {
-    regions.erase(localRegion);
-  }
-  for (const FleetMember* peer : state.m_fleet.ServingMembers()) {
-    const RegionId& region = peer->m_region;
-    if (!regions.contains(region) || !request.IsPermittedIn(region) ||
-        peer->m_id == state.m_fleet.Self().m_id ||
-        !peer->Reaches(request.m_pool) ||
-        aQuery.m_triedPeers.contains(peer->m_id)) {
+  std::vector<RegionCandidate> candidates;
+  for (const RegionId& region :
+       state.m_registry.RegionsOf(request.m_pool, aQuery.m_softwareVersion)) {
+    const bool isLocal = region == localRegion;
+    if (!request.IsPermittedIn(region) ||
+        (isLocal && !LeavesServersToPeers(state, request.m_pool))) {
       continue;
     }
-    const bool isLocal = region == localRegion;
-    const auto report = peer->m_pools.find(request.m_pool);
-    const std::chrono::nanoseconds delay = report == peer->m_pools.end()
-                                             ? std::chrono::nanoseconds::zero()
-                                             : report->second.m_startDelay;
-    const auto [entry, isNew] = candidates.try_emplace(
-      region,
-      RegionCandidate{
-        .m_region = region,
+    std::optional<std::chrono::nanoseconds> delay;
+    for (const FleetMember* peer :
+         PeersFor(state, request.m_pool, region, aQuery.m_triedPeers)) {
+      const auto advertised = AdvertisedDelay(*peer, request.m_pool);
+      delay = std::min(delay.value_or(advertised), advertised);
+    }
+    if (!delay) {
+      continue;
+    }
+    const Tokens prompt = EnginePromptTokens(request);
+    candidates.push_back(
+      { .m_region = region,
         .m_isLocal = isLocal,
-        .m_startDelay = delay,
+        .m_startDelay = *delay,
         .m_state = state.m_regions.StateOf(RegionKey(region, request.m_pool)),
-        .m_uncached = isLocal
-                        ? Tokens(0)
-                        : UncachedInOtherRegion(EnginePromptTokens(request)) });
-    entry->second.m_startDelay = std::min(entry->second.m_startDelay, delay);
-  }
-  std::vector<RegionCandidate> list;
-  list.reserve(candidates.size());
-  for (auto& [region, candidate] : candidates) {
-    list.push_back(std::move(candidate));
+        .m_uncached = isLocal ? Tokens(0) : UncachedInOtherRegion(prompt) });
   }
-  return list;
+  return candidates;
 }
 
 } // namespace
--- a/rattanweir/request/gateway/gateway_state.h
+++ b/rattanweir/request/gateway/gateway_state.h
@@ -22,6 +22,7 @@
 #include "rattanweir/process/part_cache/part_cache.h"
 #include "rattanweir/process/server_limits/server_limits.h"
 #include "rattanweir/process/server_reach/server_reach.h"
+#include "rattanweir/process/server_room/server_room.h"
 #include "rattanweir/process/shared_budget/shared_budget.h"
 #include "rattanweir/request/exchange/exchange.h"
 #include "rattanweir/request/gateway/pool_queues.h"
@@ -52,6 +53,7 @@
   FleetRetryBudget& m_retries;
   ServerRateLimiter& m_rateLimiter;
   ServerLimits& m_serverLimits;
+  ServerRooms& m_rooms;
   CrashQuarantine& m_quarantine;
   StreamOriginDirectory& m_streamOrigins;
   PoolQueues& m_queues;
--- a/rattanweir/request/gateway/gateway_test.cc
+++ b/rattanweir/request/gateway/gateway_test.cc
@@ -91,6 +91,7 @@
                       .m_retries = fixture.m_retries,
                       .m_rateLimiter = fixture.m_rateLimiter,
                       .m_serverLimits = fixture.m_serverLimits,
+                      .m_rooms = fixture.m_rooms,
                       .m_quarantine = fixture.m_quarantine,
                       .m_streamOrigins = fixture.m_streamOrigins,
                       .m_queues = fixture.m_queues,
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -518,6 +518,40 @@
     m_state.m_registry.MarkCold(aServer.m_incarnation, *aInfo.m_coldRemaining);
   }
   RecordServerLimit(aServer, aInfo, aSentAt);
+  RecordRoom(aServer, aInfo);
+}
+
+void
+RequestDispatcher::RecordRoom(const RegisteredServer& aServer,
+                              const ResponseInfo& aInfo)
+{
+  if (aInfo.m_maxRefusals &&
+      m_state.m_rooms.RecordStatement(m_request.m_pool, *aInfo.m_maxRefusals)) {
+    Log(LogLevel::Info,
+        "pool_bears_few_refusals",
+        { { "pool", m_request.m_pool.Value() },
+          { "server", aServer.m_incarnation.Value() },
+          { "per_second", std::to_string(aInfo.m_maxRefusals->Value()) } });
+  }
+  if (!aInfo.m_isNotRun || aInfo.m_pause ||
+      !m_state.m_rooms.IsLimited(m_request.m_pool)) {
+    return;
+  }
+  RoomRefusal refusal{ .m_server = aServer.m_incarnation,
+                       .m_pool = m_request.m_pool,
+                       .m_slots = std::max(1U, aServer.m_record.m_slots),
+                       .m_instances = InstancesInRegion(m_state) };
+  if (aInfo.m_queue) {
+    refusal.m_atServer = aInfo.m_queue->m_running + aInfo.m_queue->m_waiting;
+  }
+  m_state.m_rooms.RecordRefusal(refusal);
+  m_state.m_metrics.Count("rattanweir_room_refusals_total");
+  Log(LogLevel::Info,
+      "server_refused_for_room",
+      { { "server", aServer.m_incarnation.Value() },
+        { "at_server",
+          refusal.m_atServer ? std::to_string(*refusal.m_atServer) : "none" },
+        { "instances", std::to_string(refusal.m_instances) } });
 }
 
 void
@@ -605,14 +639,8 @@
 FleetMember
 RequestDispatcher::ChoosePeer(const RegionId& aRegion) const
 {
-  std::vector<const FleetMember*> peers;
-  for (const FleetMember* peer : m_state.m_fleet.ServingMembers()) {
-    if (peer->m_region == aRegion && peer->Reaches(m_request.m_pool) &&
-        peer->m_id != m_state.m_fleet.Self().m_id &&
-        !m_triedPeers.contains(peer->m_id)) {
-      peers.push_back(peer);
-    }
-  }
+  const std::vector<const FleetMember*> peers =
+    PeersFor(m_state, m_request.m_pool, aRegion, m_triedPeers);
   if (peers.empty()) {
     throw RequestError(ResultCode::PeerUnreachable,
                        "no peer is available in the region",
--- a/rattanweir/request/gateway/request_dispatcher.h
+++ b/rattanweir/request/gateway/request_dispatcher.h
@@ -76,8 +76,8 @@
   Task<Failure> SendTo(const PlacementInput& aInput,
                        const Placement& aPlacement);
   Task<void> SendToServer(ServerCandidate aCandidate);
-  // Returns a random serving peer of the region that reaches servers of the
-  // pool and was not tried. Throws RequestError if there is none.
+  // Returns a random one of PeersFor the region. Throws RequestError if there
+  // is none.
   FleetMember ChoosePeer(const RegionId& aRegion) const;
   Task<void> SendToRegion(RegionId aRegion);
   Task<void> ReadResponse(UpstreamExchange& aExchange,
@@ -126,6 +126,8 @@
   void RecordPause(const RegisteredServer& aServer,
                    const ResponseInfo& aInfo,
                    SteadyTime aSentAt);
+  // Records what the response says about the room at the server.
+  void RecordRoom(const RegisteredServer& aServer, const ResponseInfo& aInfo);
   // Returns the time until the first server of this region ends its pause, or
   // nullopt if not all of them are paused.
   std::optional<std::chrono::nanoseconds> PauseLeft() const;
--- a/rattanweir/request/gateway/server_candidates.cc
+++ b/rattanweir/request/gateway/server_candidates.cc
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <limits>
+#include <span>
+#include <utility>
 
 namespace rattanweir {
 namespace {
@@ -79,6 +81,73 @@
   }
 }
 
+// Limits the candidate to this instance's share of the room at a server that
+// fails if it refuses too many requests.
+void
+ApplyRoom(const RoomShare& aShare, ServerCandidate& aCandidate)
+{
+  aCandidate.m_maxAtServer = aShare.m_room;
+  aCandidate.m_maxInFlight =
+    std::min(aCandidate.m_maxInFlight, aShare.m_maxInFlight);
+  aCandidate.m_isLeftToPeers |= aShare.m_maxInFlight == 0;
+  if (aShare.m_pause > std::chrono::nanoseconds::zero()) {
+    aCandidate.m_isRateLimitReached = true;
+    aCandidate.m_rateLimitedFor =
+      std::max(aCandidate.m_rateLimitedFor, aShare.m_pause);
+  }
+}
+
+// Returns the instances of a region, which send to its servers.
+std::vector<InstanceId>
+InstanceIdsIn(const GatewayState& aState, const RegionId& aRegion)
+{
+  std::vector<InstanceId> ids;
+  for (const FleetMember* peer : aState.m_fleet.LivePeersIn(aRegion)) {
+    ids.push_back(peer->m_id);
+  }
+  if (aRegion == aState.m_fleet.Self().m_region) {
+    ids.push_back(aState.m_fleet.Self().m_id);
+  }
+  return ids;
+}
+
+RoomQuery
+RoomQueryOf(const GatewayState& aState,
+            const RegisteredServer& aServer,
+            std::span<const InstanceId> aInstances)
+{
+  return { .m_server = aServer.m_incarnation,
+           .m_pool = aServer.m_record.m_pool,
+           .m_slots = std::max(1U, aServer.m_record.m_slots),
+           .m_self = aState.m_fleet.Self().m_id,
+           .m_instances = aInstances };
+}
+
+// Returns the instances of a region that have places at servers of the pool;
+// nullopt if all have.
+std::optional<std::set<InstanceId>>
+InstancesWithRoom(const GatewayState& aState,
+                  const PoolId& aPool,
+                  const RegionId& aRegion)
+{
+  if (!aState.m_rooms.IsLimited(aPool)) {
+    return std::nullopt;
+  }
+  const std::vector<InstanceId> instances = InstanceIdsIn(aState, aRegion);
+  std::set<InstanceId> holders;
+  for (const RegisteredServer* server :
+       aState.m_registry.ServersOf(aPool, aRegion)) {
+    if (!server->AcceptsRequests()) {
+      continue;
+    }
+    for (InstanceId& holder :
+         aState.m_rooms.HoldersOf(RoomQueryOf(aState, *server, instances))) {
+      holders.insert(std::move(holder));
+    }
+  }
+  return holders;
+}
+
 } // namespace
 
 std::size_t
@@ -87,6 +156,48 @@
   return aState.m_fleet.LivePeersIn(aState.m_fleet.Self().m_region).size() + 1;
 }
 
+std::vector<const FleetMember*>
+PeersFor(const GatewayState& aState,
+         const PoolId& aPool,
+         const RegionId& aRegion,
+         const std::set<InstanceId>& aTriedPeers)
+{
+  const auto withRoom = InstancesWithRoom(aState, aPool, aRegion);
+  std::vector<const FleetMember*> peers;
+  for (const FleetMember* peer : aState.m_fleet.ServingMembers()) {
+    if (peer->m_region != aRegion || !peer->Reaches(aPool) ||
+        peer->m_id == aState.m_fleet.Self().m_id ||
+        aTriedPeers.contains(peer->m_id) ||
+        (withRoom && !withRoom->contains(peer->m_id))) {
+      continue;
+    }
+    peers.push_back(peer);
+  }
+  return peers;
+}
+
+bool
+LeavesServersToPeers(const GatewayState& aState, const PoolId& aPool)
+{
+  const RegionId& region = aState.m_fleet.Self().m_region;
+  const bool isRoomLimited = aState.m_rooms.IsLimited(aPool);
+  const std::vector<InstanceId> instances =
+    isRoomLimited ? InstanceIdsIn(aState, region) : std::vector<InstanceId>();
+  return std::ranges::any_of(
+    aState.m_registry.ServersOf(aPool, region),
+    [&](const RegisteredServer* aServer) {
+      if (!aServer->AcceptsRequests()) {
+        return false;
+      }
+      if (!aState.m_reach.IsReachable(aServer->m_record.m_endpoint)) {
+        return true;
+      }
+      const auto share =
+        aState.m_rooms.ShareOf(RoomQueryOf(aState, *aServer, instances));
+      return share && share->m_maxInFlight == 0;
+    });
+}
+
 std::vector<ServerCandidate>
 ServerCandidatesOf(const GatewayState& aState, const ServerQuery& aQuery)
 {
@@ -99,6 +210,10 @@
   const unsigned connections =
     pool->m_maximumConnections /
     static_cast<unsigned>(InstancesInRegion(aState) + 1);
+  const bool isRoomLimited = aState.m_rooms.IsLimited(aQuery.m_pool);
+  const std::vector<InstanceId> senders =
+    isRoomLimited ? InstanceIdsIn(aState, aState.m_fleet.Self().m_region)
+                  : std::vector<InstanceId>();
   std::vector<ServerCandidate> candidates;
   for (const RegisteredServer* server : aState.m_registry.ServersOf(
          aQuery.m_pool, aState.m_fleet.Self().m_region)) {
@@ -112,7 +227,7 @@
       .m_state = aState.m_backends.StateOf(server->m_incarnation),
       .m_slots = std::max(1U, server->m_record.m_slots),
       .m_maxInFlight = std::max(1U, connections),
-      .m_isUnreachable =
+      .m_isLeftToPeers =
         !aState.m_reach.IsReachable(server->m_record.m_endpoint),
     };
     if (pool->m_engine) {
@@ -134,6 +249,12 @@
       }
     }
     ApplyPause(aState.m_clock.SteadyNow(), candidate);
+    if (isRoomLimited) {
+      if (const auto share =
+            aState.m_rooms.ShareOf(RoomQueryOf(aState, *server, senders))) {
+        ApplyRoom(*share, candidate);
+      }
+    }
     candidates.push_back(std::move(candidate));
   }
   if (pool->m_engine && !aQuery.m_partChain.empty()) {
--- a/rattanweir/request/gateway/server_candidates.h
+++ b/rattanweir/request/gateway/server_candidates.h
@@ -33,6 +33,20 @@
 std::vector<ServerCandidate>
 ServerCandidatesOf(const GatewayState& aState, const ServerQuery& aQuery);
 
+// Returns the peers of a region, this one or another, that can send to servers
+// of the pool, as far as is known: they serve, reach servers and have a share
+// of the room there. Those of earlier attempts are excluded.
+std::vector<const FleetMember*>
+PeersFor(const GatewayState& aState,
+         const PoolId& aPool,
+         const RegionId& aRegion,
+         const std::set<InstanceId>& aTriedPeers);
+
+// Returns whether this instance leaves a server of the pool in this region to
+// peers.
+bool
+LeavesServersToPeers(const GatewayState& aState, const PoolId& aPool);
+
 // Returns the number of live instances of this region, including this one.
 std::size_t
 InstancesInRegion(const GatewayState& aState);
--- a/rattanweir/request/gateway/server_links.cc
+++ b/rattanweir/request/gateway/server_links.cc
@@ -3,6 +3,7 @@
 #include "rattanweir/request/gateway/server_links.h"
 
 #include "rattanweir/process/logging/log.h"
+#include "rattanweir/request/gateway/server_candidates.h"
 
 #include <algorithm>
 
@@ -66,16 +67,6 @@
   }
 }
 
-bool
-HasUnreachableServer(const GatewayState& aState, const PoolId& aPool)
-{
-  return std::ranges::any_of(
-    aState.m_registry.ServersOf(aPool, aState.m_fleet.Self().m_region),
-    [&](const RegisteredServer* aServer) {
-      return aServer->AcceptsRequests() && IsUnreachable(aState, *aServer);
-    });
-}
-
 std::set<PoolId>
 UnreachablePools(const GatewayState& aState)
 {
@@ -96,6 +87,29 @@
   return unreachable;
 }
 
+void
+MergeRoomsOfPeers(GatewayState& aState)
+{
+  const std::size_t instances = InstancesInRegion(aState);
+  for (const FleetMember* peer :
+       aState.m_fleet.LivePeersIn(aState.m_fleet.Self().m_region)) {
+    for (const auto& [pool, refusals] : peer->m_maxRefusals) {
+      aState.m_rooms.MergeStatement(pool, refusals);
+    }
+    for (const auto& [id, room] : peer->m_refusedRooms) {
+      if (const RegisteredServer* server = aState.m_registry.Find(id)) {
+        aState.m_rooms.MergeRefusal(
+          peer->m_id,
+          { .m_server = id,
+            .m_pool = server->m_record.m_pool,
+            .m_slots = std::max(1U, server->m_record.m_slots),
+            .m_instances = instances },
+          room);
+      }
+    }
+  }
+}
+
 std::vector<Endpoint>
 ServersToReach(const GatewayState& aState)
 {
--- a/rattanweir/request/gateway/server_links.h
+++ b/rattanweir/request/gateway/server_links.h
@@ -19,16 +19,15 @@
 void
 RecordConnection(GatewayState& aState, const Endpoint& aServer, bool aIsOpen);
 
-// Returns whether there is a server of the pool in this region that this
-// instance can't connect to.
-bool
-HasUnreachableServer(const GatewayState& aState, const PoolId& aPool);
-
 // Returns the pools that have servers in this region of which this instance can
 // connect to none.
 std::set<PoolId>
 UnreachablePools(const GatewayState& aState);
 
+// Applies what the peers of this region say about the room at its servers.
+void
+MergeRoomsOfPeers(GatewayState& aState);
+
 // Returns the addresses of the servers that this instance sends requests to.
 std::vector<Endpoint>
 ServersToReach(const GatewayState& aState);
--- a/rattanweir/request/gateway/wire_protocol.h
+++ b/rattanweir/request/gateway/wire_protocol.h
@@ -97,6 +97,9 @@
   std::optional<RequestRate> m_requestLimit;
   // The response states a limit that cannot be read.
   bool m_hasInvalidRequestLimit = false;
+  // The server fails if it has to refuse more requests a second than this, if
+  // stated.
+  std::optional<RequestRate> m_maxRefusals;
   // The server states that it is draining: it finishes what it runs and expects
   // no further requests.
   bool m_isDraining = false;
--- a/rattanweir/request/placement/placement.cc
+++ b/rattanweir/request/placement/placement.cc
@@ -31,6 +31,13 @@
 // Retry delay while no server can be reached: several probes of their links.
 constexpr milliseconds kUnreachableRetryAfter{ 500 };
 
+bool
+HasRecentReport(const PlacementInput& aInput, const ServerCandidate& aServer)
+{
+  const auto& report = aServer.m_state.m_queue;
+  return report && aInput.m_now - report->m_at <= kQueueReportLifetime;
+}
+
 // Returns the time until a server would start to process one more request.
 nanoseconds
 QueueTime(const PlacementInput& aInput, const ServerCandidate& aServer)
@@ -58,9 +65,16 @@
   if (isEngine && QueueTime(aInput, aServer) + copyCost > kMaxEngineQueueTime) {
     return true;
   }
-  return aServer.m_state.m_inFlight >= aServer.m_maxInFlight ||
-         EstimateOccupancy(aInput, aServer) >=
-           aServer.m_slots * (1 + kMaxQueuedPerSlot);
+  if (aServer.m_state.m_inFlight >= aServer.m_maxInFlight) {
+    return true;
+  }
+  if (aServer.m_maxAtServer) {
+    // This instance's share of the room holds without a report.
+    return HasRecentReport(aInput, aServer) &&
+           EstimateOccupancy(aInput, aServer) >= *aServer.m_maxAtServer;
+  }
+  return EstimateOccupancy(aInput, aServer) >=
+         aServer.m_slots * (1 + kMaxQueuedPerSlot);
 }
 
 struct BestCandidate
@@ -78,23 +92,23 @@
 };
 
 bool
-AreAllUnreachable(const PlacementInput& aInput)
+AreAllLeftToPeers(const PlacementInput& aInput)
 {
   return !aInput.m_servers.empty() &&
          std::ranges::all_of(aInput.m_servers,
                              [](const ServerCandidate& aServer) {
-                               return aServer.m_isUnreachable;
+                               return aServer.m_isLeftToPeers;
                              });
 }
 
-// Considers either the servers that can be reached, or the others.
+// Considers either the servers that are left to peers, or the others.
 BestCandidate
-FindBestServer(const PlacementInput& aInput, bool aIsUnreachable)
+FindBestServer(const PlacementInput& aInput, bool aAreLeftToPeers)
 {
   BestCandidate best;
   for (std::size_t index = 0; index < aInput.m_servers.size(); ++index) {
     const ServerCandidate& server = aInput.m_servers[index];
-    if (server.m_isUnreachable != aIsUnreachable ||
+    if (server.m_isLeftToPeers != aAreLeftToPeers ||
         server.m_isRateLimitReached || server.m_state.m_ejectedUntil ||
         IsFull(aInput, server)) {
       continue;
@@ -111,7 +125,7 @@
   // A request that has waited would have to queue again in the other region.
   // One that could not be sent to a server has not been in a queue.
   const bool hasWaited =
-    aInput.m_waited > aInput.m_maxQueueWait && !AreAllUnreachable(aInput);
+    aInput.m_waited > aInput.m_maxQueueWait && !AreAllLeftToPeers(aInput);
   for (std::size_t index = 0; index < aInput.m_regions.size(); ++index) {
     if (hasWaited && !aInput.m_regions[index].m_isLocal) {
       continue;
@@ -161,8 +175,7 @@
 {
   const BackendState& state = aServer.m_state;
   const double localCount = state.m_inFlight;
-  if (!state.m_queue ||
-      aInput.m_now - state.m_queue->m_at > kQueueReportLifetime) {
+  if (!HasRecentReport(aInput, aServer)) {
     return localCount * static_cast<double>(aInput.m_instancesInRegion);
   }
   const double reported =
@@ -220,7 +233,7 @@
 {
   BestCandidate server = FindBestServer(aInput, false);
   const BestCandidate region = FindBestRegion(aInput);
-  if (!server.m_index && !region.m_index && AreAllUnreachable(aInput)) {
+  if (!server.m_index && !region.m_index && AreAllLeftToPeers(aInput)) {
     if (aInput.m_isForwarded || aInput.m_hasLostLinks) {
       return Refuse{ .m_reason = RefusalReason::ServersUnreachable,
                      .m_retryAfter = kUnreachableRetryAfter };
--- a/rattanweir/request/placement/placement.h
+++ b/rattanweir/request/placement/placement.h
@@ -21,10 +21,10 @@
 // delay that this instance has observed for its own requests. Another region is
 // chosen only if its estimate is better by a margin.
 //
-// A server that this instance can't connect to is not used while a peer of the
-// region that reaches it, or another region, can serve the request. A request
-// that a peer has forwarded is refused instead, so that the peer can try
-// another instance.
+// A server that is left to peers, since this instance can't connect to it or
+// has no share of the room there, is not used while a peer of the region that
+// can use it, or another region, can serve the request. A request that a peer
+// has forwarded is refused instead, so that the peer can try another instance.
 //
 // An engine with a long queue counts as full. A request first waits in the
 // queue for an engine that has its prompt cached; later, the prompt may be
@@ -76,8 +76,12 @@
   // The least time between two requests of this instance to a server that has
   // named a limit; 0 if it sends none, or if there is no such limit.
   std::chrono::nanoseconds m_rateInterval{};
-  // Whether this instance can't open connections to the server.
-  bool m_isUnreachable = false;
+  // The most requests that may be at the server, of all instances, if it fails
+  // when it has to refuse too many.
+  std::optional<unsigned> m_maxAtServer;
+  // Whether the server is left to peers: this instance can't open connections
+  // to it, or has no place there.
+  bool m_isLeftToPeers = false;
 };
 
 // Round trip between two regions plus the processing time of the hop.
@@ -86,7 +90,7 @@
 inline constexpr std::chrono::milliseconds kLocalHopLatency{ 6 };
 
 // A region in which a peer may serve the request. The local region is one if
-// this instance can't connect to some of its servers.
+// this instance leaves some of its servers to peers.
 struct RegionCandidate
 {
   RegionId m_region;
@@ -152,7 +156,7 @@
 enum class RefusalReason
 {
   NoServer,
-  // This instance can't connect to the servers.
+  // This instance leaves all servers to peers.
   ServersUnreachable,
   // No server can start to respond before the deadline.
   DeadlineTooShort,
--- a/rattanweir/request/placement/placement_test.cc
+++ b/rattanweir/request/placement/placement_test.cc
@@ -200,7 +200,7 @@
 TEST_CASE("servers that can't be reached are left to peers that reach them")
 {
   ServerCandidate lost = Server("lost");
-  lost.m_isUnreachable = true;
+  lost.m_isLeftToPeers = true;
   const RegionCandidate local{ .m_region = RegionId("north"),
                                .m_isLocal = true };
   const RegionCandidate other{ .m_region = RegionId("south") };
@@ -218,7 +218,7 @@
   "stay in the region")
 {
   ServerCandidate lost = Server("lost");
-  lost.m_isUnreachable = true;
+  lost.m_isLeftToPeers = true;
   PlacementInput input =
     InputOf({ lost }, { { .m_region = RegionId("south") } });
   input.m_maxQueueWait = milliseconds(300);
@@ -229,7 +229,7 @@
 TEST_CASE("a request that nobody can take to a server is refused at once")
 {
   ServerCandidate lost = Server("lost");
-  lost.m_isUnreachable = true;
+  lost.m_isLeftToPeers = true;
   PlacementInput input = InputOf({ lost });
   // The server may have failed, and not the links.
   CHECK(Decide(input) == "lost");
--- a/testing/gateway_chain/gateway_chain.cc
+++ b/testing/gateway_chain/gateway_chain.cc
@@ -46,6 +46,7 @@
              .m_retries = m_retries,
              .m_rateLimiter = m_rateLimiter,
              .m_serverLimits = m_serverLimits,
+             .m_rooms = m_rooms,
              .m_quarantine = m_quarantine,
              .m_streamOrigins = m_streamOrigins,
              .m_queues = m_queues,
--- a/testing/gateway_fixture/gateway_fixture.cc
+++ b/testing/gateway_fixture/gateway_fixture.cc
@@ -179,6 +179,9 @@
   if (const auto* limit = FindHeader(aHead.m_headers, "limit")) {
     info.m_requestLimit = RequestRate(std::stod(*limit));
   }
+  if (const auto* refusals = FindHeader(aHead.m_headers, "max-refusals")) {
+    info.m_maxRefusals = RequestRate(std::stod(*refusals));
+  }
   info.m_isDraining = FindHeader(aHead.m_headers, "leaving") != nullptr;
   if (const auto* pause = FindHeader(aHead.m_headers, "pause-ms")) {
     info.m_pause = milliseconds(std::stoll(*pause));
@@ -262,6 +265,7 @@
              .m_retries = m_retries,
              .m_rateLimiter = m_rateLimiter,
              .m_serverLimits = m_serverLimits,
+             .m_rooms = m_rooms,
              .m_quarantine = m_quarantine,
              .m_streamOrigins = m_streamOrigins,
              .m_queues = m_queues,
--- a/testing/gateway_fixture/gateway_fixture.h
+++ b/testing/gateway_fixture/gateway_fixture.h
@@ -142,6 +142,7 @@
   FleetRetryBudget m_retries;
   ServerRateLimiter m_rateLimiter{ { .m_clock = m_clock } };
   ServerLimits m_serverLimits{ { .m_clock = m_clock } };
+  ServerRooms m_rooms{ { .m_clock = m_clock, .m_random = m_random } };
   CrashQuarantine m_quarantine{ { .m_clock = m_clock } };
   LocalStreamOrigins m_streamOrigins{ m_clock };
   PoolQueues m_queues;
--- a/testing/gateway_fleet/gateway_fleet.cc
+++ b/testing/gateway_fleet/gateway_fleet.cc
@@ -25,7 +25,6 @@
 constexpr const char* kServerNetwork = "10.9.0.";
 constexpr unsigned kSlots = 6;
 constexpr unsigned kMaxWaiting = 12;
-constexpr milliseconds kServiceTime{ 20 };
 constexpr milliseconds kConnectTimeout{ 400 };
 constexpr milliseconds kSilenceTimeout{ 1'500 };
 constexpr milliseconds kTickInterval{ 100 };
@@ -162,16 +161,25 @@
     ResponseHead head{ .m_status = 200,
                        .m_headers = { { "seal", "s" }, { "id", id } },
                        .m_contentLength = 2 };
-    if (server.m_inFlight >= kSlots + kMaxWaiting) {
+    if (m_fleet.m_brittle && m_fleet.m_brittle->m_maxRefusals) {
+      head.m_headers.push_back(
+        { "max-refusals", std::to_string(*m_fleet.m_brittle->m_maxRefusals) });
+    }
+    if (server.m_inFlight >= kSlots + m_fleet.m_maxWaiting) {
       head.m_status = 503;
-      head.m_headers = { { "not-run", "1" }, { "id", id } };
+      head.m_headers[0] = { "not-run", "1" };
+      m_fleet.RecordRefusal(aServer);
     } else {
       if (!aRequest.m_target.starts_with("/read/")) {
         ++m_fleet.m_runs[id];
       }
       ++server.m_inFlight;
-      co_await m_fleet.Delay(kServiceTime * (1 + server.m_inFlight / kSlots));
+      co_await m_fleet.Delay(m_fleet.m_options.m_serviceTime *
+                             (1 + (server.m_inFlight - 1) / kSlots));
       --server.m_inFlight;
+      if (!server.m_isRunning) {
+        throw RequestError(ResultCode::BackendReset, "connection reset");
+      }
     }
     if (const auto reason = aCancel.Reason()) {
       throw RequestError(*reason, "cancelled");
@@ -244,6 +252,7 @@
       { .m_clock = m_clock, .m_limits = { .m_ratio = 0.2, .m_extra = 50 } })
   , m_rateLimiter({ .m_clock = m_clock })
   , m_serverLimits({ .m_clock = m_clock })
+  , m_rooms({ .m_clock = m_clock, .m_random = aFleet.m_random })
   , m_quarantine({ .m_clock = m_clock })
   , m_streamOrigins(m_clock)
   , m_queues(aFleet.m_context.get_executor())
@@ -263,6 +272,7 @@
              .m_retries = m_retries,
              .m_rateLimiter = m_rateLimiter,
              .m_serverLimits = m_serverLimits,
+             .m_rooms = m_rooms,
              .m_quarantine = m_quarantine,
              .m_streamOrigins = m_streamOrigins,
              .m_queues = m_queues,
@@ -289,6 +299,8 @@
     self.m_pools[kPool].m_startDelay = *delay;
   }
   self.m_unreachablePools = UnreachablePools(m_state);
+  self.m_maxRefusals = m_rooms.StatementsToAdvertise();
+  self.m_refusedRooms = m_rooms.RefusalsToAdvertise();
 }
 
 void
@@ -299,6 +311,7 @@
     m_lastTickAt = m_clock.SteadyNow();
     ProbeServers();
     m_retries.SetFleetSize(m_state.m_fleet.FleetSize());
+    MergeRoomsOfPeers(m_state);
   }
 }
 
@@ -316,6 +329,7 @@
   : m_options(aOptions)
   , m_fleet(aOptions.m_fleet)
   , m_random(aOptions.m_fleet.m_seed)
+  , m_maxWaiting(kMaxWaiting)
 {
   const std::size_t servers = aOptions.m_serversPerRegion * Regions();
   for (std::size_t index = 0; index < servers; ++index) {
@@ -385,6 +399,52 @@
   }
 }
 
+void
+GatewayFleet::MakeServersBrittle(const BrittleServers& aBrittle,
+                                 milliseconds aContactTime)
+{
+  m_brittle = aBrittle;
+  m_fleet.After(aContactTime,
+                [this] { m_maxWaiting = m_brittle->m_maxWaiting; });
+}
+
+void
+GatewayFleet::RecordRefusal(std::size_t aServer)
+{
+  if (!m_brittle || !m_brittle->m_maxRefusals) {
+    return;
+  }
+  Server& server = m_servers[aServer];
+  server.m_refusals.push_back(Now());
+  while (server.m_refusals.front() <= Now() - seconds(1)) {
+    server.m_refusals.pop_front();
+  }
+  if (!server.m_isRunning || static_cast<double>(server.m_refusals.size()) <=
+                               *m_brittle->m_maxRefusals) {
+    return;
+  }
+  ++m_failedServers;
+  server.m_isRunning = false;
+  server.m_refusals.clear();
+  m_fleet.After(m_brittle->m_downTime,
+                [this, aServer] { RestartServer(aServer); });
+}
+
+void
+GatewayFleet::RestartServer(std::size_t aServer)
+{
+  Server& server = m_servers[aServer];
+  server.m_isRunning = true;
+  ++server.m_record.m_startedAtMs;
+  // The entry follows the start.
+  constexpr milliseconds kEntryDelay{ 300 };
+  m_fleet.After(kEntryDelay, [this, aServer] {
+    m_fleet.ForEach([&](Process& aProcess) {
+      aProcess.m_gateway->State().m_registry.Put(m_servers[aServer].m_record);
+    });
+  });
+}
+
 FleetConfigData
 GatewayFleet::Config() const
 {
--- a/testing/gateway_fleet/gateway_fleet.h
+++ b/testing/gateway_fleet/gateway_fleet.h
@@ -49,6 +49,19 @@
   std::size_t m_serversPerRegion = 4;
   // Interval between two requests of callers to an instance.
   std::chrono::milliseconds m_requestInterval{ 200 };
+  // How long a server processes a request.
+  std::chrono::milliseconds m_serviceTime{ 20 };
+};
+
+// Servers that say that they fail if they refuse more requests a second, and
+// let fewer wait.
+struct BrittleServers
+{
+  // nullopt: they say nothing, and bear any number.
+  std::optional<double> m_maxRefusals;
+  unsigned m_maxWaiting = 0;
+  // How long a server that has failed is gone.
+  std::chrono::milliseconds m_downTime{ 3'000 };
 };
 
 // The part of a run that a result is about.
@@ -100,6 +113,7 @@
   FleetRetryBudget m_retries;
   ServerRateLimiter m_rateLimiter;
   ServerLimits m_serverLimits;
+  ServerRooms m_rooms;
   CrashQuarantine m_quarantine;
   LocalStreamOrigins m_streamOrigins;
   PoolQueues m_queues;
@@ -131,6 +145,13 @@
     m_servers[aServer].m_isRunning = false;
   }
 
+  // Makes all servers brittle: they say so at once, and let fewer wait after
+  // `aContactTime`.
+  void MakeServersBrittle(const BrittleServers& aBrittle,
+                          std::chrono::milliseconds aContactTime);
+  // Returns how often servers have failed.
+  std::size_t CountFailedServers() const { return m_failedServers; }
+
   SteadyTime Now() const { return m_fleet.Now(); }
   std::size_t Size() const { return m_fleet.Size(); }
   std::size_t Regions() const { return m_fleet.Regions(); }
@@ -170,6 +191,8 @@
     ServerRecord m_record;
     bool m_isRunning = true;
     unsigned m_inFlight = 0;
+    // When it refused requests within the last second.
+    std::deque<SteadyTime> m_refusals;
   };
 
   struct Request
@@ -184,6 +207,10 @@
   FleetConfigData Config() const;
   void StartRequest(std::size_t aInstance, SimulatedGateway& aGateway);
   Task<void> Delay(std::chrono::milliseconds aDuration);
+  // Records that the server refuses a request; it may fail of it.
+  void RecordRefusal(std::size_t aServer);
+  // Starts a server again.
+  void RestartServer(std::size_t aServer);
   LinkFault FaultOf(std::size_t aInstance) const;
   bool IsMatch(const Request& aRequest, const ResultFilter& aFilter) const;
 
@@ -199,6 +226,9 @@
   // The number of runs of requests that may run once only, by request.
   std::map<std::string, unsigned> m_runs;
   bool m_isStarted = false;
+  std::optional<BrittleServers> m_brittle;
+  unsigned m_maxWaiting = 0;
+  std::size_t m_failedServers = 0;
 };
 
 } // namespace rattanweir
