Take a member for reachable again when it speaks for itself

Cause: a member that was marked unreachable is live again only with a newer record that it sends itself. If each of its updates arrives through another member first, its own message brings nothing newer and did not count.

--- a/rattanweir/process/fleet/fleet_view.cc
+++ b/rattanweir/process/fleet/fleet_view.cc
@@ -128,6 +128,10 @@
   const bool isSameProcess =
     !isNew && entry.m_record.m_incarnation == aRecord.m_incarnation;
   if (isSameProcess && aRecord.m_sequence <= entry.m_record.m_sequence) {
+    // The record may have arrived through another member first.
+    if (aIsFromMember && aRecord.m_sequence == entry.m_record.m_sequence) {
+      entry.m_isUnreachable = false;
+    }
     return;
   }
   if (!isNew && !isSameProcess) {
--- a/rattanweir/process/fleet/fleet_view_test.cc
+++ b/rattanweir/process/fleet/fleet_view_test.cc
@@ -161,6 +161,20 @@
   CHECK(view.m_fleet.IsLive(IdOf(1)));
 }
 
+TEST_CASE("an unreachable member is live again when it sends a record that "
+          "arrived through another member first")
+{
+  View view;
+  view.Receive(Record(1), IdOf(1));
+  view.m_fleet.MarkUnreachable(IdOf(1));
+  view.Receive(Record(1, 1, 2), IdOf(3));
+  CHECK_FALSE(view.m_fleet.IsLive(IdOf(1)));
+  view.Receive(Record(1, 1, 1), IdOf(1));
+  CHECK_FALSE(view.m_fleet.IsLive(IdOf(1)));
+  view.Receive(Record(1, 1, 2), IdOf(1));
+  CHECK(view.m_fleet.IsLive(IdOf(1)));
+}
+
 TEST_CASE("the fleet size counts all members that may run, at least the seeds")
 {
   View view;
