Believe a response only if it belongs to the request

Here: a response that names another request was not taken as "not run", but what it says of its server was believed before that was checked: pause, limit, leaving, brittle. A refusal that names no request was believed on a kept connection too.

The request is now checked before anything else is read from a response. "Not run" (and 421) without an id counts only on a connection that was opened for this request, where it can belong to no other.

The scripted servers of the tests now name the request in their responses, as the platform's servers do; the case without a name is a row of its own.

--- a/rattanweir/request/gateway/gateway_retry_test.cc
+++ b/rattanweir/request/gateway/gateway_retry_test.cc
@@ -223,5 +223,76 @@
   CHECK(outcome.m_ran == Ran::Maybe);
 }
 
+const ScriptedResponse kPeerRefusal{ .m_status = 503,
+                                     .m_headers = { { kHopResultField, "302" },
+                                                    { kHopRanField, "no" } },
+                                     .m_pieces = { "all is lost" } };
+
+// A response that a server wrote to an earlier request, once more.
+ScriptedResponse
+EarlierRefusal()
+{
+  ScriptedResponse refusal = NotRunResponse();
+  refusal.m_headers.push_back({ "id", "earlier" });
+  return refusal;
+}
+
+TEST_CASE("an earlier refusal once more does not say that this request has not "
+          "run")
+{
+  GatewayFixture fixture;
+  fixture.ScriptAll(EarlierRefusal(), 4);
+  const Outcome& write = fixture.SendRequest(kWrite);
+  CHECK(write.m_code == ResultCode::AnswerMismatch);
+  CHECK(write.m_ran == Ran::Maybe);
+  CHECK(fixture.m_upstream.m_sent.size() == 1);
+
+  GatewayFixture other;
+  ScriptedResponse misdirected{ .m_status = 421,
+                                .m_headers = { { "id", "earlier" } } };
+  other.ScriptAll(misdirected, 4);
+  CHECK(other.SendRequest(kWrite).m_ran == Ran::Maybe);
+  CHECK(other.m_registry.Find(BackendServerId("s1@1")) != nullptr);
+  CHECK(other.m_registry.Find(BackendServerId("s2@1")) != nullptr);
+}
+
+TEST_CASE("a refusal on a kept connection that names no request does not say "
+          "that this request has not run")
+{
+  GatewayFixture fixture;
+  ScriptedResponse refusal = NotRunResponse();
+  refusal.m_namesRequest = false;
+  fixture.ScriptAll(refusal, 4);
+  fixture.Script(kSouthPeer, kPeerRefusal);
+  const Outcome& outcome = fixture.SendRequest(kRead);
+  CHECK(outcome.m_code != ResultCode::Ok);
+  CHECK(outcome.m_ran == Ran::Maybe);
+
+  // On a connection of its own it can only belong to this request.
+  GatewayFixture fresh;
+  fresh.ScriptAll(refusal, 4);
+  fresh.Script(kSouthPeer, SealedResponse("done"));
+  CHECK(fresh.SendRequest(kWrite).m_code == ResultCode::Ok);
+}
+
+TEST_CASE("what an earlier response says of its server is not believed again")
+{
+  GatewayFixture fixture;
+  ScriptedResponse earlier = EarlierRefusal();
+  earlier.m_headers.push_back({ "pause-ms", "5000" });
+  earlier.m_headers.push_back({ "limit", "1" });
+  earlier.m_headers.push_back({ "leaving", "1" });
+  earlier.m_headers.push_back({ "max-refusals", "3" });
+  fixture.ScriptAll(earlier, 4);
+  fixture.SendRequest(kWrite);
+  for (const char* id : { "s1@1", "s2@1" }) {
+    const BackendServerId server(id);
+    CHECK_FALSE(fixture.m_backends.StateOf(server).m_pausedUntil);
+    CHECK_FALSE(fixture.m_serverLimits.RateOf(server));
+    CHECK_FALSE(fixture.m_registry.IsReportedDraining(server));
+  }
+  CHECK_FALSE(fixture.m_rooms.IsLimited(PoolId("plain")));
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -392,7 +392,7 @@
       .m_copyFrom = EndpointOf(aCandidate.m_copyFrom),
       .m_resumeAfter = ResumeAfter() });
   OutboundRequest outbound = MakeOutbound(std::move(fields));
-  outbound.m_needsFreshConnection = !m_request.m_route.IsRetryable();
+  outbound.m_needsFreshConnection = NeedsFreshConnection();
   return outbound;
 }
 
@@ -465,6 +465,7 @@
 {
   ResponseHead head = co_await aExchange.ReadHead();
   const ResponseInfo info = m_state.m_protocol.ReadResponse(head);
+  CheckRequest(info);
   RecordServerState(aServer, info, aSentAt);
   CheckResponse(head, info);
   if (info.m_isDraining && m_request.m_forwardedBy) {
@@ -582,11 +583,8 @@
                                      const ResponseInfo& aInfo,
                                      SteadyTime aSentAt)
 {
-  // Only the server's own response to this request can end a limit.
-  const bool isForThisRequest =
-    !aInfo.m_request || *aInfo.m_request == m_request.m_info.m_id;
-  const bool canEndLimit =
-    isForThisRequest && (aInfo.m_isSealed || aInfo.m_isNotRun);
+  // Only the server's own response can end a limit.
+  const bool canEndLimit = aInfo.m_isSealed || aInfo.m_isNotRun;
   if (aInfo.m_hasInvalidRequestLimit ||
       (!aInfo.m_requestLimit && !canEndLimit)) {
     return;
@@ -603,15 +601,27 @@
         { "per_second", named ? std::to_string(named->Value()) : "none" } });
 }
 
-// Throws RequestError unless the response is to be forwarded.
+// Throws RequestError if the response may belong to another request: a faulty
+// server may write one again, later, on a connection that is in use again.
 void
-RequestDispatcher::CheckResponse(const ResponseHead& aHead,
-                                 const ResponseInfo& aInfo) const
+RequestDispatcher::CheckRequest(const ResponseInfo& aInfo) const
 {
   if (aInfo.m_request && *aInfo.m_request != m_request.m_info.m_id) {
     throw RequestError(ResultCode::AnswerMismatch,
                        "the response belongs to another request");
   }
+  const bool saysNotRun = aInfo.m_isNotRun || aInfo.m_isMisdirected;
+  if (saysNotRun && !aInfo.m_request && !NeedsFreshConnection()) {
+    throw RequestError(ResultCode::AnswerMismatch,
+                       "the refusal does not name the request");
+  }
+}
+
+// Throws RequestError unless the response is to be forwarded.
+void
+RequestDispatcher::CheckResponse(const ResponseHead& aHead,
+                                 const ResponseInfo& aInfo) const
+{
   if (aInfo.m_isNotRun || aInfo.m_isMisdirected) {
     throw RequestError(ResultCode::BackendRefused,
                        "the backend server did not run the request: status " +
@@ -679,7 +689,9 @@
     }
     TakeDrainingServer(peer.m_id, head);
     const std::optional<std::string> version = TakeVersion(head);
-    CheckResponse(head, m_state.m_protocol.ReadResponse(head));
+    const ResponseInfo info = m_state.m_protocol.ReadResponse(head);
+    CheckRequest(info);
+    CheckResponse(head, info);
     ResponseForwarder forwarder(
       { .m_sink = m_sink,
         .m_progress = m_progress,
--- a/rattanweir/request/gateway/request_dispatcher.h
+++ b/rattanweir/request/gateway/request_dispatcher.h
@@ -115,6 +115,9 @@
   bool IsBrokenOff(const RequestError& aError) const;
   // Returns a function that records that the request was answered.
   std::function<void()> AnswerRecorder(SteadyTime aSentAt);
+  void CheckRequest(const ResponseInfo& aInfo) const;
+  // Only on a new connection every response belongs to this request.
+  bool NeedsFreshConnection() const { return !m_request.m_route.IsRetryable(); }
   void CheckResponse(const ResponseHead& aHead,
                      const ResponseInfo& aInfo) const;
   // Counts a request to a server that takes only a limited rate, and logs the
--- a/testing/pipeline_fixture/scripted_upstream.cc
+++ b/testing/pipeline_fixture/scripted_upstream.cc
@@ -144,6 +144,11 @@
   if (request != nullptr) {
     response.m_headers.push_back({ "rattanweir-request", *request });
   }
+  const std::string* id = FindHeader(aRequest.m_headers, "id");
+  if (response.m_namesRequest && id != nullptr &&
+      FindHeader(response.m_headers, "id") == nullptr) {
+    response.m_headers.push_back({ "id", *id });
+  }
   m_sent.push_back({ endpoint, std::move(aRequest) });
   auto hold = std::make_shared<WakeableTimer>(m_context.get_executor());
   m_held.push_back(hold);
--- a/testing/pipeline_fixture/scripted_upstream.h
+++ b/testing/pipeline_fixture/scripted_upstream.h
@@ -54,6 +54,8 @@
   bool m_holdsAfterPieces = false;
   // If set, returned instead of the attempt id of the request.
   std::string m_attemptId;
+  // Whether the response repeats the request's `id` field, unless it has one.
+  bool m_namesRequest = true;
 };
 
 // Returns one event of an engine's stream. kStreamEnd is the final event.
