Don't go on with a broken stream by an event without a number

Here: errors by status, another media type, refusals of servers and peers, resets and failed connections end the stream incomplete, with nothing of the error in it (the rows of the new case of request_gateway_retry_test). An error as an event without an id was forwarded, and the stream looked complete.

The first event of an attempt that goes on with a stream has to be numbered. An empty remainder stays allowed: the break may have come after the last event.

--- a/rattanweir/request/gateway/gateway_retry_test.cc
+++ b/rattanweir/request/gateway/gateway_retry_test.cc
@@ -228,6 +228,16 @@
                                                     { kHopRanField, "no" } },
                                      .m_pieces = { "all is lost" } };
 
+// Returns the engine that the first stream of a new fixture is sent to.
+std::string
+FirstEngine()
+{
+  GatewayFixture fixture;
+  fixture.ScriptAll(SealedStream(1, 1));
+  fixture.SendRequest(kStream);
+  return fixture.m_upstream.m_sent.at(0).m_endpoint;
+}
+
 // A response that a server wrote to an earlier request, once more.
 ScriptedResponse
 EarlierRefusal()
@@ -294,5 +304,41 @@
   CHECK_FALSE(fixture.m_rooms.IsLimited(PoolId("plain")));
 }
 
+TEST_CASE("a stream that broke off never goes on with an error of the next "
+          "server, and does not look complete")
+{
+  struct Row
+  {
+    const char* m_name;
+    ScriptedResponse m_next;
+  };
+  ScriptedResponse plainText = SealedResponse("all is lost");
+  plainText.m_headers.push_back({ "content-type", "text/plain" });
+  ScriptedResponse errorEvent = SealedStream(1, 0);
+  errorEvent.m_pieces = { "event: error\ndata: all is lost\n\n" };
+  const Row rows[] = {
+    { "a server error", SealedResponse("all is lost", 500) },
+    { "a client error", SealedResponse("all is lost", 404) },
+    { "another media type", plainText },
+    { "an error as event", errorEvent },
+    { "a refusal", NotRunResponse() },
+    { "a reset", { .m_kind = ResponseKind::Resets } },
+    { "no connection", { .m_kind = ResponseKind::ConnectFails } },
+  };
+  const std::string begun = StreamEventText(1) + StreamEventText(2);
+  for (const Row& row : rows) {
+    CAPTURE(row.m_name);
+    GatewayFixture fixture;
+    fixture.Script(FirstEngine(), SealedStream(1, 2, false));
+    fixture.ScriptAll(row.m_next, 6);
+    fixture.Script(kSouthPeer, kPeerRefusal);
+    const Outcome& outcome = fixture.SendRequest(kStream);
+    CHECK(outcome.m_code != ResultCode::Ok);
+    CHECK_FALSE(outcome.m_isComplete);
+    CHECK(outcome.m_body == begun);
+    CHECK(outcome.m_head->m_status == 200);
+  }
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/request/gateway/response_forwarder.cc
+++ b/rattanweir/request/gateway/response_forwarder.cc
@@ -31,6 +31,11 @@
 RecordEvent(const StreamEvent& aEvent, ForwardProgress& aProgress)
 {
   if (!aEvent.m_id) {
+    const bool isFirst = aProgress.m_eventsInAttempt == 0;
+    if (isFirst && aProgress.m_lastEventId) {
+      throw RequestError(ResultCode::AnswerMismatch,
+                         "the stream does not go on with a numbered event");
+    }
     aProgress.m_hasEventWithoutId = true;
     return;
   }
