Keep the expected latency of another region as the default of a dispatch

Traced: the model builds RegionDispatch without the hop latency that came with the path within a region, so that 125 ms were missing from what it expects. The default is that of another region again; the test passes.

--- a/rattanweir/request/gateway/server_dispatch.h
+++ b/rattanweir/request/gateway/server_dispatch.h
@@ -66,7 +66,7 @@
   // The key of the region and the pool in that view (RegionKey).
   BackendServerId m_key;
   // The time that the hop and back takes.
-  std::chrono::nanoseconds m_hopLatency{};
+  std::chrono::nanoseconds m_hopLatency{ kCrossRegionLatency };
 };
 
 // One dispatch to a peer of this or another region, counted in the view of
