Count a request's deadline from its arrival

connection_http_server_test has the case, a request that lies in the accept queue for 60 ms; it failed before.

--- a/rattanweir/connection/http_server/http_server_bounds_test.cc
+++ b/rattanweir/connection/http_server/http_server_bounds_test.cc
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <boost/asio/write.hpp>
+
 #include <utility>
 
 namespace rattanweir {
@@ -225,5 +227,27 @@
   });
 }
 
+TEST_CASE("a request counts from its arrival, not from when it is read")
+{
+  ServerBench bench;
+  asio::io_context context;
+  asio::ip::tcp::socket caller(context);
+  const Endpoint endpoint = bench.m_server.LocalEndpoint();
+  caller.connect(
+    { asio::ip::make_address(endpoint.m_address), endpoint.m_port });
+  const SteadyTime sentAt = SystemClock().SteadyNow();
+  asio::write(caller, asio::buffer(Get("/")));
+  while (SystemClock().SteadyNow() < sentAt + 60ms) {
+    // The server's thread is busy.
+  }
+  bench.Run([&]() -> Task<void> {
+    co_await WaitUntil(
+      [&] { return !bench.m_handler.m_receivedRequests.empty(); });
+  });
+  const InboundRequest& request = bench.m_handler.m_receivedRequests.front();
+  CHECK(request.m_receivedAt < sentAt + 30ms);
+  CHECK(request.m_unreadFor > 30ms);
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/connection/http_server/internal/server_connection.cc
+++ b/rattanweir/connection/http_server/internal/server_connection.cc
@@ -11,6 +11,8 @@
 namespace rattanweir {
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr std::size_t kRequestIdBytes = 12;
 // A connection accepted while draining may already have sent its request.
 constexpr auto kDrainingFirstRequestTimeout = std::chrono::seconds(1);
@@ -230,8 +232,9 @@
       code, "the request body is malformed, too large or too slow");
   }
   reservation.ShrinkTo(request.m_body.size());
-  request.m_receivedAt = m_server->m_options.m_clock.SteadyNow();
   request.m_unreadFor = m_stream.Socket().TimeSinceLastBytes();
+  request.m_receivedAt =
+    m_server->m_options.m_clock.SteadyNow() - request.m_unreadFor.value_or(0ms);
   request.m_id = m_request;
   co_return co_await Respond(std::move(request), aFrame.m_keepsAlive);
 }
