Bear a server that is silent for up to 2.5 s

With it at 1.5 s and probes after 1 s, a silence of 1.6 s ended connections with unacknowledged bytes, and one of 2 s idle ones in use (the timer at 2 s finds one probe unanswered and 1.5 s passed). Now 2.5 s: silences of 1.4 and 1.6 s end neither; one of 2.5 s and more ends both, at 2.5 and 3 s, as the kernel's rules say. Not shown by a test: the loopback interface acknowledges for a process that is stopped. Peers keep 1.5 s.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -54,8 +54,17 @@
 // in all regions.
 constexpr milliseconds kBackendConnectTimeout{ 400 };
 constexpr milliseconds kPeerConnectTimeout{ 600 };
-// Detects a server or peer that stopped without closing its connections.
-constexpr TcpLivenessOptions kKeepAlive{
+// Detects a server that stopped without closing its connections. A sound server
+// may fall silent for a second or so. The timeout for unacknowledged bytes also
+// decides when probes give up.
+constexpr TcpLivenessOptions kServerKeepAlive{
+  .m_unacknowledgedTimeout = milliseconds(2'500),
+  .m_probeAfter = seconds(1),
+  .m_probeInterval = seconds(1),
+  .m_maxProbes = 2,
+};
+// The same for a peer.
+constexpr TcpLivenessOptions kPeerKeepAlive{
   .m_unacknowledgedTimeout = milliseconds(1'500),
   .m_probeAfter = seconds(1),
   .m_probeInterval = seconds(1),
@@ -162,7 +171,7 @@
                         .m_maxIdlePerEndpoint = kMaxIdleConnectionsPerServer,
                         .m_idleTimeout = kBackendIdleTimeout,
                         .m_acceptsCloseDelimitedResponses = true,
-                        .m_tcpLiveness = kKeepAlive,
+                        .m_tcpLiveness = kServerKeepAlive,
                         .m_onConnect =
                           [this](const Endpoint& aServer, bool aIsOpen) {
                             RecordConnection(m_state, aServer, aIsOpen);
@@ -170,7 +179,7 @@
   , m_peerUpstream({ .m_executor = m_context.get_executor(),
                      .m_clock = m_clock,
                      .m_connectTimeout = kPeerConnectTimeout,
-                     .m_tcpLiveness = kKeepAlive })
+                     .m_tcpLiveness = kPeerKeepAlive })
   , m_state(MakeState())
   , m_prober({ .m_executor = m_context.get_executor(),
                .m_reach = m_reach,
