--- a/rattanweir/connection/gossip/gossip_messages.cc
+++ b/rattanweir/connection/gossip/gossip_messages.cc
@@ -268,6 +268,28 @@
   return strings;
 }
 
+// Reads what the instance says of its links to servers and of the room there.
+void
+ReadReachAndRooms(const Json::Value& aValue, FleetMember& aRecord)
+{
+  if (aValue.isMember("max_refusals")) {
+    const Json::Value& refusals = GetObject(aValue, "max_refusals");
+    for (const std::string& pool : refusals.getMemberNames()) {
+      aRecord.m_maxRefusals.emplace(pool, RateFromJson(refusals[pool]));
+    }
+  }
+  if (aValue.isMember("rooms")) {
+    const Json::Value& rooms = GetObject(aValue, "rooms");
+    for (const std::string& server : rooms.getMemberNames()) {
+      aRecord.m_refusedRooms.emplace(server,
+                                     RefusedRoomFromJson(rooms[server]));
+    }
+  }
+  for (std::string& pool : GetStrings(aValue, "unreachable")) {
+    aRecord.m_unreachablePools.emplace(std::move(pool));
+  }
+}
+
 FleetMember
 RecordFromJson(const Json::Value& aValue)
 {
@@ -314,21 +336,7 @@
   for (std::string& server : GetStrings(aValue, "draining")) {
     record.m_drainingServers.emplace(std::move(server));
   }
-  if (aValue.isMember("max_refusals")) {
-    const Json::Value& refusals = GetObject(aValue, "max_refusals");
-    for (const std::string& pool : refusals.getMemberNames()) {
-      record.m_maxRefusals.emplace(pool, RateFromJson(refusals[pool]));
-    }
-  }
-  if (aValue.isMember("rooms")) {
-    const Json::Value& rooms = GetObject(aValue, "rooms");
-    for (const std::string& server : rooms.getMemberNames()) {
-      record.m_refusedRooms.emplace(server, RefusedRoomFromJson(rooms[server]));
-    }
-  }
-  for (std::string& pool : GetStrings(aValue, "unreachable")) {
-    record.m_unreachablePools.emplace(std::move(pool));
-  }
+  ReadReachAndRooms(aValue, record);
   for (std::string& member : GetStrings(aValue, "introduce")) {
     record.m_membersToIntroduce.emplace_back(std::move(member));
   }
--- a/rattanweir/request/gateway/entry_list.cc
+++ b/rattanweir/request/gateway/entry_list.cc
@@ -24,7 +24,7 @@
 // Leaves out the instances that reach no backend server, unless these are more
 // than half: the others would have to serve all callers.
 Members
-PreferConnected(Members aMembers)
+PreferConnected(const Members& aMembers)
 {
   Members connected = Filter(
     aMembers, [](const FleetMember* aMember) { return !aMember->IsCutOff(); });
--- a/rattanweir/request/gateway/server_candidates.cc
+++ b/rattanweir/request/gateway/server_candidates.cc
@@ -81,19 +81,46 @@
   }
 }
 
+// Excludes a server that takes only a limited rate of requests while this
+// instance may not send one.
+void
+ApplyRate(const GatewayState& aState,
+          const Pool& aPool,
+          const RegisteredServer& aServer,
+          ServerCandidate& aCandidate)
+{
+  const ServerRateInput rate = ServerRateInputOf(aState, aPool, aServer);
+  const auto query = ServerRateQueryFor(rate);
+  if (!query) {
+    return;
+  }
+  const ServerRatePermit permit = aState.m_rateLimiter.PermitFor(*query);
+  aCandidate.m_isRateLimitReached = !permit.m_isGranted;
+  if (rate.m_namedLimit) {
+    aCandidate.m_rateLimitedFor = permit.m_wait;
+    aCandidate.m_rateInterval = permit.m_interval;
+  } else {
+    aCandidate.m_rateLimitedFor =
+      std::min(permit.m_wait, aServer.m_coldUntil - rate.m_now);
+  }
+}
+
 // Limits the candidate to this instance's share of the room at a server that
 // fails if it refuses too many requests.
 void
-ApplyRoom(const RoomShare& aShare, ServerCandidate& aCandidate)
+ApplyRoom(const std::optional<RoomShare>& aShare, ServerCandidate& aCandidate)
 {
-  aCandidate.m_maxAtServer = aShare.m_room;
+  if (!aShare) {
+    return;
+  }
+  aCandidate.m_maxAtServer = aShare->m_room;
   aCandidate.m_maxInFlight =
-    std::min(aCandidate.m_maxInFlight, aShare.m_maxInFlight);
-  aCandidate.m_isLeftToPeers |= aShare.m_maxInFlight == 0;
-  if (aShare.m_pause > std::chrono::nanoseconds::zero()) {
+    std::min(aCandidate.m_maxInFlight, aShare->m_maxInFlight);
+  aCandidate.m_isLeftToPeers |= aShare->m_maxInFlight == 0;
+  if (aShare->m_pause > std::chrono::nanoseconds::zero()) {
     aCandidate.m_isRateLimitReached = true;
     aCandidate.m_rateLimitedFor =
-      std::max(aCandidate.m_rateLimitedFor, aShare.m_pause);
+      std::max(aCandidate.m_rateLimitedFor, aShare->m_pause);
   }
 }
 
@@ -236,24 +263,11 @@
         aQuery.m_promptTokens - aState.m_parts.EstimateCachedTokens(
                                   server->m_incarnation, aQuery.m_partChain));
     }
-    const ServerRateInput rate = ServerRateInputOf(aState, *pool, *server);
-    if (const auto query = ServerRateQueryFor(rate)) {
-      const ServerRatePermit permit = aState.m_rateLimiter.PermitFor(*query);
-      candidate.m_isRateLimitReached = !permit.m_isGranted;
-      if (rate.m_namedLimit) {
-        candidate.m_rateLimitedFor = permit.m_wait;
-        candidate.m_rateInterval = permit.m_interval;
-      } else {
-        candidate.m_rateLimitedFor =
-          std::min(permit.m_wait, server->m_coldUntil - rate.m_now);
-      }
-    }
+    ApplyRate(aState, *pool, *server, candidate);
     ApplyPause(aState.m_clock.SteadyNow(), candidate);
     if (isRoomLimited) {
-      if (const auto share =
-            aState.m_rooms.ShareOf(RoomQueryOf(aState, *server, senders))) {
-        ApplyRoom(*share, candidate);
-      }
+      ApplyRoom(aState.m_rooms.ShareOf(RoomQueryOf(aState, *server, senders)),
+                candidate);
     }
     candidates.push_back(std::move(candidate));
   }
--- a/rattanweir/request/gateway/server_links.cc
+++ b/rattanweir/request/gateway/server_links.cc
@@ -24,7 +24,7 @@
 
 // The failures before say nothing about the servers whose path is back.
 void
-ForgetFailures(GatewayState& aState, std::optional<Endpoint> aServer)
+ForgetFailures(GatewayState& aState, const std::optional<Endpoint>& aServer)
 {
   const RegionId& region = aState.m_fleet.Self().m_region;
   for (const RegisteredServer* server : aState.m_registry.ServersIn(region)) {
--- a/testing/gateway_fleet/gateway_fleet.cc
+++ b/testing/gateway_fleet/gateway_fleet.cc
@@ -230,8 +230,7 @@
 SimulatedGateway::SimulatedGateway(GatewayFleet& aFleet,
                                    std::size_t aIndex,
                                    FleetView& aView)
-  : m_owner(aFleet)
-  , m_index(aIndex)
+  : m_index(aIndex)
   , m_clock(aFleet.m_fleet.GetClock())
   , m_registry({ .m_clock = m_clock,
                  .m_regionOfZone =
--- a/testing/gateway_fleet/gateway_fleet.h
+++ b/testing/gateway_fleet/gateway_fleet.h
@@ -99,7 +99,6 @@
 private:
   class Network;
 
-  GatewayFleet& m_owner;
   std::size_t m_index;
   const Clock& m_clock;
   PlainProtocol m_protocol;
