--- a/testing/gateway_fleet/gateway_fleet.h
+++ b/testing/gateway_fleet/gateway_fleet.h
@@ -160,7 +160,7 @@
   // none.
   double ServedFraction(const ResultFilter& aFilter) const;
   std::size_t CountRequests(const ResultFilter& aFilter) const;
-  // Returns the longest time to a refusal of an instance that was not served.
+  // Returns the longest time after which a request ended that was not served.
   std::chrono::milliseconds LongestFailure(const ResultFilter& aFilter) const;
   // Returns the number of requests that ran more than once though they may run
   // once only.
