Review, case 4: streams joined from two versions after a kill

Cause: an instance tells its partners every 100 ms of the streams that it has begun. After its end, what the others know of streams with the same account and content is taken for all that can be known, and a stream that they were not told of goes on at the version of another one.

--- a/review/support/case.cc
+++ b/review/support/case.cc
@@ -84,6 +84,9 @@
     std::to_string(aRequest.m_promptTokens) +
     ",80\r\nRattanweir-Deadline-Ms: " + std::to_string(aRequest.m_deadlineMs) +
     "\r\nRattanweir-Credential: " + kKey + "\r\n";
+  if (aRequest.m_lastEvent > 0) {
+    text += "Last-Event-Id: " + std::to_string(aRequest.m_lastEvent) + "\r\n";
+  }
   if (!aRequest.m_isChunked) {
     return text + "Content-Length: " + std::to_string(aRequest.m_body.size()) +
            "\r\n\r\n" + aRequest.m_body;
--- a/review/support/case.h
+++ b/review/support/case.h
@@ -60,6 +60,8 @@
   bool m_isChunked = false;
   unsigned m_deadlineMs = 6'000;
   unsigned m_promptTokens = 100;
+  // The event after which a broken stream is taken up; 0: from its start.
+  unsigned m_lastEvent = 0;
 };
 
 // The text of the request, with the headers of the platform's clients.
--- a/review/support/runner.cc
+++ b/review/support/runner.cc
@@ -74,7 +74,8 @@
       "servers/" + m_options.m_id,
       R"({"service":")" + m_options.m_service + R"(","address":")" +
         LocalAddress().ToString() + R"(","zone":")" + m_options.m_zone +
-        R"(","version":"v1","slots":)" + std::to_string(m_options.m_slots) +
+        R"(","version":")" + m_options.m_version + R"(","slots":)" +
+        std::to_string(m_options.m_slots) +
         R"(,"state":"ready","coldRemainingMs":0,"born":)" +
         std::to_string(born) + R"(,"sequence":)" + std::to_string(sequence) +
         "}");
@@ -194,7 +195,7 @@
 Runner::WriteStream(const std::string& aHead,
                     const Work& aWork,
                     unsigned aFirstEvent,
-                    Connection& aConnection)
+                    Connection& aConnection) const
 {
   if (!WorkFor(aWork.m_untilFirst, aConnection) ||
       !aConnection.Write(aHead + "Content-Type: text/event-stream\r\n"
@@ -205,7 +206,7 @@
     const std::string number = std::to_string(event);
     std::string text = "id: ";
     text.append(number).append("\ndata: piece ").append(number);
-    text.append(" of the plan\n\n");
+    text.append(" of version ").append(m_options.m_version).append("\n\n");
     const bool isFirst = event == aFirstEvent;
     if ((!isFirst && !WorkFor(aWork.m_interval, aConnection)) ||
         !aConnection.Write(ChunkOf(text))) {
--- a/review/support/runner.h
+++ b/review/support/runner.h
@@ -51,6 +51,8 @@
   std::string m_id;
   std::string m_service;
   std::string m_zone;
+  // Version of the runner's software, which its events name.
+  std::string m_version = "v1";
   unsigned m_slots = 64;
   // What each request takes.
   std::function<Work(const Request&)> m_workOf;
@@ -85,10 +87,10 @@
   static bool WriteBrokenOff(const std::string& aHead,
                              const Work& aWork,
                              Connection& aConnection);
-  static bool WriteStream(const std::string& aHead,
-                          const Work& aWork,
-                          unsigned aFirstEvent,
-                          Connection& aConnection);
+  bool WriteStream(const std::string& aHead,
+                   const Work& aWork,
+                   unsigned aFirstEvent,
+                   Connection& aConnection) const;
   RunnerOptions m_options;
   Listener m_listener;
   std::mutex m_mutex;
