Client: a request that was sent may have run, whatever cancelled it

Callers of a stopping instance could be told "not run" of a request that a server was running. An exchange that is cancelled throws the reason of its cancel source; without a statement of its own the error took the weakest value of the table for that code, and InstanceDraining says "no" there, since it mostly refuses requests on arrival.

Once a byte was sent, the error says at least "maybe". The rows with InstanceDraining in connection_http_client_test failed before.

--- a/rattanweir/connection/http_client/http_client.cc
+++ b/rattanweir/connection/http_client/http_client.cc
@@ -81,7 +81,8 @@
   if (!m_hasSent) {
     throw RequestError(aCode, text, Ran::No);
   }
-  throw RequestError(aCode, text);
+  // The reason of a cancellation may stand for requests that were not sent.
+  throw RequestError(aCode, text, std::max(InfoOf(aCode).m_ran, Ran::Maybe));
 }
 
 void
--- a/rattanweir/connection/http_client/http_client_test.cc
+++ b/rattanweir/connection/http_client/http_client_test.cc
@@ -197,7 +197,20 @@
 
 TEST_CASE("cancelling ends a pending read and closes the connection")
 {
-  for (const std::string& sent : { std::string(), kHeadWithLength2 }) {
+  struct Row
+  {
+    std::string m_sent;
+    ResultCode m_reason;
+  };
+  const Row rows[] = {
+    { "", ResultCode::CallerGone },
+    { kHeadWithLength2, ResultCode::CallerGone },
+    // Guards against a stopping instance that says of a request that it sent
+    // that the request did not run.
+    { "", ResultCode::InstanceDraining },
+    { kHeadWithLength2, ResultCode::InstanceDraining },
+  };
+  for (const Row& row : rows) {
     ClientBench bench;
     bench.Run([&]() -> Task<void> {
       std::optional<RequestError> error;
@@ -210,11 +223,11 @@
         },
         asio::detached);
       RawPeer server = co_await bench.m_listener.Accept();
-      co_await ReadRequestAndRespond(server, sent);
-      bench.m_cancel.Cancel(ResultCode::CallerGone);
+      co_await ReadRequestAndRespond(server, row.m_sent);
+      bench.m_cancel.Cancel(row.m_reason);
       co_await server.ReadToEnd();
       REQUIRE(error);
-      REQUIRE(error->Code() == ResultCode::CallerGone);
+      REQUIRE(error->Code() == row.m_reason);
       REQUIRE(error->HasRun() == Ran::Maybe);
     });
   }
