Stop: take no request that outlives the instance, and answer what is cut

Cause, two parts. The instance served for 3.2 s after the signal without comparing what was left of its life with what a request may take: on arrival, after the queue, before a retry, and not at all for requests that peers forwarded. And at the end it cancelled requests, interrupted their connections and stopped the event loop in one turn, so that no answer was written even to callers without a response head.

Ruled out: that the requests were accepted on connections of the listen queue after the drain (the three were on kept connections, accepted before), and that only the margin at the end was too short (the answers need longer than what is left).

ServiceEnd decides at each dispatch. A deadline before the end always fits. Else the durations of the route's last responses decide: in the first 2.8 s, while callers learn of the stop, short requests are still served; later only idempotent requests that usually end in time. At the end requests are cancelled and the answers written (502 if the request may have run) for up to half of the margin; the margin is at most an eighth of the timeout, so that a short one ends in its last sixth.

A stopping instance does not hand such a request to a peer: the response would still pass through it, so that it would have to live as long.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -47,8 +47,11 @@
 // New requests are still served for this time after a stop signal: callers keep
 // using a directory response for up to 3 s.
 constexpr milliseconds kServeAfterStopSignal{ 3'200 };
-// Reserved at the end of the shutdown timeout.
+// Reserved at the end of the shutdown timeout for responses that are cut: they
+// are cancelled at its start and written until its middle. At most this
+// fraction of the timeout.
 constexpr milliseconds kShutdownMargin{ 500 };
+constexpr int kShutdownMarginFraction = 8;
 constexpr milliseconds kDrainPollInterval{ 20 };
 // Backend servers are in the local region, a few milliseconds away; peers are
 // in all regions.
@@ -159,6 +162,7 @@
   , m_rooms({ .m_clock = m_clock, .m_random = m_random })
   , m_quarantine({ .m_clock = m_clock })
   , m_configLag({ .m_clock = m_clock })
+  , m_serviceEnd({ .m_clock = m_clock })
   , m_queues(m_context.get_executor())
   , m_recordApplier({ .m_published = m_published,
                       .m_registry = m_registry,
@@ -301,6 +305,7 @@
            .m_rooms = m_rooms,
            .m_quarantine = m_quarantine,
            .m_streamOrigins = m_streamOrigins,
+           .m_serviceEnd = m_serviceEnd,
            .m_queues = m_queues,
            .m_metrics = m_metrics,
            .m_backendUpstream = m_backendUpstream,
@@ -449,6 +454,11 @@
 FleetDaemon::ApplyConfig(const FleetConfig& aConfig)
 {
   m_rates.Configure(aConfig);
+  std::set<RouteId> routes;
+  for (const FleetRoute& route : aConfig.Routes()) {
+    routes.insert(route.m_id);
+  }
+  m_serviceEnd.KeepOnly(routes);
   CallerLimits limits = m_settings.m_callerLimits;
   limits.m_headerBytes = aConfig.Limits().m_headerBytes;
   limits.m_bodyBytes = aConfig.Limits().m_bodyBytes;
@@ -799,9 +809,12 @@
 FleetDaemon::ShutDown()
 {
   CancelSource never;
-  const SteadyTime end =
-    m_clock.SteadyNow() + m_settings.m_shutdownTimeout - kShutdownMargin;
+  const nanoseconds timeout = m_settings.m_shutdownTimeout;
+  const nanoseconds margin =
+    std::min<nanoseconds>(kShutdownMargin, timeout / kShutdownMarginFraction);
+  const SteadyTime end = m_clock.SteadyNow() + timeout - margin;
   m_fleet.Self().m_isDraining = true;
+  m_serviceEnd.Announce(end);
   Log(LogLevel::Info,
       "draining",
       { { "in_flight", std::to_string(m_state.m_inFlight) } });
@@ -816,6 +829,7 @@
          m_clock.SteadyNow() < end) {
     co_await WaitFor(m_context.get_executor(), kDrainPollInterval, never);
   }
+  co_await CutRequests(end + margin / 2);
   AbortAll();
   Log(LogLevel::Info,
       "stopped",
@@ -824,6 +838,30 @@
   m_context.stop();
 }
 
+// Cancels the requests in progress and waits until their callers have been
+// answered, at most until `aEnd`.
+Task<void>
+FleetDaemon::CutRequests(SteadyTime aEnd)
+{
+  const auto unanswered = [this] {
+    return m_callerServer.UnansweredRequests() +
+           m_peerServer.UnansweredRequests();
+  };
+  if (unanswered() == 0) {
+    co_return;
+  }
+  Log(LogLevel::Warning,
+      "requests_cut",
+      { { "in_flight", std::to_string(m_state.m_inFlight) },
+        { "unanswered", std::to_string(unanswered()) } });
+  m_callerServer.CancelRequests();
+  m_peerServer.CancelRequests();
+  CancelSource never;
+  while (unanswered() > 0 && m_clock.SteadyNow() < aEnd) {
+    co_await WaitFor(m_context.get_executor(), kDrainPollInterval, never);
+  }
+}
+
 void
 FleetDaemon::AbortAll()
 {
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -77,6 +77,7 @@
   Task<void> AwaitStopSignals();
   Task<void> AwaitReloadSignals();
   Task<void> ShutDown();
+  Task<void> CutRequests(SteadyTime aEnd);
   void AbortAll();
 
   Settings m_settings;
@@ -104,6 +105,7 @@
   CrashQuarantine m_quarantine;
   PublishedItems m_published;
   ConfigLagDetector m_configLag;
+  ServiceEnd m_serviceEnd;
   PoolQueues m_queues;
   const platform::PlatformProtocol m_protocol;
   platform::RecordApplier m_recordApplier;
--- a/rattanweir/connection/http_server/http_server.cc
+++ b/rattanweir/connection/http_server/http_server.cc
@@ -6,6 +6,7 @@
 
 #include <boost/asio/redirect_error.hpp>
 
+#include <functional>
 #include <utility>
 #include <vector>
 
@@ -78,6 +79,20 @@
   }
 }
 
+// Calls the function with each open connection, which it may close.
+void
+ForEachConnection(const ServerState& aState,
+                  const std::function<void(ServerConnection&)>& aFunction)
+{
+  const std::vector<ServerConnection*> connections(aState.m_connections.begin(),
+                                                   aState.m_connections.end());
+  for (ServerConnection* connection : connections) {
+    if (aState.m_connections.contains(connection)) {
+      aFunction(*connection);
+    }
+  }
+}
+
 } // namespace
 
 HttpServer::HttpServer(const HttpServerOptions& aOptions)
@@ -136,18 +151,18 @@
   m_state->m_changed.cancel();
 }
 
+void
+HttpServer::CancelRequests()
+{
+  ForEachConnection(*m_state,
+                    [](ServerConnection& aOpen) { aOpen.CancelRequest(); });
+}
+
 void
 HttpServer::Abort()
 {
   Drain();
-  // Copied, because cancelling a request may remove its connection.
-  const std::vector<ServerConnection*> connections(
-    m_state->m_connections.begin(), m_state->m_connections.end());
-  for (ServerConnection* connection : connections) {
-    if (m_state->m_connections.contains(connection)) {
-      connection->Abort();
-    }
-  }
+  ForEachConnection(*m_state, [](ServerConnection& aOpen) { aOpen.Abort(); });
 }
 
 Task<void>
@@ -173,4 +188,10 @@
   return m_state->m_requests;
 }
 
+std::uint32_t
+HttpServer::UnansweredRequests() const
+{
+  return m_state->m_unanswered;
+}
+
 } // namespace rattanweir
--- a/rattanweir/connection/http_server/http_server.h
+++ b/rattanweir/connection/http_server/http_server.h
@@ -109,7 +109,13 @@
   // finish; each connection closes after its response.
   void Drain();
 
-  // Drains and cancels running requests with InstanceDraining.
+  // Cancels running requests with InstanceDraining. Callers that have not
+  // received a response head get the error as their response; other responses
+  // are truncated. Connections stay open until that is written.
+  void CancelRequests();
+
+  // Drains, cancels running requests with InstanceDraining and interrupts what
+  // is being written.
   void Abort();
 
   // Completes once the server no longer accepts connections and the last
@@ -117,7 +123,10 @@
   Task<void> WaitUntilDone();
 
   std::uint32_t Connections() const;
+  // Returns the number of requests that are being handled.
   std::uint32_t RequestsInFlight() const;
+  // Returns the number of requests whose response is not written yet.
+  std::uint32_t UnansweredRequests() const;
 
 private:
   std::shared_ptr<ServerState> m_state;
--- a/rattanweir/connection/http_server/http_server_bounds_test.cc
+++ b/rattanweir/connection/http_server/http_server_bounds_test.cc
@@ -227,6 +227,48 @@
   });
 }
 
+// Guards against requests that end without an answer when an instance stops.
+TEST_CASE("CancelRequests answers what has no response yet")
+{
+  ServerBench bench;
+  bench.m_handler.m_scripts["/wait"] = [](const InboundRequest&,
+                                          ResponseSink&,
+                                          CancelSource& aCancel) -> Task<void> {
+    co_await WaitUntil([&] { return aCancel.Reason().has_value(); });
+    throw RequestError(*aCancel.Reason(), "cancelled", Ran::Maybe);
+  };
+  bench.m_handler.m_scripts["/begun"] =
+    [](const InboundRequest&,
+       ResponseSink& aSink,
+       CancelSource& aCancel) -> Task<void> {
+    ResponseHead head{ .m_status = 200 };
+    co_await aSink.WriteHead(std::move(head));
+    co_await aSink.WriteChunk("piece");
+    co_await WaitUntil([&] { return aCancel.Reason().has_value(); });
+    throw RequestError(*aCancel.Reason(), "cancelled", Ran::Maybe);
+  };
+  bench.Run([&]() -> Task<void> {
+    RawPeer waiting = co_await bench.Connect();
+    co_await waiting.Write(Get("/wait"));
+    RawPeer begun = co_await bench.Connect();
+    co_await begun.Write(Get("/begun"));
+    co_await begun.ReadUntil("piece\r\n");
+    co_await WaitUntil([&] { return bench.m_server.RequestsInFlight() == 2; });
+    bench.m_server.Drain();
+    CHECK(bench.m_server.UnansweredRequests() == 2);
+    bench.m_server.CancelRequests();
+    const std::string response = co_await waiting.ReadToEnd();
+    CHECK(ResultCodeIn(response) == "204");
+    CHECK(response.find("rattanweir-ran: maybe") != std::string::npos);
+    const std::string rest = co_await begun.ReadToEnd();
+    CHECK(rest.find("0\r\n\r\n") == std::string::npos);
+    CHECK(bench.m_server.UnansweredRequests() == 0);
+    waiting.Close();
+    begun.Close();
+    co_await bench.m_server.WaitUntilDone();
+  });
+}
+
 TEST_CASE("a request counts from its arrival, not from when it is read")
 {
   ServerBench bench;
--- a/rattanweir/connection/http_server/internal/server_connection.cc
+++ b/rattanweir/connection/http_server/internal/server_connection.cc
@@ -116,11 +116,17 @@
 }
 
 void
-ServerConnection::Abort()
+ServerConnection::CancelRequest()
 {
   if (m_cancel) {
     m_cancel->Cancel(ResultCode::InstanceDraining);
   }
+}
+
+void
+ServerConnection::Abort()
+{
+  CancelRequest();
   m_stream.Socket().Interrupt();
 }
 
@@ -243,6 +249,7 @@
 ServerConnection::Respond(InboundRequest aRequest, bool aKeepsAlive)
 {
   m_cancel.emplace();
+  const ScopedCount unanswered(m_server->m_unanswered);
   const ResponseWriterOptions options{
     .m_stream = m_stream,
     .m_cancel = *m_cancel,
--- a/rattanweir/connection/http_server/internal/server_connection.h
+++ b/rattanweir/connection/http_server/internal/server_connection.h
@@ -25,7 +25,9 @@
 
   // Interrupts the wait for the next request; a request in flight continues.
   void CloseIfIdle();
-  // Also cancels a request in flight.
+  // Cancels a request in flight with InstanceDraining.
+  void CancelRequest();
+  // The same, and interrupts whatever the connection waits for.
   void Abort();
 
 private:
--- /dev/null
+++ b/rattanweir/process/service_end/service_end.h
@@ -0,0 +1,102 @@
+// Which requests an instance that is stopping still sends to backend servers.
+// Used on the users' platform (settings with `fleet`).
+//
+//   ServiceEnd end({ .m_clock = clock });
+//   end.RecordRun(route.m_id, duration);       // for each response
+//   end.Announce(clock.SteadyNow() + 7s);      // at the stop signal
+//   if (!end.MayDispatch({ .m_route = route, .m_deadline = deadline })) ...
+//
+// Once the stop is announced, a request is sent only if its response is
+// expected before the instance ends. A request whose deadline lies before the
+// end always fits. Otherwise the durations of recent responses on the route
+// decide:
+//
+// - Shortly after the announcement, callers have not yet learned of the stop.
+//   Idempotent requests and streams that can be resumed are sent unless most
+//   responses take longer than what is left; requests that can't be repeated
+//   are sent if even the longest response takes a small part of that.
+// - Later, only idempotent requests whose responses usually fit are sent. The
+//   part of a stream that was forwarded can't be taken back, and a request that
+//   can't be repeated must not be cut.
+//
+// The instance applies this at each dispatch: on arrival, after waiting in the
+// queue, and before a retry. Not thread-safe. No I/O.
+
+#pragma once
+
+#include "rattanweir/base/clock/clock.h"
+#include "rattanweir/base/ids/ids.h"
+#include "rattanweir/version/fleet_config/fleet_config.h"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace rattanweir {
+
+struct ServiceEndOptions
+{
+  const Clock& m_clock;
+  // The time after the announcement in which callers may not have learned of
+  // the stop. A little less than the 3 s for which they use a response of the
+  // directory, since the stop signal may be handled late.
+  std::chrono::nanoseconds m_noticeTime{ std::chrono::milliseconds(2'800) };
+};
+
+struct ServiceEndQuery
+{
+  const FleetRoute& m_route;
+  SteadyTime m_deadline;
+};
+
+class ServiceEnd
+{
+public:
+  explicit ServiceEnd(const ServiceEndOptions& aOptions)
+    : m_options(aOptions)
+  {
+  }
+
+  // Records the time from the dispatch of a request to the end of its response.
+  void RecordRun(const RouteId& aRoute, std::chrono::nanoseconds aDuration);
+
+  // Forgets the durations of all other routes.
+  void KeepOnly(const std::set<RouteId>& aRoutes);
+
+  // Announces that responses in progress at `aEnd` will be cut.
+  void Announce(SteadyTime aEnd);
+
+  bool IsAnnounced() const { return m_announcedAt.has_value(); }
+
+  // Returns whether a request may be sent to a server or a peer now. True
+  // unless the stop was announced.
+  bool MayDispatch(const ServiceEndQuery& aQuery) const;
+
+private:
+  // The durations of the last responses on a route.
+  class RunDurations
+  {
+  public:
+    void Add(std::chrono::nanoseconds aDuration);
+    // Return nullopt if there were too few responses to tell.
+    std::optional<std::chrono::nanoseconds> Usual() const;
+    std::optional<std::chrono::nanoseconds> Longest() const;
+
+  private:
+    static constexpr std::size_t kMaxRuns = 64;
+
+    std::array<std::chrono::nanoseconds, kMaxRuns> m_runs{};
+    std::size_t m_count = 0;
+    std::size_t m_next = 0;
+  };
+
+  ServiceEndOptions m_options;
+  std::map<RouteId, RunDurations> m_durations;
+  std::optional<SteadyTime> m_announcedAt;
+  SteadyTime m_end;
+};
+
+} // namespace rattanweir
--- a/rattanweir/request/gateway/gateway_admission.cc
+++ b/rattanweir/request/gateway/gateway_admission.cc
@@ -270,6 +270,20 @@
   aRequest.m_softwareVersion = origin->m_version;
 }
 
+void
+CheckServiceEnd(const GatewayState& aState,
+                const AdmittedRequest& aRequest,
+                Ran aRan)
+{
+  const ServiceEndQuery query{ .m_route = aRequest.m_route,
+                               .m_deadline = aRequest.m_deadline };
+  if (!aState.m_serviceEnd.MayDispatch(query)) {
+    throw RequestError(ResultCode::InstanceDraining,
+                       "this instance may end before the response",
+                       aRan);
+  }
+}
+
 RequestError
 QuarantineError(const QuarantinedGroup& aGroup, Ran aRan)
 {
@@ -318,6 +332,7 @@
   if (request.m_deadline <= aState.m_clock.SteadyNow()) {
     RefuseRequest(ResultCode::DeadlineTooShort, "the deadline has passed");
   }
+  CheckServiceEnd(aState, request);
   request.m_pool = ChoosePool(request.m_route, aState.m_random);
   SetSuspects(request);
   CheckQuarantine(aState, request);
@@ -351,6 +366,7 @@
                   "a header field of the forwarding peer is invalid");
   }
   request.m_deadline = request.m_receivedAt + milliseconds(*timeLeft);
+  CheckServiceEnd(aState, request);
   request.m_isQuarantineTrial = FindHeader(headers, kHopTrialField) != nullptr;
   if (const std::string* version = FindHeader(headers, kHopVersionField)) {
     request.m_softwareVersion = *version;
--- a/rattanweir/request/gateway/gateway_admission.h
+++ b/rattanweir/request/gateway/gateway_admission.h
@@ -55,6 +55,13 @@
 Task<void>
 ResolveStreamOrigin(GatewayState& aState, AdmittedRequest& aRequest);
 
+// Throws RequestError with InstanceDraining if this instance is stopping and
+// the response is not expected before it ends.
+void
+CheckServiceEnd(const GatewayState& aState,
+                const AdmittedRequest& aRequest,
+                Ran aRan = Ran::No);
+
 // Returns the error with which a request of this quarantined group fails.
 RequestError
 QuarantineError(const QuarantinedGroup& aGroup, Ran aRan);
--- /dev/null
+++ b/rattanweir/request/gateway/gateway_service_end_test.cc
@@ -0,0 +1,143 @@
+#include "rattanweir/base/asio/asio.h"
+
+#include "rattanweir/request/gateway/gateway_admission.h"
+#include "testing/gateway_fixture/gateway_fixture.h"
+
+#include <catch2/catch.hpp>
+
+namespace rattanweir {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Every deadline of the fixture's routes lies behind this end.
+constexpr milliseconds kLife{ 500 };
+// After this time, callers are expected to know of the stop.
+constexpr milliseconds kNoticeTime{ 3'000 };
+const GatewayTestRequest kRead{ .m_target = "/read/1" };
+const GatewayTestRequest kWrite{ .m_method = "POST", .m_target = "/write/1" };
+const GatewayTestRequest kTalk{ .m_method = "POST", .m_target = "/talk/1" };
+const GatewayTestRequest kStream{ .m_method = "POST", .m_target = "/stream/1" };
+const HeaderFields kFromSouth = { { kHopFromField, "south-1" },
+                                  { kHopAccountField, "anna" },
+                                  { kHopPoolField, "plain" },
+                                  { kHopTimeLeftField, "900" } };
+
+void
+AnnounceEnd(GatewayFixture& aFixture)
+{
+  aFixture.m_serviceEnd.Announce(aFixture.m_clock.SteadyNow() + kNoticeTime +
+                                 kLife);
+  aFixture.Advance(kNoticeTime);
+}
+
+bool
+IsRefusedAsDraining(const Outcome& aOutcome)
+{
+  return aOutcome.m_isDone && aOutcome.m_code == ResultCode::InstanceDraining &&
+         aOutcome.m_ran == Ran::No;
+}
+
+TEST_CASE("a stopping instance refuses late requests before they are sent")
+{
+  for (const GatewayTestRequest& request : { kRead, kWrite, kTalk, kStream }) {
+    INFO(request.m_target);
+    GatewayFixture fixture;
+    AnnounceEnd(fixture);
+    CHECK(IsRefusedAsDraining(fixture.SendRequest(request)));
+    CHECK(IsRefusedAsDraining(fixture.SendPeerRequest(kRead, kFromSouth)));
+    CHECK(fixture.m_upstream.m_sent.empty());
+  }
+}
+
+TEST_CASE("a request that a stopping instance refuses uses none of its "
+          "account's rate")
+{
+  GatewayFixture fixture;
+  AnnounceEnd(fixture);
+  const double before = fixture.m_rates.BucketLevel(ClientAccountId("anna"));
+  fixture.SendRequest(kWrite);
+  CHECK(fixture.m_rates.BucketLevel(ClientAccountId("anna")) == before);
+}
+
+TEST_CASE("a request that waits in the queue of a stopping instance is refused "
+          "once it cannot be served in time")
+{
+  GatewayFixture fixture;
+  for (const char* server : { kServerOne, kServerTwo }) {
+    for (int slot = 0; slot < 100; ++slot) {
+      fixture.Script(server, { .m_kind = ResponseKind::Holds });
+    }
+  }
+  fixture.m_fleet.MarkUnreachable(InstanceId("south-1"));
+  std::vector<Outcome*> outcomes;
+  for (int count = 0; count < 100; ++count) {
+    outcomes.push_back(&fixture.Start(kWrite));
+  }
+  const std::size_t sent = fixture.m_upstream.m_sent.size();
+  REQUIRE(sent < outcomes.size());
+  fixture.m_serviceEnd.Announce(fixture.m_clock.SteadyNow());
+  fixture.Advance(milliseconds(25));
+  CHECK(fixture.m_upstream.m_sent.size() == sent);
+  for (const Outcome* outcome : outcomes) {
+    const bool isWaiting = !outcome->m_isDone;
+    CHECK((isWaiting || IsRefusedAsDraining(*outcome)));
+  }
+  CHECK(std::ranges::count_if(outcomes, [](const Outcome* aOutcome) {
+          return !aOutcome->m_isDone;
+        }) == static_cast<std::ptrdiff_t>(sent));
+}
+
+TEST_CASE("a stopping instance does not repeat what would outlive it")
+{
+  for (const bool isStopping : { false, true }) {
+    GatewayFixture fixture;
+    for (int run = 0; run < 10; ++run) {
+      fixture.m_serviceEnd.RecordRun(RouteId("read"), seconds(1));
+    }
+    ScriptedResponse failure = SealedResponse("failed", 500);
+    failure.m_kind = ResponseKind::Holds;
+    fixture.Script(kServerOne, failure);
+    fixture.Script(kServerTwo, failure);
+    const Outcome& outcome = fixture.Start(kRead);
+    REQUIRE(fixture.m_upstream.m_sent.size() == 1);
+    if (isStopping) {
+      fixture.m_serviceEnd.Announce(fixture.m_clock.SteadyNow());
+    }
+    fixture.m_upstream.ReleaseHeld();
+    fixture.Advance(milliseconds(25));
+    CHECK(fixture.m_upstream.m_sent.size() == (isStopping ? 1 : 2));
+    if (isStopping) {
+      CHECK(outcome.m_code == ResultCode::InstanceDraining);
+      CHECK(outcome.m_ran == Ran::Yes);
+    }
+  }
+}
+
+TEST_CASE("a request that a stopping peer refuses is sent elsewhere")
+{
+  GatewayFixture fixture;
+  const FleetMember other = { .m_id = InstanceId("south-2"),
+                              .m_incarnation = Incarnation(1),
+                              .m_sequence = 1,
+                              .m_region = RegionId("south"),
+                              .m_callerAddress = ParseEndpoint("10.9.0.2:1"),
+                              .m_peerAddress = ParseEndpoint("10.2.0.2:9"),
+                              .m_isReady = true };
+  fixture.m_fleet.Merge({ &other, 1 }, other.m_id);
+  const ScriptedResponse refusal{ .m_status = 503,
+                                  .m_headers = { { kHopResultField, "204" },
+                                                 { kHopRanField, "no" } } };
+  fixture.Script(kSouthPeer, refusal);
+  fixture.Script("10.2.0.2:9", SealedResponse("served"));
+  for (int count = 0; count < 4; ++count) {
+    const Outcome& outcome = fixture.SendRequest({ .m_target = "/south/1" });
+    CHECK(outcome.m_code == ResultCode::Ok);
+    fixture.Script(kSouthPeer, refusal);
+    fixture.Script("10.2.0.2:9", SealedResponse("served"));
+  }
+}
+
+} // namespace
+} // namespace rattanweir
--- a/rattanweir/request/gateway/gateway_state.h
+++ b/rattanweir/request/gateway/gateway_state.h
@@ -23,6 +23,7 @@
 #include "rattanweir/process/server_limits/server_limits.h"
 #include "rattanweir/process/server_reach/server_reach.h"
 #include "rattanweir/process/server_room/server_room.h"
+#include "rattanweir/process/service_end/service_end.h"
 #include "rattanweir/process/shared_budget/shared_budget.h"
 #include "rattanweir/request/exchange/exchange.h"
 #include "rattanweir/request/gateway/pool_queues.h"
@@ -56,6 +57,7 @@
   ServerRooms& m_rooms;
   CrashQuarantine& m_quarantine;
   StreamOriginDirectory& m_streamOrigins;
+  ServiceEnd& m_serviceEnd;
   PoolQueues& m_queues;
   Metrics& m_metrics;
   Upstream& m_backendUpstream;
--- a/rattanweir/request/gateway/gateway_test.cc
+++ b/rattanweir/request/gateway/gateway_test.cc
@@ -94,6 +94,7 @@
                       .m_rooms = fixture.m_rooms,
                       .m_quarantine = fixture.m_quarantine,
                       .m_streamOrigins = fixture.m_streamOrigins,
+                      .m_serviceEnd = fixture.m_serviceEnd,
                       .m_queues = fixture.m_queues,
                       .m_metrics = fixture.m_metrics,
                       .m_backendUpstream = fixture.m_upstream,
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -196,6 +196,7 @@
                        "no time is left before the deadline",
                        m_report.m_ran);
   }
+  CheckServiceEnd(m_state, m_request, m_report.m_ran);
 }
 
 // What was admitted may have been quarantined while it waited.
@@ -282,6 +283,7 @@
   m_progress.m_eventsInAttempt = 0;
   m_wasTurnedAway = false;
   ++m_report.m_dispatches;
+  const SteadyTime sentAt = m_state.m_clock.SteadyNow();
   try {
     if (const auto* server =
           std::get_if<rattanweir::SendToServer>(&aPlacement)) {
@@ -299,6 +301,8 @@
   }
   m_report.m_ran = Ran::Yes;
   ++m_report.m_possibleRuns;
+  m_state.m_serviceEnd.RecordRun(m_request.m_route.m_id,
+                                 m_state.m_clock.SteadyNow() - sentAt);
   co_return std::nullopt;
 }
 
@@ -841,11 +845,12 @@
 {
   const FleetRoute& route = m_request.m_route;
   const bool hasRun = aFailure.HasRun() != Ran::No;
+  // A peer that is stopping refuses with InstanceDraining; another one may
+  // serve the request.
   const bool isNonRetryable =
-    aFailure.Code() == ResultCode::CallerGone ||
+    m_cancel.Reason() || aFailure.Code() == ResultCode::CallerGone ||
     aFailure.Code() == ResultCode::CallerTooSlow ||
     aFailure.Code() == ResultCode::DeadlineExceeded ||
-    aFailure.Code() == ResultCode::InstanceDraining ||
     aFailure.Code() == ResultCode::PromptQuarantined ||
     aFailure.Code() == ResultCode::RequestQuarantined ||
     aFailure.Code() == ResultCode::StreamNotResumable;
@@ -861,9 +866,11 @@
     (!m_progress.m_hasForwardedHead || route.m_resumesStreams) &&
     (!m_isBound || m_version) && !m_progress.m_hasEventWithoutId;
   // If no connection was made, no server has received the request.
-  const bool isUnsent = aFailure.Code() == ResultCode::BackendConnectFailed ||
-                        aFailure.Code() == ResultCode::PeerUnreachable ||
-                        aFailure.Code() == ResultCode::ServersUnreachable;
+  const bool isUnsent =
+    aFailure.Code() == ResultCode::BackendConnectFailed ||
+    aFailure.Code() == ResultCode::PeerUnreachable ||
+    aFailure.Code() == ResultCode::ServersUnreachable ||
+    (aFailure.Code() == ResultCode::InstanceDraining && !hasRun);
   m_unsentDispatches += isUnsent ? 1 : 0;
   const bool hasDispatchesLeft = m_unsentDispatches <= kMaxUnsentDispatches &&
                                  m_report.m_dispatches - m_unsentDispatches <
--- a/rattanweir/version/fleet_config/fleet_config.h
+++ b/rattanweir/version/fleet_config/fleet_config.h
@@ -167,6 +167,7 @@
   SectionVersion Version() const { return m_data.m_version; }
   const FleetLimits& Limits() const { return m_data.m_limits; }
   bool HasAccounts() const { return m_data.m_hasAccounts; }
+  const std::vector<FleetRoute>& Routes() const { return m_data.m_routes; }
   const std::vector<Pool>& Pools() const { return m_data.m_pools; }
   const std::vector<FleetAccount>& Accounts() const
   {
--- a/testing/gateway_chain/gateway_chain.h
+++ b/testing/gateway_chain/gateway_chain.h
@@ -89,6 +89,7 @@
   ServerRooms m_rooms{ { .m_clock = m_clock, .m_random = m_random } };
   CrashQuarantine m_quarantine{ { .m_clock = m_clock } };
   LocalStreamOrigins m_streamOrigins{ m_clock };
+  ServiceEnd m_serviceEnd{ { .m_clock = m_clock } };
   PoolQueues m_queues;
   Metrics m_metrics;
   HttpUpstream m_backendUpstream;
--- a/testing/gateway_fixture/gateway_fixture.cc
+++ b/testing/gateway_fixture/gateway_fixture.cc
@@ -268,6 +268,7 @@
              .m_rooms = m_rooms,
              .m_quarantine = m_quarantine,
              .m_streamOrigins = m_streamOrigins,
+             .m_serviceEnd = m_serviceEnd,
              .m_queues = m_queues,
              .m_metrics = m_metrics,
              .m_backendUpstream = m_upstream,
--- a/testing/gateway_fleet/gateway_fleet.h
+++ b/testing/gateway_fleet/gateway_fleet.h
@@ -115,6 +115,7 @@
   ServerRooms m_rooms;
   CrashQuarantine m_quarantine;
   LocalStreamOrigins m_streamOrigins;
+  ServiceEnd m_serviceEnd{ { .m_clock = m_clock } };
   PoolQueues m_queues;
   Metrics m_metrics;
   std::unique_ptr<Network> m_network;
