Forwarder: only a stream is continued, and only by a stream

Cause: that "the head was forwarded" was one flag for two states. On a route that resumes streams it allowed another attempt whatever head it was, and the forwarder then took any forwarded head for that of its own stream. So did a stream whose second run had another status than the first.

A head with a length up to 64 KiB is not forwarded before its body is whole.

What was forwarded is a variant now: nothing, events of a stream, or another response. The forwarder visits it, and only the alternative for streams leads to events of a further attempt; nothing goes on after another response. Such a response ends with a visible break. The last event's id and the status are part of the stream's alternative, so that they can't be read for anything else.

--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -836,8 +836,8 @@
 std::optional<std::string>
 RequestDispatcher::ResumeAfter() const
 {
-  return m_progress.m_lastEventId ? std::to_string(*m_progress.m_lastEventId)
-                                  : m_request.m_info.m_resumeAfter;
+  const std::optional<std::uint64_t> last = m_progress.LastEventId();
+  return last ? std::to_string(*last) : m_request.m_info.m_resumeAfter;
 }
 
 void
@@ -862,9 +862,8 @@
     (m_brokenOff > 1 || !m_state.m_quarantine.MayRetry(m_request.m_suspects));
   const bool mayRunAgain =
     route.IsRetryable() && m_report.m_possibleRuns < route.m_maxAttempts &&
-    !m_request.m_forwardedBy &&
-    (!m_progress.m_hasForwardedHead || route.m_resumesStreams) &&
-    (!m_isBound || m_version) && !m_progress.m_hasEventWithoutId;
+    !m_request.m_forwardedBy && m_progress.MayGoOn(route.m_resumesStreams) &&
+    (!m_isBound || m_version);
   // If no connection was made, no server has received the request.
   const bool isUnsent =
     aFailure.Code() == ResultCode::BackendConnectFailed ||
--- a/rattanweir/request/gateway/response_forwarder.cc
+++ b/rattanweir/request/gateway/response_forwarder.cc
@@ -25,30 +25,60 @@
   return aHead.m_status >= 200 && aHead.m_status < 300;
 }
 
+bool
+IsEventStream(const ResponseHead& aHead)
+{
+  return IsSuccess(aHead) && HasMediaType(aHead.m_headers, kEventStream);
+}
+
 // Records the event's id as the last one forwarded. Throws AnswerMismatch if
 // the caller has received the event already.
 void
-RecordEvent(const StreamEvent& aEvent, ForwardProgress& aProgress)
+RecordEvent(const StreamEvent& aEvent, bool aIsFirst, StreamForwarded& aStream)
 {
   if (!aEvent.m_id) {
-    const bool isFirst = aProgress.m_eventsInAttempt == 0;
-    if (isFirst && aProgress.m_lastEventId) {
+    if (aIsFirst && aStream.m_lastEventId) {
       throw RequestError(ResultCode::AnswerMismatch,
                          "the stream does not go on with a numbered event");
     }
-    aProgress.m_hasEventWithoutId = true;
+    aStream.m_hasEventWithoutId = true;
     return;
   }
-  if (aProgress.m_lastEventId && *aEvent.m_id <= *aProgress.m_lastEventId) {
+  if (aStream.m_lastEventId && *aEvent.m_id <= *aStream.m_lastEventId) {
     throw RequestError(
       ResultCode::AnswerMismatch,
       "an event id is not higher than that of the last forwarded event");
   }
-  aProgress.m_lastEventId = aEvent.m_id;
+  aStream.m_lastEventId = aEvent.m_id;
 }
 
+struct MayGoOnVisitor
+{
+  bool m_resumesStreams;
+
+  bool operator()(const NothingForwarded&) const { return true; }
+  bool operator()(const StreamForwarded& aStream) const
+  {
+    return m_resumesStreams && !aStream.m_hasEventWithoutId;
+  }
+  bool operator()(const ResponseForwarded&) const { return false; }
+};
+
 } // namespace
 
+std::optional<std::uint64_t>
+ForwardProgress::LastEventId() const
+{
+  const auto* stream = std::get_if<StreamForwarded>(&m_forwarded);
+  return stream == nullptr ? std::nullopt : stream->m_lastEventId;
+}
+
+bool
+ForwardProgress::MayGoOn(bool aResumesStreams) const
+{
+  return std::visit(MayGoOnVisitor{ aResumesStreams }, m_forwarded);
+}
+
 ResponseForwarder::ResponseForwarder(ResponseForwarderOptions aOptions)
   : m_options(std::move(aOptions))
 {
@@ -73,19 +103,53 @@
 Task<void>
 ResponseForwarder::Run(UpstreamExchange& aExchange, ResponseHead aHead)
 {
-  if (IsSuccess(aHead) && HasMediaType(aHead.m_headers, kEventStream)) {
+  // Copied, since the forwarded part changes while the task runs.
+  const ForwardedPart forwarded = m_options.m_progress.m_forwarded;
+  Task<void> task = std::visit(
+    [&](const auto& aPart) {
+      return Forward(aPart, aExchange, std::move(aHead));
+    },
+    forwarded);
+  co_await std::move(task);
+  ReportAnswered();
+}
+
+Task<void>
+ResponseForwarder::Forward(NothingForwarded /*aNothing*/,
+                           UpstreamExchange& aExchange,
+                           ResponseHead aHead)
+{
+  if (IsEventStream(aHead)) {
     co_await ForwardStream(aExchange, std::move(aHead));
-  } else if (m_options.m_progress.m_hasForwardedHead) {
-    throw RequestError(ResultCode::AnswerIncomplete,
-                       "the stream could not be resumed: status " +
-                         std::to_string(aHead.m_status));
   } else if (aHead.m_contentLength &&
              *aHead.m_contentLength <= kMaxBufferedBytes) {
     co_await ForwardBuffered(aExchange, std::move(aHead));
   } else {
     co_await ForwardChunks(aExchange, std::move(aHead));
   }
-  ReportAnswered();
+}
+
+Task<void>
+ResponseForwarder::Forward(const StreamForwarded& aStream,
+                           UpstreamExchange& aExchange,
+                           ResponseHead aHead)
+{
+  if (!IsEventStream(aHead) || aHead.m_status != aStream.m_status) {
+    throw RequestError(ResultCode::AnswerIncomplete,
+                       "the stream could not be resumed: status " +
+                         std::to_string(aHead.m_status));
+  }
+  co_await ForwardStream(aExchange, std::move(aHead));
+}
+
+Task<void>
+ResponseForwarder::Forward(ResponseForwarded /*aResponse*/,
+                           UpstreamExchange& /*aExchange*/,
+                           ResponseHead /*aHead*/)
+{
+  throw RequestError(ResultCode::AnswerIncomplete,
+                     "the response cannot be completed by another one");
+  co_return;
 }
 
 Task<void>
@@ -93,6 +157,10 @@
                                  ResponseHead aHead)
 {
   ForwardProgress& progress = m_options.m_progress;
+  const auto* before = std::get_if<StreamForwarded>(&progress.m_forwarded);
+  StreamForwarded stream =
+    before != nullptr ? *before : StreamForwarded{ .m_status = aHead.m_status };
+  bool hasHead = before != nullptr;
   aHead.m_contentLength.reset();
   EventSplitter splitter;
   while (const auto chunk = co_await aExchange.ReadChunk()) {
@@ -104,7 +172,7 @@
       m_options.m_onFirstEvent();
     }
     for (const StreamEvent& event : events) {
-      RecordEvent(event, progress);
+      RecordEvent(event, progress.m_eventsInAttempt == 0, stream);
       text += event.m_text;
       if (++progress.m_eventsInAttempt == kEventsToCountAsAnswered) {
         ReportAnswered();
@@ -113,7 +181,8 @@
     if (text.empty()) {
       continue;
     }
-    if (!std::exchange(progress.m_hasForwardedHead, true)) {
+    progress.m_forwarded = stream;
+    if (!std::exchange(hasHead, true)) {
       co_await m_options.m_sink.WriteHead(aHead);
     }
     co_await m_options.m_sink.WriteChunk(std::move(text));
@@ -123,12 +192,13 @@
     throw RequestError(ResultCode::AnswerIncomplete,
                        "the stream ended within an event");
   }
-  if (aHead.m_isCloseDelimited && !progress.m_lastEventId &&
-      !progress.m_hasEventWithoutId) {
+  if (aHead.m_isCloseDelimited && !stream.m_lastEventId &&
+      !stream.m_hasEventWithoutId) {
     throw RequestError(ResultCode::AnswerIncomplete,
                        "the connection was closed before the first event");
   }
-  if (!std::exchange(progress.m_hasForwardedHead, true)) {
+  progress.m_forwarded = stream;
+  if (!hasHead) {
     co_await m_options.m_sink.WriteHead(aHead);
   }
   co_await m_options.m_sink.Finish();
@@ -143,7 +213,7 @@
     body += *chunk;
   }
   ReportFirstByte();
-  m_options.m_progress.m_hasForwardedHead = true;
+  m_options.m_progress.m_forwarded = ResponseForwarded();
   co_await m_options.m_sink.WriteHead(std::move(aHead));
   if (!body.empty()) {
     co_await m_options.m_sink.WriteChunk(std::move(body));
@@ -159,7 +229,7 @@
   std::uint64_t received = 0;
   auto chunk = co_await aExchange.ReadChunk();
   ReportFirstByte();
-  m_options.m_progress.m_hasForwardedHead = true;
+  m_options.m_progress.m_forwarded = ResponseForwarded();
   co_await m_options.m_sink.WriteHead(std::move(aHead));
   while (chunk) {
     received += chunk->size();
--- a/rattanweir/request/gateway/response_forwarder.h
+++ b/rattanweir/request/gateway/response_forwarder.h
@@ -9,6 +9,10 @@
 // received, under the head of the first attempt. A response that is not an
 // event stream and declares a length of at most 64 KiB is buffered until it is
 // complete, so that the request can be retried if the response breaks off.
+//
+// What was forwarded decides what may follow (ForwardedPart): after events of a
+// stream, only later events of a stream with the same status; after the head of
+// any other response, only the rest of that response.
 
 #pragma once
 
@@ -17,20 +21,43 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <variant>
 
 namespace rattanweir {
 
-// How much of the response has been forwarded, over all attempts of a request.
-struct ForwardProgress
+// Nothing has been forwarded: any response may follow.
+struct NothingForwarded
+{};
+
+// The head and events of a stream have been forwarded.
+struct StreamForwarded
 {
-  // The response head has been forwarded.
-  bool m_hasForwardedHead = false;
+  unsigned m_status = 0;
   // The id of the last event that was forwarded.
   std::optional<std::uint64_t> m_lastEventId;
+  // An event without an id was forwarded, so the stream cannot be resumed.
+  bool m_hasEventWithoutId = false;
+};
+
+// The head of a response that is not an event stream has been forwarded.
+struct ResponseForwarded
+{};
+
+using ForwardedPart =
+  std::variant<NothingForwarded, StreamForwarded, ResponseForwarded>;
+
+// How much of the response has been forwarded, over all attempts of a request.
+struct ForwardProgress
+{
+  ForwardedPart m_forwarded;
   // Number of events received in the current attempt.
   std::size_t m_eventsInAttempt = 0;
-  // An event without an id was received, so the stream cannot be resumed.
-  bool m_hasEventWithoutId = false;
+
+  // Returns the id of the last event that was forwarded, if any.
+  std::optional<std::uint64_t> LastEventId() const;
+  // Returns whether the response of another attempt may complete what was
+  // forwarded. `aResumesStreams`: the route permits that for streams.
+  bool MayGoOn(bool aResumesStreams) const;
 };
 
 struct ResponseForwarderOptions
@@ -59,6 +86,16 @@
   Task<void> Run(UpstreamExchange& aExchange, ResponseHead aHead);
 
 private:
+  // Each handles the response according to what was forwarded before.
+  Task<void> Forward(NothingForwarded aNothing,
+                     UpstreamExchange& aExchange,
+                     ResponseHead aHead);
+  Task<void> Forward(const StreamForwarded& aStream,
+                     UpstreamExchange& aExchange,
+                     ResponseHead aHead);
+  Task<void> Forward(ResponseForwarded aResponse,
+                     UpstreamExchange& aExchange,
+                     ResponseHead aHead);
   Task<void> ForwardStream(UpstreamExchange& aExchange, ResponseHead aHead);
   Task<void> ForwardBuffered(UpstreamExchange& aExchange, ResponseHead aHead);
   Task<void> ForwardChunks(UpstreamExchange& aExchange, ResponseHead aHead);
