Relay: nothing is appended to a response that is no stream

The response that is forwarded decides the flag now, and events follow only a head that has offsets.

--- a/rattanweir/request/relay/relay_test.cc
+++ b/rattanweir/request/relay/relay_test.cc
@@ -225,6 +225,29 @@
   }
 }
 
+// Guards against responses that are joined from two runs.
+TEST_CASE("a response without offsets is not continued, whatever came before")
+{
+  const ResponseHead plain{ .m_status = 404 };
+  for (const bool hasEarlierStream : { false, true }) {
+    RecordingSink sink;
+    ResponseProgress progress;
+    if (hasEarlierStream) {
+      REQUIRE(Relay({}, false, StreamHead(), sink, progress) ==
+              ResultCode::AnswerIncomplete);
+      REQUIRE_FALSE(sink.HasHead());
+    }
+    REQUIRE(Relay({ "{\"error\":" }, false, plain, sink, progress) ==
+            ResultCode::AnswerIncomplete);
+    REQUIRE(sink.HasHead());
+    CHECK_FALSE(progress.m_hasOffsets);
+    CHECK(Relay({ Event(0) + kDone }, true, StreamHead(), sink, progress) ==
+          ResultCode::AnswerMismatch);
+    CHECK(sink.m_body == "{\"error\":");
+    CHECK_FALSE(sink.m_isFinished);
+  }
+}
+
 TEST_CASE("a truncated response is never finished, and not forwarded if small")
 {
   struct Row
--- a/rattanweir/request/relay/response_relay.cc
+++ b/rattanweir/request/relay/response_relay.cc
@@ -139,6 +139,8 @@
   const bool isFirstAttempt = !aProgress.m_hasHead;
   if (isFirstAttempt) {
     aProgress.m_hasOffsets = true;
+  } else if (!aProgress.m_hasOffsets) {
+    ThrowMismatch("event stream follows a response without offsets");
   }
   EventSplitter splitter;
   bool isDone = false;
@@ -199,6 +201,7 @@
   CheckLength(aHead.m_contentLength, body.size());
   aProgress.m_generatedTokens = ReadGeneratedTokens(body);
   aProgress.m_hasHead = true;
+  aProgress.m_hasOffsets = false;
   co_await aSink.WriteHead(std::move(aHead));
   if (!body.empty()) {
     co_await aSink.WriteChunk(std::move(body));
@@ -214,6 +217,8 @@
 {
   const auto length = aHead.m_contentLength;
   aProgress.m_hasHead = true;
+  // An earlier attempt may have begun a stream and forwarded none of it.
+  aProgress.m_hasOffsets = false;
   co_await aSink.WriteHead(std::move(aHead));
   std::uint64_t received = 0;
   while (auto chunk = co_await aExchange.ReadChunk()) {
