--- a/rattanweir/connection/http_client/internal/client_stream.cc
+++ b/rattanweir/connection/http_client/internal/client_stream.cc
@@ -100,6 +100,15 @@
          aError == http::error::partial_message;
 }
 
+// Beast knows only some of these statuses by name.
+bool
+IsInformational(unsigned aStatus)
+{
+  constexpr unsigned kFirst = 100;
+  constexpr unsigned kEnd = 200;
+  return aStatus >= kFirst && aStatus < kEnd;
+}
+
 HeaderFields
 FieldsOf(const ResponseParser& aParser)
 {
@@ -258,8 +267,7 @@
       *state.m_parser,
       asio::redirect_error(asio::use_awaitable, outcome.m_error));
   } while (!outcome.m_error &&
-           http::to_status_class(state.m_parser->get().result()) ==
-             http::status_class::informational);
+           IsInformational(state.m_parser->get().result_int()));
   if (outcome.m_error) {
     outcome.m_isUnusable = !IsBrokenConnection(outcome.m_error);
     co_return outcome;
