Forwarder: a resumed stream that is closed before it goes on is broken off

A stream without length and chunks ends with its connection.

Such a response needs an event of its own attempt now, as the first attempt did before. A server that has nothing left to send is told apart only by a length or chunks; without them the caller sees a break, which it can resume. gateway_joined_response_test failed before.

--- a/rattanweir/request/gateway/gateway_joined_response_test.cc
+++ b/rattanweir/request/gateway/gateway_joined_response_test.cc
@@ -100,5 +100,22 @@
   }
 }
 
+// Guards against a stream that looks complete because its second run ended
+// before it went on.
+TEST_CASE("a resumed stream that is closed before its next event is not "
+          "complete")
+{
+  for (const bool isCloseDelimited : { false, true }) {
+    GatewayFixture fixture;
+    ScriptedResponse rest = SealedStream(2, 0);
+    rest.m_isCloseDelimited = isCloseDelimited;
+    fixture.Script(kEngineA, SealedStream(0, 2, false));
+    fixture.Script(kEngineB, rest);
+    const Outcome& outcome = fixture.SendRequest(kStream);
+    CHECK(outcome.m_body == StreamEventText(0) + StreamEventText(1));
+    CHECK(outcome.m_isComplete == !isCloseDelimited);
+  }
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/request/gateway/response_forwarder.cc
+++ b/rattanweir/request/gateway/response_forwarder.cc
@@ -192,10 +192,9 @@
     throw RequestError(ResultCode::AnswerIncomplete,
                        "the stream ended within an event");
   }
-  if (aHead.m_isCloseDelimited && !stream.m_lastEventId &&
-      !stream.m_hasEventWithoutId) {
+  if (aHead.m_isCloseDelimited && progress.m_eventsInAttempt == 0) {
     throw RequestError(ResultCode::AnswerIncomplete,
-                       "the connection was closed before the first event");
+                       "the connection was closed before an event");
   }
   progress.m_forwarded = stream;
   if (!hasHead) {
--- a/testing/pipeline_fixture/scripted_upstream.cc
+++ b/testing/pipeline_fixture/scripted_upstream.cc
@@ -60,7 +60,8 @@
       throw RequestError(ResultCode::DeadlineExceeded, "deadline exceeded");
     }
     ResponseHead head{ .m_status = m_response.m_status,
-                       .m_headers = m_response.m_headers };
+                       .m_headers = m_response.m_headers,
+                       .m_isCloseDelimited = m_response.m_isCloseDelimited };
     if (!m_attemptId.empty()) {
       head.m_headers.push_back({ "x-attempt-id", m_attemptId });
     }
--- a/testing/pipeline_fixture/scripted_upstream.h
+++ b/testing/pipeline_fixture/scripted_upstream.h
@@ -50,6 +50,8 @@
   std::vector<std::string> m_pieces = { "{}" };
   // If false, the body is truncated after its pieces.
   bool m_isComplete = true;
+  // The body has neither a length nor chunks.
+  bool m_isCloseDelimited = false;
   // Waits for cancellation or ReleaseHeld after the pieces.
   bool m_holdsAfterPieces = false;
   // If set, returned instead of the attempt id of the request.
