Stream origins: an instance that was out of step does not count as knowing

Cause, three parts. An instance took itself, and was taken by others, for informed because its process was old enough; that it had stood still, and so missed what it was told, counted for nothing. A batch that a partner did not confirm was logged and dropped, so that a stream could be known to one instance alone. And a fleet of one region counted any two silent instances as harmless, although from behind a cut they go on beginning streams that this side never hears of.

Evidence: connection_stream_origins_test, run on the code before: joined in six cases of fleets of two and three instances in one region (the seeker cut off during the take-up, cut off before it, frozen; the other instance running or ended), and a stream whose partners are silent stays at one instance of nine. Ruled out by the same test: fleets of four and eight, and two regions, where the remote partner answers, in these cases.

An instance whose timer ran half a second late says that its memory begins then; the field exists, so that earlier builds understand it. A partner that does not confirm within 600 ms is replaced, and if nobody does, the batch is sent again until its streams lapse; earlier builds accept a batch twice. In a fleet of one region, silent instances have to be fewer than know a stream of the other side; one whose machine refuses the connection has ended and is not silent, so that a take-up after a kill still goes on (tested with two and three instances). Messages and their number do not change while partners answer.

--- a/rattanweir/connection/stream_origins/stream_origin_exchange.cc
+++ b/rattanweir/connection/stream_origins/stream_origin_exchange.cc
@@ -22,7 +22,6 @@
 
 constexpr char kTellMethod[] = "stream_origins";
 constexpr char kAskMethod[] = "find_stream_origin";
-constexpr milliseconds kTellTimeout{ 1'000 };
 // How long members that are not seen any more may still begin streams.
 constexpr std::chrono::seconds kPartitionTime{ 10 };
 
@@ -46,10 +45,41 @@
   FoundOrigin m_found;
   // How far back the memories of the peers that have answered reach.
   std::map<InstanceId, nanoseconds> m_memories;
+  // Peers whose machine refused the connection: the process has ended.
+  std::set<InstanceId> m_ended;
   bool m_endsWithFirst = false;
   SteadyTime m_deadline;
 };
 
+// One batch of streams on its way to two partners.
+struct StreamOriginExchange::Delivery
+{
+  Delivery(StreamOriginBatches aBatches, SteadyTime aNow)
+    : m_batches(std::move(aBatches))
+  {
+    nanoseconds lifetime{};
+    for (const auto& [origin, batch] : m_batches) {
+      lifetime = std::max(lifetime, batch.m_lifetime);
+    }
+    m_expiresAt = aNow + lifetime;
+  }
+
+  StreamOriginBatches m_batches;
+  SteadyTime m_expiresAt;
+  // Returns the instances that are not to be sent the batch now.
+  std::set<InstanceId> Excluded() const
+  {
+    std::set<InstanceId> excluded = m_partners;
+    excluded.insert(m_failed.begin(), m_failed.end());
+    return excluded;
+  }
+
+  // The instances that have confirmed the batch or may still do so, and those
+  // that did not in this round.
+  std::set<InstanceId> m_partners;
+  std::set<InstanceId> m_failed;
+};
+
 // Calls that are made at once.
 struct StreamOriginExchange::Round
 {
@@ -77,7 +107,8 @@
   const StreamOriginExchangeOptions& aOptions)
   : m_options(aOptions)
   , m_origins({ .m_clock = aOptions.m_clock })
-  , m_startedAt(aOptions.m_clock.SteadyNow())
+  , m_receivesSince(aOptions.m_clock.SteadyNow())
+  , m_lastTickAt(m_receivesSince)
 {
   RegisterMethods();
   RegisterJsonMethods();
@@ -139,38 +170,105 @@
 StreamOriginExchange::SendBatches()
 {
   while (!m_stop.Reason()) {
+    CheckStandstill();
     if (!m_batches.empty()) {
-      const auto batches = std::make_shared<const StreamOriginBatches>(
-        std::exchange(m_batches, {}));
-      const ControlCall call{
-        .m_method = kTellMethod,
-        .m_writeParameters =
-          [batches](PackedWriter& aWriter) { WriteBatches(*batches, aWriter); },
-        .m_jsonParameters = [batches] { return BatchesToJson(*batches); },
-      };
-      for (const FleetMember* partner : PartnersOf(m_options.m_fleet)) {
-        asio::co_spawn(m_options.m_executor,
-                       SendBatch(partner->m_peerAddress, call),
-                       asio::detached);
+      const auto delivery = std::make_shared<Delivery>(
+        std::exchange(m_batches, {}), m_options.m_clock.SteadyNow());
+      for (const PartnerRole role :
+           { PartnerRole::Local, PartnerRole::Remote }) {
+        asio::co_spawn(
+          m_options.m_executor, Deliver(delivery, role), asio::detached);
       }
     }
     co_await WaitFor(m_options.m_executor, m_options.m_batchInterval, m_stop);
   }
 }
 
+void
+StreamOriginExchange::CheckStandstill()
+{
+  const SteadyTime now = m_options.m_clock.SteadyNow();
+  if (now - m_lastTickAt >
+      m_options.m_batchInterval + m_options.m_maxStandstill) {
+    m_receivesSince = now;
+    m_options.m_metrics.Count("rattanweir_stream_origin_standstills_total");
+    Log(LogLevel::Info,
+        "stream_origins_missed",
+        { { "stood_still_ms",
+            std::to_string(
+              std::chrono::duration_cast<milliseconds>(now - m_lastTickAt)
+                .count()) } });
+  }
+  m_lastTickAt = now;
+}
+
+nanoseconds
+StreamOriginExchange::Memory() const
+{
+  const SteadyTime now = m_options.m_clock.SteadyNow();
+  // The next tick notices that this instance has just stood still.
+  return now - m_lastTickAt >
+             m_options.m_batchInterval + m_options.m_maxStandstill
+           ? nanoseconds::zero()
+           : now - m_receivesSince;
+}
+
 Task<void>
+StreamOriginExchange::Deliver(std::shared_ptr<Delivery> aDelivery,
+                              PartnerRole aRole)
+{
+  const ControlCall call{
+    .m_method = kTellMethod,
+    .m_writeParameters =
+      [aDelivery](PackedWriter& aWriter) {
+        WriteBatches(aDelivery->m_batches, aWriter);
+      },
+    .m_jsonParameters =
+      [aDelivery] { return BatchesToJson(aDelivery->m_batches); },
+  };
+  while (!m_stop.Reason() &&
+         m_options.m_clock.SteadyNow() < aDelivery->m_expiresAt) {
+    const FleetMember* partner =
+      PartnerFor(m_options.m_fleet, aRole, aDelivery->Excluded());
+    if (partner == nullptr) {
+      const bool isComplete =
+        aDelivery->m_failed.empty() &&
+        (!m_options.m_fleet.LivePeers().empty() ||
+         m_options.m_fleet.SeenWithin(kPartitionTime).empty());
+      if (isComplete) {
+        // The other role's partner is the only peer, or there is none.
+        co_return;
+      }
+      aDelivery->m_failed.clear();
+      co_await WaitFor(m_options.m_executor, m_options.m_retryDelay, m_stop);
+      continue;
+    }
+    const InstanceId id = partner->m_id;
+    const Endpoint address = partner->m_peerAddress;
+    aDelivery->m_partners.insert(id);
+    if (co_await SendBatch(address, call)) {
+      co_return;
+    }
+    aDelivery->m_partners.erase(id);
+    aDelivery->m_failed.insert(id);
+  }
+}
+
+Task<bool>
 StreamOriginExchange::SendBatch(Endpoint aPeer, ControlCall aCall)
 {
   try {
-    const SteadyTime deadline = m_options.m_clock.SteadyNow() + kTellTimeout;
+    const SteadyTime deadline =
+      m_options.m_clock.SteadyNow() + m_options.m_tellTimeout;
     co_await m_options.m_caller.Call(aPeer, std::move(aCall), deadline);
     m_options.m_metrics.Count("rattanweir_stream_origin_batches_total");
+    co_return true;
   } catch (const std::exception& error) {
-    // This instance and the other partner still know the streams.
     m_options.m_metrics.Count("rattanweir_stream_origin_failures_total");
     Log(LogLevel::Debug,
         "stream_origins_not_told",
         { { "peer", aPeer.ToString() }, { "detail", error.what() } });
+    co_return false;
   }
 }
 
@@ -187,8 +285,7 @@
 OriginAnswer
 StreamOriginExchange::AnswerTo(StreamKey aKey) const
 {
-  return { .m_found = m_origins.Find(aKey),
-           .m_memory = m_options.m_clock.SteadyNow() - m_startedAt };
+  return { .m_found = m_origins.Find(aKey), .m_memory = Memory() };
 }
 
 std::shared_ptr<StreamOriginExchange::Search>
@@ -229,6 +326,7 @@
   }
   std::vector<FleetMember> peers = PeersIn(true);
   std::ranges::move(PeersIn(false), std::back_inserter(peers));
+  std::ranges::move(StaleHolders(aMaxAge), std::back_inserter(peers));
   co_await AskPeers(std::move(peers), search);
   if (!IsConclusive(HoldersIn(*search, aMaxAge))) {
     m_options.m_metrics.Count("rattanweir_stream_origins_inconclusive_total");
@@ -242,7 +340,7 @@
                                         nanoseconds aMaxAge)
 {
   constexpr std::size_t kPeersToAsk = 3;
-  if (m_options.m_clock.SteadyNow() - m_startedAt >= aMaxAge) {
+  if (Memory() >= aMaxAge) {
     co_return false;
   }
   std::vector<FleetMember> peers = PeersIn(false);
@@ -262,21 +360,40 @@
 StreamOriginExchange::HoldersIn(const Search& aSearch,
                                 nanoseconds aMaxAge) const
 {
-  const nanoseconds ownMemory = m_options.m_clock.SteadyNow() - m_startedAt;
   std::vector<OriginHolder> holders = {
     { .m_region = m_options.m_fleet.Self().m_region,
-      .m_isCovered = ownMemory >= aMaxAge },
+      .m_isCovered = Memory() >= aMaxAge },
   };
   for (const FleetMember* member :
        m_options.m_fleet.SeenWithin(aMaxAge + kPartitionTime)) {
     const auto memory = aSearch.m_memories.find(member->m_id);
+    const bool hasAnswered = memory != aSearch.m_memories.end();
     holders.push_back({ .m_region = member->m_region,
-                        .m_isCovered = memory != aSearch.m_memories.end() &&
-                                       memory->second >= aMaxAge });
+                        .m_isCovered = hasAnswered && memory->second >= aMaxAge,
+                        .m_isSilent = !hasAnswered && !aSearch.m_ended.contains(
+                                                        member->m_id) });
   }
   return holders;
 }
 
+std::vector<FleetMember>
+StreamOriginExchange::StaleHolders(nanoseconds aMaxAge) const
+{
+  const auto holders = m_options.m_fleet.SeenWithin(aMaxAge + kPartitionTime);
+  const auto live = m_options.m_fleet.LivePeers();
+  std::vector<FleetMember> stale;
+  if (holders.size() >= kOriginHolders) {
+    return stale;
+  }
+  for (const FleetMember* holder : holders) {
+    if (std::ranges::find(live, holder) == live.end()) {
+      stale.push_back(
+        { .m_id = holder->m_id, .m_peerAddress = holder->m_peerAddress });
+    }
+  }
+  return stale;
+}
+
 std::vector<FleetMember>
 StreamOriginExchange::PeersIn(bool aIsLocal) const
 {
@@ -346,6 +463,9 @@
     co_await m_options.m_caller.Call(
       aPeer.m_peerAddress, std::move(call), aRound->m_deadline);
   } catch (const std::exception& error) {
+    if (dynamic_cast<const ConnectionRefused*>(&error) != nullptr) {
+      aSearch->m_ended.insert(aPeer.m_id);
+    }
     m_options.m_metrics.Count("rattanweir_stream_origin_failures_total");
     Log(LogLevel::Debug,
         "stream_origin_not_asked",
@@ -354,52 +474,49 @@
   aRound->EndCall(*aSearch);
 }
 
-std::vector<const FleetMember*>
-PartnersOf(const FleetView& aFleet)
+const FleetMember*
+PartnerFor(const FleetView& aFleet,
+           PartnerRole aRole,
+           const std::set<InstanceId>& aExcluded)
 {
-  constexpr std::size_t kPartners = 2;
   const FleetMember& self = aFleet.Self();
   const std::string& ownId = self.m_id.Value();
   const std::uint64_t seed = XXH64(ownId.data(), ownId.size(), 0);
-  std::vector<std::pair<std::uint64_t, const FleetMember*>> weights;
+  // How well a peer suits the role; the hash decides between equals.
+  const auto suitability = [&](const FleetMember& aPeer) {
+    const bool isLocal = aPeer.m_region == self.m_region;
+    if (aRole == PartnerRole::Remote) {
+      return isLocal ? 0 : 1;
+    }
+    const int inRegion = aPeer.m_zone == self.m_zone ? 1 : 2;
+    return isLocal ? inRegion : 0;
+  };
+  const FleetMember* best = nullptr;
+  std::pair<int, std::uint64_t> bestRank;
   for (const FleetMember* peer : aFleet.LivePeers()) {
+    if (aExcluded.contains(peer->m_id)) {
+      continue;
+    }
     const std::string& id = peer->m_id.Value();
-    weights.emplace_back(XXH64(id.data(), id.size(), seed), peer);
-  }
-  std::ranges::sort(weights, std::greater<>());
-  std::vector<const FleetMember*> ranked;
-  ranked.reserve(weights.size());
-  for (const auto& [weight, peer] : weights) {
-    ranked.push_back(peer);
+    const std::pair rank(suitability(*peer), XXH64(id.data(), id.size(), seed));
+    if (best == nullptr || rank > bestRank) {
+      best = peer;
+      bestRank = rank;
+    }
   }
+  return best;
+}
+
+std::vector<const FleetMember*>
+PartnersOf(const FleetView& aFleet)
+{
   std::vector<const FleetMember*> partners;
-  const auto addFirst = [&](const auto& aPredicate) {
-    const auto found =
-      std::ranges::find_if(ranked, [&](const FleetMember* aPeer) {
-        return aPredicate(*aPeer) &&
-               std::ranges::find(partners, aPeer) == partners.end();
-      });
-    const bool isAdded = found != ranked.end();
-    if (isAdded) {
-      partners.push_back(*found);
+  std::set<InstanceId> chosen;
+  for (const PartnerRole role : { PartnerRole::Local, PartnerRole::Remote }) {
+    if (const FleetMember* partner = PartnerFor(aFleet, role, chosen)) {
+      partners.push_back(partner);
+      chosen.insert(partner->m_id);
     }
-    return isAdded;
-  };
-  const auto isLocal = [&](const FleetMember& aPeer) {
-    return aPeer.m_region == self.m_region;
-  };
-  const auto isInOtherZone = [&](const FleetMember& aPeer) {
-    return isLocal(aPeer) && aPeer.m_zone != self.m_zone;
-  };
-  const auto isRemote = [&](const FleetMember& aPeer) {
-    return !isLocal(aPeer);
-  };
-  if (!addFirst(isInOtherZone)) {
-    addFirst(isLocal);
-  }
-  addFirst(isRemote);
-  const auto isAny = [](const FleetMember&) { return true; };
-  while (partners.size() < kPartners && addFirst(isAny)) {
   }
   return partners;
 }
--- a/rattanweir/connection/stream_origins/stream_origin_exchange.h
+++ b/rattanweir/connection/stream_origins/stream_origin_exchange.h
@@ -10,7 +10,8 @@
 //
 // An instance tells its two partners which streams it has begun, in batches at
 // a short interval: one partner is in its own region, if possible in another
-// availability zone, and one in another region. An instance that does not know
+// availability zone, and one in another region. A partner that does not confirm
+// a batch is replaced by another instance. An instance that does not know
 // a stream asks the peers of its region, all at once, and then all others: the
 // stream is known unless its instance and both partners have ended. Callers
 // take up few streams, so the calls for this are rare, while streams begin all
@@ -19,7 +20,8 @@
 // Several streams may have a common key. One origin that some instances know
 // does not stand for all of them: after a restart of all instances, only the
 // streams that began since are known. `origin_coverage.h` decides whether the
-// answers are conclusive.
+// answers are conclusive. An instance that stood still, or was cut off from all
+// others, has missed batches: its memory reaches back only to the end of that.
 //
 // Not thread-safe. Must outlive the work that remains on the executor after
 // Stop.
@@ -42,6 +44,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace rattanweir {
@@ -58,6 +61,22 @@
   RpcDispatcher& m_jsonDispatcher;
   std::chrono::nanoseconds m_batchInterval{ std::chrono::milliseconds(100) };
   std::chrono::nanoseconds m_askTimeout{ std::chrono::milliseconds(500) };
+  // How long a partner may take to confirm a batch, and the delay before a
+  // batch that nobody confirmed is sent again.
+  std::chrono::nanoseconds m_tellTimeout{ std::chrono::milliseconds(600) };
+  std::chrono::nanoseconds m_retryDelay{ std::chrono::milliseconds(200) };
+  // Shorter than m_tellTimeout: an instance that stands still for longer may
+  // have missed a batch.
+  std::chrono::nanoseconds m_maxStandstill{ std::chrono::milliseconds(400) };
+};
+
+// What an instance is chosen for that is told of another one's streams.
+enum class PartnerRole
+{
+  // In the same region, if possible in another availability zone.
+  Local,
+  // In another region.
+  Remote,
 };
 
 class StreamOriginExchange final : public StreamOriginDirectory
@@ -88,9 +107,18 @@
 private:
   struct Search;
   struct Round;
+  struct Delivery;
 
   Task<void> SendBatches();
-  Task<void> SendBatch(Endpoint aPeer, ControlCall aCall);
+  // Sends a batch until an instance confirms it that suits the role, or until
+  // its streams have lapsed.
+  Task<void> Deliver(std::shared_ptr<Delivery> aDelivery, PartnerRole aRole);
+  // Returns whether the peer confirmed the batch.
+  Task<bool> SendBatch(Endpoint aPeer, ControlCall aCall);
+  // Notices that this instance stood still until now.
+  void CheckStandstill();
+  // Returns how far back this instance knows what it was told.
+  std::chrono::nanoseconds Memory() const;
   void RecordFromPeer(const StreamOriginBatches& aBatches);
   void RegisterMethods();
   void RegisterJsonMethods();
@@ -113,18 +141,32 @@
   // recently that no answer of the others is conclusive. Asks a few peers.
   Task<bool> HasFleetRestarted(std::shared_ptr<Search> aSearch,
                                std::chrono::nanoseconds aMaxAge);
+  // Returns the members that are not live any more and may still have to be
+  // asked, because the fleet is so small that each of them counts.
+  std::vector<FleetMember> StaleHolders(std::chrono::nanoseconds aMaxAge) const;
   // Returns the live peers in this region, or the others.
   std::vector<FleetMember> PeersIn(bool aIsLocal) const;
 
   StreamOriginExchangeOptions m_options;
   StreamOrigins m_origins;
-  SteadyTime m_startedAt;
+  // When this instance last began to receive what it is told: at its start, or
+  // after it had stood still.
+  SteadyTime m_receivesSince;
+  SteadyTime m_lastTickAt;
   StreamOriginBatches m_batches;
   CancelSource m_stop;
 };
 
-// Returns the live peers that this instance tells of its streams, by a hash of
-// both ids: two, if the fleet has as many.
+// Returns the live peer that suits the role best, by a hash of both ids,
+// without those that are excluded; null if there is none. If no peer suits, any
+// other is chosen.
+const FleetMember*
+PartnerFor(const FleetView& aFleet,
+           PartnerRole aRole,
+           const std::set<InstanceId>& aExcluded);
+
+// Returns the live peers that this instance tells of its streams: two, if the
+// fleet has as many.
 std::vector<const FleetMember*>
 PartnersOf(const FleetView& aFleet);
 
--- a/rattanweir/connection/stream_origins/stream_origin_exchange_test.cc
+++ b/rattanweir/connection/stream_origins/stream_origin_exchange_test.cc
@@ -39,28 +39,46 @@
 };
 
 // Connects the instances that run.
-class Network final : public Upstream
+struct Network
+{
+  std::map<Endpoint, PackedDispatcher*> m_instances;
+  // Pairs of instances between which calls get no response.
+  std::set<std::pair<Endpoint, Endpoint>> m_cuts;
+  std::size_t m_calls = 0;
+  std::size_t m_bytes = 0;
+};
+
+// An instance's side of the network.
+class NetworkSide final : public Upstream
 {
 public:
+  NetworkSide(Network& aNetwork, Endpoint aSelf)
+    : m_network(aNetwork)
+    , m_self(std::move(aSelf))
+  {
+  }
+
   Task<std::unique_ptr<UpstreamExchange>> Send(
     Endpoint aEndpoint,
     OutboundRequest aRequest,
     CancelSource& /*aCancel*/) override
   {
-    const auto found = m_instances.find(aEndpoint);
-    if (found == m_instances.end()) {
-      throw RequestError(
-        ResultCode::BackendConnectFailed, "unreachable", Ran::No);
+    const auto found = m_network.m_instances.find(aEndpoint);
+    if (m_network.m_cuts.contains({ m_self, aEndpoint })) {
+      throw RequestError(ResultCode::DeadlineExceeded, "silent");
+    }
+    if (found == m_network.m_instances.end()) {
+      throw ConnectionRefused("no process listens");
     }
-    ++m_calls;
-    m_bytes += aRequest.m_body->size();
+    ++m_network.m_calls;
+    m_network.m_bytes += aRequest.m_body->size();
     co_return std::make_unique<ImmediateExchange>(
       found->second->Handle(*aRequest.m_body));
   }
 
-  std::map<Endpoint, PackedDispatcher*> m_instances;
-  std::size_t m_calls = 0;
-  std::size_t m_bytes = 0;
+private:
+  Network& m_network;
+  Endpoint m_self;
 };
 
 FleetMember
@@ -93,8 +111,9 @@
   Instance(asio::io_context& aContext,
            Network& aNetwork,
            const FleetMember& aSelf)
-    : m_fleet({ .m_clock = SystemClock(), .m_self = aSelf })
-    , m_caller({ .m_upstream = aNetwork,
+    : m_side(aNetwork, aSelf.m_peerAddress)
+    , m_fleet({ .m_clock = SystemClock(), .m_self = aSelf })
+    , m_caller({ .m_upstream = m_side,
                  .m_clock = SystemClock(),
                  .m_metrics = m_metrics })
     , m_exchange({ .m_executor = aContext.get_executor(),
@@ -105,11 +124,13 @@
                    .m_dispatcher = m_dispatcher,
                    .m_jsonDispatcher = m_jsonDispatcher,
                    .m_batchInterval = milliseconds(5),
-                   .m_askTimeout = seconds(20) })
+                   .m_askTimeout = seconds(20),
+                   .m_retryDelay = milliseconds(20) })
   {
   }
 
   AgedClock m_clock;
+  NetworkSide m_side;
   FleetView m_fleet;
   Metrics m_metrics;
   ControlCaller m_caller;
@@ -130,7 +151,14 @@
     }
     for (std::size_t index = 0; index < aInstances; ++index) {
       m_instances.push_back(Start(index));
-      m_instances.back()->m_clock.m_age = aAge;
+    }
+    // The processes have run for this time already.
+    for (milliseconds age{}; age < aAge;) {
+      age = std::min(age + milliseconds(300), aAge);
+      for (const auto& instance : m_instances) {
+        instance->m_clock.m_age = age;
+      }
+      Run(milliseconds(7));
     }
   }
 
@@ -205,6 +233,37 @@
     return keys;
   }
 
+  // Cuts an instance off from the others, or connects it again.
+  void SetCut(std::size_t aInstance,
+              const std::vector<std::size_t>& aOthers,
+              bool aIsCut)
+  {
+    const Endpoint& self = m_members[aInstance].m_peerAddress;
+    for (const std::size_t other : aOthers) {
+      const Endpoint& peer = m_members[other].m_peerAddress;
+      for (const auto& pair :
+           { std::pair(self, peer), std::pair(peer, self) }) {
+        if (aIsCut) {
+          m_network.m_cuts.insert(pair);
+        } else {
+          m_network.m_cuts.erase(pair);
+        }
+      }
+    }
+  }
+
+  // Cuts an instance off from all others, or connects it again.
+  void SetIsolated(std::size_t aInstance, bool aIsCut)
+  {
+    std::vector<std::size_t> others;
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+      if (index != aInstance) {
+        others.push_back(index);
+      }
+    }
+    SetCut(aInstance, others, aIsCut);
+  }
+
   void End(std::size_t aInstance)
   {
     m_network.m_instances.erase(MemberOf(aInstance, 1).m_peerAddress);
@@ -375,6 +434,111 @@
   }
 }
 
+enum class OutOfStep
+{
+  // Cut off from all others until after the take-up.
+  Cut,
+  // The same, and connected again before the take-up.
+  CutBefore,
+  // Stood still.
+  Frozen,
+};
+
+// Guards against streams that go on at another version at an instance that has
+// missed what others told it.
+TEST_CASE("an instance that was out of step joins no streams")
+{
+  constexpr std::size_t kSeeker = 0;
+  constexpr milliseconds kMaxAge{ 2'000 };
+  const StreamOrigin other{ .m_pool = kOrigin.m_pool, .m_version = "v2" };
+  struct Row
+  {
+    OutOfStep m_fault;
+    // The instance that began the stream ends before the take-up.
+    bool m_hasEnded;
+  };
+  const Row rows[] = {
+    { OutOfStep::Cut, false },       { OutOfStep::Cut, true },
+    { OutOfStep::CutBefore, false }, { OutOfStep::CutBefore, true },
+    { OutOfStep::Frozen, false },    { OutOfStep::Frozen, true },
+  };
+  for (const std::size_t instances : { 2U, 3U, 4U, 8U }) {
+    for (const std::size_t zones : { 1U, 2U }) {
+      for (const Row& row : rows) {
+        CAPTURE(instances, zones, static_cast<int>(row.m_fault));
+        CAPTURE(row.m_hasEnded);
+        Fleet fleet(instances, zones, milliseconds(3'000));
+        const StreamKey common = StreamKeyOfContent(7);
+        Instance& seeker = *fleet.m_instances[kSeeker];
+        seeker.m_exchange.Record(common, kOrigin, seconds(60));
+        fleet.Run(milliseconds(50));
+        fleet.SetIsolated(kSeeker, true);
+        fleet.m_instances[1]->m_exchange.Record(common, other, seconds(60));
+        fleet.Run(milliseconds(100));
+        if (row.m_fault == OutOfStep::Frozen) {
+          seeker.m_clock.m_age += seconds(2);
+        }
+        if (row.m_fault == OutOfStep::CutBefore) {
+          fleet.SetIsolated(kSeeker, false);
+          fleet.Run(milliseconds(100));
+        }
+        if (row.m_hasEnded) {
+          fleet.m_instances[1]->m_exchange.Stop();
+          fleet.End(1);
+        }
+        if (row.m_fault == OutOfStep::Frozen) {
+          fleet.SetIsolated(kSeeker, false);
+        }
+        const auto found = fleet.FindCommon(kSeeker, common, kMaxAge);
+        CHECK(found != kOrigin);
+      }
+    }
+  }
+}
+
+// Guards against streams that only the instance that began them knows.
+TEST_CASE("a partner that does not confirm a stream is replaced")
+{
+  for (const std::size_t zones : { 1U, 3U }) {
+    Fleet fleet(9, zones);
+    const std::vector<const FleetMember*> partners =
+      PartnersOf(fleet.m_instances[0]->m_fleet);
+    REQUIRE(partners.size() == 2);
+    std::vector<std::size_t> silent;
+    for (const FleetMember* partner : partners) {
+      silent.push_back(partner->m_peerAddress.m_port - 1'000U);
+    }
+    fleet.SetCut(0, silent, true);
+    fleet.Begin(0, 5);
+    CHECK(fleet.Known() == 15);
+  }
+}
+
+TEST_CASE("a stream that no partner could be told of is told later")
+{
+  Fleet fleet(2, 1);
+  fleet.SetIsolated(0, true);
+  fleet.m_instances[0]->m_exchange.Record(
+    StreamKeyOfContent(7), kOrigin, seconds(60));
+  fleet.Run(milliseconds(100));
+  CHECK(fleet.Known() == 1);
+  fleet.SetIsolated(0, false);
+  fleet.RunUntil([&] { return fleet.Known() == 2; });
+}
+
+TEST_CASE("in a small fleet a stream is taken up after a process has ended")
+{
+  for (const std::size_t instances : { 2U, 3U }) {
+    CAPTURE(instances);
+    Fleet fleet(instances, 1, milliseconds(10'000));
+    const StreamKey common = StreamKeyOfContent(7);
+    fleet.m_instances[1]->m_exchange.Record(common, kOrigin, seconds(60));
+    fleet.RunUntil([&] { return fleet.Known() == instances; });
+    fleet.End(1);
+    CHECK(fleet.FindCommon(0, common, milliseconds(8'000)) == kOrigin);
+  }
+}
+
 TEST_CASE("a take-up after a restart of all asks few instances")
 {
   Fleet fleet(195, 3, milliseconds(0));
--- a/rattanweir/process/stream_origins/origin_coverage_test.cc
+++ b/rattanweir/process/stream_origins/origin_coverage_test.cc
@@ -7,12 +7,17 @@
 namespace rattanweir {
 namespace {
 
-// One letter for each instance: its region, in upper case if it is covered.
+// One letter for each instance: its region, in upper case if it is covered; or
+// a dot for a silent instance of region a.
 std::vector<OriginHolder>
 Holders(const std::string& aText)
 {
   std::vector<OriginHolder> holders;
   for (const char letter : aText) {
+    if (letter == '.') {
+      holders.push_back({ .m_region = RegionId("a"), .m_isSilent = true });
+      continue;
+    }
     const bool isCovered = letter >= 'A' && letter <= 'Z';
     holders.push_back(
       { .m_region = RegionId(std::string(
@@ -46,6 +51,18 @@
     Case{ "aaAA", true },
     Case{ "aaaA", false },
     Case{ "aA", true },
+    // One region, cut in two: those on the other side know streams that this
+    // side does not.
+    Case{ ".A", false },
+    Case{ ".AA", true },
+    Case{ "..A", false },
+    Case{ "..AA", true },
+    Case{ "...A", false },
+    Case{ "...AAAA", false },
+    Case{ ".aAA", true },
+    // Several regions: a partner is in another region.
+    Case{ ".AABB", true },
+    Case{ "..BB", false },
     Case{ "aa", false },
     Case{ "a", false },
     Case{ "", false });
