Streams of an unknown version are recorded as such

A stream that began at a server whose version is not certain (no usable version in its entry, a process that has started since under the same id, a peer of an earlier release) was not recorded at all. If another stream with the same content was known, its version stood for both, and the first one was taken up at that version.

Such a stream is recorded with an empty version. It makes the common key ambiguous beside any other version, and is refused by itself.

request_gateway_stream_version_test failed before: the take-up with a known twin was sent on.

--- a/rattanweir/process/stream_origins/stream_origins.h
+++ b/rattanweir/process/stream_origins/stream_origins.h
@@ -47,8 +47,11 @@
 struct StreamOrigin
 {
   PoolId m_pool;
+  // Empty if the version was not certain.
   std::string m_version;
 
+  bool HasVersion() const { return !m_version.empty(); }
+
   auto operator<=>(const StreamOrigin&) const = default;
 };
 
--- a/rattanweir/request/gateway/gateway_admission.cc
+++ b/rattanweir/request/gateway/gateway_admission.cc
@@ -258,12 +258,12 @@
     origin = co_await origins.FindCommon(
       ContentKeyOf(aRequest), maxAge, aRequest.m_deadline);
   }
-  const bool isPoolOfRoute =
-    origin &&
+  const bool isResumable =
+    origin && origin->HasVersion() &&
     std::ranges::any_of(aRequest.m_route.m_pools, [&](const PoolWeight& aPool) {
       return aPool.m_pool == origin->m_pool;
     });
-  if (!isPoolOfRoute) {
+  if (!isResumable) {
     RefuseRequest(ResultCode::StreamNotResumable, kNotResumableDetail);
   }
   aRequest.m_pool = origin->m_pool;
--- a/rattanweir/request/gateway/gateway_stream_version_test.cc
+++ b/rattanweir/request/gateway/gateway_stream_version_test.cc
@@ -102,6 +102,35 @@
   CHECK(fixture.SentTo(kEngineB) == 0);
 }
 
+// Guards against a stream that goes on at the version of another stream with
+// the same content, because its own version was not certain.
+TEST_CASE("a stream that began at an unknown version is not taken up, also "
+          "beside one whose version is known")
+{
+  for (const bool hasTwin : { false, true }) {
+    INFO("with a known twin: " << hasTwin);
+    GatewayFixture fixture;
+    fixture.m_fleet.MarkUnreachable(InstanceId("south-1"));
+    if (hasTwin) {
+      Remove(fixture, "e1");
+      PutVersion(fixture, "e2", "v1");
+      fixture.Script(kEngineB, SealedStream(1, 2));
+      CHECK(fixture.SendRequest(kStream).m_code == ResultCode::Ok);
+    }
+    Remove(fixture, "e2");
+    PutVersion(fixture, "e1", "");
+    fixture.Script(kEngineA, SealedStream(1, 2, false));
+    CHECK(fixture.SendRequest(kStream).m_code == ResultCode::AnswerIncomplete);
+    const std::size_t sent = fixture.m_upstream.m_sent.size();
+    PutVersion(fixture, "e2", "v1");
+    fixture.ScriptAll(SealedStream(3, 2));
+    const Outcome& outcome = fixture.SendRequest(
+      { .m_target = "/stream/1", .m_headers = { { "resume-after", "2" } } });
+    CHECK(outcome.m_code == ResultCode::StreamNotResumable);
+    CHECK(fixture.m_upstream.m_sent.size() == sent);
+  }
+}
+
 TEST_CASE("a stream whose version is not known, or gone, is refused at once")
 {
   BrokenStream stream;
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -785,11 +785,13 @@
 {
   const bool mayBeResumed = m_request.m_route.m_kind == RequestKind::Stream &&
                             m_request.m_route.m_resumesStreams;
-  if (!m_version || !mayBeResumed || m_request.m_forwardedBy) {
+  if (!mayBeResumed || m_request.m_forwardedBy) {
     return;
   }
+  // Streams of unknown versions are recorded too: another one with the same
+  // content must not stand for them.
   const StreamOrigin origin{ .m_pool = m_request.m_pool,
-                             .m_version = *m_version };
+                             .m_version = m_version.value_or("") };
   for (const StreamKey key :
        { StreamKeyOf(m_request.m_clientAccount, m_request.m_info.m_id),
          ContentKeyOf(m_request) }) {
