Stop: a server's own failure is forwarded if it will not be repeated

At an instance that is stopping, an idempotent request whose server failed got a 502 of the gateway in place of the server's answer: the failure was put aside for a repeat, which the instance then refused, since the response would outlive it.

The response is put aside only if the request may still be dispatched.

--- a/rattanweir/request/gateway/gateway_admission.cc
+++ b/rattanweir/request/gateway/gateway_admission.cc
@@ -270,14 +270,20 @@
   aRequest.m_softwareVersion = origin->m_version;
 }
 
+bool
+FitsServiceEnd(const GatewayState& aState, const AdmittedRequest& aRequest)
+{
+  const ServiceEndQuery query{ .m_route = aRequest.m_route,
+                               .m_deadline = aRequest.m_deadline };
+  return aState.m_serviceEnd.MayDispatch(query);
+}
+
 void
 CheckServiceEnd(const GatewayState& aState,
                 const AdmittedRequest& aRequest,
                 Ran aRan)
 {
-  const ServiceEndQuery query{ .m_route = aRequest.m_route,
-                               .m_deadline = aRequest.m_deadline };
-  if (!aState.m_serviceEnd.MayDispatch(query)) {
+  if (!FitsServiceEnd(aState, aRequest)) {
     throw RequestError(ResultCode::InstanceDraining,
                        "this instance may end before the response",
                        aRan);
--- a/rattanweir/request/gateway/gateway_admission.h
+++ b/rattanweir/request/gateway/gateway_admission.h
@@ -55,8 +55,12 @@
 Task<void>
 ResolveStreamOrigin(GatewayState& aState, AdmittedRequest& aRequest);
 
-// Throws RequestError with InstanceDraining if this instance is stopping and
-// the response is not expected before it ends.
+// Returns false if this instance is stopping and the response is not expected
+// before it ends.
+bool
+FitsServiceEnd(const GatewayState& aState, const AdmittedRequest& aRequest);
+
+// Throws RequestError with InstanceDraining unless FitsServiceEnd.
 void
 CheckServiceEnd(const GatewayState& aState,
                 const AdmittedRequest& aRequest,
--- a/rattanweir/request/gateway/gateway_service_end_test.cc
+++ b/rattanweir/request/gateway/gateway_service_end_test.cc
@@ -109,8 +109,10 @@
     fixture.Advance(milliseconds(25));
     CHECK(fixture.m_upstream.m_sent.size() == (isStopping ? 1 : 2));
     if (isStopping) {
-      CHECK(outcome.m_code == ResultCode::InstanceDraining);
-      CHECK(outcome.m_ran == Ran::Yes);
+      // The server's own failure.
+      REQUIRE(outcome.m_head);
+      CHECK(outcome.m_head->m_status == 500);
+      CHECK(outcome.m_isComplete);
     }
   }
 }
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -641,7 +641,7 @@
   const bool mayRetry =
     m_request.m_route.IsRetryable() &&
     m_report.m_possibleRuns + 1 < m_request.m_route.m_maxAttempts &&
-    !m_request.m_forwardedBy;
+    !m_request.m_forwardedBy && FitsServiceEnd(m_state, m_request);
   if (aHead.m_status >= kMinServerErrorStatus && mayRetry) {
     throw RequestError(ResultCode::BackendFailed,
                        "the backend server failed: status " +
