--- a/testing/planned_stop/planned_stop_test.cc
+++ b/testing/planned_stop/planned_stop_test.cc
@@ -229,6 +229,23 @@
     return m_server.m_runs.contains(aAnswer.m_id);
   }
 
+  // Publishes the next version of the configuration.
+  void PublishConfiguration()
+  {
+    m_store.Put("op/config",
+                R"({"version":)" + std::to_string(++m_version) +
+                  R"(,"routes":[)" + RouteText("/once/", "non_idempotent") +
+                  "," + RouteText("/read/", "idempotent") + "," +
+                  RouteText("/stream/", "streaming") + "," +
+                  RouteText("/resume/", "streaming") +
+                  R"(],"services":[{"name":"desk","maxConnections":1000}]})");
+    m_store.Put("servers/s1",
+                R"({"service":"desk","address":")" +
+                  m_server.Address().ToString() +
+                  R"(","zone":"north-a","slots":300,"state":"ready",)"
+                  R"("born":1,"sequence":1})");
+  }
+
   asio::io_context m_context;
   StandInStore m_store;
   TimedServer m_server;
@@ -248,23 +265,8 @@
            (aPrefix == "/resume/" ? R"(,"resumable":true)" : "") + "}";
   }
 
-  void PublishConfiguration()
-  {
-    m_store.Put("op/config",
-                R"({"version":1,"routes":[)" +
-                  RouteText("/once/", "non_idempotent") + "," +
-                  RouteText("/read/", "idempotent") + "," +
-                  RouteText("/stream/", "streaming") + "," +
-                  RouteText("/resume/", "streaming") +
-                  R"(],"services":[{"name":"desk","maxConnections":1000}]})");
-    m_store.Put("servers/s1",
-                R"({"service":"desk","address":")" +
-                  m_server.Address().ToString() +
-                  R"(","zone":"north-a","slots":300,"state":"ready",)"
-                  R"("born":1,"sequence":1})");
-  }
-
   int m_lastId = 0;
+  int m_version = 0;
 };
 
 // Guards against requests that a stopping instance accepts and cuts at its end.
@@ -320,6 +322,66 @@
         static_cast<std::ptrdiff_t>(sent));
 }
 
+// Guards against needless refusals where the shutdown timeout is long.
+TEST_CASE("late requests are served if their deadline lies before the end")
+{
+  StoppedInstance instance(30);
+  std::vector<Answer> answers;
+  instance.Run([&]() -> Task<void> {
+    instance.m_process->Signal(SIGTERM);
+    for (const char* route : kRoutes) {
+      instance.Start(milliseconds(3'000), std::string(route) + "long", answers);
+    }
+    co_await instance.WaitForExit();
+    co_await instance.Sleep(milliseconds(200));
+  });
+  REQUIRE(answers.size() == 4);
+  for (const Answer& answer : answers) {
+    CHECK(answer.m_status == 200);
+  }
+}
+
+TEST_CASE("signals and changes during a stop neither prolong nor cut it short")
+{
+  StoppedInstance instance(4);
+  std::vector<Answer> answers;
+  SteadyTime signalledAt;
+  SteadyTime endedAt;
+  instance.Run([&]() -> Task<void> {
+    co_await instance.ServeShortRequests(10);
+    instance.Start({}, "/once/hang", answers);
+    co_await instance.Sleep(milliseconds(100));
+    signalledAt = SystemClock().SteadyNow();
+    instance.m_process->Signal(SIGTERM);
+    for (int delay = 100; delay <= 1'000; delay += 100) {
+      instance.Start(milliseconds(delay), "/read/short", answers);
+    }
+    for (const int signal : { SIGTERM, SIGHUP, SIGTERM, SIGINT }) {
+      co_await instance.Sleep(milliseconds(200));
+      instance.m_process->Signal(signal);
+      instance.PublishConfiguration();
+    }
+    co_await instance.WaitForExit();
+    endedAt = SystemClock().SteadyNow();
+    co_await instance.Sleep(milliseconds(200));
+  });
+  CHECK(endedAt - signalledAt > milliseconds(3'300));
+  CHECK(endedAt - signalledAt < milliseconds(4'000));
+  REQUIRE(answers.size() == 11);
+  CHECK(std::ranges::count(answers, 200U, &Answer::m_status) == 10);
+  CHECK(std::ranges::count(answers, 502U, &Answer::m_status) == 1);
+}
+
+TEST_CASE("an instance that is still starting does not wait for its timeout")
+{
+  StoppedInstance instance(30);
+  instance.m_store.m_isDown = true;
+  const SteadyTime signalledAt = SystemClock().SteadyNow();
+  instance.m_process->Signal(SIGTERM);
+  instance.Run([&]() -> Task<void> { co_await instance.WaitForExit(); });
+  CHECK(SystemClock().SteadyNow() - signalledAt < seconds(10));
+}
+
 // Guards against connections that end without an answer.
 TEST_CASE("a stopping instance answers what it cannot wait for")
 {
