--- a/rattanweir/connection/stream_origins/stream_origin_exchange_test.cc
+++ b/rattanweir/connection/stream_origins/stream_origin_exchange_test.cc
@@ -505,6 +505,7 @@
       PartnersOf(fleet.m_instances[0]->m_fleet);
     REQUIRE(partners.size() == 2);
     std::vector<std::size_t> silent;
+    silent.reserve(partners.size());
     for (const FleetMember* partner : partners) {
       silent.push_back(partner->m_peerAddress.m_port - 1'000U);
     }
--- a/rattanweir/request/gateway/gateway_service_end_test.cc
+++ b/rattanweir/request/gateway/gateway_service_end_test.cc
@@ -71,8 +71,10 @@
     }
   }
   fixture.m_fleet.MarkUnreachable(InstanceId("south-1"));
+  constexpr std::size_t kRequests = 100;
   std::vector<Outcome*> outcomes;
-  for (int count = 0; count < 100; ++count) {
+  outcomes.reserve(kRequests);
+  for (std::size_t count = 0; count < kRequests; ++count) {
     outcomes.push_back(&fixture.Start(kWrite));
   }
   const std::size_t sent = fixture.m_upstream.m_sent.size();
--- a/testing/planned_stop/planned_stop_test.cc
+++ b/testing/planned_stop/planned_stop_test.cc
@@ -385,14 +385,14 @@
 // Guards against connections that end without an answer.
 TEST_CASE("a stopping instance answers what it cannot wait for")
 {
-  constexpr int kRequestsPerRoute = 50;
+  constexpr std::size_t kRequestsPerRoute = 50;
   for (const int shutdownSeconds : { 2, 4 }) {
     INFO("shutdown timeout " << shutdownSeconds << " s");
     StoppedInstance instance(shutdownSeconds);
     std::vector<Answer> answers;
     instance.Run([&]() -> Task<void> {
       for (const char* route : kRoutes) {
-        for (int count = 0; count < kRequestsPerRoute; ++count) {
+        for (std::size_t count = 0; count < kRequestsPerRoute; ++count) {
           instance.Start({}, std::string(route) + "hang", answers);
         }
       }
