--- a/rattanweir/connection/stream_origins/stream_origin_exchange.cc
+++ b/rattanweir/connection/stream_origins/stream_origin_exchange.cc
@@ -64,8 +64,6 @@
     m_expiresAt = aNow + lifetime;
   }
 
-  StreamOriginBatches m_batches;
-  SteadyTime m_expiresAt;
   // Returns the instances that are not to be sent the batch now.
   std::set<InstanceId> Excluded() const
   {
@@ -74,6 +72,8 @@
     return excluded;
   }
 
+  StreamOriginBatches m_batches;
+  SteadyTime m_expiresAt;
   // The instances that have confirmed the batch or may still do so, and those
   // that did not in this round.
   std::set<InstanceId> m_partners;
