Stream origins: the test does not depend on how late its own thread is

Its log shows the cause: all instances share one thread and the system's clock; that thread was 574 to 685 ms late, and each instance rightly noted that it had stood still, which makes take-ups inconclusive.

The checks stay as they are. Instances of tests that are not about standing still don't notice it; in the one that is, they notice a second, and stand still for two.

--- a/rattanweir/connection/stream_origins/stream_origin_exchange_test.cc
+++ b/rattanweir/connection/stream_origins/stream_origin_exchange_test.cc
@@ -106,11 +106,16 @@
   milliseconds m_age{};
 };
 
+// All instances of a test share one thread, which may be late. Only tests of
+// instances that stand still let them notice that.
+constexpr std::chrono::hours kNeverStandsStill{ 24 };
+
 struct Instance
 {
   Instance(asio::io_context& aContext,
            Network& aNetwork,
-           const FleetMember& aSelf)
+           const FleetMember& aSelf,
+           std::chrono::nanoseconds aMaxStandstill)
     : m_side(aNetwork, aSelf.m_peerAddress)
     , m_fleet({ .m_clock = SystemClock(), .m_self = aSelf })
     , m_caller({ .m_upstream = m_side,
@@ -125,7 +130,8 @@
                    .m_jsonDispatcher = m_jsonDispatcher,
                    .m_batchInterval = milliseconds(5),
                    .m_askTimeout = seconds(20),
-                   .m_retryDelay = milliseconds(20) })
+                   .m_retryDelay = milliseconds(20),
+                   .m_maxStandstill = aMaxStandstill })
   {
   }
 
@@ -144,7 +150,9 @@
 public:
   Fleet(std::size_t aInstances,
         std::size_t aZones,
-        milliseconds aAge = milliseconds(0))
+        milliseconds aAge = milliseconds(0),
+        std::chrono::nanoseconds aMaxStandstill = kNeverStandsStill)
+    : m_maxStandstill(aMaxStandstill)
   {
     for (std::size_t index = 0; index < aInstances; ++index) {
       m_members.push_back(MemberOf(index, aZones));
@@ -173,7 +181,8 @@
   std::unique_ptr<Instance> Start(std::size_t aIndex)
   {
     const FleetMember& self = m_members[aIndex];
-    auto instance = std::make_unique<Instance>(m_context, m_network, self);
+    auto instance =
+      std::make_unique<Instance>(m_context, m_network, self, m_maxStandstill);
     instance->m_fleet.Merge(m_members, self.m_id);
     instance->m_exchange.Start();
     m_network.m_instances[self.m_peerAddress] = &instance->m_dispatcher;
@@ -307,6 +316,7 @@
     return found;
   }
 
+  std::chrono::nanoseconds m_maxStandstill;
   asio::io_context m_context;
   Network m_network;
   std::vector<FleetMember> m_members;
@@ -467,7 +477,7 @@
       for (const Row& row : rows) {
         CAPTURE(instances, zones, static_cast<int>(row.m_fault));
         CAPTURE(row.m_hasEnded);
-        Fleet fleet(instances, zones, milliseconds(3'000));
+        Fleet fleet(instances, zones, milliseconds(3'000), milliseconds(1'000));
         const StreamKey common = StreamKeyOfContent(7);
         Instance& seeker = *fleet.m_instances[kSeeker];
         seeker.m_exchange.Record(common, kOrigin, seconds(60));
