Stop: durations of another pool or a shorter timeout don't count

What callers saw: nothing yet; found in looking for the cause of LOST elsewhere. A route that moves to another service kept the durations of the former one, and a longer timeout those of responses that the shorter one may have ended: after either, a stopping instance takes requests on that may outlive it.

Cause: durations were kept by route alone, whatever the configuration said of it. Now they are kept by route and pool, and forgotten if the timeout becomes longer and the longest response took more than half of the former one. The pool is drawn before the check at admission.

process_service_end_test: without the check of the timeout 40 of 41 ("durations that a shorter timeout may have ended are forgotten" fails), with it 41 of 41. The pool: by reading, since the old interface could not express it. request_gateway_service_end_test 150 of 150.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -456,11 +456,7 @@
 FleetDaemon::ApplyConfig(const FleetConfig& aConfig)
 {
   m_rates.Configure(aConfig);
-  std::set<RouteId> routes;
-  for (const FleetRoute& route : aConfig.Routes()) {
-    routes.insert(route.m_id);
-  }
-  m_serviceEnd.KeepOnly(routes);
+  m_serviceEnd.Configure(aConfig.Routes());
   CallerLimits limits = m_settings.m_callerLimits;
   limits.m_headerBytes = aConfig.Limits().m_headerBytes;
   limits.m_bodyBytes = aConfig.Limits().m_bodyBytes;
--- a/rattanweir/process/service_end/service_end.cc
+++ b/rattanweir/process/service_end/service_end.cc
@@ -1,23 +1,40 @@
 #include "rattanweir/process/service_end/service_end.h"
 
 #include <algorithm>
+#include <set>
 
 namespace rattanweir {
 namespace {
 
 using std::chrono::nanoseconds;
 
-// With fewer responses, the durations of a route count as unknown.
+// With fewer responses, the durations of a class count as uncertain.
 constexpr std::size_t kMinRuns = 8;
 // A duration is usual if 95 in 100 responses take no longer.
 constexpr std::size_t kUsualPercent = 95;
 constexpr std::size_t kPercent = 100;
-// A request that can't be repeated is sent only if the time that is left is
-// this many times the longest response.
+// A response fits safely if the time that is left is this many times the
+// longest one known.
 constexpr int kSafetyFactor = 2;
+// Durations up to this part of the timeout don't come close to it.
+constexpr int kTimeoutFraction = 2;
+
+bool
+IsCertain(const RunSummary& aRuns)
+{
+  return aRuns.m_count >= kMinRuns;
+}
 
 } // namespace
 
+void
+RunSummary::Merge(const RunSummary& aOther)
+{
+  m_count += aOther.m_count;
+  m_usual = std::max(m_usual, aOther.m_usual);
+  m_longest = std::max(m_longest, aOther.m_longest);
+}
+
 void
 ServiceEnd::RunDurations::Add(nanoseconds aDuration)
 {
@@ -41,18 +58,42 @@
              *std::max_element(runs.begin() + index, runs.begin() + m_count) };
 }
 
+bool
+ServiceEnd::MayBeTruncated(const RunSummary& aRuns,
+                           const FleetRoute& aRoute) const
+{
+  const auto before = m_timeouts.find(aRoute.m_id);
+  return before != m_timeouts.end() && aRoute.m_timeout > before->second &&
+         kTimeoutFraction * aRuns.m_longest > before->second;
+}
+
 void
-ServiceEnd::RecordRun(const RouteId& aRoute, nanoseconds aDuration)
+ServiceEnd::Configure(const std::vector<FleetRoute>& aRoutes)
 {
-  m_durations[aRoute].Add(aDuration);
+  std::set<RunClass> known;
+  for (const FleetRoute& route : aRoutes) {
+    for (const PoolWeight& pool : route.m_pools) {
+      const RunClass runClass{ .m_route = route.m_id, .m_pool = pool.m_pool };
+      if (!MayBeTruncated(RunsOf(runClass), route)) {
+        known.insert(runClass);
+      }
+    }
+  }
+  const auto isUnknown = [&](const auto& aEntry) {
+    return !known.contains(aEntry.first);
+  };
+  std::erase_if(m_durations, isUnknown);
+  std::erase_if(m_peerRuns, isUnknown);
+  m_timeouts.clear();
+  for (const FleetRoute& route : aRoutes) {
+    m_timeouts[route.m_id] = route.m_timeout;
+  }
 }
 
 void
-ServiceEnd::KeepOnly(const std::set<RouteId>& aRoutes)
+ServiceEnd::RecordRun(const RunClass& aClass, nanoseconds aDuration)
 {
-  std::erase_if(m_durations, [&](const auto& aEntry) {
-    return !aRoutes.contains(aEntry.first);
-  });
+  m_durations[aClass].Add(aDuration);
 }
 
 void
@@ -62,6 +103,54 @@
   m_end = aEnd;
 }
 
+RunSummaries
+ServiceEnd::LocalRuns() const
+{
+  RunSummaries runs;
+  for (const auto& [runClass, durations] : m_durations) {
+    runs.emplace(runClass, durations.Summary());
+  }
+  return runs;
+}
+
+void
+ServiceEnd::AddPeerRuns(const RunSummaries& aRuns)
+{
+  for (const auto& [runClass, runs] : aRuns) {
+    m_peerRuns[runClass].Merge(runs);
+  }
+}
+
+RunSummary
+ServiceEnd::RunsOf(const RunClass& aClass) const
+{
+  RunSummary runs;
+  if (const auto own = m_durations.find(aClass); own != m_durations.end()) {
+    runs.Merge(own->second.Summary());
+  }
+  if (const auto peers = m_peerRuns.find(aClass); peers != m_peerRuns.end()) {
+    runs.Merge(peers->second);
+  }
+  return runs;
+}
+
+RunSummary
+ServiceEnd::RunsOfPool(const PoolId& aPool) const
+{
+  RunSummary runs;
+  for (const auto& [runClass, durations] : m_durations) {
+    if (runClass.m_pool == aPool) {
+      runs.Merge(durations.Summary());
+    }
+  }
+  for (const auto& [runClass, peerRuns] : m_peerRuns) {
+    if (runClass.m_pool == aPool) {
+      runs.Merge(peerRuns);
+    }
+  }
+  return runs;
+}
+
 ServiceEndDecision
 ServiceEnd::Decide(const ServiceEndQuery& aQuery) const
 {
@@ -69,27 +158,24 @@
   if (!m_announcedAt) {
     return decision;
   }
+  const FleetRoute& route = aQuery.m_route;
   const SteadyTime now = m_options.m_clock.SteadyNow();
   const nanoseconds left = m_end - now;
   decision.m_timeLeft = left;
-  if (const auto known = m_durations.find(aQuery.m_route.m_id);
-      known != m_durations.end()) {
-    decision.m_runs = known->second.Summary();
-  }
+  decision.m_runs = RunsOf({ .m_route = route.m_id, .m_pool = aQuery.m_pool });
   if (aQuery.m_deadline <= m_end) {
     return decision;
   }
-  const RunSummary& runs = decision.m_runs;
-  const bool isKnown = runs.m_count >= kMinRuns;
   const bool isEarly = now - *m_announcedAt < m_options.m_noticeTime;
-  if (!aQuery.m_route.IsRetryable()) {
+  const bool isKnown = IsCertain(decision.m_runs);
+  if (!route.IsRetryable()) {
     decision.m_maySend =
-      isEarly && isKnown && kSafetyFactor * runs.m_longest <= left;
+      isEarly && isKnown && kSafetyFactor * decision.m_runs.m_longest <= left;
   } else if (isEarly) {
-    decision.m_maySend = !isKnown || runs.m_usual <= left;
+    decision.m_maySend = !isKnown || decision.m_runs.m_usual <= left;
   } else {
-    decision.m_maySend = aQuery.m_route.m_kind == RequestKind::Idempotent &&
-                         isKnown && runs.m_usual <= left;
+    decision.m_maySend = route.m_kind == RequestKind::Idempotent && isKnown &&
+                         decision.m_runs.m_usual <= left;
   }
   return decision;
 }
--- a/rattanweir/process/service_end/service_end.h
+++ b/rattanweir/process/service_end/service_end.h
@@ -2,9 +2,12 @@
 // Used on the users' platform (settings with `fleet`).
 //
 //   ServiceEnd end({ .m_clock = clock });
-//   end.RecordRun(route.m_id, duration);       // for each response
+//   end.Configure(config.Routes());
+//   end.RecordRun({ .m_route = route, .m_pool = pool }, duration);
 //   end.Announce(clock.SteadyNow() + 7s);      // at the stop signal
-//   if (!end.MayDispatch({ .m_route = route, .m_deadline = deadline })) ...
+//   if (!end.MayDispatch({ .m_route = route, .m_pool = pool,
+//                          .m_begunAt = begunAt,
+//                          .m_deadline = deadline })) ...
 //
 // Once the stop is announced, a request is sent only if its response is
 // expected before the instance ends. A request whose deadline lies before the
@@ -30,10 +33,11 @@
 
 #include <array>
 #include <chrono>
+#include <compare>
 #include <cstddef>
 #include <map>
 #include <optional>
-#include <set>
+#include <vector>
 
 namespace rattanweir {
 
@@ -46,10 +50,13 @@
   std::chrono::nanoseconds m_noticeTime{ std::chrono::milliseconds(2'800) };
 };
 
-struct ServiceEndQuery
+// Requests whose responses are expected to take similar times.
+struct RunClass
 {
-  const FleetRoute& m_route;
-  SteadyTime m_deadline;
+  RouteId m_route;
+  PoolId m_pool;
+
+  auto operator<=>(const RunClass&) const = default;
 };
 
 // The durations of recent responses.
@@ -59,6 +66,21 @@
   // 95 in 100 took no longer.
   std::chrono::nanoseconds m_usual{};
   std::chrono::nanoseconds m_longest{};
+
+  // Adds responses that another instance has seen, or of another class. The
+  // usual duration becomes the higher one.
+  void Merge(const RunSummary& aOther);
+};
+
+using RunSummaries = std::map<RunClass, RunSummary>;
+
+struct ServiceEndQuery
+{
+  const FleetRoute& m_route;
+  PoolId m_pool;
+  // When the first bytes of the request arrived.
+  SteadyTime m_begunAt;
+  SteadyTime m_deadline;
 };
 
 // Whether a request may be sent by an instance that is stopping, and why.
@@ -79,15 +101,24 @@
   {
   }
 
-  // Records the time from the dispatch of a request to the end of its response.
-  void RecordRun(const RouteId& aRoute, std::chrono::nanoseconds aDuration);
+  // Forgets the durations of routes that are gone, of pools that a route does
+  // not use any more, and of routes whose timeout was so short before that it
+  // may have ended their longer responses.
+  void Configure(const std::vector<FleetRoute>& aRoutes);
 
-  // Forgets the durations of all other routes.
-  void KeepOnly(const std::set<RouteId>& aRoutes);
+  // Records the time from the dispatch of a request to the end of its response.
+  void RecordRun(const RunClass& aClass, std::chrono::nanoseconds aDuration);
 
   // Announces that responses in progress at `aEnd` will be cut.
   void Announce(SteadyTime aEnd);
 
+  // Returns the durations that this instance has recorded, for a peer that is
+  // stopping.
+  RunSummaries LocalRuns() const;
+
+  // Adds the durations that a peer has recorded.
+  void AddPeerRuns(const RunSummaries& aRuns);
+
   bool IsAnnounced() const { return m_announcedAt.has_value(); }
 
   // Returns when the stop was announced.
@@ -104,7 +135,7 @@
   ServiceEndDecision Decide(const ServiceEndQuery& aQuery) const;
 
 private:
-  // The durations of the last responses on a route.
+  // The durations of the last responses of a class.
   class RunDurations
   {
   public:
@@ -119,8 +150,19 @@
     std::size_t m_next = 0;
   };
 
+  // Returns what this instance and its peers know of the class.
+  RunSummary RunsOf(const RunClass& aClass) const;
+  // Returns the same of all routes to the pool.
+  RunSummary RunsOfPool(const PoolId& aPool) const;
+  // Returns whether the timeout of the route was so short that responses which
+  // it ended may be missing from the durations.
+  bool MayBeTruncated(const RunSummary& aRuns, const FleetRoute& aRoute) const;
+
   ServiceEndOptions m_options;
-  std::map<RouteId, RunDurations> m_durations;
+  std::map<RunClass, RunDurations> m_durations;
+  RunSummaries m_peerRuns;
+  // The routes' timeouts in the configuration before.
+  std::map<RouteId, std::chrono::nanoseconds> m_timeouts;
   std::optional<SteadyTime> m_announcedAt;
   SteadyTime m_end;
 };
--- a/rattanweir/process/service_end/service_end_test.cc
+++ b/rattanweir/process/service_end/service_end_test.cc
@@ -13,12 +13,46 @@
 constexpr seconds kLife{ 7 };
 constexpr milliseconds kLongTimeout{ 8'000 };
 
+const PoolId kPool("pool");
+
 FleetRoute
 Route(RequestKind aKind, bool aResumesStreams = false)
 {
   return { .m_id = RouteId("route"),
            .m_kind = aKind,
-           .m_resumesStreams = aResumesStreams };
+           .m_resumesStreams = aResumesStreams,
+           .m_pools = { { .m_pool = kPool } },
+           .m_timeout = kLongTimeout };
+}
+
+RunClass
+ClassOf(const FleetRoute& aRoute)
+{
+  return { .m_route = aRoute.m_id, .m_pool = aRoute.m_pools.front().m_pool };
+}
+
+void
+RecordRuns(ServiceEnd& aEnd,
+           const FleetRoute& aRoute,
+           int aCount,
+           milliseconds aDuration)
+{
+  for (int run = 0; run < aCount; ++run) {
+    aEnd.RecordRun(ClassOf(aRoute), aDuration);
+  }
+}
+
+// Returns whether a request that arrives now is sent.
+bool
+IsSent(const ManualClock& aClock,
+       const ServiceEnd& aEnd,
+       const FleetRoute& aRoute,
+       milliseconds aTimeout)
+{
+  return aEnd.MayDispatch({ .m_route = aRoute,
+                            .m_pool = aRoute.m_pools.front().m_pool,
+                            .m_begunAt = aClock.SteadyNow(),
+                            .m_deadline = aClock.SteadyNow() + aTimeout });
 }
 
 const FleetRoute kIdempotent = Route(RequestKind::Idempotent);
@@ -112,16 +146,11 @@
     INFO(row.m_name);
     ManualClock clock;
     ServiceEnd end({ .m_clock = clock });
-    for (int run = 0; run < 10 && row.m_runs.count() > 0; ++run) {
-      end.RecordRun(row.m_route.m_id, row.m_runs);
-    }
-    CHECK(end.MayDispatch({ .m_route = row.m_route,
-                            .m_deadline = clock.SteadyNow() + seconds(60) }));
+    RecordRuns(end, row.m_route, row.m_runs.count() > 0 ? 10 : 0, row.m_runs);
+    CHECK(IsSent(clock, end, row.m_route, seconds(60)));
     end.Announce(clock.SteadyNow() + kLife);
     clock.Advance(row.m_sinceSignal);
-    CHECK(end.MayDispatch({ .m_route = row.m_route,
-                            .m_deadline = clock.SteadyNow() +
-                                          row.m_timeout }) == row.m_isSent);
+    CHECK(IsSent(clock, end, row.m_route, row.m_timeout) == row.m_isSent);
   }
 }
 
@@ -129,41 +158,62 @@
 {
   ManualClock clock;
   ServiceEnd end({ .m_clock = clock });
-  for (int run = 0; run < 3; ++run) {
-    end.RecordRun(kIdempotent.m_id, milliseconds(20));
-  }
+  RecordRuns(end, kIdempotent, 3, milliseconds(20));
   end.Announce(clock.SteadyNow() + kLife);
   clock.Advance(milliseconds(3'100));
-  CHECK_FALSE(end.MayDispatch(
-    { .m_route = kIdempotent, .m_deadline = clock.SteadyNow() + kLife }));
+  CHECK_FALSE(IsSent(clock, end, kIdempotent, kLife));
 }
 
 TEST_CASE("a rare long response keeps a request that runs once from being sent")
 {
   ManualClock clock;
   ServiceEnd end({ .m_clock = clock });
-  for (int run = 0; run < 63; ++run) {
-    end.RecordRun(kOnce.m_id, milliseconds(20));
-  }
-  end.RecordRun(kOnce.m_id, seconds(5));
+  RecordRuns(end, kOnce, 63, milliseconds(20));
+  RecordRuns(end, kOnce, 1, seconds(5));
   end.Announce(clock.SteadyNow() + kLife);
   clock.Advance(seconds(1));
-  const SteadyTime deadline = clock.SteadyNow() + seconds(7);
-  CHECK_FALSE(end.MayDispatch({ .m_route = kOnce, .m_deadline = deadline }));
-  CHECK(end.MayDispatch({ .m_route = kIdempotent, .m_deadline = deadline }));
+  CHECK_FALSE(IsSent(clock, end, kOnce, seconds(7)));
+  CHECK(IsSent(clock, end, kIdempotent, seconds(7)));
 }
 
 TEST_CASE("durations of routes that are gone are forgotten")
 {
   ManualClock clock;
   ServiceEnd end({ .m_clock = clock });
-  for (int run = 0; run < 10; ++run) {
-    end.RecordRun(kOnce.m_id, milliseconds(20));
-  }
-  end.KeepOnly({});
+  RecordRuns(end, kOnce, 10, milliseconds(20));
+  end.Configure({});
   end.Announce(clock.SteadyNow() + kLife);
-  CHECK_FALSE(end.MayDispatch(
-    { .m_route = kOnce, .m_deadline = clock.SteadyNow() + kLongTimeout }));
+  CHECK_FALSE(IsSent(clock, end, kOnce, kLongTimeout));
+}
+
+TEST_CASE("a route that moves to another pool is not judged by the former one")
+{
+  FleetRoute moved = kOnce;
+  moved.m_pools = { { .m_pool = PoolId("next") } };
+  ManualClock clock;
+  ServiceEnd end({ .m_clock = clock });
+  end.Configure({ kOnce });
+  RecordRuns(end, kOnce, 10, milliseconds(60));
+  end.Configure({ moved });
+  end.Announce(clock.SteadyNow() + kLife);
+  clock.Advance(milliseconds(1'700));
+  CHECK_FALSE(IsSent(clock, end, moved, seconds(6)));
+}
+
+TEST_CASE("durations that a shorter timeout may have ended are forgotten")
+{
+  for (const bool isClose : { false, true }) {
+    FleetRoute before = kOnce;
+    before.m_timeout = seconds(1);
+    ManualClock clock;
+    ServiceEnd end({ .m_clock = clock });
+    end.Configure({ before });
+    RecordRuns(end, before, 10, milliseconds(isClose ? 900 : 60));
+    end.Configure({ kOnce });
+    end.Announce(clock.SteadyNow() + kLife);
+    clock.Advance(milliseconds(1'700));
+    CHECK(IsSent(clock, end, kOnce, seconds(6)) == !isClose);
+  }
 }
 
 } // namespace
--- a/rattanweir/request/gateway/gateway_admission.cc
+++ b/rattanweir/request/gateway/gateway_admission.cc
@@ -274,7 +274,10 @@
 ServiceEndQuery
 ServiceEndQueryFor(const AdmittedRequest& aRequest)
 {
-  return { .m_route = aRequest.m_route, .m_deadline = aRequest.m_deadline };
+  return { .m_route = aRequest.m_route,
+           .m_pool = aRequest.m_pool,
+           .m_begunAt = aRequest.m_begunAt,
+           .m_deadline = aRequest.m_deadline };
 }
 
 void
@@ -345,8 +348,8 @@
   if (request.m_deadline <= aState.m_clock.SteadyNow()) {
     RefuseRequest(ResultCode::DeadlineTooShort, "the deadline has passed");
   }
-  CheckServiceEnd(aState, request);
   request.m_pool = ChoosePool(request.m_route, aState.m_random);
+  CheckServiceEnd(aState, request);
   SetSuspects(request);
   CheckQuarantine(aState, request);
   ConsumeRateTokens(aState, request);
--- a/rattanweir/request/gateway/gateway_service_end_test.cc
+++ b/rattanweir/request/gateway/gateway_service_end_test.cc
@@ -96,7 +96,8 @@
   for (const bool isStopping : { false, true }) {
     GatewayFixture fixture;
     for (int run = 0; run < 10; ++run) {
-      fixture.m_serviceEnd.RecordRun(RouteId("read"), seconds(1));
+      fixture.m_serviceEnd.RecordRun(
+        { .m_route = RouteId("read"), .m_pool = PoolId("plain") }, seconds(1));
     }
     ScriptedResponse failure = SealedResponse("failed", 500);
     failure.m_kind = ResponseKind::Holds;
