Stop: late requests are judged by the longest response, not the usual one

Nobody was told in time to ask elsewhere, and a response that had begun would have been cut.

Cause: late requests were taken if 95 in 100 responses fit. A request that arrives when callers know of the stop must not be cut at all, so the longest response counts, twice, as for requests that run once.

process_service_end_test, the test "a rare long response keeps late requests from being sent": fails on the decision before, passes now.

--- a/rattanweir/process/service_end/service_end.cc
+++ b/rattanweir/process/service_end/service_end.cc
@@ -168,14 +168,14 @@
   }
   const bool isEarly = now - *m_announcedAt < m_options.m_noticeTime;
   const bool isKnown = IsCertain(decision.m_runs);
+  const bool fitsSafely =
+    isKnown && kSafetyFactor * decision.m_runs.m_longest <= left;
   if (!route.IsRetryable()) {
-    decision.m_maySend =
-      isEarly && isKnown && kSafetyFactor * decision.m_runs.m_longest <= left;
+    decision.m_maySend = isEarly && fitsSafely;
   } else if (isEarly) {
     decision.m_maySend = !isKnown || decision.m_runs.m_usual <= left;
   } else {
-    decision.m_maySend = route.m_kind == RequestKind::Idempotent && isKnown &&
-                         decision.m_runs.m_usual <= left;
+    decision.m_maySend = route.m_kind == RequestKind::Idempotent && fitsSafely;
   }
   return decision;
 }
--- a/rattanweir/process/service_end/service_end.h
+++ b/rattanweir/process/service_end/service_end.h
@@ -18,7 +18,8 @@
 //   Idempotent requests and streams that can be resumed are sent unless most
 //   responses take longer than what is left; requests that can't be repeated
 //   are sent if even the longest response takes a small part of that.
-// - Later, only idempotent requests whose responses usually fit are sent. The
+// - Later, only idempotent requests are sent, and only if twice the longest
+//   response fits. The
 //   part of a stream that was forwarded can't be taken back, and a request that
 //   can't be repeated must not be cut.
 //
--- a/rattanweir/process/service_end/service_end_test.cc
+++ b/rattanweir/process/service_end/service_end_test.cc
@@ -186,6 +186,17 @@
   CHECK_FALSE(IsSent(clock, end, kOnce, kLongTimeout));
 }
 
+TEST_CASE("a rare long response keeps late requests from being sent")
+{
+  ManualClock clock;
+  ServiceEnd end({ .m_clock = clock });
+  RecordRuns(end, kIdempotent, 63, milliseconds(30));
+  RecordRuns(end, kIdempotent, 1, milliseconds(4'700));
+  end.Announce(clock.SteadyNow() + kLife);
+  clock.Advance(milliseconds(2'990));
+  CHECK_FALSE(IsSent(clock, end, kIdempotent, seconds(6)));
+}
+
 TEST_CASE("a route that moves to another pool is not judged by the former one")
 {
   FleetRoute moved = kOnce;
