Stop: a request whose body arrives slowly is judged by when it began

Cause: "early" was the moment of the decision.

process_service_end_test: 3 checks of the new test fail on the decision before, none now.

--- a/rattanweir/process/service_end/service_end.cc
+++ b/rattanweir/process/service_end/service_end.cc
@@ -166,16 +166,18 @@
   if (aQuery.m_deadline <= m_end) {
     return decision;
   }
-  const bool isEarly = now - *m_announcedAt < m_options.m_noticeTime;
+  const SteadyTime noticeEnd = *m_announcedAt + m_options.m_noticeTime;
+  const bool hasBegunInTime = aQuery.m_begunAt < noticeEnd;
   const bool isKnown = IsCertain(decision.m_runs);
   const bool fitsSafely =
     isKnown && kSafetyFactor * decision.m_runs.m_longest <= left;
   if (!route.IsRetryable()) {
-    decision.m_maySend = isEarly && fitsSafely;
-  } else if (isEarly) {
+    decision.m_maySend = hasBegunInTime && fitsSafely;
+  } else if (now < noticeEnd) {
     decision.m_maySend = !isKnown || decision.m_runs.m_usual <= left;
   } else {
-    decision.m_maySend = route.m_kind == RequestKind::Idempotent && fitsSafely;
+    decision.m_maySend =
+      (hasBegunInTime || route.m_kind == RequestKind::Idempotent) && fitsSafely;
   }
   return decision;
 }
--- a/rattanweir/process/service_end/service_end_test.cc
+++ b/rattanweir/process/service_end/service_end_test.cc
@@ -197,6 +197,25 @@
   CHECK_FALSE(IsSent(clock, end, kIdempotent, seconds(6)));
 }
 
+TEST_CASE("a request whose body arrives slowly is judged by when it began")
+{
+  for (const FleetRoute& route : { kOnce, kStream, kResumable, kIdempotent }) {
+    for (const bool isShort : { true, false }) {
+      ManualClock clock;
+      ServiceEnd end({ .m_clock = clock });
+      RecordRuns(end, route, 10, isShort ? milliseconds(100) : seconds(2));
+      end.Announce(clock.SteadyNow() + kLife);
+      const SteadyTime begunAt = clock.SteadyNow() + milliseconds(2'500);
+      clock.Advance(milliseconds(3'400));
+      CHECK(end.MayDispatch({ .m_route = route,
+                              .m_pool = kPool,
+                              .m_begunAt = begunAt,
+                              .m_deadline = clock.SteadyNow() + seconds(6) }) ==
+            isShort);
+    }
+  }
+}
+
 TEST_CASE("a route that moves to another pool is not judged by the former one")
 {
   FleetRoute moved = kOnce;
