Stop: peers tell a stopping instance how long responses take

Cause: with fewer than eight responses, an instance took the duration for unknown, and refuses what may run once. An instance that stops soon after its start knows nothing, although its peers and the other routes to the same service do.

Now a few responses count, with twice the reserve; a route without any is judged by the other routes to its pool; and at the stop the instance asks three peers, of its region first, for the durations that they have recorded (control call run_durations, MessagePack only). Peers of earlier releases answer that they do not know the method, and nothing changes; they never send the call.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -210,6 +210,14 @@
                       .m_metrics = m_metrics,
                       .m_dispatcher = m_gossip.Dispatcher(),
                       .m_jsonDispatcher = m_gossip.JsonDispatcher() })
+  , m_runDurations({ .m_executor = m_context.get_executor(),
+                     .m_clock = m_clock,
+                     .m_random = m_random,
+                     .m_caller = m_gossip.Caller(),
+                     .m_fleet = m_fleet,
+                     .m_serviceEnd = m_serviceEnd,
+                     .m_metrics = m_metrics,
+                     .m_dispatcher = m_gossip.Dispatcher() })
   , m_storeReader({ .m_executor = m_context.get_executor(),
                     .m_clock = m_clock,
                     .m_random = m_random,
@@ -813,6 +821,7 @@
   const SteadyTime end = m_clock.SteadyNow() + timeout - margin;
   m_fleet.Self().m_isDraining = true;
   m_serviceEnd.Announce(end);
+  m_runDurations.AskPeers();
   Log(LogLevel::Info,
       "draining",
       { { "in_flight", std::to_string(m_state.m_inFlight) } });
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -17,6 +17,7 @@
 #include "rattanweir/connection/gossip/gossip.h"
 #include "rattanweir/connection/http_client/http_client.h"
 #include "rattanweir/connection/http_server/http_server.h"
+#include "rattanweir/connection/run_durations/run_durations_exchange.h"
 #include "rattanweir/connection/server_prober/server_prober.h"
 #include "rattanweir/connection/stream_origins/stream_origin_exchange.h"
 #include "rattanweir/process/config_lag/config_lag.h"
@@ -117,6 +118,7 @@
   ServerProber m_prober;
   Gossip m_gossip;
   StreamOriginExchange m_streamOrigins;
+  RunDurationsExchange m_runDurations;
   platform::StoreReader m_storeReader;
 
   GatewayEntryHandler m_entryHandler;
--- a/rattanweir/process/service_end/service_end.cc
+++ b/rattanweir/process/service_end/service_end.cc
@@ -16,6 +16,7 @@
 // A response fits safely if the time that is left is this many times the
 // longest one known.
 constexpr int kSafetyFactor = 2;
+constexpr int kUncertainSafetyFactor = 4;
 // Durations up to this part of the timeout don't come close to it.
 constexpr int kTimeoutFraction = 2;
 
@@ -25,6 +26,13 @@
   return aRuns.m_count >= kMinRuns;
 }
 
+bool
+FitsSafely(const RunSummary& aRuns, nanoseconds aTimeLeft)
+{
+  const int factor = IsCertain(aRuns) ? kSafetyFactor : kUncertainSafetyFactor;
+  return aRuns.m_count > 0 && factor * aRuns.m_longest <= aTimeLeft;
+}
+
 } // namespace
 
 void
@@ -168,16 +176,18 @@
   }
   const SteadyTime noticeEnd = *m_announcedAt + m_options.m_noticeTime;
   const bool hasBegunInTime = aQuery.m_begunAt < noticeEnd;
-  const bool isKnown = IsCertain(decision.m_runs);
-  const bool fitsSafely =
-    isKnown && kSafetyFactor * decision.m_runs.m_longest <= left;
   if (!route.IsRetryable()) {
-    decision.m_maySend = hasBegunInTime && fitsSafely;
+    if (decision.m_runs.m_count == 0) {
+      decision.m_runs = RunsOfPool(aQuery.m_pool);
+    }
+    decision.m_maySend = hasBegunInTime && FitsSafely(decision.m_runs, left);
   } else if (now < noticeEnd) {
-    decision.m_maySend = !isKnown || decision.m_runs.m_usual <= left;
+    decision.m_maySend =
+      !IsCertain(decision.m_runs) || decision.m_runs.m_usual <= left;
   } else {
     decision.m_maySend =
-      (hasBegunInTime || route.m_kind == RequestKind::Idempotent) && fitsSafely;
+      (hasBegunInTime || route.m_kind == RequestKind::Idempotent) &&
+      IsCertain(decision.m_runs) && FitsSafely(decision.m_runs, left);
   }
   return decision;
 }
--- a/rattanweir/process/service_end/service_end.h
+++ b/rattanweir/process/service_end/service_end.h
@@ -5,6 +5,7 @@
 //   end.Configure(config.Routes());
 //   end.RecordRun({ .m_route = route, .m_pool = pool }, duration);
 //   end.Announce(clock.SteadyNow() + 7s);      // at the stop signal
+//   end.AddPeerRuns(runs);                     // what a peer has recorded
 //   if (!end.MayDispatch({ .m_route = route, .m_pool = pool,
 //                          .m_begunAt = begunAt,
 //                          .m_deadline = deadline })) ...
@@ -12,16 +13,17 @@
 // Once the stop is announced, a request is sent only if its response is
 // expected before the instance ends. A request whose deadline lies before the
 // end always fits. Otherwise the durations of recent responses on the route
-// decide:
+// from the same pool decide:
 //
 // - Shortly after the announcement, callers have not yet learned of the stop.
 //   Idempotent requests and streams that can be resumed are sent unless most
-//   responses take longer than what is left; requests that can't be repeated
-//   are sent if even the longest response takes a small part of that.
-// - Later, only idempotent requests are sent, and only if twice the longest
-//   response fits. The
-//   part of a stream that was forwarded can't be taken back, and a request that
-//   can't be repeated must not be cut.
+//   responses take longer than what is left.
+// - Requests that can't be repeated are sent if they began to arrive in that
+//   time, and even the longest response takes a small part of what is left. If
+//   no response on the route is known, those of the pool's other routes count.
+// - Later, a request that can be repeated is sent only under the same condition
+//   on the longest response. Streams must have begun to arrive in time as well:
+//   the part that was forwarded can't be taken back.
 //
 // The instance applies this at each dispatch: on arrival, after waiting in the
 // queue, and before a retry. Not thread-safe. No I/O.
@@ -107,7 +109,8 @@
   // may have ended their longer responses.
   void Configure(const std::vector<FleetRoute>& aRoutes);
 
-  // Records the time from the dispatch of a request to the end of its response.
+  // Records the time from the dispatch of a request to the end of its response,
+  // without the time for which its server was silent.
   void RecordRun(const RunClass& aClass, std::chrono::nanoseconds aDuration);
 
   // Announces that responses in progress at `aEnd` will be cut.
--- a/rattanweir/process/service_end/service_end_test.cc
+++ b/rattanweir/process/service_end/service_end_test.cc
@@ -216,6 +216,35 @@
   }
 }
 
+TEST_CASE("a few short responses suffice for a request that runs once")
+{
+  for (const bool isShort : { true, false }) {
+    ManualClock clock;
+    ServiceEnd end({ .m_clock = clock });
+    RecordRuns(end, kOnce, 3, isShort ? milliseconds(60) : seconds(2));
+    end.Announce(clock.SteadyNow() + kLife);
+    clock.Advance(milliseconds(1'700));
+    CHECK(IsSent(clock, end, kOnce, seconds(6)) == isShort);
+  }
+}
+
+TEST_CASE("a route without responses is judged by its pool's other routes")
+{
+  const FleetRoute other{ .m_id = RouteId("other"),
+                          .m_pools = { { .m_pool = kPool } } };
+  const FleetRoute elsewhere{ .m_id = RouteId("elsewhere"),
+                              .m_pools = { { .m_pool = PoolId("x") } } };
+  for (const FleetRoute& known : { other, elsewhere }) {
+    ManualClock clock;
+    ServiceEnd end({ .m_clock = clock });
+    RecordRuns(end, known, 10, milliseconds(60));
+    end.Announce(clock.SteadyNow() + kLife);
+    clock.Advance(milliseconds(1'700));
+    CHECK(IsSent(clock, end, kOnce, seconds(6)) ==
+          (known.m_pools.front().m_pool == kPool));
+  }
+}
+
 TEST_CASE("a route that moves to another pool is not judged by the former one")
 {
   FleetRoute moved = kOnce;
--- a/testing/parser_fuzz/parser_fuzz_test.cc
+++ b/testing/parser_fuzz/parser_fuzz_test.cc
@@ -18,6 +18,7 @@
 #include "rattanweir/connection/gossip/packed_gossip.h"
 #include "rattanweir/connection/packed_rpc/packed_rpc.h"
 #include "rattanweir/connection/rpc/rpc.h"
+#include "rattanweir/connection/run_durations/run_durations_exchange.h"
 #include "rattanweir/connection/stream_origins/stream_origin_messages.h"
 #include "rattanweir/process/idempotency/idempotency_key.h"
 #include "rattanweir/process/instance_list/instance_list.h"
@@ -340,6 +341,13 @@
       WriteAnswer({ .m_found = { .m_origin = origin } }, aWriter);
     },
     [](const PackedValue& aValue) { ReadAnswer(aValue); });
+  FuzzPacked(
+    "packed run durations",
+    [](PackedWriter& aWriter) {
+      const RunClass runClass{ .m_route = RouteId("r"), .m_pool = PoolId("p") };
+      WriteRunSummaries({ { runClass, { .m_count = 3 } } }, aWriter);
+    },
+    [](const PackedValue& aValue) { ReadRunSummaries(aValue); });
 }
 
 TEST_CASE("no malformed settings or configuration file crashes an instance")
