Stop: hold back the start of a response that may have to be cut

Cause: only responses up to 64 KiB of declared length were held until complete. An instance that is stopping now holds back the first 64 KiB of the others too, except on routes of streams, so that what is cut can be answered with 502.

request_gateway_service_end_test: 2 of 164 checks fail without it (the head is with the caller when the request is cut), none with it.

--- a/rattanweir/process/service_end/service_end.h
+++ b/rattanweir/process/service_end/service_end.h
@@ -109,8 +109,7 @@
   // may have ended their longer responses.
   void Configure(const std::vector<FleetRoute>& aRoutes);
 
-  // Records the time from the dispatch of a request to the end of its response,
-  // without the time for which its server was silent.
+  // Records the time from the dispatch of a request to the end of its response.
   void RecordRun(const RunClass& aClass, std::chrono::nanoseconds aDuration);
 
   // Announces that responses in progress at `aEnd` will be cut.
--- a/rattanweir/request/gateway/gateway_service_end_test.cc
+++ b/rattanweir/request/gateway/gateway_service_end_test.cc
@@ -144,5 +144,28 @@
   }
 }
 
+TEST_CASE("a stopping instance can still answer a request that it cuts within "
+          "a response of unknown length")
+{
+  for (const bool isStopping : { false, true }) {
+    GatewayFixture fixture;
+    if (isStopping) {
+      fixture.m_serviceEnd.Announce(fixture.m_clock.SteadyNow() + kNoticeTime);
+    }
+    ScriptedResponse response = SealedResponse("first part");
+    response.m_isCloseDelimited = true;
+    response.m_holdsAfterPieces = true;
+    fixture.Script(kServerOne, response);
+    fixture.Script(kServerTwo, response);
+    Outcome& outcome = fixture.Start(kRead);
+    CHECK(outcome.m_head.has_value() == !isStopping);
+    outcome.m_cancel.Cancel(ResultCode::InstanceDraining);
+    fixture.Advance(milliseconds(25));
+    CHECK(outcome.m_isDone);
+    CHECK(outcome.m_code == ResultCode::InstanceDraining);
+    CHECK(outcome.m_head.has_value() == !isStopping);
+  }
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -518,6 +518,7 @@
   ResponseForwarder forwarder(
     { .m_sink = m_sink,
       .m_progress = m_progress,
+      .m_holdsBack = HoldsBack(),
       .m_onFirstByte = std::move(aOnFirstByte),
       .m_onFirstEvent = [&] { BindToVersion(VersionOf(aServer)); },
       .m_onAnswered = AnswerRecorder(aSentAt) });
@@ -735,6 +736,7 @@
     ResponseForwarder forwarder(
       { .m_sink = m_sink,
         .m_progress = m_progress,
+        .m_holdsBack = HoldsBack(),
         .m_onFirstByte =
           [&] {
             m_report.m_timeToFirstByte =
@@ -932,6 +934,13 @@
   m_lastFailure = aFailure;
 }
 
+bool
+RequestDispatcher::HoldsBack() const
+{
+  return m_state.m_serviceEnd.IsAnnounced() &&
+         m_request.m_route.m_kind != RequestKind::Stream;
+}
+
 RequestError
 RequestDispatcher::WithRan(const RequestError& aError) const
 {
--- a/rattanweir/request/gateway/request_dispatcher.h
+++ b/rattanweir/request/gateway/request_dispatcher.h
@@ -146,6 +146,9 @@
   [[noreturn]] void ThrowRefusal(const Refuse& aRefusal) const;
   [[noreturn]] void ThrowWaitedTooLong() const;
   void ThrowUnlessRetried(const RequestError& aFailure);
+  // Returns whether the start of a response is held back, because this instance
+  // is stopping and may have to cut the request.
+  bool HoldsBack() const;
   RequestError WithRan(const RequestError& aError) const;
   PlacementQuery Query() const;
   OutboundRequest MakeOutbound(HeaderFields aAddedFields) const;
--- a/rattanweir/request/gateway/response_forwarder.cc
+++ b/rattanweir/request/gateway/response_forwarder.cc
@@ -225,11 +225,18 @@
                                  ResponseHead aHead)
 {
   const bool isCloseDelimited = aHead.m_isCloseDelimited;
-  std::uint64_t received = 0;
+  std::string heldBack;
   auto chunk = co_await aExchange.ReadChunk();
   ReportFirstByte();
+  while (m_options.m_holdsBack && chunk &&
+         heldBack.size() + chunk->size() <= kMaxBufferedBytes) {
+    heldBack += *chunk;
+    chunk = co_await aExchange.ReadChunk();
+  }
+  std::uint64_t received = heldBack.size();
   m_options.m_progress.m_forwarded = ResponseForwarded();
   co_await m_options.m_sink.WriteHead(std::move(aHead));
+  co_await m_options.m_sink.WriteChunk(std::move(heldBack));
   while (chunk) {
     received += chunk->size();
     if (isCloseDelimited && received > kMaxCloseDelimitedBytes) {
--- a/rattanweir/request/gateway/response_forwarder.h
+++ b/rattanweir/request/gateway/response_forwarder.h
@@ -8,7 +8,9 @@
 // streams, the next attempt continues after the last event that the caller has
 // received, under the head of the first attempt. A response that is not an
 // event stream and declares a length of at most 64 KiB is buffered until it is
-// complete, so that the request can be retried if the response breaks off.
+// complete, so that the request can be retried if the response breaks off. An
+// instance that is stopping holds back the first 64 KiB of any other response
+// too: if it has to cut the request, its caller still gets an answer.
 //
 // What was forwarded decides what may follow (ForwardedPart): after events of a
 // stream, only later events of a stream with the same status; after the head of
@@ -64,6 +66,8 @@
 {
   ResponseSink& m_sink;
   ForwardProgress& m_progress;
+  // Hold back the start of responses of unknown length.
+  bool m_holdsBack = false;
   // Called once, when the first chunk of the body or its end is received. May
   // be empty.
   std::function<void()> m_onFirstByte;
