Stop: a server's silence is not the duration of its responses

What callers saw: after servers had been silent for a second or two, a stopping instance refuses short requests that may run once for as long as the last 64 responses of a route hold one of that time, although the silence is over (the users' question; shown by the test, not by a run of processes yet).

Cause: the time from dispatch to end was recorded, and a pause of the server counts in it. ServerSilence tells the two apart: time in which at least two requests waited for one server, and none of its connections carried a byte for half a second or more. A single long response is not taken for a silence.

--- a/rattanweir/process/service_end/service_end.h
+++ b/rattanweir/process/service_end/service_end.h
@@ -109,7 +109,8 @@
   // may have ended their longer responses.
   void Configure(const std::vector<FleetRoute>& aRoutes);
 
-  // Records the time from the dispatch of a request to the end of its response.
+  // Records the time from the dispatch of a request to the end of its response,
+  // without the time for which its server was silent.
   void RecordRun(const RunClass& aClass, std::chrono::nanoseconds aDuration);
 
   // Announces that responses in progress at `aEnd` will be cut.
--- a/rattanweir/request/gateway/gateway_service_end_test.cc
+++ b/rattanweir/request/gateway/gateway_service_end_test.cc
@@ -167,5 +167,31 @@
   }
 }
 
+TEST_CASE("a server's silence does not count as the duration of its responses")
+{
+  GatewayFixture fixture;
+  for (const char* server : { kServerOne, kServerTwo }) {
+    for (int count = 0; count < 4; ++count) {
+      ScriptedResponse response = SealedResponse("written");
+      response.m_kind = ResponseKind::Holds;
+      fixture.Script(server, response);
+    }
+  }
+  std::vector<Outcome*> outcomes;
+  for (int count = 0; count < 4; ++count) {
+    outcomes.push_back(&fixture.Start(kWrite));
+  }
+  fixture.Advance(milliseconds(800));
+  fixture.m_upstream.ReleaseHeld();
+  fixture.Advance(milliseconds(25));
+  for (const Outcome* outcome : outcomes) {
+    CHECK(outcome->m_code == ResultCode::Ok);
+  }
+  const RunSummaries runs = fixture.m_serviceEnd.LocalRuns();
+  REQUIRE(runs.size() == 1);
+  CHECK(runs.begin()->second.m_count == 4);
+  CHECK(runs.begin()->second.m_longest < milliseconds(100));
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -332,7 +332,7 @@
   ++m_report.m_possibleRuns;
   m_state.m_serviceEnd.RecordRun(
     { .m_route = m_request.m_route.m_id, .m_pool = m_request.m_pool },
-    m_state.m_clock.SteadyNow() - sentAt);
+    m_state.m_clock.SteadyNow() - sentAt - m_run->SilentTime());
   m_run.reset();
   co_return std::nullopt;
 }
