--- a/rattanweir/request/gateway/gateway_test.cc
+++ b/rattanweir/request/gateway/gateway_test.cc
@@ -95,6 +95,7 @@
                       .m_quarantine = fixture.m_quarantine,
                       .m_streamOrigins = fixture.m_streamOrigins,
                       .m_serviceEnd = fixture.m_serviceEnd,
+                      .m_silence = fixture.m_silence,
                       .m_queues = fixture.m_queues,
                       .m_metrics = fixture.m_metrics,
                       .m_backendUpstream = fixture.m_upstream,
