--- a/rattanweir/connection/run_durations/run_durations_exchange.cc
+++ b/rattanweir/connection/run_durations/run_durations_exchange.cc
@@ -85,9 +85,10 @@
   const FleetView& fleet = m_options.m_fleet;
   std::vector<const FleetMember*> peers = fleet.LivePeers();
   std::ranges::shuffle(peers, m_options.m_random);
-  std::ranges::stable_partition(peers, [&](const FleetMember* aPeer) {
-    return aPeer->m_region == fleet.Self().m_region;
-  });
+  std::stable_partition(
+    peers.begin(), peers.end(), [&](const FleetMember* aPeer) {
+      return aPeer->m_region == fleet.Self().m_region;
+    });
   std::vector<Endpoint> chosen;
   for (const FleetMember* peer : peers) {
     if (chosen.size() == m_options.m_peers) {
