--- a/rattanweir/request/gateway/gateway_report.cc
+++ b/rattanweir/request/gateway/gateway_report.cc
@@ -209,7 +209,6 @@
   AdmittedRequest request{
     .m_target = aQuery.m_path,
     .m_body = std::make_shared<const std::string>(),
-    .m_begunAt = now,
     .m_receivedAt = now,
     .m_deadline = now + route->m_timeout,
     .m_config = config,
--- a/rattanweir/request/gateway/gateway_service_end_test.cc
+++ b/rattanweir/request/gateway/gateway_service_end_test.cc
@@ -178,6 +178,7 @@
     }
   }
   std::vector<Outcome*> outcomes;
+  outcomes.reserve(4);
   for (int count = 0; count < 4; ++count) {
     outcomes.push_back(&fixture.Start(kWrite));
   }
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -6,6 +6,7 @@
 #include "rattanweir/request/exchange/header_fields.h"
 #include "rattanweir/request/gateway/build_placement_input.h"
 #include "rattanweir/request/gateway/gateway_admission.h"
+#include "rattanweir/request/gateway/observed_exchange.h"
 #include "rattanweir/request/gateway/server_candidates.h"
 #include "rattanweir/request/gateway/server_dispatch.h"
 #include "rattanweir/request/placement/placement_input.h"
@@ -78,35 +79,6 @@
                       retryAfter);
 }
 
-// Records the bytes of a response as they arrive.
-class ObservedExchange final : public UpstreamExchange
-{
-public:
-  ObservedExchange(UpstreamExchange& aExchange, ServerSilence::Run& aRun)
-    : m_exchange(aExchange)
-    , m_run(aRun)
-  {
-  }
-
-  Task<ResponseHead> ReadHead() override
-  {
-    ResponseHead head = co_await m_exchange.ReadHead();
-    m_run.RecordBytes();
-    co_return head;
-  }
-
-  Task<std::optional<std::string>> ReadChunk() override
-  {
-    std::optional<std::string> chunk = co_await m_exchange.ReadChunk();
-    m_run.RecordBytes();
-    co_return chunk;
-  }
-
-private:
-  UpstreamExchange& m_exchange;
-  ServerSilence::Run& m_run;
-};
-
 const char*
 TextOf(RefusalReason aReason)
 {
@@ -748,15 +720,7 @@
     dispatch.EndWith(ResultCode::Ok);
   } catch (const RequestError& error) {
     dispatch.EndWith(error.Code());
-    if (isPeerRefusal && error.Code() == ResultCode::ServersUnreachable) {
-      m_state.m_fleet.MarkPoolUnreachable(peer.m_id, m_request.m_pool);
-    }
-    if (!isPeerRefusal && error.Code() == ResultCode::BackendConnectFailed) {
-      m_state.m_fleet.MarkUnreachable(peer.m_id);
-      Log(LogLevel::Warning,
-          "peer_unreachable",
-          { { "peer", peer.m_id.Value() }, { "detail", error.what() } });
-    }
+    RecordPeerFailure(peer.m_id, error, isPeerRefusal);
     if (isPeerRefusal) {
       throw;
     }
@@ -764,6 +728,22 @@
   }
 }
 
+void
+RequestDispatcher::RecordPeerFailure(const InstanceId& aPeer,
+                                     const RequestError& aError,
+                                     bool aIsRefusal)
+{
+  if (aIsRefusal && aError.Code() == ResultCode::ServersUnreachable) {
+    m_state.m_fleet.MarkPoolUnreachable(aPeer, m_request.m_pool);
+  }
+  if (!aIsRefusal && aError.Code() == ResultCode::BackendConnectFailed) {
+    m_state.m_fleet.MarkUnreachable(aPeer);
+    Log(LogLevel::Warning,
+        "peer_unreachable",
+        { { "peer", aPeer.Value() }, { "detail", aError.what() } });
+  }
+}
+
 HeaderFields
 RequestDispatcher::HopFields(const RegionId& aRegion) const
 {
--- a/rattanweir/request/gateway/request_dispatcher.h
+++ b/rattanweir/request/gateway/request_dispatcher.h
@@ -86,6 +86,10 @@
   // is none.
   FleetMember ChoosePeer(const RegionId& aRegion) const;
   Task<void> SendToRegion(RegionId aRegion);
+  // Records what the failure says about the peer.
+  void RecordPeerFailure(const InstanceId& aPeer,
+                         const RequestError& aError,
+                         bool aIsRefusal);
   Task<void> ReadResponse(UpstreamExchange& aExchange,
                           const RegisteredServer& aServer,
                           SteadyTime aSentAt,
