Silence of servers: long responses side by side are none

Several requests that wait at once do not tell a pause from long work. So a gap counts only up to 2.5 s, the silence that connections to servers bear: what is left out of a duration is bounded by that.

--- a/rattanweir/process/server_silence/server_silence.cc
+++ b/rattanweir/process/server_silence/server_silence.cc
@@ -49,6 +49,9 @@
   const auto silenceOf = [&](const Run& aRun) {
     return aNow - std::max(aServer.m_lastBytesAt, aRun.m_begunAt);
   };
+  if (aNow - aServer.m_lastBytesAt > m_options.m_maxSilence) {
+    return;
+  }
   std::vector<Run*> waited;
   for (Run* run : aServer.m_runs) {
     if (silenceOf(*run) >= m_options.m_minSilence) {
--- a/rattanweir/process/server_silence/server_silence.h
+++ b/rattanweir/process/server_silence/server_silence.h
@@ -9,7 +9,8 @@
 // A paused server sends nothing on any of its connections. One request alone
 // does not show that, since its response may just take long. So time counts as
 // silence only if at least two requests waited for the server through it, and
-// none received a byte. Not thread-safe. No I/O.
+// none received a byte. Several long responses at once look the same, so that
+// only a gap which a sound server may have counts. Not thread-safe. No I/O.
 
 #pragma once
 
@@ -28,6 +29,8 @@
   const Clock& m_clock;
   // Shorter gaps are part of the server's work.
   std::chrono::nanoseconds m_minSilence{ std::chrono::milliseconds(500) };
+  // Longer ones too, or the server is lost.
+  std::chrono::nanoseconds m_maxSilence{ std::chrono::milliseconds(2'500) };
   // The number of requests that have to wait through it.
   std::size_t m_minRuns = 2;
 };
--- a/rattanweir/process/server_silence/server_silence_test.cc
+++ b/rattanweir/process/server_silence/server_silence_test.cc
@@ -85,5 +85,21 @@
   CHECK(slow.SilentTime() == nanoseconds::zero());
 }
 
+TEST_CASE(
+  "long responses of two requests at once are no silence of their server")
+{
+  ManualClock clock;
+  ServerSilence silence({ .m_clock = clock });
+  ServerSilence::Run first(silence, kServer);
+  clock.Advance(milliseconds(300));
+  ServerSilence::Run second(silence, kServer);
+  clock.Advance(milliseconds(4'400));
+  first.RecordBytes();
+  clock.Advance(milliseconds(300));
+  second.RecordBytes();
+  CHECK(first.SilentTime() == nanoseconds::zero());
+  CHECK(second.SilentTime() == nanoseconds::zero());
+}
+
 } // namespace
 } // namespace rattanweir
