Stop: a few responses of a peer don't outweigh what an instance knows

What callers saw: nothing yet; found by the review. The usual duration became the higher one of the instance's own and a peer's, so that three long responses of a peer, or a peer's statement of none, made a stopping instance refuse what its own 64 responses show to be short.

The usual duration is now that of the larger number of responses, and a summary of none is left out. The longest one stays the longest of all.

--- a/rattanweir/process/service_end/service_end.h
+++ b/rattanweir/process/service_end/service_end.h
@@ -71,7 +71,7 @@
   std::chrono::nanoseconds m_longest{};
 
   // Adds responses that another instance has seen, or of another class. The
-  // usual duration becomes the higher one.
+  // usual duration becomes that of the larger number.
   void Merge(const RunSummary& aOther);
 };
 
--- a/rattanweir/process/service_end/service_end_test.cc
+++ b/rattanweir/process/service_end/service_end_test.cc
@@ -275,5 +275,30 @@
   }
 }
 
+TEST_CASE("an instance's own knowledge outweighs a few responses of a peer")
+{
+  ManualClock clock;
+  ServiceEnd end({ .m_clock = clock });
+  RecordRuns(end, kIdempotent, 64, milliseconds(20));
+  end.Announce(clock.SteadyNow() + kLife);
+  end.AddPeerRuns(
+    { { ClassOf(kIdempotent),
+        { .m_count = 3, .m_usual = seconds(6), .m_longest = seconds(6) } } });
+  clock.Advance(seconds(2));
+  CHECK(IsSent(clock, end, kIdempotent, seconds(6)));
+}
+
+TEST_CASE("a peer that states no responses does not change what is known")
+{
+  ManualClock clock;
+  ServiceEnd end({ .m_clock = clock });
+  RecordRuns(end, kOnce, 64, milliseconds(20));
+  end.Announce(clock.SteadyNow() + kLife);
+  end.AddPeerRuns(
+    { { ClassOf(kOnce), { .m_usual = seconds(6), .m_longest = seconds(6) } } });
+  clock.Advance(seconds(2));
+  CHECK(IsSent(clock, end, kOnce, seconds(6)));
+}
+
 } // namespace
 } // namespace rattanweir
