Stop: durations of the pool's other routes count as uncertain

What callers saw: nothing yet; found by the review. A request that may run once, on a route without responses, was sent with half of the reserve that a route with three responses of its own needs, if other routes to the pool had many.

process_service_end_test, "durations of the pool's other routes need the larger reserve": fails before, passes now.

--- a/rattanweir/process/service_end/service_end.cc
+++ b/rattanweir/process/service_end/service_end.cc
@@ -159,6 +159,8 @@
       runs.Merge(peerRuns);
     }
   }
+  // Other routes tell less, however many their responses are.
+  runs.m_count = std::min(runs.m_count, kMinRuns - 1);
   return runs;
 }
 
--- a/rattanweir/process/service_end/service_end_test.cc
+++ b/rattanweir/process/service_end/service_end_test.cc
@@ -300,5 +300,18 @@
   CHECK(IsSent(clock, end, kOnce, seconds(6)));
 }
 
+TEST_CASE("durations of the pool's other routes need the larger reserve")
+{
+  const FleetRoute other{ .m_id = RouteId("other"),
+                          .m_kind = RequestKind::Idempotent,
+                          .m_pools = { { .m_pool = kPool } } };
+  ManualClock clock;
+  ServiceEnd end({ .m_clock = clock });
+  RecordRuns(end, other, 64, seconds(2));
+  end.Announce(clock.SteadyNow() + kLife);
+  clock.Advance(seconds(2));
+  CHECK_FALSE(IsSent(clock, end, kOnce, seconds(6)));
+}
+
 } // namespace
 } // namespace rattanweir
