Stop: late requests need room for a silence of their server

Cause: what began in time was judged by its usual work alone, however little was left. After the notice time, the longest response now has to fit together with the longest silence that a sound server may have (2.5 s). Within the notice time nothing changes, so that short requests are served with short timeouts too. A few responses count for requests that can be repeated as for the others.

--- a/rattanweir/process/service_end/service_end.cc
+++ b/rattanweir/process/service_end/service_end.cc
@@ -176,23 +176,26 @@
   const nanoseconds left = m_end - now;
   decision.m_timeLeft = left;
   decision.m_runs = RunsOf({ .m_route = route.m_id, .m_pool = aQuery.m_pool });
+  if (decision.m_runs.m_count == 0) {
+    decision.m_runs = RunsOfPool(aQuery.m_pool);
+  }
   if (aQuery.m_deadline <= m_end) {
     return decision;
   }
+  const RunSummary& runs = decision.m_runs;
   const SteadyTime noticeEnd = *m_announcedAt + m_options.m_noticeTime;
+  const bool isNoticeTime = now < noticeEnd;
   const bool hasBegunInTime = aQuery.m_begunAt < noticeEnd;
-  if (!route.IsRetryable()) {
-    if (decision.m_runs.m_count == 0) {
-      decision.m_runs = RunsOfPool(aQuery.m_pool);
-    }
-    decision.m_maySend = hasBegunInTime && FitsSafely(decision.m_runs, left);
-  } else if (now < noticeEnd) {
-    decision.m_maySend =
-      !IsCertain(decision.m_runs) || decision.m_runs.m_usual <= left;
+  if (isNoticeTime && route.IsRetryable()) {
+    decision.m_maySend = !IsCertain(runs) || runs.m_usual <= left;
+  } else if (isNoticeTime) {
+    decision.m_maySend = FitsSafely(runs, left);
   } else {
-    decision.m_maySend =
-      (hasBegunInTime || route.m_kind == RequestKind::Idempotent) &&
-      IsCertain(decision.m_runs) && FitsSafely(decision.m_runs, left);
+    const bool mayBegin =
+      hasBegunInTime ||
+      (route.m_kind == RequestKind::Idempotent && IsCertain(runs));
+    decision.m_maySend = mayBegin && FitsSafely(runs, left) &&
+                         runs.m_longest + m_options.m_maxSilence <= left;
   }
   return decision;
 }
--- a/rattanweir/process/service_end/service_end.h
+++ b/rattanweir/process/service_end/service_end.h
@@ -15,15 +15,17 @@
 // end always fits. Otherwise the durations of recent responses on the route
 // from the same pool decide:
 //
-// - Shortly after the announcement, callers have not yet learned of the stop.
-//   Idempotent requests and streams that can be resumed are sent unless most
-//   responses take longer than what is left.
-// - Requests that can't be repeated are sent if they began to arrive in that
-//   time, and even the longest response takes a small part of what is left. If
-//   no response on the route is known, those of the pool's other routes count.
-// - Later, a request that can be repeated is sent only under the same condition
-//   on the longest response. Streams must have begun to arrive in time as well:
-//   the part that was forwarded can't be taken back.
+// - Shortly after the announcement (the notice time), callers have not yet
+//   learned of the stop. Requests that can be repeated are sent unless most
+//   responses take longer than what is left, the others if even the longest
+//   response takes a small part of that.
+// - Later, requests that began to arrive in that time are sent if the longest
+//   response takes a small part of what is left, and fits with a silence of the
+//   server. Of those that began later, only idempotent ones are sent, on the
+//   same condition.
+//
+// If no response on the route is known, those of the pool's other routes count,
+// as uncertainly as a few of its own.
 //
 // The instance applies this at each dispatch: on arrival, after waiting in the
 // queue, and before a retry. Not thread-safe. No I/O.
@@ -51,6 +53,8 @@
   // the stop. A little less than the 3 s for which they use a response of the
   // directory, since the stop signal may be handled late.
   std::chrono::nanoseconds m_noticeTime{ std::chrono::milliseconds(2'800) };
+  // The longest silence of a sound server within a response.
+  std::chrono::nanoseconds m_maxSilence{ std::chrono::milliseconds(2'500) };
 };
 
 // Requests whose responses are expected to take similar times.
--- a/rattanweir/process/service_end/service_end_test.cc
+++ b/rattanweir/process/service_end/service_end_test.cc
@@ -313,5 +313,40 @@
   CHECK_FALSE(IsSent(clock, end, kOnce, seconds(6)));
 }
 
+TEST_CASE("a request that is complete late is not sent when a silence of its "
+          "server would outlive the instance")
+{
+  for (const FleetRoute& route : { kOnce, kStream, kResumable }) {
+    ManualClock clock;
+    ServiceEnd end({ .m_clock = clock });
+    RecordRuns(end, route, 64, milliseconds(100));
+    end.Announce(clock.SteadyNow() + kLife);
+    const SteadyTime begunAt = clock.SteadyNow() + milliseconds(2'500);
+    clock.Advance(milliseconds(6'500));
+    CHECK_FALSE(
+      end.MayDispatch({ .m_route = route,
+                        .m_pool = kPool,
+                        .m_begunAt = begunAt,
+                        .m_deadline = clock.SteadyNow() + seconds(6) }));
+  }
+}
+
+TEST_CASE("few known responses do not favour a request that runs once")
+{
+  for (const FleetRoute& route : { kOnce, kIdempotent }) {
+    ManualClock clock;
+    ServiceEnd end({ .m_clock = clock });
+    RecordRuns(end, route, 3, milliseconds(20));
+    end.Announce(clock.SteadyNow() + kLife);
+    const SteadyTime begunAt = clock.SteadyNow() + milliseconds(2'700);
+    clock.Advance(milliseconds(2'900));
+    INFO("may run once: " << !route.IsRetryable());
+    CHECK(end.MayDispatch({ .m_route = route,
+                            .m_pool = kPool,
+                            .m_begunAt = begunAt,
+                            .m_deadline = clock.SteadyNow() + seconds(6) }));
+  }
+}
+
 } // namespace
 } // namespace rattanweir
