Stop: requests that ended before their response tell of long ones

Cause: only complete responses were recorded, so that the longest ones were missing. The longest unfinished request of the last 64 responses now counts for what arrives after the notice time. Within it, it does not: one request in a hundred ends at its deadline for other reasons, and short ones are to be served.

--- a/rattanweir/process/service_end/service_end.cc
+++ b/rattanweir/process/service_end/service_end.cc
@@ -38,6 +38,8 @@
 void
 RunSummary::Merge(const RunSummary& aOther)
 {
+  m_longestUnfinished =
+    std::max(m_longestUnfinished, aOther.m_longestUnfinished);
   if (aOther.m_count == 0) {
     return;
   }
@@ -52,13 +54,23 @@
   m_runs[m_next] = aDuration;
   m_next = (m_next + 1) % kMaxRuns;
   m_count = std::min(m_count + 1, kMaxRuns);
+  if (++m_runsSinceUnfinished > kMaxRuns) {
+    m_longestUnfinished = nanoseconds::zero();
+  }
+}
+
+void
+ServiceEnd::RunDurations::AddUnfinished(nanoseconds aDuration)
+{
+  m_longestUnfinished = std::max(m_longestUnfinished, aDuration);
+  m_runsSinceUnfinished = 0;
 }
 
 RunSummary
 ServiceEnd::RunDurations::Summary() const
 {
   if (m_count == 0) {
-    return {};
+    return { .m_longestUnfinished = m_longestUnfinished };
   }
   std::array<nanoseconds, kMaxRuns> runs = m_runs;
   const std::size_t index = (m_count - 1) * kUsualPercent / kPercent;
@@ -66,7 +78,8 @@
   return { .m_count = m_count,
            .m_usual = runs[index],
            .m_longest =
-             *std::max_element(runs.begin() + index, runs.begin() + m_count) };
+             *std::max_element(runs.begin() + index, runs.begin() + m_count),
+           .m_longestUnfinished = m_longestUnfinished };
 }
 
 bool
@@ -107,6 +120,12 @@
   m_durations[aClass].Add(aDuration);
 }
 
+void
+ServiceEnd::RecordUnfinishedRun(const RunClass& aClass, nanoseconds aDuration)
+{
+  m_durations[aClass].AddUnfinished(aDuration);
+}
+
 void
 ServiceEnd::Announce(SteadyTime aEnd)
 {
@@ -194,8 +213,10 @@
     const bool mayBegin =
       hasBegunInTime ||
       (route.m_kind == RequestKind::Idempotent && IsCertain(runs));
+    const nanoseconds longest =
+      std::max(runs.m_longest, runs.m_longestUnfinished);
     decision.m_maySend = mayBegin && FitsSafely(runs, left) &&
-                         runs.m_longest + m_options.m_maxSilence <= left;
+                         longest + m_options.m_maxSilence <= left;
   }
   return decision;
 }
--- a/rattanweir/process/service_end/service_end.h
+++ b/rattanweir/process/service_end/service_end.h
@@ -73,6 +73,8 @@
   // 95 in 100 took no longer.
   std::chrono::nanoseconds m_usual{};
   std::chrono::nanoseconds m_longest{};
+  // How long a request took at least that ended before its response.
+  std::chrono::nanoseconds m_longestUnfinished{};
 
   // Adds responses that another instance has seen, or of another class. The
   // usual duration becomes that of the larger number.
@@ -117,6 +119,12 @@
   // without the time for which its server was silent.
   void RecordRun(const RunClass& aClass, std::chrono::nanoseconds aDuration);
 
+  // Records a request that ended before its response, because its deadline
+  // passed or its caller left. Within the notice time, in which the callers of
+  // most requests are best served here, such requests don't count.
+  void RecordUnfinishedRun(const RunClass& aClass,
+                           std::chrono::nanoseconds aDuration);
+
   // Announces that responses in progress at `aEnd` will be cut.
   void Announce(SteadyTime aEnd);
 
@@ -148,6 +156,7 @@
   {
   public:
     void Add(std::chrono::nanoseconds aDuration);
+    void AddUnfinished(std::chrono::nanoseconds aDuration);
     RunSummary Summary() const;
 
   private:
@@ -156,6 +165,8 @@
     std::array<std::chrono::nanoseconds, kMaxRuns> m_runs{};
     std::size_t m_count = 0;
     std::size_t m_next = 0;
+    std::chrono::nanoseconds m_longestUnfinished{};
+    std::size_t m_runsSinceUnfinished = 0;
   };
 
   // Returns what this instance and its peers know of the class.
--- a/rattanweir/process/service_end/service_end_test.cc
+++ b/rattanweir/process/service_end/service_end_test.cc
@@ -348,5 +348,33 @@
   }
 }
 
+TEST_CASE("requests that ended before their response keep late ones from being "
+          "sent, until enough responses followed")
+{
+  for (const int runsAfter : { 2, 65 }) {
+    ManualClock clock;
+    ServiceEnd end({ .m_clock = clock });
+    RecordRuns(end, kIdempotent, 12, milliseconds(20));
+    end.RecordUnfinishedRun(ClassOf(kIdempotent), seconds(6));
+    end.RecordUnfinishedRun(ClassOf(kIdempotent), milliseconds(5));
+    RecordRuns(end, kIdempotent, runsAfter, milliseconds(20));
+    end.Announce(clock.SteadyNow() + kLife);
+    clock.Advance(milliseconds(3'100));
+    CHECK(IsSent(clock, end, kIdempotent, seconds(6)) == (runsAfter > 64));
+  }
+}
+
+TEST_CASE("a request that its deadline ended does not make an instance refuse "
+          "what it can serve")
+{
+  ManualClock clock;
+  ServiceEnd end({ .m_clock = clock });
+  RecordRuns(end, kOnce, 12, milliseconds(20));
+  end.RecordUnfinishedRun(ClassOf(kOnce), seconds(6));
+  end.Announce(clock.SteadyNow() + kLife);
+  clock.Advance(milliseconds(2'500));
+  CHECK(IsSent(clock, end, kOnce, seconds(6)));
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -79,6 +79,12 @@
                       retryAfter);
 }
 
+RunClass
+RunClassOf(const AdmittedRequest& aRequest)
+{
+  return { .m_route = aRequest.m_route.m_id, .m_pool = aRequest.m_pool };
+}
+
 const char*
 TextOf(RefusalReason aReason)
 {
@@ -296,19 +302,30 @@
     m_report.m_events = m_progress.m_eventsInAttempt;
     if (m_run) {
       m_report.m_sinceLastBytes = m_run->SinceLastBytes();
+      RecordUnfinishedRun(error.Code());
       m_run.reset();
     }
     co_return error;
   }
   m_report.m_ran = Ran::Yes;
   ++m_report.m_possibleRuns;
-  m_state.m_serviceEnd.RecordRun(
-    { .m_route = m_request.m_route.m_id, .m_pool = m_request.m_pool },
-    m_state.m_clock.SteadyNow() - sentAt - m_run->SilentTime());
+  m_state.m_serviceEnd.RecordRun(RunClassOf(m_request),
+                                 m_state.m_clock.SteadyNow() - sentAt -
+                                   m_run->SilentTime());
   m_run.reset();
   co_return std::nullopt;
 }
 
+void
+RequestDispatcher::RecordUnfinishedRun(ResultCode aCode)
+{
+  if (aCode == ResultCode::DeadlineExceeded ||
+      aCode == ResultCode::CallerGone) {
+    m_state.m_serviceEnd.RecordUnfinishedRun(
+      RunClassOf(m_request), m_report.m_running - m_run->SilentTime());
+  }
+}
+
 double
 RequestDispatcher::QueueingFactorAt(const ServerCandidate& aCandidate) const
 {
--- a/rattanweir/request/gateway/request_dispatcher.h
+++ b/rattanweir/request/gateway/request_dispatcher.h
@@ -81,6 +81,9 @@
   Task<void> WaitForDestination();
   Task<Failure> SendTo(const PlacementInput& aInput,
                        const Placement& aPlacement);
+  // Records how long the current attempt took at least, if it ended with the
+  // deadline or the caller.
+  void RecordUnfinishedRun(ResultCode aCode);
   Task<void> SendToServer(ServerCandidate aCandidate);
   // Returns a random one of PeersFor the region. Throws RequestError if there
   // is none.
