Silence of servers: long responses at the same time are work

Cause: two or more requests that wait for one server without a byte count as a silence of it, also if their responses just take long: side by side all of it, and overlapping as well, since only one of them ends at a time. Their durations were recorded as next to nothing. Ruled out: durations that are not known (12 before the signal).

Now a request whose silent time is above 2 s counts in full; sound servers are silent for up to 1.5 s. What is still taken off in error is 2 s at most, and twice the rest fits in what is left only if the whole does, where 4 s or more are left: with a shutdown timeout of 8 s, 4.3 s are left when the last requests arrive. Not covered: responses of 0.5 to 2 s, or several of them, with a shutdown timeout below 8 s.

--- a/rattanweir/process/server_silence/server_silence.cc
+++ b/rattanweir/process/server_silence/server_silence.cc
@@ -37,6 +37,14 @@
   m_lastBytesAt = now;
 }
 
+std::chrono::nanoseconds
+ServerSilence::Run::SilentTime() const
+{
+  return m_silentTime <= m_owner.m_options.m_maxSilence
+           ? m_silentTime
+           : std::chrono::nanoseconds::zero();
+}
+
 std::chrono::nanoseconds
 ServerSilence::Run::SinceLastBytes() const
 {
--- a/rattanweir/process/server_silence/server_silence.h
+++ b/rattanweir/process/server_silence/server_silence.h
@@ -9,7 +9,9 @@
 // A paused server sends nothing on any of its connections. One request alone
 // does not show that, since its response may just take long. So time counts as
 // silence only if at least two requests waited for the server through it, and
-// none received a byte. Not thread-safe. No I/O.
+// none received a byte. Several long responses at once look the same, so a
+// request that waited for longer than a sound server is silent counts as work.
+// Not thread-safe. No I/O.
 
 #pragma once
 
@@ -30,6 +32,9 @@
   std::chrono::nanoseconds m_minSilence{ std::chrono::milliseconds(500) };
   // The number of requests that have to wait through it.
   std::size_t m_minRuns = 2;
+  // More silent time in one request is its server's work. Sound servers are
+  // silent for up to 1.5 s.
+  std::chrono::nanoseconds m_maxSilence{ std::chrono::seconds(2) };
 };
 
 class ServerSilence
@@ -53,8 +58,9 @@
     void RecordBytes();
 
     // Returns the part of the time since construction in which the server was
-    // silent. A silence counts once it has ended.
-    std::chrono::nanoseconds SilentTime() const { return m_silentTime; }
+    // silent: none if it is longer than a silence can be. A silence counts once
+    // it has ended.
+    std::chrono::nanoseconds SilentTime() const;
 
     // Returns the time since the last bytes of the response, or since
     // construction.
--- a/rattanweir/process/server_silence/server_silence_test.cc
+++ b/rattanweir/process/server_silence/server_silence_test.cc
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <deque>
+
 namespace rattanweir {
 namespace {
 
@@ -40,6 +42,34 @@
   CHECK(slow.SilentTime() == nanoseconds::zero());
 }
 
+TEST_CASE("long responses at the same time are no silence of their server")
+{
+  ManualClock clock;
+  ServerSilence silence({ .m_clock = clock });
+  ServerSilence::Run first(silence, kServer);
+  const ServerSilence::Run second(silence, kServer);
+  clock.Advance(milliseconds(4'700));
+  first.RecordBytes();
+  CHECK(first.SilentTime() == nanoseconds::zero());
+  CHECK(second.SilentTime() == nanoseconds::zero());
+}
+
+TEST_CASE("long responses that overlap are no silence of their server")
+{
+  ManualClock clock;
+  ServerSilence silence({ .m_clock = clock });
+  std::deque<ServerSilence::Run> runs;
+  for (int count = 0; count < 12; ++count) {
+    runs.emplace_back(silence, kServer);
+    clock.Advance(milliseconds(900));
+    if (runs.size() == 5) {
+      runs.front().RecordBytes();
+      CHECK(runs.front().SilentTime() == nanoseconds::zero());
+      runs.pop_front();
+    }
+  }
+}
+
 TEST_CASE("a server that answers another request is not silent")
 {
   ManualClock clock;
--- a/testing/planned_stop/silent_server_stop_test.cc
+++ b/testing/planned_stop/silent_server_stop_test.cc
@@ -185,5 +185,37 @@
   }
 }
 
+// Guards against long responses that are taken for a silence of their server.
+TEST_CASE("late requests are not cut where all responses take long")
+{
+  constexpr std::size_t kBefore = 12;
+  StoppedInstance instance;
+  std::vector<Answer> before;
+  std::vector<Answer> answers;
+  std::size_t sent = 0;
+  instance.Run([&]() -> Task<void> {
+    for (std::size_t count = 0; count < kBefore; ++count) {
+      instance.Start({}, { .m_target = "/read/long" }, before);
+    }
+    while (before.size() < kBefore) {
+      co_await instance.Sleep(milliseconds(20));
+    }
+    for (milliseconds time(2'900); time <= milliseconds(3'200);
+         time += milliseconds(20)) {
+      instance.Start(time, { .m_target = "/read/long" }, answers);
+      ++sent;
+    }
+    instance.Stop();
+    co_await instance.WaitForExit();
+    while (answers.size() < sent) {
+      co_await instance.Sleep(milliseconds(20));
+    }
+  });
+  for (const Answer& answer : answers) {
+    INFO(instance.Describe(answer));
+    CHECK((answer.m_status == 200 || !instance.HasRun(answer)));
+  }
+}
+
 } // namespace
 } // namespace rattanweir::testing
