--- a/rattanweir/process/server_silence/server_silence.cc
+++ b/rattanweir/process/server_silence/server_silence.cc
@@ -37,6 +37,14 @@
   m_lastBytesAt = now;
 }
 
+std::chrono::nanoseconds
+ServerSilence::Run::SilentTime() const
+{
+  return m_silentTime <= m_owner.m_options.m_maxSilence
+           ? m_silentTime
+           : std::chrono::nanoseconds::zero();
+}
+
 std::chrono::nanoseconds
 ServerSilence::Run::SinceLastBytes() const
 {
@@ -49,9 +57,6 @@
   const auto silenceOf = [&](const Run& aRun) {
     return aNow - std::max(aServer.m_lastBytesAt, aRun.m_begunAt);
   };
-  if (aNow - aServer.m_lastBytesAt > m_options.m_maxSilence) {
-    return;
-  }
   std::vector<Run*> waited;
   for (Run* run : aServer.m_runs) {
     if (silenceOf(*run) >= m_options.m_minSilence) {
