Stop: the kernel delivers finished responses to slow readers

Callers saw: a response whose server had finished ended in the middle, with status 200, if the caller read slowly and the instance reached the end of its shutdown timeout.

Cause: the limit of 64 KB on unsent bytes (TCP_NOTSENT_LOWAT) kept the rest of the response in the process and before it, where the end cuts it.

Change: once an instance drains, its servers for callers and for peers lift the limit and enlarge small send buffers. Memory stays bounded by the kernel, and only what is still being sent is concerned. What exceeds the send buffer at the end is still cut.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -832,6 +832,8 @@
                                          (end - m_clock.SteadyNow()) / 2),
                    never);
   m_callerServer.Drain();
+  m_callerServer.HandOverResponses();
+  m_peerServer.HandOverResponses();
   while (m_callerServer.Connections() + m_state.m_inFlight > 0 &&
          m_clock.SteadyNow() < end) {
     co_await WaitFor(m_context.get_executor(), kDrainPollInterval, never);
--- a/rattanweir/connection/http_server/http_server.cc
+++ b/rattanweir/connection/http_server/http_server.cc
@@ -151,6 +151,14 @@
   m_state->m_changed.cancel();
 }
 
+void
+HttpServer::HandOverResponses()
+{
+  m_state->m_handsOverResponses = true;
+  ForEachConnection(*m_state,
+                    [](ServerConnection& aOpen) { aOpen.HandOverResponse(); });
+}
+
 void
 HttpServer::CancelRequests()
 {
--- a/rattanweir/connection/http_server/http_server.h
+++ b/rattanweir/connection/http_server/http_server.h
@@ -109,6 +109,11 @@
   // finish; each connection closes after its response.
   void Drain();
 
+  // Lets the kernel take as much of each response as its send buffer holds, on
+  // open and later connections. It delivers what it has taken to callers that
+  // read slowly, even after the process has ended.
+  void HandOverResponses();
+
   // Cancels running requests with InstanceDraining. Callers that have not
   // received a response head get the error as their response; other responses
   // are truncated. Connections stay open until that is written.
--- a/rattanweir/connection/http_server/internal/server_connection.cc
+++ b/rattanweir/connection/http_server/internal/server_connection.cc
@@ -100,6 +100,9 @@
   , m_stream(std::move(aSocket), m_server->m_options.m_limits)
 {
   m_server->m_connections.insert(this);
+  if (m_server->m_handsOverResponses) {
+    HandOverResponse();
+  }
 }
 
 ServerConnection::~ServerConnection()
@@ -116,6 +119,12 @@
   }
 }
 
+void
+ServerConnection::HandOverResponse()
+{
+  m_stream.LiftUnsentLimit();
+}
+
 void
 ServerConnection::CancelRequest()
 {
--- a/rattanweir/connection/http_server/internal/server_connection.h
+++ b/rattanweir/connection/http_server/internal/server_connection.h
@@ -25,6 +25,8 @@
 
   // Interrupts the wait for the next request; a request in flight continues.
   void CloseIfIdle();
+  // Lets the kernel take as much of the response as its send buffer holds.
+  void HandOverResponse();
   // Cancels a request in flight with InstanceDraining.
   void CancelRequest();
   // The same, and interrupts whatever the connection waits for.
--- a/rattanweir/connection/http_server/internal/server_state.h
+++ b/rattanweir/connection/http_server/internal/server_state.h
@@ -57,6 +57,7 @@
   std::uint64_t m_bodyBytes = 0;
   bool m_isDraining = false;
   bool m_closesAfterResponses = false;
+  bool m_handsOverResponses = false;
 };
 
 } // namespace rattanweir
--- a/rattanweir/connection/http_server/internal/server_stream.cc
+++ b/rattanweir/connection/http_server/internal/server_stream.cc
@@ -34,6 +34,10 @@
 constexpr std::size_t kBodyReadBytes = 16UL * 1024;
 // Limit on unsent bytes in the kernel's send buffer of one connection.
 constexpr int kMaxUnsentBytes = 64 * 1024;
+// Size that LiftUnsentLimit requests for a send buffer below kSmallSendBuffer.
+// The system grants less, but at least that, unless it is set up for less.
+constexpr int kHandOverBytes = 2 * 1024 * 1024;
+constexpr int kSmallSendBuffer = 2 * 212'992;
 // Limits on the input that Linger discards before it closes a connection.
 constexpr auto kLingerTimeout = std::chrono::seconds(2);
 constexpr std::size_t kMaxLingerBytes = 16UL * 1024 * 1024;
@@ -246,6 +250,21 @@
   co_return error;
 }
 
+void
+ServerStream::LiftUnsentLimit()
+{
+  tcp::socket& socket = m_state->m_socket.Get();
+  ErrorCode error;
+  asio::socket_base::send_buffer_size size;
+  socket.get_option(size, error);
+  // The kernel no longer enlarges a buffer whose size was set.
+  if (!error && size.value() < kSmallSendBuffer) {
+    socket.set_option(asio::socket_base::send_buffer_size(kHandOverBytes),
+                      error);
+  }
+  SetTcpOption(socket, TCP_NOTSENT_LOWAT, std::numeric_limits<int>::max());
+}
+
 Task<void>
 ServerStream::Linger()
 {
--- a/rattanweir/connection/http_server/internal/server_stream.h
+++ b/rattanweir/connection/http_server/internal/server_stream.h
@@ -84,6 +84,10 @@
   // Writes all buffers. The write timeout restarts whenever bytes were written.
   Task<ErrorCode> Write(Buffers aBuffers);
 
+  // Lifts the limit on unsent bytes in the kernel and enlarges its send buffer,
+  // as far as the system allows.
+  void LiftUnsentLimit();
+
   // Shuts down the sending side and discards input for a bounded time. Closing
   // a socket with unread bytes would reset the connection and could lose the
   // last response.
