Stop: connections in the backlog count before the instance may end

Cause: a drain hands what waits in the backlog to coroutines that are only scheduled, and a connection was counted when its coroutine began. An instance whose other connections were closed by then saw none, and ended in the same turn. The product's own interface waits in the same way.

A connection now counts as soon as it was accepted, and a server is done only after its accept loop has ended. The stop waits for that.

What the kernel completes between the last accept and the close is still reset; not seen.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -832,7 +832,7 @@
                                          (end - m_clock.SteadyNow()) / 2),
                    never);
   m_callerServer.Drain();
-  while (m_callerServer.Connections() + m_state.m_inFlight > 0 &&
+  while ((!m_callerServer.IsDone() || m_state.m_inFlight > 0) &&
          m_clock.SteadyNow() < end) {
     co_await WaitFor(m_context.get_executor(), kDrainPollInterval, never);
   }
--- a/rattanweir/connection/http_server/http_server.cc
+++ b/rattanweir/connection/http_server/http_server.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/redirect_error.hpp>
 
 #include <functional>
+#include <memory>
 #include <utility>
 #include <vector>
 
@@ -23,10 +24,10 @@
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
 
 Task<void>
-Serve(State aState, tcp::socket aSocket)
+Serve(std::unique_ptr<ServerConnection> aConnection)
 {
-  ServerConnection connection(aState, std::move(aSocket));
-  co_await connection.Run();
+  const std::unique_ptr<ServerConnection> connection = std::move(aConnection);
+  co_await connection->Run();
 }
 
 Task<void>
@@ -41,7 +42,10 @@
 {
   const Executor executor = aState->m_options.m_executor;
   if (aState->m_connections.size() < aState->m_options.m_limits.m_connections) {
-    co_spawn(executor, Serve(aState, std::move(aSocket)), asio::detached);
+    // Counted at once, so that a drain waits for it.
+    auto connection =
+      std::make_unique<ServerConnection>(aState, std::move(aSocket));
+    co_spawn(executor, Serve(std::move(connection)), asio::detached);
   } else if (aState->m_refusalsInProgress < kMaxConcurrentRefusals) {
     co_spawn(executor, Refuse(aState, std::move(aSocket)), asio::detached);
   }
@@ -58,9 +62,14 @@
       ServeOrRefuse(aState, std::move(socket));
       continue;
     }
-    asio::steady_timer pause(aState->m_options.m_executor, kAcceptPause);
-    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    if (aState->m_acceptor.is_open()) {
+      asio::steady_timer pause(aState->m_options.m_executor, kAcceptPause);
+      co_await pause.async_wait(
+        asio::redirect_error(asio::use_awaitable, error));
+    }
   }
+  aState->m_isAccepting = false;
+  aState->m_changed.cancel();
 }
 
 // Serves the connections in the listener's backlog, which closing the acceptor
@@ -121,6 +130,7 @@
 void
 HttpServer::Start()
 {
+  m_state->m_isAccepting = true;
   co_spawn(m_state->m_options.m_executor, Accept(m_state), asio::detached);
 }
 
@@ -176,6 +186,12 @@
   }
 }
 
+bool
+HttpServer::IsDone() const
+{
+  return m_state->IsDone();
+}
+
 std::uint32_t
 HttpServer::Connections() const
 {
--- a/rattanweir/connection/http_server/http_server.h
+++ b/rattanweir/connection/http_server/http_server.h
@@ -122,6 +122,9 @@
   // connection is closed.
   Task<void> WaitUntilDone();
 
+  // Returns whether WaitUntilDone would complete at once.
+  bool IsDone() const;
+
   std::uint32_t Connections() const;
   // Returns the number of requests that are being handled.
   std::uint32_t RequestsInFlight() const;
--- a/rattanweir/connection/http_server/http_server_bounds_test.cc
+++ b/rattanweir/connection/http_server/http_server_bounds_test.cc
@@ -1,5 +1,6 @@
 #include "rattanweir/base/asio/asio.h"
 
+#include "rattanweir/connection/timed_socket/timed_socket.h"
 #include "testing/server_bench/server_bench.h"
 
 #include <catch2/catch.hpp>
@@ -227,6 +228,25 @@
   });
 }
 
+// Guards against an instance that ends before it has served a connection that
+// was opened as it stopped to listen.
+TEST_CASE("a drain waits for connections that were not accepted yet")
+{
+  ServerBench bench;
+  bench.Run([&]() -> Task<void> {
+    asio::ip::tcp::socket socket(bench.m_context);
+    socket.connect(ToAsioEndpoint(bench.m_server.LocalEndpoint()));
+    asio::write(socket, asio::buffer(Get("/")));
+    bench.m_server.Drain();
+    CHECK(bench.m_server.Connections() == 1);
+    RawPeer caller(std::move(socket));
+    const std::string response = co_await caller.ReadToEnd();
+    CHECK(response.starts_with("HTTP/1.1 200"));
+    caller.Close();
+    co_await bench.m_server.WaitUntilDone();
+  });
+}
+
 // Guards against requests that end without an answer when an instance stops.
 TEST_CASE("CancelRequests answers what has no response yet")
 {
--- a/rattanweir/connection/http_server/internal/server_state.h
+++ b/rattanweir/connection/http_server/internal/server_state.h
@@ -38,12 +38,14 @@
 
   bool IsDone() const
   {
-    return !m_acceptor.is_open() && m_connections.empty() &&
+    return !m_acceptor.is_open() && !m_isAccepting && m_connections.empty() &&
            m_refusalsInProgress == 0;
   }
 
   HttpServerOptions m_options;
   asio::ip::tcp::acceptor m_acceptor;
+  // True until the last accepted connection was taken over.
+  bool m_isAccepting = false;
   Endpoint m_localEndpoint;
   // Cancelled to wake WaitUntilDone when a connection has ended.
   asio::steady_timer m_changed;
