Stop: a new connection may still send its first request

Cause: at a drain, connections that wait for a request are closed. That is right for kept ones, which have been told to close, but one that was accepted a moment ago has had no time to send its first. Those accepted in the drain had 1 s.

Now the same second holds for those accepted shortly before. A connection that sends nothing delays the stop by what is left of it.

--- a/rattanweir/connection/http_server/http_server_bounds_test.cc
+++ b/rattanweir/connection/http_server/http_server_bounds_test.cc
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <utility>
@@ -247,6 +248,31 @@
   });
 }
 
+// Guards against connections that are closed while their first request is on
+// its way.
+TEST_CASE("a drain waits for the first request on a new connection")
+{
+  ServerBench bench;
+  bench.Run([&]() -> Task<void> {
+    RawPeer caller = co_await bench.Connect();
+    RawPeer unused = co_await bench.Connect();
+    co_await WaitUntil([&] { return bench.m_server.Connections() == 2; });
+    bench.m_server.Drain();
+    // The connections that are closed by the drain are closed by now.
+    asio::steady_timer pause(bench.m_context, std::chrono::milliseconds(50));
+    co_await pause.async_wait(asio::use_awaitable);
+    co_await caller.Write(Get("/"));
+    const std::string response = co_await caller.ReadToEnd();
+    CHECK(response.starts_with("HTTP/1.1 200"));
+    caller.Close();
+    // Without a request, the connection is closed all the same.
+    const std::string nothing = co_await unused.ReadToEnd();
+    CHECK(nothing.empty());
+    unused.Close();
+    co_await bench.m_server.WaitUntilDone();
+  });
+}
+
 // Guards against requests that end without an answer when an instance stops.
 TEST_CASE("CancelRequests answers what has no response yet")
 {
--- a/rattanweir/connection/http_server/internal/server_connection.cc
+++ b/rattanweir/connection/http_server/internal/server_connection.cc
@@ -15,7 +15,8 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t kRequestIdBytes = 12;
-// A connection accepted while draining may already have sent its request.
+// The first request on a connection accepted while draining, or shortly before,
+// may be on its way.
 constexpr auto kDrainingFirstRequestTimeout = std::chrono::seconds(1);
 
 RequestId
@@ -98,6 +99,7 @@
                                    asio::ip::tcp::socket aSocket)
   : m_server(std::move(aState))
   , m_stream(std::move(aSocket), m_server->m_options.m_limits)
+  , m_acceptedAt(m_server->m_options.m_clock.SteadyNow())
 {
   m_server->m_connections.insert(this);
 }
@@ -111,9 +113,16 @@
 void
 ServerConnection::CloseIfIdle()
 {
-  if (m_isIdle) {
-    m_stream.Socket().Interrupt();
+  if (!m_isIdle) {
+    return;
   }
+  const auto left = m_acceptedAt + kDrainingFirstRequestTimeout -
+                    m_server->m_options.m_clock.SteadyNow();
+  if (m_isWaitingForFirst && left > left.zero()) {
+    m_stream.Socket().ExpireAfter(left);
+    return;
+  }
+  m_stream.Socket().Interrupt();
 }
 
 void
@@ -158,12 +167,12 @@
 Task<bool>
 ServerConnection::WaitForRequest()
 {
-  const bool isFirst = std::exchange(m_isFirst, false);
+  m_isWaitingForFirst = std::exchange(m_isFirst, false);
   const CallerLimits& limits = m_server->m_options.m_limits;
   std::chrono::nanoseconds timeout = limits.m_idleTimeout;
   if (m_server->m_isDraining) {
     timeout = std::chrono::nanoseconds::zero();
-    if (isFirst) {
+    if (m_isWaitingForFirst) {
       timeout = kDrainingFirstRequestTimeout;
     }
   }
--- a/rattanweir/connection/http_server/internal/server_connection.h
+++ b/rattanweir/connection/http_server/internal/server_connection.h
@@ -23,7 +23,8 @@
 
   Task<void> Run();
 
-  // Interrupts the wait for the next request; a request in flight continues.
+  // Interrupts the wait for the next request; a request in flight continues. A
+  // connection accepted shortly before may still send its first request.
   void CloseIfIdle();
   // Cancels a request in flight with InstanceDraining.
   void CancelRequest();
@@ -55,8 +56,10 @@
 
   std::shared_ptr<ServerState> m_server;
   ServerStream m_stream;
+  SteadyTime m_acceptedAt;
   bool m_isIdle = false;
   bool m_isFirst = true;
+  bool m_isWaitingForFirst = false;
   RequestId m_request;
   // When the first bytes of the current request were noticed.
   SteadyTime m_begunAt;
