Test: what a shutdown of the product's own interface does to open requests

Shown with a real process and a shutdown timeout of 3 s, before any change of its code: a booking of 6 s, a stream of 8 s, requests whose bodies end 1 s and 2.5 s after the signal, and one whose body never ends. A booking whose body ends 0.5 s before the end is sent all the same and cut, with ran=maybe; nothing here refuses what can't end in time.

The harness takes the shutdown timeout as an option.

--- a/testing/end_to_end/one_instance_test.cc
+++ b/testing/end_to_end/one_instance_test.cc
@@ -9,14 +9,19 @@
 
 #include <catch2/catch.hpp>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <atomic>
 #include <csignal>
+#include <map>
 #include <thread>
 
 namespace rattanweir::testing {
 
 namespace {
 
+using namespace std::chrono_literals;
+
 const std::string kInstance = "ostland-1";
 const std::string kEngine = "engine-ostland";
 const std::string kService = "service-ostland";
@@ -205,6 +210,75 @@
   CHECK(Describe(fleet.StopAndCheckHistory()) == "");
 }
 
+// Guards against a shutdown that ends an accepted request without an answer.
+TEST_CASE("A shutdown answers what outlives it and serves what arrives slowly")
+{
+  Fleet fleet({ .m_bookingDeadline = "8s", .m_shutdownTimeout = "3s" });
+  WaitUntilAllServe(fleet);
+  // Bookings take longer than the shutdown timeout.
+  fleet.Switch(kService, R"([{"name":"delay","value":6000}])");
+  const auto post = [](const std::string& aPath, const std::string& aBody) {
+    return "POST " + aPath +
+           " HTTP/1.1\r\nhost: x\r\nauthorization: Bearer "
+           "secret-of-parents\r\ncontent-type: application/json\r\n"
+           "content-length: " +
+           std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+  };
+  const std::string booking = post("/bookings", R"({"marker":"b"})");
+  const std::string chat = post("/v1/chat", kChatBody);
+  const std::string stream =
+    post("/v1/chat",
+         R"({"marker":"s","model":"guide","prompt":"p","max_tokens":4000,)"
+         R"("stream":true})");
+  constexpr std::size_t kLateBytes = 5;
+  const auto firstPart = [](const std::string& aText) {
+    return aText.substr(0, aText.size() - kLateBytes);
+  };
+  const auto lastPart = [](const std::string& aText) {
+    return aText.substr(aText.size() - kLateBytes);
+  };
+  asio::io_context context;
+  std::map<std::string, std::string> responses;
+  RunTask(context, [&]() -> Task<void> {
+    std::map<std::string, RawPeer> callers;
+    for (const char* name :
+         { "long", "stream", "slow", "late", "late long", "never" }) {
+      RawPeer caller =
+        co_await RawPeer::Connect(context, fleet.CallerAddress(kInstance));
+      callers.emplace(name, std::move(caller));
+    }
+    co_await callers.at("long").Write(booking);
+    co_await callers.at("stream").Write(stream);
+    for (const char* name : { "slow", "late", "never" }) {
+      co_await callers.at(name).Write(firstPart(chat));
+    }
+    co_await callers.at("late long").Write(firstPart(booking));
+    WaitUntil("the long requests to be in flight", [&] {
+      return fleet.CountRecords(kService, "received") == 1 &&
+             fleet.CountRecords(kEngine, "received") >= 1;
+    });
+    fleet.Drain(kInstance);
+    asio::steady_timer timer(context, 1s);
+    co_await timer.async_wait(asio::use_awaitable);
+    co_await callers.at("slow").Write(lastPart(chat));
+    timer.expires_after(1'500ms);
+    co_await timer.async_wait(asio::use_awaitable);
+    co_await callers.at("late").Write(lastPart(chat));
+    co_await callers.at("late long").Write(lastPart(booking));
+    for (auto& [name, caller] : callers) {
+      responses[name] = co_await caller.ReadToEnd();
+      caller.Close();
+    }
+  });
+  CHECK(responses["slow"].starts_with("HTTP/1.1 200"));
+  CHECK(responses["late"].starts_with("HTTP/1.1 200"));
+  CHECK(responses["long"].find("rattanweir-ran: maybe") != std::string::npos);
+  CHECK(responses["late long"].find("rattanweir-ran: ") != std::string::npos);
+  CHECK(responses["never"].find("rattanweir-ran: no") != std::string::npos);
+  CHECK(responses["stream"].find("event: error") != std::string::npos);
+  CHECK(fleet.Instance(kInstance).WaitForExit() == 0);
+}
+
 TEST_CASE("A drain ends only after all admin responses are complete")
 {
   Fleet fleet({});
--- a/testing/harness/configuration_files.cc
+++ b/testing/harness/configuration_files.cc
@@ -167,7 +167,8 @@
 std::string
 ConfigurationFiles::WriteSettings(const std::string& aInstance,
                                   const std::string& aRegion,
-                                  const std::string& aPlatform) const
+                                  const std::string& aPlatform,
+                                  const std::string& aShutdownTimeout) const
 {
   std::ostringstream text;
   text << "instance: " << aInstance << "\nregion: " << aRegion
@@ -175,7 +176,8 @@
        << "addresses: { caller: \"127.0.0.1:0\", peer: \"127.0.0.1:0\", "
           "admin: \"127.0.0.1:0\" }\n"
        << "platform: " << aPlatform << "\nlog: { level: info, format: json }\n"
-       << "heartbeat_interval: 200ms\nshutdown_timeout: 30s\n";
+       << "heartbeat_interval: 200ms\nshutdown_timeout: " << aShutdownTimeout
+       << "\n";
   const std::string file = "settings-" + aInstance + ".yaml";
   Write(file, text.str());
   return (m_directory / file).string();
--- a/testing/harness/configuration_files.h
+++ b/testing/harness/configuration_files.h
@@ -80,7 +80,8 @@
   // `platform`.
   std::string WriteSettings(const std::string& aInstance,
                             const std::string& aRegion,
-                            const std::string& aPlatform) const;
+                            const std::string& aPlatform,
+                            const std::string& aShutdownTimeout) const;
 
 private:
   void Write(const std::string& aFile, const std::string& aText) const;
--- a/testing/harness/fleet.cc
+++ b/testing/harness/fleet.cc
@@ -90,7 +90,10 @@
 {
   Node& node = m_nodes.at(aInstance);
   const std::string settings =
-    m_files.WriteSettings(aInstance, node.m_region, PlatformSetting(node));
+    m_files.WriteSettings(aInstance,
+                          node.m_region,
+                          PlatformSetting(node),
+                          m_options.m_shutdownTimeout);
   const ProcessOptions options{ .m_path = RATTANWEIR_DAEMON,
                                 .m_arguments = { "--settings", settings } };
   node.m_process = std::make_unique<Process>(options);
--- a/testing/harness/fleet.h
+++ b/testing/harness/fleet.h
@@ -34,6 +34,7 @@
   std::vector<std::string> m_serverRegions = { "ostland" };
   std::string m_tokenInterval = "2ms";
   std::string m_bookingDeadline = "4s";
+  std::string m_shutdownTimeout = "30s";
   // Rate limit of the account `small`.
   AccountLimits m_smallRights = kSmallRights;
   // Reads the configuration from a stand-in platform instead of a directory.
