--- a/testing/planned_stop/planned_stop_test.cc
+++ b/testing/planned_stop/planned_stop_test.cc
@@ -44,6 +44,91 @@
   }
 }
 
+// Guards against long responses that are taken for short ones, because several
+// of them were in progress at one server.
+TEST_CASE("a request is not cut after long responses that ran side by side")
+{
+  StoppedInstance instance;
+  std::vector<Answer> before;
+  std::vector<Answer> answers;
+  instance.Run([&]() -> Task<void> {
+    for (int count = 0; count < 10; ++count) {
+      instance.Start(
+        milliseconds(30 * count), { .m_target = "/read/long" }, before);
+    }
+    co_await instance.Sleep(kLongRun + milliseconds(800));
+    instance.Stop();
+    for (const int delay : { 3'020, 3'060, 3'100, 3'140 }) {
+      instance.Start(
+        milliseconds(delay), { .m_target = "/read/long" }, answers);
+    }
+    co_await instance.WaitForExit();
+    co_await instance.Sleep(milliseconds(200));
+  });
+  REQUIRE(before.size() == 10);
+  CHECK(std::ranges::count(before, 200U, &Answer::m_status) == 10);
+  REQUIRE(answers.size() == 4);
+  for (const Answer& answer : answers) {
+    INFO(instance.Describe(answer));
+    CHECK((answer.m_status == 200 || !instance.HasRun(answer)));
+  }
+}
+
+// Guards against a view of a route's durations that lacks its longest ones.
+TEST_CASE("a request is not cut after responses that their deadline ended")
+{
+  StoppedInstance instance;
+  std::vector<Answer> before;
+  std::vector<Answer> answers;
+  instance.Run([&]() -> Task<void> {
+    co_await instance.ServeShortRequests(12);
+    for (int count = 0; count < 2; ++count) {
+      instance.Start(
+        milliseconds(30 * count), { .m_target = "/read/hang" }, before);
+    }
+    co_await instance.Sleep(kRouteTimeout + milliseconds(500));
+    co_await instance.ServeShortRequests(2);
+    instance.Stop();
+    for (const int delay : { 3'020, 3'060, 3'100, 3'140 }) {
+      instance.Start(
+        milliseconds(delay), { .m_target = "/read/hang" }, answers);
+    }
+    co_await instance.WaitForExit();
+    co_await instance.Sleep(milliseconds(200));
+  });
+  REQUIRE(before.size() == 2);
+  CHECK(std::ranges::count(before, 504U, &Answer::m_status) == 2);
+  REQUIRE(answers.size() == 4);
+  for (const Answer& answer : answers) {
+    INFO(instance.Describe(answer));
+    CHECK((answer.m_status == 200 || !instance.HasRun(answer)));
+  }
+}
+
+// Guards against streams that are cut because their body arrives slowly and
+// their server falls silent.
+TEST_CASE("a stream whose body is complete late is answered whole or not run")
+{
+  StoppedInstance instance;
+  std::vector<Answer> answers;
+  instance.Run([&]() -> Task<void> {
+    co_await instance.ServeShortRequests(12);
+    instance.Stop();
+    instance.Start(milliseconds(2'500),
+                   { .m_target = "/stream/short",
+                     .m_bodyBytes = 2,
+                     .m_pauseInBody = seconds(4) },
+                   answers);
+    co_await instance.Sleep(milliseconds(6'480));
+    instance.m_server.FallSilent(milliseconds(1'300));
+    co_await instance.WaitForExit();
+    co_await instance.Sleep(milliseconds(200));
+  });
+  REQUIRE(answers.size() == 1);
+  INFO(instance.Describe(answers[0]));
+  CHECK((answers[0].m_status == 200 || !instance.HasRun(answers[0])));
+}
+
 // Guards against needless refusals: callers use an instance's address for up to
 // three seconds after its stop signal.
 TEST_CASE("short requests are served while callers learn of a planned stop")
@@ -70,6 +155,35 @@
         static_cast<std::ptrdiff_t>(sent));
 }
 
+// Guards against connections that were opened as an instance stops to listen
+// and end without an answer.
+TEST_CASE("what is sent when a stopping instance ceases to listen is answered")
+{
+  constexpr milliseconds kFirst{ 3'000 };
+  constexpr milliseconds kLast{ 3'300 };
+  constexpr int kPerMillisecond = 4;
+  StoppedInstance instance;
+  std::vector<Answer> answers;
+  std::size_t started = 0;
+  instance.Run([&]() -> Task<void> {
+    co_await instance.ServeShortRequests(10);
+    instance.Stop();
+    for (milliseconds delay = kFirst; delay < kLast; ++delay) {
+      for (int count = 0; count < kPerMillisecond; ++count) {
+        instance.Start(delay, { .m_target = "/read/short" }, answers);
+        ++started;
+      }
+    }
+    co_await instance.WaitForExit();
+    co_await instance.Sleep(milliseconds(200));
+  });
+  REQUIRE(answers.size() == started);
+  for (const Answer& answer : answers) {
+    INFO(answer.m_id);
+    CHECK((answer.m_status != 0 || !answer.m_isSent));
+  }
+}
+
 // Guards against needless refusals where the shutdown timeout is long.
 TEST_CASE("late requests are served if their deadline lies before the end")
 {
--- a/testing/planned_stop/stopped_instance.cc
+++ b/testing/planned_stop/stopped_instance.cc
@@ -302,8 +302,9 @@
     while (co_await exchange->ReadChunk()) {
     }
     answer.m_status = head.m_status;
-  } catch (const RequestError&) {
+  } catch (const RequestError& error) {
     // The status stays 0.
+    answer.m_isSent = error.HasRun() != Ran::No;
   }
   answer.m_endedAt = SystemClock().SteadyNow();
   co_return answer;
--- a/testing/planned_stop/stopped_instance.h
+++ b/testing/planned_stop/stopped_instance.h
@@ -93,6 +93,8 @@
   unsigned m_status = 0;
   // The status of a response that may be incomplete.
   unsigned m_headStatus = 0;
+  // False if no byte of the request was sent.
+  bool m_isSent = true;
   SteadyTime m_sentAt;
   SteadyTime m_endedAt;
 };
