Stop: a response that an instance and its peer have seen counts once

The larger of the numbers counts. process_service_end_test, the new test: fails before by the sum of 10, passes now. request_cut now names what was known when the request was sent, in place of what is known when it is cut.

--- a/rattanweir/process/service_end/service_end.cc
+++ b/rattanweir/process/service_end/service_end.cc
@@ -43,8 +43,10 @@
   if (aOther.m_count == 0) {
     return;
   }
-  m_usual = aOther.m_count > m_count ? aOther.m_usual : m_usual;
-  m_count += aOther.m_count;
+  if (aOther.m_count > m_count) {
+    m_count = aOther.m_count;
+    m_usual = aOther.m_usual;
+  }
   m_longest = std::max(m_longest, aOther.m_longest);
 }
 
--- a/rattanweir/process/service_end/service_end.h
+++ b/rattanweir/process/service_end/service_end.h
@@ -77,7 +77,8 @@
   std::chrono::nanoseconds m_longestUnfinished{};
 
   // Adds responses that another instance has seen, or of another class. The
-  // usual duration becomes that of the larger number.
+  // number and the usual duration become those of the larger number, since two
+  // instances may have seen the same responses.
   void Merge(const RunSummary& aOther);
 };
 
--- a/rattanweir/process/service_end/service_end_test.cc
+++ b/rattanweir/process/service_end/service_end_test.cc
@@ -376,5 +376,16 @@
   CHECK(IsSent(clock, end, kOnce, seconds(6)));
 }
 
+TEST_CASE("responses that an instance and its peer have seen count once")
+{
+  ManualClock clock;
+  ServiceEnd end({ .m_clock = clock });
+  RecordRuns(end, kIdempotent, 5, milliseconds(20));
+  end.AddPeerRuns(end.LocalRuns());
+  end.Announce(clock.SteadyNow() + kLife);
+  clock.Advance(milliseconds(3'100));
+  CHECK_FALSE(IsSent(clock, end, kIdempotent, seconds(6)));
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/request/gateway/gateway_handlers.cc
+++ b/rattanweir/request/gateway/gateway_handlers.cc
@@ -74,8 +74,6 @@
        const AdmittedRequest& aRequest,
        const DispatchReport& aReport)
 {
-  const ServiceEndDecision decision =
-    aState.m_serviceEnd.Decide(ServiceEndQueryFor(aRequest));
   const SteadyTime now = aState.m_clock.SteadyNow();
   const SteadyTime announcedAt =
     aState.m_serviceEnd.AnnouncedAt().value_or(now);
@@ -96,9 +94,9 @@
       { "running_ms", MillisecondsText(aReport.m_running) },
       { "silent_ms", MillisecondsText(aReport.m_sinceLastBytes) },
       { "events", std::to_string(aReport.m_events) },
-      { "known_runs", std::to_string(decision.m_runs.m_count) },
-      { "usual_ms", MillisecondsText(decision.m_runs.m_usual) },
-      { "longest_ms", MillisecondsText(decision.m_runs.m_longest) },
+      { "known_runs", std::to_string(aReport.m_knownRuns.m_count) },
+      { "usual_ms", MillisecondsText(aReport.m_knownRuns.m_usual) },
+      { "longest_ms", MillisecondsText(aReport.m_knownRuns.m_longest) },
       { "from_peer",
         aRequest.m_forwardedBy ? aRequest.m_forwardedBy->Value() : "none" } });
 }
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -283,6 +283,8 @@
   m_report.m_timeToFirstByte.reset();
   m_progress.m_eventsInAttempt = 0;
   m_wasTurnedAway = false;
+  m_report.m_knownRuns =
+    m_state.m_serviceEnd.Decide(ServiceEndQueryFor(m_request)).m_runs;
   ++m_report.m_dispatches;
   const SteadyTime sentAt = m_state.m_clock.SteadyNow();
   try {
--- a/rattanweir/request/gateway/request_dispatcher.h
+++ b/rattanweir/request/gateway/request_dispatcher.h
@@ -58,6 +58,9 @@
   // when it failed.
   std::chrono::nanoseconds m_running{};
   std::chrono::nanoseconds m_sinceLastBytes{};
+  // What was known of similar requests at the last dispatch, if the instance
+  // was stopping by then.
+  RunSummary m_knownRuns;
   // Number of events of the last dispatch that were forwarded.
   std::size_t m_events = 0;
 };
