Silent servers at a stop: the test does not depend on how late its own thread is

In its place for those that do end there, and new for all others: what the server has written 0.2 s before the deadline and before the end of the instance is with its caller with status 200.

--- a/testing/planned_stop/stopped_instance.cc
+++ b/testing/planned_stop/stopped_instance.cc
@@ -152,7 +152,7 @@
     }
     co_await aSink.WriteChunk(id);
     co_await aSink.Finish();
-    m_finished.insert(id);
+    m_finished.emplace(id, SystemClock().SteadyNow());
     co_return;
   }
   head.m_headers.push_back({ "Content-Type", "text/event-stream" });
@@ -166,7 +166,7 @@
     co_await aSink.WriteChunk("id: " + std::to_string(event) + "\ndata: x\n\n");
   }
   co_await aSink.Finish();
-  m_finished.insert(id);
+  m_finished.emplace(id, SystemClock().SteadyNow());
 }
 
 StoppedInstance::StoppedInstance(const StoppedInstanceOptions& aOptions)
@@ -382,6 +382,17 @@
   return duration_cast<milliseconds>(aAnswer.m_sentAt - m_signalledAt);
 }
 
+bool
+StoppedInstance::HasFinishedInTime(const Answer& aAnswer,
+                                   milliseconds aTimeLeft,
+                                   milliseconds aAfterSignal) const
+{
+  const auto finished = m_server.m_finished.find(aAnswer.m_id);
+  return finished != m_server.m_finished.end() &&
+         finished->second <= aAnswer.m_sentAt + kRouteTimeout - aTimeLeft &&
+         finished->second <= m_signalledAt + aAfterSignal;
+}
+
 std::string
 StoppedInstance::Describe(const Answer& aAnswer) const
 {
--- a/testing/planned_stop/stopped_instance.h
+++ b/testing/planned_stop/stopped_instance.h
@@ -25,6 +25,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -64,8 +65,8 @@
 
   // The ids of the requests that began to run.
   std::set<std::string> m_runs;
-  // The ids of those whose responses were completely written.
-  std::set<std::string> m_finished;
+  // When the responses of these were completely written.
+  std::map<std::string, SteadyTime> m_finished;
 
 private:
   // Waits until the time, and until the server is no longer silent.
@@ -149,6 +150,12 @@
     return m_server.m_finished.contains(aAnswer.m_id);
   }
 
+  // Returns whether it did so with this time left until the request's deadline,
+  // and before the time after the stop signal.
+  bool HasFinishedInTime(const Answer& aAnswer,
+                         std::chrono::milliseconds aTimeLeft,
+                         std::chrono::milliseconds aAfterSignal) const;
+
   // Returns when a request was sent, in relation to the stop signal.
   std::chrono::milliseconds SentAfterSignal(const Answer& aAnswer) const;
 
