Stop: a peer's request that is being read holds the instance

Callers saw: 502 for a request that never ran, sent over a hop to an instance that was stopping and had no callers of its own.

Cause: an instance ends early once it has no caller connections and no requests in flight. A peer's request counted only when its body had been read. The connection was closed meanwhile, and the entry instance can't tell that from a request that ran and was lost. At the end of the shutdown timeout, requests that were being read were closed in the same way, callers' requests too.

Change: a request counts as unanswered from its first byte; ShutDown waits for those of peers. CancelRequests refuses what is still being read as not run, so that the entry instance sends it elsewhere.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -834,7 +834,9 @@
   m_callerServer.Drain();
   m_callerServer.HandOverResponses();
   m_peerServer.HandOverResponses();
-  while (m_callerServer.Connections() + m_state.m_inFlight > 0 &&
+  while (m_callerServer.Connections() + m_peerServer.UnansweredRequests() +
+             m_state.m_inFlight >
+           0 &&
          m_clock.SteadyNow() < end) {
     co_await WaitFor(m_context.get_executor(), kDrainPollInterval, never);
   }
--- a/rattanweir/connection/http_server/http_server.h
+++ b/rattanweir/connection/http_server/http_server.h
@@ -114,9 +114,10 @@
   // read slowly, even after the process has ended.
   void HandOverResponses();
 
-  // Cancels running requests with InstanceDraining. Callers that have not
-  // received a response head get the error as their response; other responses
-  // are truncated. Connections stay open until that is written.
+  // Cancels running requests with InstanceDraining, and refuses those that are
+  // being read. Callers that have not received a response head get the error as
+  // their response; other responses are truncated. Connections stay open until
+  // that is written.
   void CancelRequests();
 
   // Drains, cancels running requests with InstanceDraining and interrupts what
@@ -130,7 +131,8 @@
   std::uint32_t Connections() const;
   // Returns the number of requests that are being handled.
   std::uint32_t RequestsInFlight() const;
-  // Returns the number of requests whose response is not written yet.
+  // Returns the number of requests that are being read or whose response is not
+  // written yet.
   std::uint32_t UnansweredRequests() const;
 
 private:
--- a/rattanweir/connection/http_server/http_server_bounds_test.cc
+++ b/rattanweir/connection/http_server/http_server_bounds_test.cc
@@ -269,6 +269,33 @@
   });
 }
 
+// Guards against peers that take a request for one that may have run.
+TEST_CASE("CancelRequests refuses what is still being read as not run")
+{
+  const std::string starts[] = { "GET / HT",
+                                 Post("Content-Length: 60\r\n", "incomplete"),
+                                 Post("Transfer-Encoding: chunked\r\n", "5") };
+  for (const std::string& start : starts) {
+    CAPTURE(start);
+    ServerBench bench;
+    bench.Run([&]() -> Task<void> {
+      RawPeer caller = co_await bench.Connect();
+      co_await caller.Write(start);
+      co_await WaitUntil(
+        [&] { return bench.m_server.UnansweredRequests() == 1; });
+      bench.m_server.Drain();
+      bench.m_server.CancelRequests();
+      const std::string response = co_await caller.ReadToEnd();
+      CHECK(ResultCodeIn(response) == "204");
+      CHECK(response.find("rattanweir-ran: no") != std::string::npos);
+      CHECK(bench.m_server.UnansweredRequests() == 0);
+      CHECK(bench.m_handler.m_receivedRequests.empty());
+      caller.Close();
+      co_await bench.m_server.WaitUntilDone();
+    });
+  }
+}
+
 TEST_CASE("a request counts from its arrival, not from when it is read")
 {
   ServerBench bench;
--- a/rattanweir/connection/http_server/internal/server_connection.cc
+++ b/rattanweir/connection/http_server/internal/server_connection.cc
@@ -130,6 +130,9 @@
 {
   if (m_cancel) {
     m_cancel->Cancel(ResultCode::InstanceDraining);
+  } else if (m_isReading) {
+    m_isReadCancelled = true;
+    m_stream.Socket().Interrupt();
   }
 }
 
@@ -192,11 +195,16 @@
 {
   m_request = NewRequestId();
   m_begunAt = m_server->m_options.m_clock.SteadyNow();
+  const ScopedCount unanswered(m_server->m_unanswered);
+  m_isReading = true;
   RequestFrame frame;
   const ReadResult result = co_await m_stream.ReadHeader(frame);
   if (result == ReadResult::CallerDisconnected) {
     co_return Next::Close;
   }
+  if (m_isReadCancelled) {
+    co_return co_await RefuseUnread();
+  }
   if (result != ReadResult::Complete) {
     const ResultCode code = CodeOf(result, ResultCode::HeaderTooLarge);
     co_return co_await Refuse(
@@ -243,6 +251,9 @@
   if (result == ReadResult::CallerDisconnected) {
     co_return Next::Close;
   }
+  if (m_isReadCancelled) {
+    co_return co_await RefuseUnread();
+  }
   if (result != ReadResult::Complete) {
     const ResultCode code = CodeOf(result, ResultCode::BodyTooLarge);
     co_return co_await Refuse(
@@ -261,8 +272,8 @@
 Task<ServerConnection::Next>
 ServerConnection::Respond(InboundRequest aRequest, bool aKeepsAlive)
 {
+  m_isReading = false;
   m_cancel.emplace();
-  const ScopedCount unanswered(m_server->m_unanswered);
   const ResponseWriterOptions options{
     .m_stream = m_stream,
     .m_cancel = *m_cancel,
@@ -336,9 +347,17 @@
   co_return aWriter.KeepsAlive() ? Next::Request : Next::Linger;
 }
 
+Task<ServerConnection::Next>
+ServerConnection::RefuseUnread()
+{
+  return Refuse(ResultCode::InstanceDraining,
+                "the instance stops before it has read the request");
+}
+
 Task<ServerConnection::Next>
 ServerConnection::Refuse(ResultCode aCode, std::string aDetail)
 {
+  m_isReading = false;
   const RequestError error(aCode, aDetail);
   Report(error);
   const CancelSource cancel;
--- a/rattanweir/connection/http_server/internal/server_connection.h
+++ b/rattanweir/connection/http_server/internal/server_connection.h
@@ -27,7 +27,8 @@
   void CloseIfIdle();
   // Lets the kernel take as much of the response as its send buffer holds.
   void HandOverResponse();
-  // Cancels a request in flight with InstanceDraining.
+  // Cancels a request in flight with InstanceDraining; refuses one that is
+  // being read.
   void CancelRequest();
   // The same, and interrupts whatever the connection waits for.
   void Abort();
@@ -53,12 +54,16 @@
                             std::optional<RequestError> aError);
   // Refuses a request that was not read completely.
   Task<Next> Refuse(ResultCode aCode, std::string aDetail);
+  // The same for a request whose reading was cancelled.
+  Task<Next> RefuseUnread();
   void Report(const RequestError& aError) const;
 
   std::shared_ptr<ServerState> m_server;
   ServerStream m_stream;
   bool m_isIdle = false;
   bool m_isFirst = true;
+  bool m_isReading = false;
+  bool m_isReadCancelled = false;
   RequestId m_request;
   // When the first bytes of the current request were noticed.
   SteadyTime m_begunAt;
--- a/rattanweir/connection/http_server/internal/server_state.h
+++ b/rattanweir/connection/http_server/internal/server_state.h
@@ -52,7 +52,8 @@
   std::uint32_t m_refusalsInProgress = 0;
   // Requests that are being handled.
   std::uint32_t m_requests = 0;
-  // Requests whose response, or refusal, is not written yet.
+  // Requests that are being read or whose response, or refusal, is not written
+  // yet.
   std::uint32_t m_unanswered = 0;
   std::uint64_t m_bodyBytes = 0;
   bool m_isDraining = false;
--- a/testing/planned_stop/slow_ends_test.cc
+++ b/testing/planned_stop/slow_ends_test.cc
@@ -291,5 +291,34 @@
   });
 }
 
+// Guards against connections that end while a peer's request is being read.
+TEST_CASE("an instance does not end while it reads a request of a peer")
+{
+  Surroundings around;
+  Instance peer(
+    around.m_context, "p1", "south", "127.0.0.1:1", around.m_store.Address());
+  around.Run([&]() -> Task<void> {
+    co_await around.WaitUntilServed(peer.m_caller);
+    tcp::socket entry = co_await around.Connect(peer.m_peer);
+    const std::string body(1'000, 'x');
+    const std::string request = around.RequestText("/once/1", body);
+    std::string start = request.substr(0, request.size() - 500);
+    std::string rest = request.substr(request.size() - 500);
+    co_await around.Write(entry, std::move(start));
+    co_await around.Sleep(milliseconds(100));
+    peer.m_process->Signal(SIGTERM);
+    co_await around.Sleep(milliseconds(2'500));
+    CHECK_FALSE(peer.m_process->HasEnded());
+    boost::system::error_code ignored;
+    co_await asio::async_write(
+      entry,
+      asio::buffer(rest),
+      asio::redirect_error(asio::use_awaitable, ignored));
+    const std::string response = co_await Surroundings::ReadToEnd(entry);
+    CHECK(response.starts_with("HTTP/1.1 "));
+    co_await around.WaitForExit(peer);
+  });
+}
+
 } // namespace
 } // namespace rattanweir::testing
