A response isn't ended because its server leaves the body unread

Callers saw: a response that had begun broke off 2.7 s after the request was sent, if the server answered before it had read a long body.

Cause: TCP_USER_TIMEOUT also ends a connection whose other end acknowledges every probe and has no room for more (a zero window).

The test, with 300 ms, failed with the change switched off and passes with it.

Change: once a response has begun, the timeout is lifted while the kernel still holds unsent bytes of the request, and set again when the connection is kept. A server that vanishes then is noticed at the deadline only. Before the response begins the timeout stays: a server that reads nothing for 2.5 s still ends it.

--- a/rattanweir/connection/http_client/http_client_test.cc
+++ b/rattanweir/connection/http_client/http_client_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <optional>
 
@@ -195,6 +196,42 @@
   }
 }
 
+// Guards against responses that are cut because their server reads the request
+// late.
+TEST_CASE("a server may respond for as long as it leaves the body unread")
+{
+  constexpr auto kUnacknowledged = 300ms;
+  ClientBench bench;
+  HttpUpstream upstream(
+    { .m_executor = bench.m_context.get_executor(),
+      .m_tcpLiveness = { .m_unacknowledgedTimeout = kUnacknowledged } });
+  bench.Run([&]() -> Task<void> {
+    std::optional<std::string> response;
+    std::optional<RequestError> error;
+    const auto exchangeOnce = [&]() -> Task<void> {
+      OutboundRequest request = bench.Request(std::string(2'000'000, 'b'));
+      const auto exchange = co_await upstream.Send(
+        bench.m_listener.LocalEndpoint(), std::move(request), bench.m_cancel);
+      co_await exchange->ReadHead();
+      response = co_await ReadBody(*exchange);
+    };
+    asio::co_spawn(
+      bench.m_context,
+      [&]() -> Task<void> { error = co_await CatchRequestError(exchangeOnce); },
+      asio::detached);
+    RawPeer server = co_await bench.m_listener.Accept();
+    co_await ReadRequestAndRespond(server, kHeadWithLength2 + "o");
+    asio::steady_timer timer(bench.m_context, 4 * kUnacknowledged);
+    co_await timer.async_wait(asio::use_awaitable);
+    CHECK_FALSE(error);
+    if (!error) {
+      co_await server.Write("k");
+      co_await WaitUntil([&] { return response || error; });
+    }
+    CHECK(response == "ok");
+  });
+}
+
 TEST_CASE("cancelling ends a pending read and closes the connection")
 {
   struct Row
--- a/rattanweir/connection/http_client/internal/client_stream.cc
+++ b/rattanweir/connection/http_client/internal/client_stream.cc
@@ -19,7 +19,9 @@
 #include <limits>
 #include <utility>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace rattanweir {
@@ -71,6 +73,20 @@
   return beast::buffers_to_string(writer.get());
 }
 
+// Sets how long sent bytes may stay unacknowledged; 0 selects the system's
+// default.
+void
+SetUnacknowledgedTimeout(tcp::socket& aSocket,
+                         std::chrono::milliseconds aTimeout)
+{
+  const int value = static_cast<int>(aTimeout.count());
+  ::setsockopt(aSocket.native_handle(),
+               IPPROTO_TCP,
+               TCP_USER_TIMEOUT,
+               &value,
+               sizeof value);
+}
+
 // Enables TCP keepalive probes, so that a server that vanished without closing
 // the connection is detected before the request's deadline.
 void
@@ -83,13 +99,21 @@
     { TCP_KEEPIDLE, static_cast<int>(aLimits.m_probeAfter.count()) },
     { TCP_KEEPINTVL, static_cast<int>(aLimits.m_probeInterval.count()) },
     { TCP_KEEPCNT, aLimits.m_maxProbes },
-    { TCP_USER_TIMEOUT,
-      static_cast<int>(aLimits.m_unacknowledgedTimeout.count()) },
   };
   for (const auto& [option, value] : options) {
     ::setsockopt(
       aSocket.native_handle(), IPPROTO_TCP, option, &value, sizeof value);
   }
+  SetUnacknowledgedTimeout(aSocket, aLimits.m_unacknowledgedTimeout);
+}
+
+// Returns whether the kernel holds bytes that it could not send yet.
+bool
+HasUnsentBytes(tcp::socket& aSocket)
+{
+  int bytes = 0;
+  return ::ioctl(aSocket.native_handle(), SIOCOUTQNSD, &bytes) == 0 &&
+         bytes > 0;
 }
 
 bool
@@ -153,6 +177,8 @@
   bool m_isHead = false;
   // The server responded before it had read the entire request.
   bool m_isRequestTruncated = false;
+  // Bytes may stay unacknowledged for longer.
+  bool m_isTimeoutLifted = false;
 };
 
 ClientStream::ClientStream(const HttpUpstreamOptions& aOptions)
@@ -272,6 +298,12 @@
     outcome.m_isUnusable = !IsBrokenConnection(outcome.m_error);
     co_return outcome;
   }
+  // A server that responds before it has read the body acknowledges that it has
+  // no room for more; the timeout would end the response.
+  if (HasUnsentBytes(state.m_socket.Get())) {
+    state.m_isTimeoutLifted = true;
+    SetUnacknowledgedTimeout(state.m_socket.Get(), {});
+  }
   const ResponseParser& parser = *state.m_parser;
   outcome.m_isUnusable =
     !parser.is_done() && parser.need_eof() && !state.m_acceptsCloseDelimited;
@@ -335,6 +367,10 @@
 void
 ClientStream::Reset()
 {
+  if (std::exchange(m_state->m_isTimeoutLifted, false)) {
+    SetUnacknowledgedTimeout(m_state->m_socket.Get(),
+                             m_state->m_tcpLiveness.m_unacknowledgedTimeout);
+  }
   m_state->m_parser.reset();
   m_state->m_buffer.clear();
   m_state->m_buffer.shrink_to_fit();
