Bear a peer that is silent for up to 2.5 s, as servers

Callers saw: 502 (peer_lost) if a peer paused for 2 s while a long body was being sent to it.

Cause: TCP_USER_TIMEOUT of 1.5 s for connections to peers. It also ends a connection whose other end acknowledges but has no room (a zero window), 1.76 to 1.80 s after the send in trials with a receive buffer that was full; at 2.5 s, 2.76 to 2.84 s. Silences of 1.3 and 1.6 s ended neither.

Evidence: a peer that is stopped (SIGSTOP) for 2.0 s while 900 KB are sent to it: 502 in 2 of 2 runs before, 200 in 3 of 3 after. Ruled out on loopback: bodies of 34 KB with the default receive buffer (silences of 1.3 to 3.0 s bore with both values), and a silent server behind a peer, whose kernel acknowledges. Not tried, since loopback acknowledges for a stopped process: a host that acknowledges nothing; by the kernel's rules it is then noticed after 2.5 s in place of 1.5 s with unacknowledged bytes, 3 s in place of 2 s without. That is the price.

Change: one set of options for servers and peers.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -57,22 +57,15 @@
 // in all regions.
 constexpr milliseconds kBackendConnectTimeout{ 400 };
 constexpr milliseconds kPeerConnectTimeout{ 600 };
-// Detects a server that stopped without closing its connections. A sound server
-// may fall silent for a second or so. The timeout for unacknowledged bytes also
-// decides when probes give up.
-constexpr TcpLivenessOptions kServerKeepAlive{
+// Detects a server or peer that stopped without closing its connections. A
+// sound one may fall silent for a second or so, and may read nothing meanwhile.
+// The timeout for unacknowledged bytes also decides when probes give up.
+constexpr TcpLivenessOptions kKeepAlive{
   .m_unacknowledgedTimeout = milliseconds(2'500),
   .m_probeAfter = seconds(1),
   .m_probeInterval = seconds(1),
   .m_maxProbes = 2,
 };
-// The same for a peer.
-constexpr TcpLivenessOptions kPeerKeepAlive{
-  .m_unacknowledgedTimeout = milliseconds(1'500),
-  .m_probeAfter = seconds(1),
-  .m_probeInterval = seconds(1),
-  .m_maxProbes = 2,
-};
 // Several instances share the connections that a backend server accepts.
 constexpr std::size_t kMaxIdleConnectionsPerServer = 12;
 // Below the known idle timeouts of backend servers.
@@ -176,7 +169,7 @@
                         .m_maxIdlePerEndpoint = kMaxIdleConnectionsPerServer,
                         .m_idleTimeout = kBackendIdleTimeout,
                         .m_acceptsCloseDelimitedResponses = true,
-                        .m_tcpLiveness = kServerKeepAlive,
+                        .m_tcpLiveness = kKeepAlive,
                         .m_onConnect =
                           [this](const Endpoint& aServer, bool aIsOpen) {
                             RecordConnection(m_state, aServer, aIsOpen);
@@ -184,7 +177,7 @@
   , m_peerUpstream({ .m_executor = m_context.get_executor(),
                      .m_clock = m_clock,
                      .m_connectTimeout = kPeerConnectTimeout,
-                     .m_tcpLiveness = kPeerKeepAlive })
+                     .m_tcpLiveness = kKeepAlive })
   , m_state(MakeState())
   , m_prober({ .m_executor = m_context.get_executor(),
                .m_reach = m_reach,
--- a/testing/planned_stop/slow_ends_test.cc
+++ b/testing/planned_stop/slow_ends_test.cc
@@ -320,5 +320,40 @@
   });
 }
 
+// Guards against a pause that is taken for a loss: the body fills the receive
+// buffer of the paused peer.
+TEST_CASE("a request is served by a peer that pauses for two seconds")
+{
+  Surroundings around;
+  Instance peer(
+    around.m_context, "p1", "south", "127.0.0.1:1", around.m_store.Address());
+  Instance entry(around.m_context,
+                 "i1",
+                 "north",
+                 peer.m_peer.ToString(),
+                 around.m_store.Address());
+  around.Run([&]() -> Task<void> {
+    co_await around.WaitUntilServed(entry.m_caller);
+    peer.m_process->Signal(SIGSTOP);
+    std::string response;
+    bool isDone = false;
+    asio::co_spawn(
+      around.m_context,
+      [&]() -> Task<void> {
+        response = co_await around.Ask(
+          entry.m_caller, "/once/1", std::string(900'000, 'x'));
+        isDone = true;
+      },
+      asio::detached);
+    co_await around.Sleep(milliseconds(2'000));
+    peer.m_process->Signal(SIGCONT);
+    while (!isDone) {
+      co_await around.Sleep(milliseconds(10));
+    }
+    CAPTURE(response);
+    CHECK(response.starts_with("HTTP/1.1 200"));
+  });
+}
+
 } // namespace
 } // namespace rattanweir::testing
