--- a/rattanweir/request/gateway/gateway_admission.cc
+++ b/rattanweir/request/gateway/gateway_admission.cc
@@ -289,10 +289,14 @@
     aState.m_serviceEnd.Decide(ServiceEndQueryFor(aRequest));
   if (!decision.m_maySend) {
     aState.m_metrics.Count("rattanweir_stop_refusals_total");
+    const SteadyTime announcedAt =
+      aState.m_serviceEnd.AnnouncedAt().value_or(aRequest.m_begunAt);
     throw RequestError(
       ResultCode::InstanceDraining,
       "this instance may end before the response: it ends in " +
-        MillisecondsText(decision.m_timeLeft) + " ms, and " +
+        MillisecondsText(decision.m_timeLeft) + " ms, the request began " +
+        MillisecondsText(aRequest.m_begunAt - announcedAt) +
+        " ms after the stop signal, and " +
         std::to_string(decision.m_runs.m_count) +
         " similar responses took up to " +
         MillisecondsText(decision.m_runs.m_longest) + " ms",
