Stop: responses over a hop, whichever instance stops, as a test

Responses of 34 and 200 KB over a hop to a server that takes 2.5 s, with callers that read only after the instances that stop have ended (shutdown timeout 4 s): the peer, the entry instance, or both at once.

--- a/testing/planned_stop/slow_ends_test.cc
+++ b/testing/planned_stop/slow_ends_test.cc
@@ -20,6 +20,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <span>
 
 #include <netinet/tcp.h>
 #include <unistd.h>
@@ -32,15 +33,18 @@
 using std::chrono::seconds;
 
 constexpr int kShutdownSeconds = 4;
+// Less than what an instance waits for after its stop signal.
+constexpr milliseconds kLateResponse{ 2'500 };
 constexpr std::size_t kPieceBytes = 10'000;
 
-// Responds at once with as many bytes as the target names, with a length or as
-// an event stream.
+// Responds with as many bytes as the target names, with a length or as an event
+// stream; later if the target says so.
 class SizedServer final : public RequestHandler
 {
 public:
   explicit SizedServer(asio::io_context& aContext)
-    : m_server({ .m_executor = aContext.get_executor(),
+    : m_context(aContext)
+    , m_server({ .m_executor = aContext.get_executor(),
                  .m_address = ParseEndpoint("127.0.0.1:0"),
                  .m_handler = *this })
   {
@@ -51,12 +55,15 @@
 
   Task<void> Handle(InboundRequest aRequest,
                     ResponseSink& aSink,
-                    CancelSource& /*aCancel*/) override
+                    CancelSource& aCancel) override
   {
     const std::string id =
       *FindHeader(aRequest.m_headers, "Rattanweir-Request-Id");
     const std::string& target = aRequest.m_target;
     const std::size_t size = std::stoul(target.substr(target.rfind('/') + 1));
+    if (target.find("/late/") != std::string::npos) {
+      co_await WaitFor(m_context.get_executor(), kLateResponse, aCancel);
+    }
     ResponseHead head{ .m_status = 200,
                        .m_headers = { { "Rattanweir-Request-Id", id },
                                       { "Rattanweir-Response-Seal", "s" } } };
@@ -77,6 +84,7 @@
   }
 
 private:
+  asio::io_context& m_context;
   HttpServer m_server;
 };
 
@@ -257,6 +265,23 @@
   int m_lastId = 0;
 };
 
+// Reads the responses and checks that they are complete.
+Task<void>
+CheckComplete(std::vector<tcp::socket>& aCallers,
+              std::span<const std::string> aTargets)
+{
+  for (std::size_t index = 0; index < aCallers.size(); ++index) {
+    const std::string response =
+      co_await Surroundings::ReadToEnd(aCallers[index]);
+    const std::string& target = aTargets[index];
+    const std::size_t size = std::stoul(target.substr(target.rfind('/') + 1));
+    CAPTURE(target, response.size());
+    CHECK(response.starts_with("HTTP/1.1 200"));
+    CHECK(response.size() > size);
+    CHECK((target.starts_with("/once") || response.ends_with("0\r\n\r\n")));
+  }
+}
+
 // Guards against responses that are cut because their caller reads slowly.
 TEST_CASE("a caller receives a finished response after the instance has ended")
 {
@@ -278,16 +303,7 @@
     co_await around.Sleep(milliseconds(200));
     instance.m_process->Signal(SIGTERM);
     co_await around.WaitForExit(instance);
-    for (std::size_t index = 0; index < callers.size(); ++index) {
-      const std::string response =
-        co_await Surroundings::ReadToEnd(callers[index]);
-      const std::string& target = targets[index];
-      const std::size_t size = std::stoul(target.substr(target.rfind('/') + 1));
-      CAPTURE(target, response.size());
-      CHECK(response.starts_with("HTTP/1.1 200"));
-      CHECK(response.size() > size);
-      CHECK((target.starts_with("/once") || response.ends_with("0\r\n\r\n")));
-    }
+    co_await CheckComplete(callers, targets);
   });
 }
 
@@ -320,6 +336,55 @@
   });
 }
 
+TEST_CASE("a response over a hop is complete whichever instance stops")
+{
+  const struct
+  {
+    std::string m_what;
+    bool m_stopsEntry;
+    bool m_stopsPeer;
+  } rows[] = { { "the peer", false, true },
+               { "the entry instance", true, false },
+               { "both", true, true } };
+  const std::string targets[] = { "/once/late/34000",
+                                  "/once/late/200000",
+                                  "/stream/late/30000",
+                                  "/stream/late/200000" };
+  for (const auto& row : rows) {
+    CAPTURE(row.m_what);
+    Surroundings around;
+    Instance peer(
+      around.m_context, "p1", "south", "127.0.0.1:1", around.m_store.Address());
+    Instance entry(around.m_context,
+                   "i1",
+                   "north",
+                   peer.m_peer.ToString(),
+                   around.m_store.Address());
+    around.Run([&]() -> Task<void> {
+      co_await around.WaitUntilServed(entry.m_caller);
+      std::vector<tcp::socket> callers;
+      for (const std::string& target : targets) {
+        tcp::socket socket = co_await around.Connect(entry.m_caller);
+        std::string request = around.RequestText(target, "");
+        co_await around.Write(socket, std::move(request));
+        callers.push_back(std::move(socket));
+      }
+      co_await around.Sleep(milliseconds(100));
+      if (row.m_stopsEntry) {
+        entry.m_process->Signal(SIGTERM);
+      }
+      if (row.m_stopsPeer) {
+        peer.m_process->Signal(SIGTERM);
+        co_await around.WaitForExit(peer);
+      }
+      if (row.m_stopsEntry) {
+        co_await around.WaitForExit(entry);
+      }
+      co_await CheckComplete(callers, targets);
+    });
+  }
+}
+
 // Guards against a pause that is taken for a loss: the body fills the receive
 // buffer of the paused peer.
 TEST_CASE("a request is served by a peer that pauses for two seconds")
