Requests that no region may serve are told so at once, and counted apart

Cause: a request whose route and client account have no home region in common was refused with 503 no_backend_server and a Retry-After of 0.1 s, as if capacity were lacking. Change: residency_conflict (114, 403, never), before rate tokens are taken; counted and logged by route and account (process/residency_conflicts).

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -310,6 +310,7 @@
            .m_serviceEnd = m_serviceEnd,
            .m_silence = m_silence,
            .m_queues = m_queues,
+           .m_residencyConflicts = m_residencyConflicts,
            .m_metrics = m_metrics,
            .m_backendUpstream = m_backendUpstream,
            .m_peerUpstream = m_peerUpstream,
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -109,6 +109,7 @@
   ServiceEnd m_serviceEnd;
   ServerSilence m_silence;
   PoolQueues m_queues;
+  ResidencyConflicts m_residencyConflicts{ { .m_clock = m_clock } };
   const platform::PlatformProtocol m_protocol;
   platform::RecordApplier m_recordApplier;
 
--- a/rattanweir/base/result/result_code.cc
+++ b/rattanweir/base/result/result_code.cc
@@ -55,6 +55,7 @@
     422,
     Ran::No,
     kNever },
+  { ResultCode::ResidencyConflict, "residency_conflict", 403, Ran::No, kNever },
   { ResultCode::RateExceeded,
     "rate_exceeded",
     429,
--- a/rattanweir/base/result/result_code.h
+++ b/rattanweir/base/result/result_code.h
@@ -52,6 +52,7 @@
   IdempotencyKeyMismatch = 111,
   PromptQuarantined = 112,
   RequestQuarantined = 113,
+  ResidencyConflict = 114,
 
   // The request is valid but cannot be served at this time.
   RateExceeded = 200,
--- a/rattanweir/request/gateway/admitted_request.h
+++ b/rattanweir/request/gateway/admitted_request.h
@@ -61,6 +61,13 @@
     return m_info.m_resumeAfter && m_route.m_kind == RequestKind::Stream;
   }
 
+  // Returns whether the route and the client account have home regions, but
+  // none in common.
+  bool HasResidencyConflict() const
+  {
+    return m_permittedRegions && m_permittedRegions->empty();
+  }
+
   bool IsPermittedIn(const RegionId& aRegion) const
   {
     return !m_permittedRegions || m_permittedRegions->contains(aRegion);
--- a/rattanweir/request/gateway/gateway_admission.cc
+++ b/rattanweir/request/gateway/gateway_admission.cc
@@ -74,6 +74,29 @@
   }
 }
 
+// Throws RequestError if no region may serve the request as the configuration
+// stands. A caller can do nothing about it, so it is not told to come back.
+void
+CheckResidencyConflict(GatewayState& aState, const AdmittedRequest& aRequest)
+{
+  if (!aRequest.HasResidencyConflict()) {
+    return;
+  }
+  aState.m_metrics.Count("rattanweir_residency_conflicts_total");
+  if (const auto count = aState.m_residencyConflicts.Record(
+        aRequest.m_route.m_id, aRequest.m_clientAccount)) {
+    Log(LogLevel::Warning,
+        "residency_conflict",
+        { { "route", aRequest.m_route.m_id.Value() },
+          { "account", aRequest.m_clientAccount.Value() },
+          { "config", std::to_string(aRequest.m_config->Version().Value()) },
+          { "requests", std::to_string(*count) } });
+  }
+  RefuseRequest(ResultCode::ResidencyConflict,
+                "the route and the client account have no home region in "
+                "common");
+}
+
 // Returns the cost in the unit of the account's rate. A request that declares
 // no prompt tokens costs the account's plain cost.
 Tokens
@@ -345,6 +368,7 @@
 {
   AdmittedRequest request = StartAdmission(aState, std::move(aInbound));
   ApplyAccount(request, RequireAccount(request));
+  CheckResidencyConflict(aState, request);
   const nanoseconds callerTimeout =
     request.m_info.m_callerTimeout.value_or(request.m_route.m_timeout);
   request.m_deadline =
--- a/rattanweir/request/gateway/gateway_state.h
+++ b/rattanweir/request/gateway/gateway_state.h
@@ -20,6 +20,7 @@
 #include "rattanweir/process/fleet/fleet_view.h"
 #include "rattanweir/process/metrics/metrics.h"
 #include "rattanweir/process/part_cache/part_cache.h"
+#include "rattanweir/process/residency_conflicts/residency_conflicts.h"
 #include "rattanweir/process/server_limits/server_limits.h"
 #include "rattanweir/process/server_reach/server_reach.h"
 #include "rattanweir/process/server_room/server_room.h"
@@ -61,6 +62,7 @@
   ServiceEnd& m_serviceEnd;
   ServerSilence& m_silence;
   PoolQueues& m_queues;
+  ResidencyConflicts& m_residencyConflicts;
   Metrics& m_metrics;
   Upstream& m_backendUpstream;
   Upstream& m_peerUpstream;
--- a/rattanweir/request/gateway/gateway_test.cc
+++ b/rattanweir/request/gateway/gateway_test.cc
@@ -61,6 +61,30 @@
   CHECK(fixture.m_upstream.m_sent.empty());
 }
 
+// Guards against telling callers to come back, and taking their account's rate,
+// for a request that no region may serve.
+TEST_CASE("a request whose route and account have no home region in common is "
+          "refused for good, before its rate tokens are taken")
+{
+  GatewayFixture fixture;
+  FleetConfigData data = GatewayTestConfig(100, true);
+  for (FleetAccount& account : data.m_accounts) {
+    account.m_homeRegions = { RegionId("north") };
+  }
+  fixture.m_config.Offer(std::make_shared<FleetConfig>(std::move(data)));
+  const double level = fixture.m_rates.BucketLevel(ClientAccountId("anna"));
+  const Outcome& refused = fixture.SendRequest(kSouthOnly);
+  CHECK(refused.m_code == ResultCode::ResidencyConflict);
+  CHECK(refused.m_ran == Ran::No);
+  CHECK_FALSE(refused.m_retryAfter);
+  CHECK(fixture.m_upstream.m_sent.empty());
+  CHECK(fixture.m_rates.BucketLevel(ClientAccountId("anna")) == level);
+  CHECK(fixture.m_metrics.Counter("rattanweir_residency_conflicts_total") == 1);
+  // A common home region that is lost is a matter of capacity.
+  fixture.ScriptAll(SealedResponse("x"));
+  CHECK(fixture.SendRequest(kRead).m_code == ResultCode::Ok);
+}
+
 TEST_CASE("a key is refused once a configuration version withdraws it")
 {
   GatewayFixture fixture;
@@ -97,6 +121,7 @@
                       .m_serviceEnd = fixture.m_serviceEnd,
                       .m_silence = fixture.m_silence,
                       .m_queues = fixture.m_queues,
+                      .m_residencyConflicts = fixture.m_residencyConflicts,
                       .m_metrics = fixture.m_metrics,
                       .m_backendUpstream = fixture.m_upstream,
                       .m_peerUpstream = fixture.m_upstream };
--- a/testing/gateway_chain/gateway_chain.h
+++ b/testing/gateway_chain/gateway_chain.h
@@ -92,6 +92,7 @@
   ServiceEnd m_serviceEnd{ { .m_clock = m_clock } };
   ServerSilence m_silence{ { .m_clock = m_clock } };
   PoolQueues m_queues;
+  ResidencyConflicts m_residencyConflicts{ { .m_clock = m_clock } };
   Metrics m_metrics;
   HttpUpstream m_backendUpstream;
   HttpUpstream m_peerUpstream;
--- a/testing/gateway_fixture/gateway_fixture.cc
+++ b/testing/gateway_fixture/gateway_fixture.cc
@@ -271,6 +271,7 @@
              .m_serviceEnd = m_serviceEnd,
              .m_silence = m_silence,
              .m_queues = m_queues,
+             .m_residencyConflicts = m_residencyConflicts,
              .m_metrics = m_metrics,
              .m_backendUpstream = m_upstream,
              .m_peerUpstream = m_upstream }
--- a/testing/gateway_fixture/gateway_fixture.h
+++ b/testing/gateway_fixture/gateway_fixture.h
@@ -148,6 +148,7 @@
   ServiceEnd m_serviceEnd{ { .m_clock = m_clock } };
   ServerSilence m_silence{ { .m_clock = m_clock } };
   PoolQueues m_queues;
+  ResidencyConflicts m_residencyConflicts{ { .m_clock = m_clock } };
   Metrics m_metrics;
   ScriptedUpstream m_upstream{ m_context };
   GatewayState m_state;
--- a/testing/gateway_fleet/gateway_fleet.cc
+++ b/testing/gateway_fleet/gateway_fleet.cc
@@ -278,6 +278,7 @@
              .m_serviceEnd = m_serviceEnd,
              .m_silence = m_silence,
              .m_queues = m_queues,
+             .m_residencyConflicts = m_residencyConflicts,
              .m_metrics = m_metrics,
              .m_backendUpstream = *m_network,
              .m_peerUpstream = *m_network }
