Learn the speed of servers that state their pace; read loads of any number of figures

Cause: Rattanweir-Server-Load was read with exactly three figures only, so that no load was known where servers state their pace as a fourth; and one constant stood for the prefill rate of all engines. Change: each known figure is read by itself (an invalid one is logged once per server and changes nothing); process/server_performance learns fixed cost and prefill rate per pool and speed per server, by the median, only for pools whose servers state a pace; request/placement uses them.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -311,6 +311,7 @@
            .m_silence = m_silence,
            .m_queues = m_queues,
            .m_residencyConflicts = m_residencyConflicts,
+           .m_performance = m_performance,
            .m_metrics = m_metrics,
            .m_backendUpstream = m_backendUpstream,
            .m_peerUpstream = m_peerUpstream,
@@ -588,6 +589,7 @@
   m_rateLimiter.KeepOnly(m_registry.Ids());
   m_serverLimits.KeepOnly(known);
   m_rooms.KeepOnly(known);
+  m_performance.KeepOnly(known);
   m_quarantine.KeepOnly(known);
 }
 
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -110,6 +110,7 @@
   ServerSilence m_silence;
   PoolQueues m_queues;
   ResidencyConflicts m_residencyConflicts{ { .m_clock = m_clock } };
+  ServerPerformance m_performance{ { .m_clock = m_clock } };
   const platform::PlatformProtocol m_protocol;
   platform::RecordApplier m_recordApplier;
 
--- a/rattanweir/base/units/units.h
+++ b/rattanweir/base/units/units.h
@@ -71,6 +71,10 @@
 // Requests per second.
 using RequestRate = Quantity<double, struct RequestRateTag>;
 
+// How long work takes on a machine, relative to the usual time: 2 means twice
+// as long.
+using Pace = Quantity<double, struct PaceTag>;
+
 // Bytes of memory or on the wire.
 using ByteCount = Quantity<std::uint64_t, struct ByteCountTag>;
 
--- a/rattanweir/request/gateway/build_placement_input.cc
+++ b/rattanweir/request/gateway/build_placement_input.cc
@@ -57,7 +57,9 @@
         .m_isLocal = isLocal,
         .m_startDelay = *delay,
         .m_state = state.m_regions.StateOf(RegionKey(region, request.m_pool)),
-        .m_uncached = isLocal ? Tokens(0) : UncachedInOtherRegion(prompt) });
+        .m_uncached = isLocal ? Tokens(0) : UncachedInOtherRegion(prompt),
+        .m_profile = state.m_performance.ProfileOfRegion(
+          request.m_pool, RegionKey(region, request.m_pool)) });
   }
   return candidates;
 }
@@ -92,6 +94,7 @@
     .m_waited = now - request.m_receivedAt,
     .m_maxQueueWait = MaxQueueWait(request.m_route.m_latencyObjective,
                                    request.m_deadline - request.m_receivedAt),
+    .m_latencyObjective = request.m_route.m_latencyObjective,
     .m_untilDeadline = request.m_deadline - now,
     .m_isDiscovering = state.m_isDiscovering,
     .m_hasLostLinks = state.m_reach.HasLostLinks(),
--- a/rattanweir/request/gateway/gateway_state.h
+++ b/rattanweir/request/gateway/gateway_state.h
@@ -22,6 +22,7 @@
 #include "rattanweir/process/part_cache/part_cache.h"
 #include "rattanweir/process/residency_conflicts/residency_conflicts.h"
 #include "rattanweir/process/server_limits/server_limits.h"
+#include "rattanweir/process/server_performance/server_performance.h"
 #include "rattanweir/process/server_reach/server_reach.h"
 #include "rattanweir/process/server_room/server_room.h"
 #include "rattanweir/process/server_silence/server_silence.h"
@@ -63,6 +64,7 @@
   ServerSilence& m_silence;
   PoolQueues& m_queues;
   ResidencyConflicts& m_residencyConflicts;
+  ServerPerformance& m_performance;
   Metrics& m_metrics;
   Upstream& m_backendUpstream;
   Upstream& m_peerUpstream;
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -291,11 +291,27 @@
     if (const auto* server =
           std::get_if<rattanweir::SendToServer>(&aPlacement)) {
       m_report.m_estimatedStartDelay = server->m_estimate;
-      co_await SendToServer(aInput.m_servers[server->m_index]);
+      const ServerCandidate& candidate = aInput.m_servers[server->m_index];
+      std::optional<StartExpectation> expectation;
+      if (candidate.m_profile) {
+        expectation.emplace(m_state.m_performance,
+                            server->m_estimate,
+                            EstimateWithoutExcessDelay(aInput, candidate),
+                            candidate.m_uncached);
+      }
+      co_await SendToServer(candidate, std::move(expectation));
     } else {
       const auto& region = std::get<rattanweir::SendToRegion>(aPlacement);
       m_report.m_estimatedStartDelay = region.m_estimate;
-      co_await SendToRegion(aInput.m_regions[region.m_index].m_region);
+      const RegionCandidate& candidate = aInput.m_regions[region.m_index];
+      std::optional<StartExpectation> expectation;
+      if (candidate.m_profile) {
+        expectation.emplace(m_state.m_performance,
+                            region.m_estimate,
+                            region.m_estimate,
+                            candidate.m_uncached);
+      }
+      co_await SendToRegion(candidate.m_region, std::move(expectation));
     }
   } catch (const RequestError& error) {
     m_report.m_ran = std::max(m_report.m_ran, error.HasRun());
@@ -348,7 +364,8 @@
 }
 
 Task<void>
-RequestDispatcher::SendToServer(ServerCandidate aCandidate)
+RequestDispatcher::SendToServer(ServerCandidate aCandidate,
+                                std::optional<StartExpectation> aExpectation)
 {
   const RegisteredServer* known =
     m_state.m_registry.Find(aCandidate.m_incarnation);
@@ -374,7 +391,8 @@
                             .m_server = server.m_incarnation,
                             .m_pool = m_request.m_pool,
                             .m_uncached = aCandidate.m_uncached,
-                            .m_queueingFactor = QueueingFactorAt(aCandidate) });
+                            .m_queueingFactor = QueueingFactorAt(aCandidate),
+                            .m_expectation = aExpectation });
   OutboundRequest outbound = MakeServerRequest(aCandidate, server, pool);
   const SteadyTime sentAt = m_state.m_clock.SteadyNow();
   m_run.emplace(m_state.m_silence, server.m_incarnation);
@@ -537,18 +555,39 @@
   if (aInfo.m_isDraining) {
     MarkDraining(m_state, aServer.m_incarnation, "response");
   }
+  RecordLoad(aServer, aInfo);
+  RecordPause(aServer, aInfo, aSentAt);
+  if (aInfo.m_coldRemaining) {
+    m_state.m_registry.MarkCold(aServer.m_incarnation, *aInfo.m_coldRemaining);
+  }
+  RecordServerLimit(aServer, aInfo, aSentAt);
+  RecordRoom(aServer, aInfo);
+}
+
+void
+RequestDispatcher::RecordLoad(const RegisteredServer& aServer,
+                              const ResponseInfo& aInfo)
+{
   if (aInfo.m_queue) {
     m_state.m_backends.ReportQueue(aServer.m_incarnation,
                                    aInfo.m_queue->m_running,
                                    aInfo.m_queue->m_waiting,
                                    aInfo.m_queue->m_slots);
   }
-  RecordPause(aServer, aInfo, aSentAt);
-  if (aInfo.m_coldRemaining) {
-    m_state.m_registry.MarkCold(aServer.m_incarnation, *aInfo.m_coldRemaining);
+  if (aInfo.m_pace) {
+    m_state.m_performance.RecordPace(
+      m_request.m_pool, aServer.m_incarnation, *aInfo.m_pace);
+  }
+  if (!aInfo.m_hasInvalidLoad) {
+    return;
+  }
+  m_state.m_metrics.Count("rattanweir_server_loads_invalid_total");
+  if (m_state.m_performance.RecordInvalidLoad(aServer.m_incarnation)) {
+    Log(LogLevel::Warning,
+        "server_load_invalid",
+        { { "server", aServer.m_incarnation.Value() },
+          { "pool", m_request.m_pool.Value() } });
   }
-  RecordServerLimit(aServer, aInfo, aSentAt);
-  RecordRoom(aServer, aInfo);
 }
 
 void
@@ -690,7 +729,8 @@
 }
 
 Task<void>
-RequestDispatcher::SendToRegion(RegionId aRegion)
+RequestDispatcher::SendToRegion(RegionId aRegion,
+                                std::optional<StartExpectation> aExpectation)
 {
   const FleetMember peer = ChoosePeer(aRegion);
   m_triedPeers.insert(peer.m_id);
@@ -706,7 +746,9 @@
   RegionDispatch dispatch({ .m_clock = m_state.m_clock,
                             .m_regions = m_state.m_regions,
                             .m_key = RegionKey(aRegion, m_request.m_pool),
-                            .m_hopLatency = HopLatency(isLocal) });
+                            .m_hopLatency = HopLatency(isLocal),
+                            .m_pool = m_request.m_pool,
+                            .m_expectation = aExpectation });
   bool isPeerRefusal = false;
   const SteadyTime sentAt = m_state.m_clock.SteadyNow();
   m_run.emplace(m_state.m_silence, RegionKey(aRegion, m_request.m_pool));
--- a/rattanweir/request/gateway/request_dispatcher.h
+++ b/rattanweir/request/gateway/request_dispatcher.h
@@ -18,6 +18,7 @@
 #include "rattanweir/request/gateway/build_placement_input.h"
 #include "rattanweir/request/gateway/gateway_state.h"
 #include "rattanweir/request/gateway/response_forwarder.h"
+#include "rattanweir/request/gateway/server_dispatch.h"
 #include "rattanweir/request/placement/placement.h"
 
 #include <set>
@@ -87,11 +88,13 @@
   // Records how long the current attempt took at least, if it ended with the
   // deadline or the caller.
   void RecordUnfinishedRun(ResultCode aCode);
-  Task<void> SendToServer(ServerCandidate aCandidate);
+  Task<void> SendToServer(ServerCandidate aCandidate,
+                          std::optional<StartExpectation> aExpectation);
   // Returns a random one of PeersFor the region. Throws RequestError if there
   // is none.
   FleetMember ChoosePeer(const RegionId& aRegion) const;
-  Task<void> SendToRegion(RegionId aRegion);
+  Task<void> SendToRegion(RegionId aRegion,
+                          std::optional<StartExpectation> aExpectation);
   // Records what the failure says about the peer.
   void RecordPeerFailure(const InstanceId& aPeer,
                          const RequestError& aError,
@@ -145,6 +148,8 @@
   void RecordPause(const RegisteredServer& aServer,
                    const ResponseInfo& aInfo,
                    SteadyTime aSentAt);
+  // Records the load and the pace that the response states.
+  void RecordLoad(const RegisteredServer& aServer, const ResponseInfo& aInfo);
   // Records what the response says about the room at the server.
   void RecordRoom(const RegisteredServer& aServer, const ResponseInfo& aInfo);
   // Returns the time until the first server of this region ends its pause, or
--- a/rattanweir/request/gateway/server_candidates.cc
+++ b/rattanweir/request/gateway/server_candidates.cc
@@ -254,6 +254,8 @@
       .m_state = aState.m_backends.StateOf(server->m_incarnation),
       .m_slots = std::max(1U, server->m_record.m_slots),
       .m_maxInFlight = std::max(1U, connections),
+      .m_profile =
+        aState.m_performance.ProfileOf(aQuery.m_pool, server->m_incarnation),
       .m_isLeftToPeers =
         !aState.m_reach.IsReachable(server->m_record.m_endpoint),
     };
--- a/rattanweir/request/gateway/server_dispatch.cc
+++ b/rattanweir/request/gateway/server_dispatch.cc
@@ -63,7 +63,17 @@
   }
   m_hasResponseStarted = true;
   m_options.m_backends.StartResponse(m_options.m_server, Load());
-  if (m_options.m_uncached > Tokens(0)) {
+  if (const auto& expected = m_options.m_expectation) {
+    expected->m_performance.RecordStart(m_options.m_pool,
+                                        m_options.m_server,
+                                        { .m_tokens = expected->m_tokens,
+                                          .m_estimate = expected->m_estimate,
+                                          .m_observed = elapsed });
+    m_options.m_backends.ObserveStartDelay(
+      m_options.m_server,
+      std::max(std::chrono::nanoseconds::zero(),
+               elapsed - expected->m_withoutExcessDelay));
+  } else if (m_options.m_uncached > Tokens(0)) {
     m_options.m_backends.ObserveStartDelay(
       m_options.m_server,
       std::max(std::chrono::nanoseconds::zero(),
@@ -111,6 +121,14 @@
   }
   m_hasResponseStarted = true;
   m_options.m_regions.StartResponse(m_options.m_key, 1);
+  if (const auto& expected = m_options.m_expectation) {
+    expected->m_performance.RecordRegionStart(
+      m_options.m_pool,
+      m_options.m_key,
+      { .m_tokens = expected->m_tokens,
+        .m_estimate = expected->m_estimate,
+        .m_observed = elapsed });
+  }
   const auto expected = m_options.m_hopLatency + PrefillTime(aPromptTokens);
   m_options.m_regions.ObserveStartDelay(
     m_options.m_key,
--- a/rattanweir/request/gateway/server_dispatch.h
+++ b/rattanweir/request/gateway/server_dispatch.h
@@ -12,11 +12,26 @@
 #include "rattanweir/base/clock/clock.h"
 #include "rattanweir/base/result/result_code.h"
 #include "rattanweir/process/backend_view/backend_view.h"
+#include "rattanweir/process/server_performance/server_performance.h"
 #include "rattanweir/request/gateway/pool_queues.h"
 #include "rattanweir/request/placement/placement.h"
 
+#include <optional>
+
 namespace rattanweir {
 
+// What was expected of a dispatch to a server or region of a profiled pool.
+struct StartExpectation
+{
+  ServerPerformance& m_performance;
+  // The estimated time to first byte, and its part without the recent excess
+  // delay.
+  std::chrono::nanoseconds m_estimate{};
+  std::chrono::nanoseconds m_withoutExcessDelay{};
+  // Prompt tokens that the estimate assumes to be processed.
+  Tokens m_tokens;
+};
+
 struct ServerDispatchOptions
 {
   const Clock& m_clock;
@@ -29,6 +44,8 @@
   // The ratio of the request's expected time at the server, including the wait
   // behind others, to its slot time.
   double m_queueingFactor = 1;
+  // nullopt if the pool is not profiled.
+  std::optional<StartExpectation> m_expectation{};
 };
 
 // One dispatch to a backend server, counted in the load view from construction
@@ -67,6 +84,9 @@
   BackendServerId m_key;
   // The time that the hop and back takes.
   std::chrono::nanoseconds m_hopLatency{ kCrossRegionLatency };
+  PoolId m_pool;
+  // nullopt if the pool is not profiled.
+  std::optional<StartExpectation> m_expectation{};
 };
 
 // One dispatch to a peer of this or another region, counted in the view of
--- a/rattanweir/request/gateway/wire_protocol.h
+++ b/rattanweir/request/gateway/wire_protocol.h
@@ -69,7 +69,7 @@
 {
   unsigned m_running = 0;
   unsigned m_waiting = 0;
-  // Requests that it processes concurrently.
+  // Requests that it processes concurrently; 0 if not stated.
   unsigned m_slots = 0;
 };
 
@@ -90,6 +90,10 @@
   // The id of the request to which the response belongs, if stated.
   std::optional<RequestId> m_request;
   std::optional<QueueInfo> m_queue;
+  // How long work takes on the server's machine at the moment, if stated.
+  std::optional<Pace> m_pace;
+  // A figure of the stated load cannot be used.
+  bool m_hasInvalidLoad = false;
   // How long the server stays cold, if stated.
   std::optional<std::chrono::nanoseconds> m_coldRemaining;
   // The most requests a second that the server takes from all instances
--- a/rattanweir/request/placement/placement.cc
+++ b/rattanweir/request/placement/placement.cc
@@ -23,6 +23,10 @@
 // Queueing time at which an engine counts as full. A longer queue does not
 // increase the throughput and makes every request in it miss its objective.
 constexpr milliseconds kMaxEngineQueueTime{ 400 };
+// For a profiled pool, the same as a fraction of the latency objective, if that
+// is longer. The estimate there holds the usual delays, so that only additional
+// ones count.
+constexpr double kMaxEngineQueueFraction = 0.5;
 // Fraction of the maximum queue wait during which the copy cost counts towards
 // an engine's queueing time, so that an expensive copy makes the engine full.
 constexpr double kCacheWaitFraction = 0.75;
@@ -38,19 +42,42 @@
   return report && aInput.m_now - report->m_at <= kQueueReportLifetime;
 }
 
-// Returns the time until a server would start to process one more request.
+// Returns the time until a server would start to process one more request,
+// without the recent excess delay of its responses.
 nanoseconds
-QueueTime(const PlacementInput& aInput, const ServerCandidate& aServer)
+ExpectedQueueTime(const PlacementInput& aInput, const ServerCandidate& aServer)
 {
   const BackendState& state = aServer.m_state;
   const double waiting =
     std::max(0.0, EstimateOccupancy(aInput, aServer) + 1 - aServer.m_slots);
   const nanoseconds queue =
     ScaleDuration(aInput.m_meanServiceTime, waiting / aServer.m_slots);
-  const nanoseconds unanswered = PrefillTime(
-    Tokens(static_cast<std::int64_t>(state.m_loadAwaitingResponse)));
-  return queue + ScaleDuration(unanswered, kUnansweredWeight) +
-         state.m_startDelay;
+  const Tokens unanswered(
+    static_cast<std::int64_t>(state.m_loadAwaitingResponse));
+  if (aServer.m_profile) {
+    return ScaleDuration(queue, aServer.m_profile->m_slowdown) +
+           ScaleDuration(aServer.m_profile->PrefillTime(unanswered),
+                         kUnansweredWeight);
+  }
+  return queue + ScaleDuration(PrefillTime(unanswered), kUnansweredWeight);
+}
+
+// Returns the time until a server would start to process one more request.
+nanoseconds
+QueueTime(const PlacementInput& aInput, const ServerCandidate& aServer)
+{
+  return ExpectedQueueTime(aInput, aServer) + aServer.m_state.m_startDelay;
+}
+
+nanoseconds
+MaxEngineQueueTime(const PlacementInput& aInput, const ServerCandidate& aServer)
+{
+  if (!aServer.m_profile) {
+    return kMaxEngineQueueTime;
+  }
+  return std::max<nanoseconds>(
+    kMaxEngineQueueTime,
+    ScaleDuration(aInput.m_latencyObjective, kMaxEngineQueueFraction));
 }
 
 bool
@@ -62,7 +89,8 @@
     aInput.m_waited < ScaleDuration(aInput.m_maxQueueWait, kCacheWaitFraction);
   const nanoseconds copyCost =
     waitsForCachedEngine ? aServer.m_copyCost : nanoseconds::zero();
-  if (isEngine && QueueTime(aInput, aServer) + copyCost > kMaxEngineQueueTime) {
+  if (isEngine && QueueTime(aInput, aServer) + copyCost >
+                    MaxEngineQueueTime(aInput, aServer)) {
     return true;
   }
   if (aServer.m_state.m_inFlight >= aServer.m_maxInFlight) {
@@ -185,13 +213,23 @@
   return std::max(localCount, reported + adjustment);
 }
 
+nanoseconds
+EstimateWithoutExcessDelay(const PlacementInput& aInput,
+                           const ServerCandidate& aServer)
+{
+  const nanoseconds work = aServer.m_profile
+                             ? aServer.m_profile->WorkTime(aServer.m_uncached)
+                             : PrefillTime(aServer.m_uncached);
+  return ExpectedQueueTime(aInput, aServer) + work + aServer.m_copyCost +
+         ScaleDuration(kFailurePenalty, aServer.m_state.m_failureRate);
+}
+
 nanoseconds
 EstimateTimeToFirstByte(const PlacementInput& aInput,
                         const ServerCandidate& aServer)
 {
-  return QueueTime(aInput, aServer) + PrefillTime(aServer.m_uncached) +
-         aServer.m_copyCost +
-         ScaleDuration(kFailurePenalty, aServer.m_state.m_failureRate);
+  return EstimateWithoutExcessDelay(aInput, aServer) +
+         aServer.m_state.m_startDelay;
 }
 
 nanoseconds
@@ -201,9 +239,14 @@
   const BackendState& state = aRegion.m_state;
   const nanoseconds transferCost =
     aRegion.m_isLocal ? nanoseconds::zero() : aInput.m_transferCost;
-  return std::max(aRegion.m_startDelay, state.m_startDelay) +
-         PrefillTime(aRegion.m_uncached) + HopLatency(aRegion.m_isLocal) +
-         transferCost + ScaleDuration(kFailurePenalty, state.m_failureRate);
+  const nanoseconds work = aRegion.m_profile
+                             ? aRegion.m_profile->WorkTime(aRegion.m_uncached)
+                             : PrefillTime(aRegion.m_uncached);
+  const nanoseconds hop = HopLatency(aRegion.m_isLocal);
+  const nanoseconds estimate =
+    std::max(aRegion.m_startDelay, state.m_startDelay) + work + hop +
+    transferCost + ScaleDuration(kFailurePenalty, state.m_failureRate);
+  return std::max(hop, estimate);
 }
 
 nanoseconds
--- a/rattanweir/request/placement/placement.h
+++ b/rattanweir/request/placement/placement.h
@@ -15,6 +15,8 @@
 //    not started;
 //  - the recent excess delay of its responses and its failure rate;
 //  - for an engine, the prefill of the prompt tokens missing from its cache.
+// For servers of a profiled pool (process/server_performance) the learned costs
+// and the server's present speed take the place of the default prefill rate.
 // The estimate for another region adds the round trip and the cost of
 // transferring the body. Because the delay advertised by a region's instances
 // may be outdated, the estimate uses the larger of the advertised delay and the
@@ -41,6 +43,7 @@
 #include "rattanweir/base/result/result_code.h"
 #include "rattanweir/base/units/units.h"
 #include "rattanweir/process/backend_view/backend_view.h"
+#include "rattanweir/process/server_performance/server_performance.h"
 
 #include <chrono>
 #include <optional>
@@ -79,6 +82,8 @@
   // The most requests that may be at the server, of all instances, if it fails
   // when it has to refuse too many.
   std::optional<unsigned> m_maxAtServer;
+  // The server's learned speed; nullopt if its pool is not profiled.
+  std::optional<ServerProfile> m_profile;
   // Whether the server is left to peers: this instance can't open connections
   // to it, or has no place there.
   bool m_isLeftToPeers = false;
@@ -103,6 +108,9 @@
   // Expected number of prompt tokens missing from the cache of an engine in the
   // region.
   Tokens m_uncached;
+  // What this instance has learned of its own requests there, beyond the
+  // advertised delay; nullopt if the pool is not profiled.
+  std::optional<ServerProfile> m_profile;
 };
 
 struct PlacementInput
@@ -119,6 +127,9 @@
   std::chrono::nanoseconds m_maxQueueWait{};
   // Requests that would be sent before this one, for one that has just arrived.
   std::size_t m_requestsAhead = 0;
+  // The route's latency objective; bounds the queueing time at engines of
+  // profiled pools.
+  std::chrono::nanoseconds m_latencyObjective{};
   // Time left until the deadline of the request.
   std::chrono::nanoseconds m_untilDeadline{};
   // Whether this instance has just started and may still discover servers and
@@ -195,6 +206,12 @@
 std::chrono::nanoseconds
 PrefillTime(Tokens aTokens);
 
+// Returns the estimated time until the server would start to respond, without
+// the recent excess delay of its responses.
+std::chrono::nanoseconds
+EstimateWithoutExcessDelay(const PlacementInput& aInput,
+                           const ServerCandidate& aServer);
+
 // Returns the estimated time until the server would start to respond.
 std::chrono::nanoseconds
 EstimateTimeToFirstByte(const PlacementInput& aInput,
--- a/testing/gateway_chain/gateway_chain.cc
+++ b/testing/gateway_chain/gateway_chain.cc
@@ -53,6 +53,7 @@
              .m_silence = m_silence,
              .m_queues = m_queues,
              .m_residencyConflicts = m_residencyConflicts,
+             .m_performance = m_performance,
              .m_metrics = m_metrics,
              .m_backendUpstream = m_backendUpstream,
              .m_peerUpstream = m_peerUpstream }
--- a/testing/gateway_chain/gateway_chain.h
+++ b/testing/gateway_chain/gateway_chain.h
@@ -93,6 +93,7 @@
   ServerSilence m_silence{ { .m_clock = m_clock } };
   PoolQueues m_queues;
   ResidencyConflicts m_residencyConflicts{ { .m_clock = m_clock } };
+  ServerPerformance m_performance{ { .m_clock = m_clock } };
   Metrics m_metrics;
   HttpUpstream m_backendUpstream;
   HttpUpstream m_peerUpstream;
--- a/testing/gateway_fixture/gateway_fixture.cc
+++ b/testing/gateway_fixture/gateway_fixture.cc
@@ -172,7 +172,11 @@
     .m_isNotRun = FindHeader(aHead.m_headers, "not-run") != nullptr,
     .m_isMisdirected = aHead.m_status == 421,
     .m_isSealed = FindHeader(aHead.m_headers, "seal") != nullptr,
+    .m_hasInvalidLoad = FindHeader(aHead.m_headers, "bad-load") != nullptr,
   };
+  if (const auto* pace = FindHeader(aHead.m_headers, "pace")) {
+    info.m_pace = Pace(std::stod(*pace));
+  }
   if (const auto* id = FindHeader(aHead.m_headers, "id")) {
     info.m_request = RequestId(*id);
   }
@@ -272,6 +276,7 @@
              .m_silence = m_silence,
              .m_queues = m_queues,
              .m_residencyConflicts = m_residencyConflicts,
+             .m_performance = m_performance,
              .m_metrics = m_metrics,
              .m_backendUpstream = m_upstream,
              .m_peerUpstream = m_upstream }
--- a/testing/gateway_fixture/gateway_fixture.h
+++ b/testing/gateway_fixture/gateway_fixture.h
@@ -149,6 +149,7 @@
   ServerSilence m_silence{ { .m_clock = m_clock } };
   PoolQueues m_queues;
   ResidencyConflicts m_residencyConflicts{ { .m_clock = m_clock } };
+  ServerPerformance m_performance{ { .m_clock = m_clock } };
   Metrics m_metrics;
   ScriptedUpstream m_upstream{ m_context };
   GatewayState m_state;
