Scheduling and load shedding under shortage

Cause: the wait queue ordered by priority and newest arrival; it knew neither deadline, work nor account, and Retry-After was the mean slot time. Change: request/shortage decides for pools whose servers state a pace: tiers in time, over share, late; least latest start first; one of 20 dispatches for lower priorities; refused at once if the deadline or the backlog rules it out; Retry-After from that backlog, spread and bounded.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -312,6 +312,7 @@
            .m_queues = m_queues,
            .m_residencyConflicts = m_residencyConflicts,
            .m_performance = m_performance,
+           .m_backlogs = m_backlogs,
            .m_metrics = m_metrics,
            .m_backendUpstream = m_backendUpstream,
            .m_peerUpstream = m_peerUpstream,
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -111,6 +111,7 @@
   PoolQueues m_queues;
   ResidencyConflicts m_residencyConflicts{ { .m_clock = m_clock } };
   ServerPerformance m_performance{ { .m_clock = m_clock } };
+  PoolBacklogs m_backlogs{ { .m_clock = m_clock } };
   const platform::PlatformProtocol m_protocol;
   platform::RecordApplier m_recordApplier;
 
--- a/rattanweir/request/gateway/gateway_state.h
+++ b/rattanweir/request/gateway/gateway_state.h
@@ -32,6 +32,7 @@
 #include "rattanweir/request/gateway/pool_queues.h"
 #include "rattanweir/request/gateway/stream_origin_directory.h"
 #include "rattanweir/request/gateway/wire_protocol.h"
+#include "rattanweir/request/shortage/backlog.h"
 #include "rattanweir/version/fleet_config/fleet_config.h"
 
 namespace rattanweir {
@@ -65,6 +66,7 @@
   PoolQueues& m_queues;
   ResidencyConflicts& m_residencyConflicts;
   ServerPerformance& m_performance;
+  PoolBacklogs& m_backlogs;
   Metrics& m_metrics;
   Upstream& m_backendUpstream;
   Upstream& m_peerUpstream;
--- a/rattanweir/request/gateway/gateway_test.cc
+++ b/rattanweir/request/gateway/gateway_test.cc
@@ -123,6 +123,7 @@
                       .m_queues = fixture.m_queues,
                       .m_residencyConflicts = fixture.m_residencyConflicts,
                       .m_performance = fixture.m_performance,
+                      .m_backlogs = fixture.m_backlogs,
                       .m_metrics = fixture.m_metrics,
                       .m_backendUpstream = fixture.m_upstream,
                       .m_peerUpstream = fixture.m_upstream };
--- a/rattanweir/request/gateway/request_dispatcher.h
+++ b/rattanweir/request/gateway/request_dispatcher.h
@@ -20,6 +20,7 @@
 #include "rattanweir/request/gateway/response_forwarder.h"
 #include "rattanweir/request/gateway/server_dispatch.h"
 #include "rattanweir/request/placement/placement.h"
+#include "rattanweir/request/shortage/shortage.h"
 
 #include <set>
 #include <string>
@@ -83,6 +84,15 @@
   void ThrowIfEnded() const;
   void ThrowIfQuarantined() const;
   Task<void> WaitForDestination();
+  // The same for a pool whose servers state their pace (request/shortage).
+  Task<void> WaitInShortage();
+  ShortageRequest ShortageRequestFor(const PlacementInput& aInput) const;
+  // Throws RequestError if the request is not to wait behind this many others.
+  void ThrowIfShed(const ShortageRequest& aShortage, std::size_t aAhead);
+  // Counts the requests that wait and logs them, at most once a second.
+  void LogBacklog(Backlog& aBacklog, const WaitQueue& aQueue) const;
+  std::chrono::milliseconds RetryAfterOf(
+    std::chrono::nanoseconds aExpected) const;
   Task<Failure> SendTo(const PlacementInput& aInput,
                        const Placement& aPlacement);
   // Records how long the current attempt took at least, if it ended with the
--- a/rattanweir/request/wait_queue/wait_queue.cc
+++ b/rattanweir/request/wait_queue/wait_queue.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 
 namespace rattanweir {
-
 WaitQueue::WaitQueue(const Executor& aExecutor)
   : m_executor(aExecutor)
 {
@@ -31,7 +30,34 @@
 bool
 WaitQueue::Waiter::IsFirst() const
 {
-  return m_queue.m_waiters.begin()->second == this;
+  return m_queue.First().second == this;
+}
+
+void
+WaitQueue::Waiter::Move(const SchedulingKey& aKey)
+{
+  if (aKey == m_key.first) {
+    return;
+  }
+  m_queue.m_waiters.erase(m_key);
+  m_key.first = aKey;
+  m_queue.m_waiters.emplace(m_key, this);
+}
+
+void
+WaitQueue::Waiter::RecordDispatch()
+{
+  const Entry* lower = m_queue.FirstOfLowerPriority();
+  const bool isAheadOfLower =
+    lower != nullptr && m_key.first.m_priority < lower->first.first.m_priority;
+  m_queue.m_floor.RecordDispatch(isAheadOfLower);
+}
+
+std::size_t
+WaitQueue::Waiter::CountAhead() const
+{
+  return static_cast<std::size_t>(
+    std::distance(m_queue.m_waiters.begin(), m_queue.m_waiters.find(m_key)));
 }
 
 Task<void>
@@ -45,8 +71,42 @@
 WaitQueue::Wake()
 {
   if (!m_waiters.empty()) {
-    m_waiters.begin()->second->m_timer.Wake();
+    First().second->m_timer.Wake();
+  }
+}
+
+const WaitQueue::Entry&
+WaitQueue::First() const
+{
+  if (m_floor.IsLowerDue()) {
+    if (const Entry* lower = FirstOfLowerPriority()) {
+      return *lower;
+    }
   }
+  return *m_waiters.begin();
+}
+
+const WaitQueue::Entry*
+WaitQueue::FirstOfLowerPriority() const
+{
+  if (m_waiters.empty()) {
+    return nullptr;
+  }
+  const SchedulingKey& first = m_waiters.begin()->first.first;
+  if (!first.m_latestStart) {
+    return nullptr;
+  }
+  const auto lower = std::ranges::find_if(m_waiters, [&](const Entry& aEntry) {
+    return aEntry.first.first.m_priority > first.m_priority;
+  });
+  return lower == m_waiters.end() ? nullptr : &*lower;
+}
+
+std::size_t
+WaitQueue::CountAheadOf(const SchedulingKey& aKey) const
+{
+  return static_cast<std::size_t>(std::distance(
+    m_waiters.begin(), m_waiters.lower_bound(std::pair(aKey, 0ULL))));
 }
 
 std::size_t
--- a/rattanweir/request/wait_queue/wait_queue.h
+++ b/rattanweir/request/wait_queue/wait_queue.h
@@ -7,11 +7,13 @@
 //     co_await waiter.Wait(20ms, cancel);
 //   }
 //
-// Requests are ordered by priority, and last in, first out within a priority:
-// in a long queue the oldest requests can hardly meet their latency objective,
-// and first in, first out would make all requests miss it. Only the first
-// waiter is woken; when that waiter is removed, the next one is woken. Not
-// thread-safe.
+// Requests are ordered by their keys: by priority, and last in, first out
+// within a priority unless they have a latest start. In a long queue the oldest
+// requests can hardly meet their latency objective, and first in, first out
+// would make all requests miss it. Among requests with a latest start, a
+// small share of the dispatches is left to lower priorities (PriorityFloor).
+// Only the first waiter is woken; when that waiter is removed, the next one is
+// woken. Not thread-safe.
 
 #pragma once
 
@@ -19,33 +21,16 @@
 #include "rattanweir/base/cancel/cancel.h"
 #include "rattanweir/base/clock/clock.h"
 #include "rattanweir/request/wait/wait.h"
+#include "rattanweir/request/wait_queue/priority_floor.h"
+#include "rattanweir/request/wait_queue/scheduling_key.h"
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <memory>
 
 namespace rattanweir {
 
-// The position of a request in the queue's order.
-struct SchedulingKey
-{
-  // 0 is the highest priority.
-  unsigned m_priority = 0;
-  SteadyTime m_arrivedAt;
-
-  friend bool operator==(const SchedulingKey&, const SchedulingKey&) = default;
-  // The smaller key is served first.
-  friend std::strong_ordering operator<=>(const SchedulingKey& aLeft,
-                                          const SchedulingKey& aRight)
-  {
-    const auto byPriority = aLeft.m_priority <=> aRight.m_priority;
-    return byPriority != 0 ? byPriority
-                           : aRight.m_arrivedAt <=> aLeft.m_arrivedAt;
-  }
-};
-
 class WaitQueue
 {
 public:
@@ -63,6 +48,15 @@
 
     bool IsFirst() const;
 
+    // Changes the waiter's position.
+    void Move(const SchedulingKey& aKey);
+
+    // Records that the request leaves the queue because it is sent.
+    void RecordDispatch();
+
+    // Returns the number of waiters with a smaller key.
+    std::size_t CountAhead() const;
+
     // Returns after the duration, when the queue is woken and this waiter is
     // the first, or when `aCancel` is cancelled.
     Task<void> Wait(std::chrono::nanoseconds aDuration,
@@ -79,6 +73,9 @@
   // Wakes the first waiter, because a server may have capacity again.
   void Wake();
 
+  // Returns the number of waiters that precede a request with this key.
+  std::size_t CountAheadOf(const SchedulingKey& aKey) const;
+
   // Returns whether some waiter precedes a request with this key.
   bool HasWaiterAheadOf(const SchedulingKey& aKey) const;
 
@@ -88,9 +85,18 @@
   std::size_t SizeUpToPriority(unsigned aPriority) const;
 
 private:
+  using Entry =
+    std::pair<const std::pair<SchedulingKey, std::uint64_t>, const Waiter*>;
+
+  // Returns the entry that is sent next. The queue must not be empty.
+  const Entry& First() const;
+  // Returns the first entry of a lower priority than the first one, or null.
+  const Entry* FirstOfLowerPriority() const;
+
   Executor m_executor;
   std::map<std::pair<SchedulingKey, std::uint64_t>, const Waiter*> m_waiters;
   std::uint64_t m_nextSequence = 0;
+  PriorityFloor m_floor;
 };
 
 } // namespace rattanweir
--- a/rattanweir/request/wait_queue/wait_queue_test.cc
+++ b/rattanweir/request/wait_queue/wait_queue_test.cc
@@ -37,6 +37,54 @@
     queue.HasWaiterAheadOf({ .m_priority = 0, .m_arrivedAt = At(4) }));
 }
 
+SchedulingKey
+Timed(unsigned aPriority, SchedulingTier aTier, int aLatestStart)
+{
+  return { .m_priority = aPriority,
+           .m_tier = aTier,
+           .m_latestStart = At(aLatestStart),
+           .m_arrivedAt = At(0) };
+}
+
+// Guards against a late request that keeps its place before those in time.
+TEST_CASE("waiters with a latest start are ordered by tier, then by that start")
+{
+  asio::io_context context;
+  WaitQueue queue(context.get_executor());
+  WaitQueue::Waiter relaxed(queue, Timed(1, SchedulingTier::InTime, 9));
+  WaitQueue::Waiter pressed(queue, Timed(1, SchedulingTier::InTime, 5));
+  const WaitQueue::Waiter late(queue, Timed(1, SchedulingTier::Late, 1));
+  CHECK(pressed.IsFirst());
+  CHECK(pressed.CountAhead() == 0);
+  CHECK(late.CountAhead() == 2);
+  CHECK(queue.CountAheadOf(Timed(1, SchedulingTier::InTime, 7)) == 1);
+  pressed.Move(Timed(1, SchedulingTier::LateRetry, 2));
+  CHECK(relaxed.IsFirst());
+  CHECK(pressed.CountAhead() == 1);
+  CHECK(late.CountAhead() == 2);
+}
+
+// Guards against a priority that never gets a server while a higher one is in
+// demand.
+TEST_CASE("one of 20 dispatches is left to a lower priority")
+{
+  asio::io_context context;
+  WaitQueue queue(context.get_executor());
+  WaitQueue::Waiter low(queue, Timed(2, SchedulingTier::InTime, 1));
+  int lowDispatches = 0;
+  for (int dispatch = 0; dispatch < 100; ++dispatch) {
+    WaitQueue::Waiter high(queue, Timed(0, SchedulingTier::InTime, 5));
+    REQUIRE(high.IsFirst() != low.IsFirst());
+    if (low.IsFirst()) {
+      low.RecordDispatch();
+      ++lowDispatches;
+    } else {
+      high.RecordDispatch();
+    }
+  }
+  CHECK(lowDispatches == 5);
+}
+
 Task<void>
 WaitAndRecord(WaitQueue& aQueue, int aNumber, std::vector<int>& aWoken)
 {
--- a/testing/gateway_chain/gateway_chain.cc
+++ b/testing/gateway_chain/gateway_chain.cc
@@ -54,6 +54,7 @@
              .m_queues = m_queues,
              .m_residencyConflicts = m_residencyConflicts,
              .m_performance = m_performance,
+             .m_backlogs = m_backlogs,
              .m_metrics = m_metrics,
              .m_backendUpstream = m_backendUpstream,
              .m_peerUpstream = m_peerUpstream }
--- a/testing/gateway_chain/gateway_chain.h
+++ b/testing/gateway_chain/gateway_chain.h
@@ -94,6 +94,7 @@
   PoolQueues m_queues;
   ResidencyConflicts m_residencyConflicts{ { .m_clock = m_clock } };
   ServerPerformance m_performance{ { .m_clock = m_clock } };
+  PoolBacklogs m_backlogs{ { .m_clock = m_clock } };
   Metrics m_metrics;
   HttpUpstream m_backendUpstream;
   HttpUpstream m_peerUpstream;
--- a/testing/gateway_fixture/gateway_fixture.cc
+++ b/testing/gateway_fixture/gateway_fixture.cc
@@ -277,6 +277,7 @@
              .m_queues = m_queues,
              .m_residencyConflicts = m_residencyConflicts,
              .m_performance = m_performance,
+             .m_backlogs = m_backlogs,
              .m_metrics = m_metrics,
              .m_backendUpstream = m_upstream,
              .m_peerUpstream = m_upstream }
--- a/testing/gateway_fixture/gateway_fixture.h
+++ b/testing/gateway_fixture/gateway_fixture.h
@@ -150,6 +150,7 @@
   PoolQueues m_queues;
   ResidencyConflicts m_residencyConflicts{ { .m_clock = m_clock } };
   ServerPerformance m_performance{ { .m_clock = m_clock } };
+  PoolBacklogs m_backlogs{ { .m_clock = m_clock } };
   Metrics m_metrics;
   ScriptedUpstream m_upstream{ m_context };
   GatewayState m_state;
--- a/testing/gateway_fleet/gateway_fleet.cc
+++ b/testing/gateway_fleet/gateway_fleet.cc
@@ -280,6 +280,7 @@
              .m_queues = m_queues,
              .m_residencyConflicts = m_residencyConflicts,
              .m_performance = m_performance,
+             .m_backlogs = m_backlogs,
              .m_metrics = m_metrics,
              .m_backendUpstream = *m_network,
              .m_peerUpstream = *m_network }
