Spillover of a region's surplus in proportion to the others' spare capacity

Change: instances publish their own callers' arrivals and their region's capacity per pool (optional fields of gossip), compute the same table, and send that fraction of their own requests (request/region_split).

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -7,6 +7,7 @@
 #include "rattanweir/process/logging/log.h"
 #include "rattanweir/request/exchange/header_fields.h"
 #include "rattanweir/request/gateway/gateway_report.h"
+#include "rattanweir/request/gateway/region_loads.h"
 #include "rattanweir/request/gateway/server_candidates.h"
 #include "rattanweir/request/gateway/server_links.h"
 #include "rattanweir/request/wait/wait.h"
@@ -313,6 +314,8 @@
            .m_residencyConflicts = m_residencyConflicts,
            .m_performance = m_performance,
            .m_backlogs = m_backlogs,
+           .m_arrivals = m_arrivals,
+           .m_split = m_split,
            .m_metrics = m_metrics,
            .m_backendUpstream = m_backendUpstream,
            .m_peerUpstream = m_peerUpstream,
@@ -492,7 +495,9 @@
   for (const Pool& pool : config->Pools()) {
     if (const auto delay =
           EstimateLocalStartDelay(m_state, *config, pool.m_id)) {
-      self.m_pools[pool.m_id].m_startDelay = *delay;
+      self.m_pools[pool.m_id] = { .m_startDelay = *delay,
+                                  .m_demand =
+                                    DemandToAdvertise(m_state, pool.m_id) };
     }
   }
 }
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -112,6 +112,8 @@
   ResidencyConflicts m_residencyConflicts{ { .m_clock = m_clock } };
   ServerPerformance m_performance{ { .m_clock = m_clock } };
   PoolBacklogs m_backlogs{ { .m_clock = m_clock } };
+  ArrivalMeter m_arrivals{ { .m_clock = m_clock } };
+  RegionSplit m_split{ { .m_clock = m_clock } };
   const platform::PlatformProtocol m_protocol;
   platform::RecordApplier m_recordApplier;
 
--- a/rattanweir/connection/gossip/gossip_messages.cc
+++ b/rattanweir/connection/gossip/gossip_messages.cc
@@ -183,6 +183,12 @@
   for (const auto& [pool, report] : aRecord.m_pools) {
     value["delay_ms"][pool.Value()] = Json::UInt64(static_cast<std::uint64_t>(
       duration_cast<milliseconds>(report.m_startDelay).count()));
+    if (report.m_demand) {
+      Json::Value demand(Json::arrayValue);
+      demand.append(report.m_demand->m_arrivals.Value());
+      demand.append(report.m_demand->m_capacity.Value());
+      value["demand"][pool.Value()] = std::move(demand);
+    }
   }
   for (const auto& [server, limit] : aRecord.m_serverLimits) {
     Json::Value entry(Json::arrayValue);
@@ -290,6 +296,17 @@
   }
 }
 
+PoolDemand
+DemandFromJson(const Json::Value& aValue)
+{
+  if (!aValue.isArray() || aValue.size() < 2 || !aValue[0].isNumeric() ||
+      !aValue[1].isNumeric()) {
+    throw RpcError("demand: expected two numbers");
+  }
+  return { .m_arrivals = RequestRate(aValue[0].asDouble()),
+           .m_capacity = RequestRate(aValue[1].asDouble()) };
+}
+
 FleetMember
 RecordFromJson(const Json::Value& aValue)
 {
@@ -326,6 +343,12 @@
     const milliseconds delay(GetUnsigned(delays, pool.c_str()));
     record.m_pools.emplace(PoolId(pool), PoolReport{ .m_startDelay = delay });
   }
+  if (aValue.isMember("demand")) {
+    const Json::Value& demands = GetObject(aValue, "demand");
+    for (const std::string& pool : demands.getMemberNames()) {
+      record.m_pools[PoolId(pool)].m_demand = DemandFromJson(demands[pool]);
+    }
+  }
   if (aValue.isMember("limits")) {
     const Json::Value& limits = GetObject(aValue, "limits");
     for (const std::string& server : limits.getMemberNames()) {
--- a/rattanweir/connection/gossip/gossip_test.cc
+++ b/rattanweir/connection/gossip/gossip_test.cc
@@ -209,6 +209,9 @@
   record.m_usages[ClientAccountId("anna")] = { .m_demand = 120,
                                                .m_admitted = 9'000 };
   record.m_pools[PoolId("p")].m_startDelay = milliseconds(40);
+  const PoolDemand demand{ .m_arrivals = RequestRate(12.5),
+                           .m_capacity = RequestRate(200) };
+  record.m_pools[PoolId("p")].m_demand = demand;
   record.m_serverLimits[BackendServerId("s@1")] = { .m_rate = RequestRate(2.5),
                                                     .m_version = 3 };
   record.m_serverLimits[BackendServerId("t@1")] = { .m_version = 4 };
@@ -233,6 +236,7 @@
   CHECK(usage.m_demand == 120);
   CHECK(usage.m_admitted == 9'000);
   CHECK(records[0].m_pools.at(PoolId("p")).m_startDelay == milliseconds(40));
+  CHECK(records[0].m_pools.at(PoolId("p")).m_demand == demand);
   CHECK(records[0].m_serverLimits == record.m_serverLimits);
   CHECK(records[0].m_drainingServers == record.m_drainingServers);
   CHECK(records[0].m_membersToIntroduce == record.m_membersToIntroduce);
--- a/rattanweir/connection/gossip/packed_gossip.cc
+++ b/rattanweir/connection/gossip/packed_gossip.cc
@@ -141,6 +141,24 @@
   }
 }
 
+// The demand is left out if it is not known; earlier builds ignore it.
+void
+WritePools(const std::map<PoolId, PoolReport>& aPools, PackedWriter& aWriter)
+{
+  constexpr std::uint32_t kFields = 2;
+  constexpr std::uint32_t kFieldsWithDemand = 4;
+  WriteSize(aPools, aWriter);
+  for (const auto& [pool, report] : aPools) {
+    aWriter.pack_array(report.m_demand ? kFieldsWithDemand : kFields);
+    aWriter.pack(pool.Value());
+    aWriter.pack(ToMilliseconds(report.m_startDelay));
+    if (report.m_demand) {
+      aWriter.pack(static_cast<float>(report.m_demand->m_arrivals.Value()));
+      aWriter.pack(static_cast<float>(report.m_demand->m_capacity.Value()));
+    }
+  }
+}
+
 void
 WriteRooms(const FleetMember& aRecord, PackedWriter& aWriter)
 {
@@ -187,13 +205,7 @@
     aWriter.pack(version.m_revision);
   }
   WriteUsages(record.m_usages, aWriter);
-  constexpr std::uint32_t kPoolFields = 2;
-  WriteSize(record.m_pools, aWriter);
-  for (const auto& [pool, report] : record.m_pools) {
-    aWriter.pack_array(kPoolFields);
-    aWriter.pack(pool.Value());
-    aWriter.pack(ToMilliseconds(report.m_startDelay));
-  }
+  WritePools(record.m_pools, aWriter);
   WriteLimits(record.m_serverLimits, aWriter);
   WriteIds(record.m_drainingServers, aWriter);
   WriteIds(record.m_membersToIntroduce, aWriter);
@@ -287,9 +299,15 @@
   aRecord.m_usages = ReadUsages(aFields[FieldUsages]);
   for (const PackedValue& entry : ReadArray(aFields[FieldPools], "pools")) {
     const auto pool = ReadArray(entry, "pool", 2);
-    aRecord.m_pools.emplace(
-      PoolId(ReadText(pool[0], "pool")),
-      PoolReport{ .m_startDelay = ReadMilliseconds(pool[1], "delay") });
+    PoolReport report{ .m_startDelay = ReadMilliseconds(pool[1], "delay") };
+    constexpr std::size_t kFieldsWithDemand = 4;
+    if (pool.size() >= kFieldsWithDemand) {
+      report.m_demand =
+        PoolDemand{ .m_arrivals = RequestRate(ReadNumber(pool[2], "arrivals")),
+                    .m_capacity =
+                      RequestRate(ReadNumber(pool[3], "capacity")) };
+    }
+    aRecord.m_pools.emplace(PoolId(ReadText(pool[0], "pool")), report);
   }
   for (const PackedValue& entry : ReadArray(aFields[FieldLimits], "limits")) {
     const auto limit = ReadArray(entry, "limit", 3);
--- a/rattanweir/process/fleet/fleet_view.cc
+++ b/rattanweir/process/fleet/fleet_view.cc
@@ -498,6 +498,19 @@
   return members;
 }
 
+std::vector<const FleetMember*>
+FleetView::HeardWithin(std::chrono::nanoseconds aTime) const
+{
+  const SteadyTime now = m_options.m_clock.SteadyNow();
+  std::vector<const FleetMember*> members;
+  for (const auto& [id, entry] : m_members) {
+    if (IsLive(entry, now) && now - entry.m_lastSeenAt <= aTime) {
+      members.push_back(&entry.m_record);
+    }
+  }
+  return members;
+}
+
 std::vector<const FleetMember*>
 FleetView::SeenWithin(std::chrono::nanoseconds aTime) const
 {
--- a/rattanweir/process/fleet/fleet_view.h
+++ b/rattanweir/process/fleet/fleet_view.h
@@ -37,12 +37,25 @@
 
 namespace rattanweir {
 
+// The demand on a pool and its capacity, as an instance knows them.
+struct PoolDemand
+{
+  // Requests of the instance's own callers.
+  RequestRate m_arrivals;
+  // Requests that the servers of the instance's region can process.
+  RequestRate m_capacity;
+
+  friend bool operator==(const PoolDemand&, const PoolDemand&) = default;
+};
+
 // What an instance advertises about the backend servers of one pool in its
 // region.
 struct PoolReport
 {
   // Expected delay until the response to a request that is sent now starts.
   std::chrono::nanoseconds m_startDelay{};
+  // nullopt if not known, or if the instance's build doesn't tell.
+  std::optional<PoolDemand> m_demand{};
 };
 
 // The member record of one instance.
@@ -278,6 +291,11 @@
   std::vector<const FleetMember*> SeenWithin(
     std::chrono::nanoseconds aTime) const;
 
+  // Returns the live members of which a new record arrived within this time,
+  // without this instance.
+  std::vector<const FleetMember*> HeardWithin(
+    std::chrono::nanoseconds aTime) const;
+
   // Returns true once this instance's region has been discovered: peers have
   // sent messages for the settling time without naming an unknown member of the
   // region. Remains true. Until then, members that share a limit with this
--- a/rattanweir/process/server_performance/latency_model.cc
+++ b/rattanweir/process/server_performance/latency_model.cc
@@ -6,6 +6,9 @@
 namespace rattanweir {
 namespace {
 
+// Prompts of at least this part of the reference count as long.
+constexpr int kLongFraction = 3;
+
 std::chrono::nanoseconds
 ToDuration(double aNanoseconds)
 {
@@ -44,13 +47,15 @@
   }
   const auto reference = static_cast<double>(
     std::max(aObservation.m_estimate, m_options.m_minReference).count());
-  // Relative, since short prompts would otherwise set the step of long ones.
   const double relative = std::min(1.0, std::abs(error) / reference);
-  m_meanError = m_meanError == 0 ? relative
-                                 : m_meanError + m_options.m_errorWeight *
-                                                   (relative - m_meanError);
+  const bool isLong = aObservation.m_tokens.Value() * kLongFraction >=
+                      m_options.m_referenceTokens.Value();
+  double& meanError = m_meanErrors[isLong ? 1 : 0];
+  meanError = meanError == 0
+                ? relative
+                : meanError + m_options.m_errorWeight * (relative - meanError);
   const double step =
-    std::copysign(m_options.m_step * m_meanError * reference, error);
+    std::copysign(m_options.m_step * meanError * reference, error);
   // A normalized gradient step: short prompts hardly move the cost per token,
   // since their errors would be amplified in the estimates of long ones.
   const auto referenceTokens =
--- a/rattanweir/process/server_performance/latency_model.h
+++ b/rattanweir/process/server_performance/latency_model.h
@@ -15,6 +15,7 @@
 
 #include "rattanweir/base/units/units.h"
 
+#include <array>
 #include <chrono>
 
 namespace rattanweir {
@@ -37,7 +38,7 @@
   unsigned m_startingObservations = 5;
   // Step of one observation, as a fraction of the mean error; errors are
   // relative to the estimate, or to this duration if that is longer.
-  double m_step = 0.2;
+  double m_step = 0.25;
   std::chrono::nanoseconds m_minReference{ std::chrono::milliseconds(50) };
   // Weight of the newest observation in the mean error.
   double m_errorWeight = 0.1;
@@ -72,8 +73,10 @@
   // In nanoseconds.
   double m_fixedCost = 0;
   double m_costPerToken = 0;
-  // Relative to the estimate.
-  double m_meanError = 0;
+  // Of short and of long prompts, relative to the estimate. They are kept
+  // apart: short ones are the more frequent, and would set the step of long
+  // ones.
+  std::array<double, 2> m_meanErrors{};
 };
 
 } // namespace rattanweir
--- a/rattanweir/process/server_performance/server_performance.cc
+++ b/rattanweir/process/server_performance/server_performance.cc
@@ -132,6 +132,31 @@
   }
 }
 
+void
+ServerPerformance::RecordSlotTime(const PoolId& aPool, nanoseconds aTime)
+{
+  if (!IsProfiled(aPool)) {
+    return;
+  }
+  SlotTime& slotTime = m_slotTimes[aPool];
+  ++slotTime.m_observations;
+  const double weight =
+    std::max(m_options.m_slotTimeWeight, 1.0 / slotTime.m_observations);
+  slotTime.m_nanoseconds +=
+    weight * (static_cast<double>(aTime.count()) - slotTime.m_nanoseconds);
+}
+
+std::optional<nanoseconds>
+ServerPerformance::SlotTimeOf(const PoolId& aPool) const
+{
+  const auto found = m_slotTimes.find(aPool);
+  if (found == m_slotTimes.end() ||
+      found->second.m_observations < m_options.m_minSlotTimes) {
+    return std::nullopt;
+  }
+  return nanoseconds(static_cast<std::int64_t>(found->second.m_nanoseconds));
+}
+
 void
 ServerPerformance::KeepOnly(const std::set<BackendServerId>& aListed)
 {
--- a/rattanweir/process/server_performance/server_performance.h
+++ b/rattanweir/process/server_performance/server_performance.h
@@ -71,6 +71,10 @@
   double m_maxSpeed = 4;
   // Errors below this fraction of the estimate don't change a server's speed.
   double m_speedTolerance = 0.15;
+  // Observations from which a pool's slot time is known, and the weight of the
+  // newest one in its mean.
+  unsigned m_minSlotTimes = 10;
+  double m_slotTimeWeight = 0.05;
 };
 
 class ServerPerformance
@@ -106,6 +110,12 @@
                          const BackendServerId& aRegion,
                          const LatencyObservation& aObservation);
 
+  // Records for how long a request would have occupied a slot without queueing;
+  // ignored for a pool that is not profiled.
+  void RecordSlotTime(const PoolId& aPool, std::chrono::nanoseconds aTime);
+  // Returns the mean slot time of the pool; nullopt before enough observations.
+  std::optional<std::chrono::nanoseconds> SlotTimeOf(const PoolId& aPool) const;
+
   // Removes the state of all servers that are not in `aListed`.
   void KeepOnly(const std::set<BackendServerId>& aListed);
 
@@ -118,10 +128,17 @@
     SteadyTime m_paceAt;
   };
 
+  struct SlotTime
+  {
+    double m_nanoseconds = 0;
+    unsigned m_observations = 0;
+  };
+
   double PaceOf(const Server& aServer) const;
 
   ServerPerformanceOptions m_options;
   std::map<PoolId, LatencyModel> m_pools;
+  std::map<PoolId, SlotTime> m_slotTimes;
   std::map<BackendServerId, LatencyModel> m_regions;
   std::map<BackendServerId, Server> m_servers;
   std::set<BackendServerId> m_withInvalidLoad;
--- a/rattanweir/request/gateway/build_placement_input.cc
+++ b/rattanweir/request/gateway/build_placement_input.cc
@@ -25,6 +25,20 @@
                                        : report->second.m_startDelay;
 }
 
+// Returns whether this region has a server for the request.
+bool
+MayBeServedLocally(const PlacementQuery& aQuery)
+{
+  const GatewayState& state = aQuery.m_state;
+  const RegionId& localRegion = state.m_fleet.Self().m_region;
+  return aQuery.m_request.IsPermittedIn(localRegion) &&
+         std::ranges::any_of(
+           state.m_registry.ServersOf(aQuery.m_request.m_pool, localRegion),
+           [](const RegisteredServer* aServer) {
+             return aServer->AcceptsRequests();
+           });
+}
+
 // Returns the regions that have servers for the request and an instance that
 // can send to them and was not tried yet. The local region is one only if this
 // instance leaves some of the servers to peers.
@@ -34,6 +48,7 @@
   const GatewayState& state = aQuery.m_state;
   const AdmittedRequest& request = aQuery.m_request;
   const RegionId& localRegion = state.m_fleet.Self().m_region;
+  const bool mayStay = MayBeServedLocally(aQuery);
   std::vector<RegionCandidate> candidates;
   for (const RegionId& region :
        state.m_registry.RegionsOf(request.m_pool, aQuery.m_softwareVersion)) {
@@ -42,6 +57,10 @@
         (isLocal && !LeavesServersToPeers(state, request.m_pool))) {
       continue;
     }
+    if (!isLocal && mayStay &&
+        state.m_split.IsKnownFull(request.m_pool, region)) {
+      continue;
+    }
     std::optional<std::chrono::nanoseconds> delay;
     for (const FleetMember* peer :
          PeersFor(state, request.m_pool, region, aQuery.m_triedPeers)) {
@@ -64,6 +83,30 @@
   return candidates;
 }
 
+// Applies the split of the region's surplus. Where its figures are known, they
+// decide what leaves the region, and the estimate only for a clear advantage:
+// all instances see the same estimates, and would choose the same region.
+void
+ApplySplit(const PlacementQuery& aQuery, PlacementInput& aInput)
+{
+  constexpr double kMarginFraction = 0.3;
+  const AdmittedRequest& request = aQuery.m_request;
+  if (!aQuery.m_state.m_split.LoadsOf(request.m_pool).empty()) {
+    aInput.m_regionMargin = std::max(
+      aInput.m_regionMargin,
+      ScaleDuration(request.m_route.m_latencyObjective, kMarginFraction));
+  }
+  if (!aQuery.m_spillover) {
+    return;
+  }
+  const auto region = std::ranges::find(
+    aInput.m_regions, *aQuery.m_spillover, &RegionCandidate::m_region);
+  if (region != aInput.m_regions.end()) {
+    aInput.m_spillover =
+      static_cast<std::size_t>(region - aInput.m_regions.begin());
+  }
+}
+
 } // namespace
 
 Tokens
@@ -116,6 +159,7 @@
   }
   if (!request.m_forwardedBy) {
     input.m_regions = RegionCandidates(aQuery);
+    ApplySplit(aQuery, input);
   }
   return input;
 }
--- a/rattanweir/request/gateway/build_placement_input.h
+++ b/rattanweir/request/gateway/build_placement_input.h
@@ -24,6 +24,8 @@
   const std::set<InstanceId>& m_triedPeers;
   // The software version that the server must have; nullopt if any may serve.
   const std::optional<std::string>& m_softwareVersion;
+  // The region to which the split of this region's surplus sends the request.
+  std::optional<RegionId> m_spillover{};
 };
 
 // Returns the input of DecidePlacement for one request: the backend servers of
--- a/rattanweir/request/gateway/gateway_state.h
+++ b/rattanweir/request/gateway/gateway_state.h
@@ -32,6 +32,8 @@
 #include "rattanweir/request/gateway/pool_queues.h"
 #include "rattanweir/request/gateway/stream_origin_directory.h"
 #include "rattanweir/request/gateway/wire_protocol.h"
+#include "rattanweir/request/region_split/arrival_meter.h"
+#include "rattanweir/request/region_split/region_split.h"
 #include "rattanweir/request/shortage/backlog.h"
 #include "rattanweir/version/fleet_config/fleet_config.h"
 
@@ -67,6 +69,8 @@
   ResidencyConflicts& m_residencyConflicts;
   ServerPerformance& m_performance;
   PoolBacklogs& m_backlogs;
+  ArrivalMeter& m_arrivals;
+  RegionSplit& m_split;
   Metrics& m_metrics;
   Upstream& m_backendUpstream;
   Upstream& m_peerUpstream;
--- a/rattanweir/request/gateway/gateway_test.cc
+++ b/rattanweir/request/gateway/gateway_test.cc
@@ -124,6 +124,8 @@
                       .m_residencyConflicts = fixture.m_residencyConflicts,
                       .m_performance = fixture.m_performance,
                       .m_backlogs = fixture.m_backlogs,
+                      .m_arrivals = fixture.m_arrivals,
+                      .m_split = fixture.m_split,
                       .m_metrics = fixture.m_metrics,
                       .m_backendUpstream = fixture.m_upstream,
                       .m_peerUpstream = fixture.m_upstream };
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -7,6 +7,7 @@
 #include "rattanweir/request/gateway/build_placement_input.h"
 #include "rattanweir/request/gateway/gateway_admission.h"
 #include "rattanweir/request/gateway/observed_exchange.h"
+#include "rattanweir/request/gateway/region_loads.h"
 #include "rattanweir/request/gateway/server_candidates.h"
 #include "rattanweir/request/gateway/server_dispatch.h"
 #include "rattanweir/request/placement/placement_input.h"
@@ -119,6 +120,7 @@
   // The peer that forwarded a request has counted it.
   if (!m_request.m_forwardedBy) {
     m_state.m_retries.AddRequest(m_request.m_pool);
+    DrawSpillover();
   }
   for (;;) {
     ThrowIfEnded();
@@ -140,6 +142,25 @@
   }
 }
 
+void
+RequestDispatcher::DrawSpillover()
+{
+  const PoolId& pool = m_request.m_pool;
+  if (!m_state.m_performance.IsProfiled(pool) ||
+      !m_request.IsPermittedIn(m_state.m_fleet.Self().m_region)) {
+    return;
+  }
+  m_state.m_arrivals.Record(pool);
+  UpdateSplit(m_state, pool);
+  m_spillover = m_state.m_split.Choose(
+    pool,
+    std::uniform_real_distribution<double>(0, 1)(m_state.m_random),
+    m_request.m_permittedRegions);
+  if (m_spillover) {
+    m_state.m_metrics.Count("rattanweir_spillover_total");
+  }
+}
+
 void
 RequestDispatcher::ThrowRefusal(const Refuse& aRefusal) const
 {
@@ -268,6 +289,7 @@
     .m_objective = m_request.m_route.m_latencyObjective,
     .m_spentBefore =
       TimeSpentBefore(m_request.m_route.m_timeout, callerTimeout),
+    .m_mayWaitLate = !m_request.m_forwardedBy.has_value(),
   };
   std::optional<nanoseconds> shortest;
   for (const ServerCandidate& server : aInput.m_servers) {
@@ -410,7 +432,8 @@
            .m_request = m_request,
            .m_triedServers = m_triedServers,
            .m_triedPeers = m_triedPeers,
-           .m_softwareVersion = RequiredVersion() };
+           .m_softwareVersion = RequiredVersion(),
+           .m_spillover = m_spillover };
 }
 
 Task<RequestDispatcher::Failure>
@@ -919,7 +942,7 @@
     dispatch.EndWith(ResultCode::Ok);
   } catch (const RequestError& error) {
     dispatch.EndWith(error.Code());
-    RecordPeerFailure(peer.m_id, error, isPeerRefusal);
+    RecordPeerFailure(peer, error, isPeerRefusal);
     if (isPeerRefusal) {
       throw;
     }
@@ -928,18 +951,26 @@
 }
 
 void
-RequestDispatcher::RecordPeerFailure(const InstanceId& aPeer,
+RequestDispatcher::RecordPeerFailure(const FleetMember& aPeer,
                                      const RequestError& aError,
                                      bool aIsRefusal)
 {
   if (aIsRefusal && aError.Code() == ResultCode::ServersUnreachable) {
-    m_state.m_fleet.MarkPoolUnreachable(aPeer, m_request.m_pool);
+    m_state.m_fleet.MarkPoolUnreachable(aPeer.m_id, m_request.m_pool);
+  }
+  const bool isLackOfCapacity = aError.Code() == ResultCode::TooManyRequests ||
+                                aError.Code() == ResultCode::DeadlineTooShort ||
+                                aError.Code() == ResultCode::NoBackendServer;
+  if (aIsRefusal && isLackOfCapacity) {
+    m_state.m_metrics.Count("rattanweir_forwards_refused_total");
+    m_state.m_split.RecordRefusal(m_request.m_pool, aPeer.m_region);
   }
+  m_spillover.reset();
   if (!aIsRefusal && aError.Code() == ResultCode::BackendConnectFailed) {
-    m_state.m_fleet.MarkUnreachable(aPeer);
+    m_state.m_fleet.MarkUnreachable(aPeer.m_id);
     Log(LogLevel::Warning,
         "peer_unreachable",
-        { { "peer", aPeer.Value() }, { "detail", aError.what() } });
+        { { "peer", aPeer.m_id.Value() }, { "detail", aError.what() } });
   }
 }
 
--- a/rattanweir/request/gateway/request_dispatcher.h
+++ b/rattanweir/request/gateway/request_dispatcher.h
@@ -83,6 +83,9 @@
 
   void ThrowIfEnded() const;
   void ThrowIfQuarantined() const;
+  // Counts a caller's request as demand of this region, and draws whether it is
+  // part of the surplus that other regions serve.
+  void DrawSpillover();
   Task<void> WaitForDestination();
   // The same for a pool whose servers state their pace (request/shortage).
   Task<void> WaitInShortage();
@@ -106,7 +109,7 @@
   Task<void> SendToRegion(RegionId aRegion,
                           std::optional<StartExpectation> aExpectation);
   // Records what the failure says about the peer.
-  void RecordPeerFailure(const InstanceId& aPeer,
+  void RecordPeerFailure(const FleetMember& aPeer,
                          const RequestError& aError,
                          bool aIsRefusal);
   Task<void> ReadResponse(UpstreamExchange& aExchange,
@@ -206,6 +209,9 @@
   bool m_wasTurnedAway = false;
   std::set<BackendServerId> m_triedServers;
   std::set<InstanceId> m_triedPeers;
+  // The region that serves the request as part of this region's surplus; unset
+  // once a peer there has refused it.
+  std::optional<RegionId> m_spillover;
 };
 
 } // namespace rattanweir
--- a/rattanweir/request/gateway/server_dispatch.cc
+++ b/rattanweir/request/gateway/server_dispatch.cc
@@ -46,10 +46,13 @@
   if (m_isComplete) {
     const std::chrono::duration<double> elapsed =
       m_options.m_clock.SteadyNow() - m_sentAt;
-    m_options.m_queues.ObserveSlotTime(
-      m_options.m_pool,
-      std::chrono::duration_cast<std::chrono::nanoseconds>(
-        elapsed / m_options.m_queueingFactor));
+    const auto slotTime = std::chrono::duration_cast<std::chrono::nanoseconds>(
+      elapsed / m_options.m_queueingFactor);
+    m_options.m_queues.ObserveSlotTime(m_options.m_pool, slotTime);
+    if (m_options.m_expectation) {
+      m_options.m_expectation->m_performance.RecordSlotTime(m_options.m_pool,
+                                                            slotTime);
+    }
   }
   m_options.m_queues.QueueOf(m_options.m_pool).Wake();
 }
--- a/rattanweir/request/placement/placement.cc
+++ b/rattanweir/request/placement/placement.cc
@@ -274,6 +274,14 @@
 Placement
 DecidePlacement(const PlacementInput& aInput)
 {
+  if (aInput.m_spillover) {
+    const RegionCandidate& region = aInput.m_regions[*aInput.m_spillover];
+    const nanoseconds estimate = EstimateTimeToFirstByte(aInput, region);
+    if (estimate < aInput.m_untilDeadline) {
+      return SendToRegion{ .m_index = *aInput.m_spillover,
+                           .m_estimate = estimate };
+    }
+  }
   BestCandidate server = FindBestServer(aInput, false);
   const BestCandidate region = FindBestRegion(aInput);
   if (!server.m_index && !region.m_index && AreAllLeftToPeers(aInput)) {
--- a/rattanweir/request/placement/placement.h
+++ b/rattanweir/request/placement/placement.h
@@ -141,6 +141,9 @@
   bool m_isForwarded = false;
   // Minimum advantage in the estimate for choosing another region.
   std::chrono::nanoseconds m_regionMargin{ std::chrono::milliseconds(20) };
+  // The region to which the request is sent because this one has more demand
+  // than capacity (request/region_split), as an index into m_regions.
+  std::optional<std::size_t> m_spillover;
   // Cost of sending the request body to another region, in addition to the
   // round trip, expressed as a response delay.
   std::chrono::nanoseconds m_transferCost{};
--- a/rattanweir/request/shortage/shortage.cc
+++ b/rattanweir/request/shortage/shortage.cc
@@ -56,6 +56,9 @@
 SteadyTime
 WaitLimit(const ShortageRequest& aRequest)
 {
+  if (!aRequest.m_mayWaitLate) {
+    return std::min(aRequest.LatestStart(), aRequest.LatestStartInTime());
+  }
   const SteadyTime half =
     aRequest.m_receivedAt +
     ScaleDuration(aRequest.m_deadline - aRequest.m_receivedAt,
--- a/rattanweir/request/shortage/shortage.h
+++ b/rattanweir/request/shortage/shortage.h
@@ -51,6 +51,9 @@
   std::chrono::nanoseconds m_spentBefore{};
   // Expected time to first byte once the request is sent.
   std::chrono::nanoseconds m_startTime{};
+  // Whether the request may wait beyond its objective. One that a peer has
+  // forwarded may not: the peer can still send it elsewhere.
+  bool m_mayWaitLate = true;
 
   bool IsRetry() const
   {
--- a/rattanweir/request/shortage/shortage_test.cc
+++ b/rattanweir/request/shortage/shortage_test.cc
@@ -91,6 +91,20 @@
   CHECK(std::get<Shed>(decision).m_reason == ShedReason::WaitedTooLong);
 }
 
+// Guards against a request that a peer could still send elsewhere, but that
+// waits here beyond its objective.
+TEST_CASE("a forwarded request waits no longer than until its latest start in "
+          "time")
+{
+  ShortageRequest request = Request();
+  request.m_mayWaitLate = false;
+  const auto decide = [&](milliseconds aWaited) {
+    return DecideWait(request, { .m_now = kNow + aWaited });
+  };
+  CHECK(std::holds_alternative<KeepWaiting>(decide(milliseconds(390))));
+  CHECK(std::holds_alternative<Shed>(decide(milliseconds(400))));
+}
+
 // Guards against callers that return together or after their deadline.
 TEST_CASE("Retry-After is spread, and bounded by the caller's time left")
 {
--- a/testing/gateway_chain/gateway_chain.cc
+++ b/testing/gateway_chain/gateway_chain.cc
@@ -55,6 +55,8 @@
              .m_residencyConflicts = m_residencyConflicts,
              .m_performance = m_performance,
              .m_backlogs = m_backlogs,
+             .m_arrivals = m_arrivals,
+             .m_split = m_split,
              .m_metrics = m_metrics,
              .m_backendUpstream = m_backendUpstream,
              .m_peerUpstream = m_peerUpstream }
--- a/testing/gateway_chain/gateway_chain.h
+++ b/testing/gateway_chain/gateway_chain.h
@@ -95,6 +95,8 @@
   ResidencyConflicts m_residencyConflicts{ { .m_clock = m_clock } };
   ServerPerformance m_performance{ { .m_clock = m_clock } };
   PoolBacklogs m_backlogs{ { .m_clock = m_clock } };
+  ArrivalMeter m_arrivals{ { .m_clock = m_clock } };
+  RegionSplit m_split{ { .m_clock = m_clock } };
   Metrics m_metrics;
   HttpUpstream m_backendUpstream;
   HttpUpstream m_peerUpstream;
--- a/testing/gateway_fixture/gateway_fixture.cc
+++ b/testing/gateway_fixture/gateway_fixture.cc
@@ -278,6 +278,8 @@
              .m_residencyConflicts = m_residencyConflicts,
              .m_performance = m_performance,
              .m_backlogs = m_backlogs,
+             .m_arrivals = m_arrivals,
+             .m_split = m_split,
              .m_metrics = m_metrics,
              .m_backendUpstream = m_upstream,
              .m_peerUpstream = m_upstream }
--- a/testing/gateway_fixture/gateway_fixture.h
+++ b/testing/gateway_fixture/gateway_fixture.h
@@ -151,6 +151,8 @@
   ResidencyConflicts m_residencyConflicts{ { .m_clock = m_clock } };
   ServerPerformance m_performance{ { .m_clock = m_clock } };
   PoolBacklogs m_backlogs{ { .m_clock = m_clock } };
+  ArrivalMeter m_arrivals{ { .m_clock = m_clock } };
+  RegionSplit m_split{ { .m_clock = m_clock } };
   Metrics m_metrics;
   ScriptedUpstream m_upstream{ m_context };
   GatewayState m_state;
--- a/testing/gateway_fleet/gateway_fleet.cc
+++ b/testing/gateway_fleet/gateway_fleet.cc
@@ -281,6 +281,8 @@
              .m_residencyConflicts = m_residencyConflicts,
              .m_performance = m_performance,
              .m_backlogs = m_backlogs,
+             .m_arrivals = m_arrivals,
+             .m_split = m_split,
              .m_metrics = m_metrics,
              .m_backendUpstream = *m_network,
              .m_peerUpstream = *m_network }
