--- a/programs/rattanweirctl/command_line.cc
+++ b/programs/rattanweirctl/command_line.cc
@@ -9,6 +9,7 @@
 DEFINE_string(admin, "127.0.0.1:8082", "admin address of the instance");
 DEFINE_string(timeout, "10s", "how long to wait for the instance");
 DEFINE_bool(json, false, "print JSON instead of text");
+DEFINE_string(in_force, "", "document to compare with");
 DEFINE_string(section, "", "contents of the checked file");
 DEFINE_string(route, "", "id of the route to explain");
 DEFINE_string(path, "", "path of the request to explain");
@@ -30,6 +31,8 @@
   R"(rattanweirctl queries one instance, or checks configuration before it is published.
 
   rattanweirctl check FILE|DIRECTORY...   faults with file, line and field
+  rattanweirctl check-platform FILE       faults, entries that never match and
+                                          contradictions of a platform's document
   rattanweirctl status                    versions in force, peers, requests in flight
   rattanweirctl entries                   the instances that callers may connect to
   rattanweirctl explain                   the routing decision for a request
@@ -63,6 +66,9 @@
                           derived from the file's name; any other name means
                           document.
 
+Flags of check-platform:
+  --in_force FILE         the version in force; prints what differs from it
+
 A directory is checked as an instance reads its configuration directory: the
 four section files, each with its version, the list of instances, and the
 references between the sections.
@@ -119,6 +125,7 @@
     .m_operands = { aArgv + 1, aArgv + aArgc },
     .m_asJson = FLAGS_json,
     .m_section = FLAGS_section,
+    .m_inForce = FLAGS_in_force,
     .m_route = FLAGS_route,
     .m_path = FLAGS_path,
     .m_host = FLAGS_host,
--- a/programs/rattanweirctl/command_line.h
+++ b/programs/rattanweirctl/command_line.h
@@ -33,6 +33,7 @@
   bool m_asJson = false;
   // The values of flags below are empty if the flag is not given.
   std::string m_section;
+  std::string m_inForce;
   std::string m_route;
   std::string m_path;
   std::string m_host;
--- a/programs/rattanweirctl/main.cc
+++ b/programs/rattanweirctl/main.cc
@@ -4,6 +4,7 @@
 #include "programs/rattanweirctl/admin_client.h"
 #include "programs/rattanweirctl/admin_commands.h"
 #include "programs/rattanweirctl/check_command.h"
+#include "programs/rattanweirctl/check_platform_command.h"
 #include "programs/rattanweirctl/command_line.h"
 
 #include <exception>
@@ -23,6 +24,15 @@
   if (line.m_command == "check") {
     return RunCheck(line.m_operands, line.m_section, line.m_asJson, std::cout);
   }
+  if (line.m_command == "check-platform") {
+    if (line.m_operands.size() != 1) {
+      throw UsageError("check-platform requires one file");
+    }
+    return RunCheckPlatform({ .m_path = line.m_operands.front(),
+                              .m_inForcePath = line.m_inForce,
+                              .m_asJson = line.m_asJson },
+                            std::cout);
+  }
   return RunAdminCommand(line, std::cout);
 }
 
