--- a/rattanweir/request/gateway/gateway_admission.cc
+++ b/rattanweir/request/gateway/gateway_admission.cc
@@ -75,7 +75,7 @@
 }
 
 // Throws RequestError if no region may serve the request as the configuration
-// stands. A caller can do nothing about it, so it is not told to come back.
+// stands. Only a new configuration helps, so the caller is to come back late.
 void
 CheckResidencyConflict(GatewayState& aState, const AdmittedRequest& aRequest)
 {
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -455,10 +455,11 @@
       const ServerCandidate& candidate = aInput.m_servers[server->m_index];
       std::optional<StartExpectation> expectation;
       if (candidate.m_profile) {
-        expectation.emplace(m_state.m_performance,
-                            server->m_estimate,
-                            EstimateWithoutExcessDelay(aInput, candidate),
-                            candidate.m_uncached);
+        expectation.emplace(StartExpectation{
+          .m_performance = m_state.m_performance,
+          .m_estimate = server->m_estimate,
+          .m_withoutExcessDelay = EstimateWithoutExcessDelay(aInput, candidate),
+          .m_tokens = candidate.m_uncached });
       }
       co_await SendToServer(candidate, std::move(expectation));
     } else {
@@ -467,10 +468,11 @@
       const RegionCandidate& candidate = aInput.m_regions[region.m_index];
       std::optional<StartExpectation> expectation;
       if (candidate.m_profile) {
-        expectation.emplace(m_state.m_performance,
-                            region.m_estimate,
-                            region.m_estimate,
-                            candidate.m_uncached);
+        expectation.emplace(
+          StartExpectation{ .m_performance = m_state.m_performance,
+                            .m_estimate = region.m_estimate,
+                            .m_withoutExcessDelay = region.m_estimate,
+                            .m_tokens = candidate.m_uncached });
       }
       co_await SendToRegion(candidate.m_region, std::move(expectation));
     }
--- a/rattanweir/request/shortage/backlog.cc
+++ b/rattanweir/request/shortage/backlog.cc
@@ -27,16 +27,18 @@
     m_backlog.m_waitersSince = m_backlog.m_options.m_clock.SteadyNow();
   }
   m_backlog.m_work += m_work;
-  m_backlog.m_workOfAccounts[m_account] += m_work;
+  AccountWork& account = m_backlog.m_accounts[m_account];
+  ++account.m_waiters;
+  account.m_work += m_work;
 }
 
 Backlog::Entry::~Entry()
 {
   m_backlog.m_work -= m_work;
-  const auto account = m_backlog.m_workOfAccounts.find(m_account);
-  account->second -= m_work;
-  if (account->second <= Tokens(0)) {
-    m_backlog.m_workOfAccounts.erase(account);
+  const auto account = m_backlog.m_accounts.find(m_account);
+  account->second.m_work -= m_work;
+  if (--account->second.m_waiters == 0) {
+    m_backlog.m_accounts.erase(account);
   }
   if (--m_backlog.m_waiters == 0) {
     m_backlog.m_waitersSince.reset();
@@ -79,13 +81,13 @@
   if (m_waiters < m_options.m_minWaitersForShares) {
     return false;
   }
-  const auto found = m_workOfAccounts.find(aAccount);
-  const bool isWaiting = found != m_workOfAccounts.end();
-  const std::size_t accounts = m_workOfAccounts.size() + (isWaiting ? 0 : 1);
+  const auto found = m_accounts.find(aAccount);
+  const bool isWaiting = found != m_accounts.end();
+  const std::size_t accounts = m_accounts.size() + (isWaiting ? 0 : 1);
   if (accounts < 2) {
     return false;
   }
-  const Tokens own = aWork + (isWaiting ? found->second : Tokens(0));
+  const Tokens own = aWork + (isWaiting ? found->second.m_work : Tokens(0));
   const double mean = static_cast<double>((m_work + aWork).Value()) /
                       static_cast<double>(accounts);
   return static_cast<double>(own.Value()) > m_options.m_shareFactor * mean;
--- a/rattanweir/request/shortage/backlog.h
+++ b/rattanweir/request/shortage/backlog.h
@@ -75,6 +75,12 @@
   std::size_t Waiters() const { return m_waiters; }
 
 private:
+  struct AccountWork
+  {
+    std::size_t m_waiters = 0;
+    Tokens m_work;
+  };
+
   double Decayed(SteadyTime aNow) const;
 
   BacklogOptions m_options;
@@ -83,7 +89,7 @@
   std::size_t m_waiters = 0;
   std::optional<SteadyTime> m_waitersSince;
   Tokens m_work;
-  std::map<ClientAccountId, Tokens> m_workOfAccounts;
+  std::map<ClientAccountId, AccountWork> m_accounts;
   std::optional<SteadyTime> m_loggedAt;
 };
 
--- a/rattanweir/request/shortage/backlog_test.cc
+++ b/rattanweir/request/shortage/backlog_test.cc
@@ -57,6 +57,24 @@
   CHECK_FALSE(backlog.IsOverShare(kBert, Tokens(100)));
 }
 
+// Guards against a crash: requests on routes that are open to all belong to no
+// account and cost no tokens.
+TEST_CASE("several requests without cost wait and leave")
+{
+  ManualClock clock;
+  Backlog backlog({ .m_clock = clock });
+  std::deque<Backlog::Entry> waiters;
+  for (int waiter = 0; waiter < 8; ++waiter) {
+    waiters.emplace_back(backlog, ClientAccountId(), Tokens(0));
+  }
+  waiters.emplace_back(backlog, kAnna, Tokens(100));
+  CHECK_FALSE(backlog.IsOverShare(ClientAccountId(), Tokens(0)));
+  while (!waiters.empty()) {
+    waiters.pop_front();
+  }
+  CHECK(backlog.Waiters() == 0);
+}
+
 TEST_CASE("the backlog is logged at most once a second")
 {
   ManualClock clock;
--- a/rattanweir/version/fleet_config_check/config_differences.cc
+++ b/rattanweir/version/fleet_config_check/config_differences.cc
@@ -10,6 +10,8 @@
 // The values of an entry by their names, for comparison and display.
 using Fields = std::map<std::string, std::string>;
 
+constexpr const char* kNone = "none";
+
 template<class Value>
 std::string
 Text(const Value& aValue)
@@ -141,6 +143,17 @@
            countMissing(aInForce.m_keys, aNext.m_keys) };
 }
 
+std::string
+DescribeChange(const std::string& aEntry,
+               const std::string& aField,
+               const std::string& aFrom,
+               const std::string& aTo)
+{
+  std::ostringstream text;
+  text << aEntry << ": " << aField << " " << aFrom << " -> " << aTo;
+  return text.str();
+}
+
 void
 CompareFields(const std::string& aEntry,
               const Fields& aInForce,
@@ -149,14 +162,14 @@
 {
   for (const auto& [name, value] : aNext) {
     const auto before = aInForce.find(name);
-    const std::string old = before == aInForce.end() ? "none" : before->second;
+    const std::string old = before == aInForce.end() ? kNone : before->second;
     if (old != value) {
-      aLines.push_back(aEntry + ": " + name + " " + old + " -> " + value);
+      aLines.push_back(DescribeChange(aEntry, name, old, value));
     }
   }
   for (const auto& [name, value] : aInForce) {
     if (!aNext.contains(name)) {
-      aLines.push_back(aEntry + ": " + name + " " + value + " -> none");
+      aLines.push_back(DescribeChange(aEntry, name, value, kNone));
     }
   }
 }
