--- a/rattanweir/process/server_performance/server_performance.cc
+++ b/rattanweir/process/server_performance/server_performance.cc
@@ -164,8 +164,13 @@
   ++slotTime.m_observations;
   const double weight =
     std::max(m_options.m_slotTimeWeight, 1.0 / slotTime.m_observations);
-  slotTime.m_nanoseconds +=
-    weight * (static_cast<double>(aTime.count()) - slotTime.m_nanoseconds);
+  // Bounded, since some requests wait behind others that are not known here.
+  constexpr double kMaxFactor = 2;
+  double observed = static_cast<double>(aTime.count());
+  if (slotTime.m_observations > 1) {
+    observed = std::min(observed, kMaxFactor * slotTime.m_nanoseconds);
+  }
+  slotTime.m_nanoseconds += weight * (observed - slotTime.m_nanoseconds);
 }
 
 std::optional<nanoseconds>
--- a/rattanweir/request/gateway/region_loads.cc
+++ b/rattanweir/request/gateway/region_loads.cc
@@ -18,7 +18,6 @@
 // What is known of a region so far.
 struct RegionSum
 {
-  std::size_t m_members = 0;
   std::size_t m_reports = 0;
   double m_arrivals = 0;
   double m_capacity = 0;
@@ -83,9 +82,6 @@
 RegionLoadsOf(const GatewayState& aState, const PoolId& aPool)
 {
   std::map<RegionId, RegionSum> sums;
-  for (const FleetMember* member : aState.m_fleet.LivePeers()) {
-    ++sums[member->m_region].m_members;
-  }
   for (const FleetMember* member : aState.m_fleet.HeardWithin(kMaxReportAge)) {
     const auto report = member->m_pools.find(aPool);
     if (report != member->m_pools.end() && report->second.m_demand &&
@@ -93,22 +89,15 @@
       sums[member->m_region].Add(*report->second.m_demand);
     }
   }
-  RegionSum& own = sums[aState.m_fleet.Self().m_region];
-  ++own.m_members;
   if (const auto demand = DemandToAdvertise(aState, aPool)) {
-    own.Add(*demand);
+    sums[aState.m_fleet.Self().m_region].Add(*demand);
   }
   std::vector<RegionLoad> loads;
   for (const auto& [region, sum] : sums) {
-    if (sum.m_reports == 0) {
-      continue;
-    }
     const auto reports = static_cast<double>(sum.m_reports);
-    loads.push_back(
-      { .m_region = region,
-        .m_demand = RequestRate(sum.m_arrivals *
-                                static_cast<double>(sum.m_members) / reports),
-        .m_capacity = RequestRate(sum.m_capacity / reports) });
+    loads.push_back({ .m_region = region,
+                      .m_demand = RequestRate(sum.m_arrivals),
+                      .m_capacity = RequestRate(sum.m_capacity / reports) });
   }
   return loads;
 }
--- a/rattanweir/request/gateway/region_loads.h
+++ b/rattanweir/request/gateway/region_loads.h
@@ -20,8 +20,9 @@
 DemandToAdvertise(const GatewayState& aState, const PoolId& aPool);
 
 // Returns demand and capacity of each region of which they are known. Members
-// that have not been heard of for a while, or whose builds don't tell, count
-// like the others of their region.
+// that have not been heard of for a while, have no such requests, or whose
+// builds don't tell, add no demand: the split then sends less, rather than too
+// much.
 std::vector<RegionLoad>
 RegionLoadsOf(const GatewayState& aState, const PoolId& aPool);
 
--- a/rattanweir/request/gateway/server_dispatch.cc
+++ b/rattanweir/request/gateway/server_dispatch.cc
@@ -49,7 +49,9 @@
     const auto slotTime = std::chrono::duration_cast<std::chrono::nanoseconds>(
       elapsed / m_options.m_queueingFactor);
     m_options.m_queues.ObserveSlotTime(m_options.m_pool, slotTime);
-    if (m_options.m_expectation) {
+    // A server that was busy makes the request wait, for longer than the factor
+    // tells where its report is old.
+    if (m_options.m_expectation && m_options.m_queueingFactor <= 1) {
       m_options.m_expectation->m_performance.RecordSlotTime(m_options.m_pool,
                                                             slotTime);
     }
