--- a/rattanweir/request/gateway/request_dispatcher.h
+++ b/rattanweir/request/gateway/request_dispatcher.h
@@ -27,6 +27,10 @@
 
 namespace rattanweir {
 
+// How often a waiting request checks for a destination even if no change was
+// signalled, since load reports age and cold servers warm up.
+inline constexpr std::chrono::milliseconds kQueueRecheckInterval{ 20 };
+
 struct RequestDispatcherOptions
 {
   GatewayState& m_state;
