--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -464,12 +464,6 @@
 {
   m_rates.Configure(aConfig);
   m_serviceEnd.Configure(aConfig.Routes());
-  for (const Pool& pool : aConfig.Pools()) {
-    if (pool.m_engine && pool.m_engine->m_cacheCopyTimePerToken &&
-        IsSlowCopy(*pool.m_engine->m_cacheCopyTimePerToken)) {
-      m_performance.EnableProfile(pool.m_id);
-    }
-  }
   CallerLimits limits = m_settings.m_callerLimits;
   limits.m_headerBytes = aConfig.Limits().m_headerBytes;
   limits.m_bodyBytes = aConfig.Limits().m_bodyBytes;
--- a/rattanweir/process/server_performance/server_performance.cc
+++ b/rattanweir/process/server_performance/server_performance.cc
@@ -7,22 +7,6 @@
 
 using std::chrono::nanoseconds;
 
-namespace {
-
-// Time to prefill one token at the default rate, and the part of it from which
-// a copy counts as slow.
-constexpr std::chrono::duration<double, std::nano> kDefaultPrefillTime =
-  std::chrono::microseconds(1'000) / 60.0;
-constexpr double kSlowCopyFraction = 0.2;
-
-} // namespace
-
-bool
-IsSlowCopy(std::chrono::duration<double, std::nano> aTimePerToken)
-{
-  return aTimePerToken >= kDefaultPrefillTime * kSlowCopyFraction;
-}
-
 nanoseconds
 ServerProfile::WorkTime(Tokens aUncached) const
 {
@@ -42,18 +26,12 @@
 {
 }
 
-void
-ServerPerformance::EnableProfile(const PoolId& aPool)
-{
-  m_pools.try_emplace(aPool, m_options.m_poolModel);
-}
-
 void
 ServerPerformance::RecordPace(const PoolId& aPool,
                               const BackendServerId& aServer,
                               Pace aPace)
 {
-  EnableProfile(aPool);
+  m_pools.try_emplace(aPool, m_options.m_poolModel);
   const double pace =
     std::clamp(aPace, m_options.m_minPace, m_options.m_maxPace).Value();
   const auto [entry, isNew] = m_servers.try_emplace(aServer);
--- a/rattanweir/process/server_performance/server_performance.h
+++ b/rattanweir/process/server_performance/server_performance.h
@@ -8,9 +8,7 @@
 //
 // Servers that share their machines with others may state their pace: how long
 // work takes there at the moment, relative to the usual time. Only pools with
-// such a server are profiled, and those whose engines copy cached tokens
-// slowly: there the choice between a copy, a prefill and another engine depends
-// on the real prefill rate. For all others the placement uses its defaults.
+// such a server are profiled; for all others the placement uses its defaults.
 //
 // Learned per pool: the fixed cost of the first byte and the prefill rate; per
 // server: its speed relative to the pool. The pace changes several times a
@@ -79,19 +77,11 @@
   double m_slotTimeWeight = 0.05;
 };
 
-// Returns whether engines that take this time to copy a cached token copy
-// slowly: copying is no small part of the default prefill time.
-bool
-IsSlowCopy(std::chrono::duration<double, std::nano> aTimePerToken);
-
 class ServerPerformance
 {
 public:
   explicit ServerPerformance(const ServerPerformanceOptions& aOptions);
 
-  // Profiles the pool from now on, whether its servers state a pace or not.
-  void EnableProfile(const PoolId& aPool);
-
   // Records a pace that the server has stated.
   void RecordPace(const PoolId& aPool,
                   const BackendServerId& aServer,
@@ -101,8 +91,7 @@
   // this is the first time.
   bool RecordInvalidLoad(const BackendServerId& aServer);
 
-  // Returns whether a server of the pool has stated its pace, or the profile
-  // was enabled.
+  // Returns whether a server of the pool has stated its pace.
   bool IsProfiled(const PoolId& aPool) const;
 
   // Returns nullopt for a pool that is not profiled.
--- a/rattanweir/process/server_performance/server_performance_test.cc
+++ b/rattanweir/process/server_performance/server_performance_test.cc
@@ -91,18 +91,6 @@
   CHECK(performance.ProfileOf(kPool, kSlow)->m_slowdown == Approx(10));
 }
 
-// Guards against a profile where copies are nearly free: 1.2 microseconds a
-// token are served as before.
-TEST_CASE("a profile can be enabled for engines that copy slowly")
-{
-  ManualClock clock;
-  ServerPerformance performance({ .m_clock = clock });
-  performance.EnableProfile(kPool);
-  CHECK(performance.ProfileOf(kPool, kFast)->m_slowdown == 1);
-  CHECK(IsSlowCopy(std::chrono::nanoseconds(5'800)));
-  CHECK_FALSE(IsSlowCopy(std::chrono::nanoseconds(1'200)));
-}
-
 TEST_CASE("the state of servers that are not listed is removed")
 {
   ManualClock clock;
