--- a/review/support-2/bench.py
+++ b/review/support-2/bench.py
@@ -568,9 +568,13 @@
         if not PROGRAM.exists():
             print("the build of the deploy file is missing")
             return NOT_RUN
+        # A signal ends the case like an error, so that it ends its processes.
+        task = asyncio.ensure_future(case(folder))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
-            return await asyncio.wait_for(case(folder), 110)
-        except Exception as error:  # The case could not run.
+            return await asyncio.wait_for(task, 110)
+        except (Exception, asyncio.CancelledError) as error:
             print("the case could not run:", repr(error))
             return NOT_RUN
 
