--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,7 +16,7 @@
 READERS_PER_ZONE = 4
 # How long the runner serves after the drain time ("at times many seconds").
 SERVES_ON_S = 8.0
-DOWN_S = 1.0
+DOWN_S = 0.8
 # Requests a second at each instance of the region.
 PER_SECOND = 12
 # Pause between the restarts of the instances of a zone.
