A topic's version says up to where a copy is complete

So a reader that restarted after the removal had the version of its peers, or a lower one, and took the removed item from them. The history of changes began at that version as well, so that it vouched for changes it had never seen.

So that quiet topics are not copied at each restart of a reader, member records carry a fingerprint of each topic, and a copy with the same one raises its version without a call.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -482,10 +482,7 @@
   self.m_refusedRooms = m_rooms.RefusalsToAdvertise();
   self.m_drainingServers = m_registry.DrainingToAdvertise();
   self.m_readsStore = m_storeReader.IsStoreReachable();
-  self.m_publishedVersions.clear();
-  for (const auto& [topic, version] : m_published.Versions()) {
-    self.m_publishedVersions.emplace(topic.Value(), version);
-  }
+  AdvertiseTopics(m_published, self);
   const FleetConfigPtr config = m_config.InForce();
   if (!config) {
     return;
--- a/rattanweir/connection/gossip/gossip.cc
+++ b/rattanweir/connection/gossip/gossip.cc
@@ -7,6 +7,7 @@
 #include "rattanweir/request/wait/wait.h"
 
 #include <exception>
+#include <optional>
 #include <utility>
 
 namespace rattanweir {
@@ -26,6 +27,19 @@
 
 } // namespace
 
+void
+AdvertiseTopics(const PublishedItems& aPublished, FleetMember& aRecord)
+{
+  aRecord.m_publishedVersions.clear();
+  aRecord.m_publishedFingerprints.clear();
+  for (const auto& [topic, version] : aPublished.Versions()) {
+    aRecord.m_publishedVersions.emplace(topic.Value(), version);
+    if (const auto fingerprint = aPublished.FingerprintOf(topic)) {
+      aRecord.m_publishedFingerprints.emplace(topic.Value(), *fingerprint);
+    }
+  }
+}
+
 Gossip::Gossip(const GossipOptions& aOptions)
   : m_options(aOptions)
   , m_caller({ .m_upstream = aOptions.m_upstream,
@@ -316,7 +330,12 @@
 {
   for (const auto& [name, version] : aPeer.m_publishedVersions) {
     const TopicId topic(name);
-    if (version <= m_options.m_published.VersionOf(topic) ||
+    const auto found = aPeer.m_publishedFingerprints.find(name);
+    const std::optional<TopicFingerprint> fingerprint =
+      found == aPeer.m_publishedFingerprints.end()
+        ? std::nullopt
+        : std::optional(found->second);
+    if (!m_options.m_published.ShouldFetch(topic, version, fingerprint) ||
         !m_fetching.insert(topic).second) {
       continue;
     }
@@ -406,9 +425,8 @@
     return;
   }
   auto& snapshot = std::get<TopicSnapshot>(aUpdate);
-  const TopicVersion version = snapshot.m_version;
   m_options.m_published.Replace(
-    aTopic, std::move(snapshot), version, RemovalReason::Published);
+    aTopic, std::move(snapshot), RemovalReason::Published);
 }
 
 TopicUpdate
--- a/rattanweir/connection/gossip/gossip.h
+++ b/rattanweir/connection/gossip/gossip.h
@@ -37,6 +37,10 @@
 
 namespace rattanweir {
 
+// Sets the versions and fingerprints of the published topics in a record.
+void
+AdvertiseTopics(const PublishedItems& aPublished, FleetMember& aRecord);
+
 struct GossipOptions
 {
   Executor m_executor;
--- a/rattanweir/connection/gossip/gossip_messages.cc
+++ b/rattanweir/connection/gossip/gossip_messages.cc
@@ -178,6 +178,9 @@
     value["topics"][topic] = Json::UInt64(version.m_revision);
     value["epochs"][topic] = Json::UInt64(version.m_epoch.Value());
   }
+  for (const auto& [topic, fingerprint] : aRecord.m_publishedFingerprints) {
+    value["fingerprints"][topic] = Json::UInt64(fingerprint.Value());
+  }
   value["usage"] = FormatUsages(aRecord.m_usages);
   value["delay_ms"] = Json::Value(Json::objectValue);
   for (const auto& [pool, report] : aRecord.m_pools) {
@@ -337,6 +340,13 @@
       TopicVersion{ .m_epoch = epoch,
                     .m_revision = GetUnsigned(topics, topic.c_str()) });
   }
+  if (aValue.isMember("fingerprints")) {
+    const Json::Value& fingerprints = GetObject(aValue, "fingerprints");
+    for (const std::string& topic : fingerprints.getMemberNames()) {
+      record.m_publishedFingerprints.emplace(
+        topic, GetUnsigned(fingerprints, topic.c_str()));
+    }
+  }
   record.m_usages = ParseUsages(GetString(aValue, "usage"));
   const Json::Value& delays = GetObject(aValue, "delay_ms");
   for (const std::string& pool : delays.getMemberNames()) {
@@ -508,6 +518,9 @@
   for (const auto& [key, text] : aSnapshot.m_items) {
     value["items"][key] = text;
   }
+  for (const auto& [key, revision] : aSnapshot.m_revisions) {
+    value["revisions"][key] = Json::UInt64(revision);
+  }
   return value;
 }
 
@@ -519,6 +532,12 @@
   for (const std::string& key : items.getMemberNames()) {
     snapshot.m_items.emplace(key, GetString(items, key.c_str()));
   }
+  if (aValue.isMember("revisions")) {
+    const Json::Value& revisions = GetObject(aValue, "revisions");
+    for (const std::string& key : revisions.getMemberNames()) {
+      snapshot.m_revisions.emplace(key, GetUnsigned(revisions, key.c_str()));
+    }
+  }
   return snapshot;
 }
 
--- a/rattanweir/connection/gossip/packed_gossip.cc
+++ b/rattanweir/connection/gossip/packed_gossip.cc
@@ -26,7 +26,7 @@
   // Nil in an abridged record, else [region, zone, caller address, peer
   // address, capacity].
   FieldConstants,
-  // [topic, epoch, revision] each.
+  // [topic, epoch, revision, fingerprint] each; the last may be missing.
   FieldTopics,
   // [account, demand, admitted] each.
   FieldUsages,
@@ -45,6 +45,12 @@
   FieldCount
 };
 
+constexpr std::uint32_t kTopicFields = 3;
+constexpr std::uint32_t kTopicFieldsWithFingerprint = 4;
+// The items of a topic, as in a snapshot.
+constexpr std::uint32_t kItemFields = 2;
+constexpr std::uint32_t kItemFieldsWithRevision = 3;
+
 std::uint64_t
 ToMilliseconds(nanoseconds aDuration)
 {
@@ -179,6 +185,26 @@
   }
 }
 
+// Earlier builds ignore the fingerprint.
+void
+WriteTopics(const FleetMember& aRecord, PackedWriter& aWriter)
+{
+  WriteSize(aRecord.m_publishedVersions, aWriter);
+  for (const auto& [topic, version] : aRecord.m_publishedVersions) {
+    const auto fingerprint = aRecord.m_publishedFingerprints.find(topic);
+    const bool hasFingerprint =
+      fingerprint != aRecord.m_publishedFingerprints.end();
+    aWriter.pack_array(hasFingerprint ? kTopicFieldsWithFingerprint
+                                      : kTopicFields);
+    aWriter.pack(topic);
+    aWriter.pack(version.m_epoch.Value());
+    aWriter.pack(version.m_revision);
+    if (hasFingerprint) {
+      aWriter.pack(fingerprint->second.Value());
+    }
+  }
+}
+
 void
 WriteRecord(const OutgoingRecord& aOutgoing, PackedWriter& aWriter)
 {
@@ -196,14 +222,7 @@
   } else {
     WriteConstants(record, aWriter);
   }
-  constexpr std::uint32_t kTopicFields = 3;
-  WriteSize(record.m_publishedVersions, aWriter);
-  for (const auto& [topic, version] : record.m_publishedVersions) {
-    aWriter.pack_array(kTopicFields);
-    aWriter.pack(topic);
-    aWriter.pack(version.m_epoch.Value());
-    aWriter.pack(version.m_revision);
-  }
+  WriteTopics(record, aWriter);
   WriteUsages(record.m_usages, aWriter);
   WritePools(record.m_pools, aWriter);
   WriteLimits(record.m_serverLimits, aWriter);
@@ -290,11 +309,16 @@
 ReadLists(std::span<const PackedValue> aFields, FleetMember& aRecord)
 {
   for (const PackedValue& entry : ReadArray(aFields[FieldTopics], "topics")) {
-    const auto topic = ReadArray(entry, "topic", 3);
+    const auto topic = ReadArray(entry, "topic", kTopicFields);
+    const std::string name = ReadText(topic[0], "topic");
     aRecord.m_publishedVersions.emplace(
-      ReadText(topic[0], "topic"),
+      name,
       TopicVersion{ .m_epoch = StoreEpoch(ReadUnsigned(topic[1], "epoch")),
                     .m_revision = ReadUnsigned(topic[2], "revision") });
+    if (topic.size() >= kTopicFieldsWithFingerprint) {
+      aRecord.m_publishedFingerprints.emplace(
+        name, ReadUnsigned(topic[3], "fingerprint"));
+    }
   }
   aRecord.m_usages = ReadUsages(aFields[FieldUsages]);
   for (const PackedValue& entry : ReadArray(aFields[FieldPools], "pools")) {
@@ -389,15 +413,19 @@
 WriteSnapshot(const TopicSnapshot& aSnapshot, PackedWriter& aWriter)
 {
   constexpr std::uint32_t kFields = 3;
-  constexpr std::uint32_t kItemFields = 2;
   aWriter.pack_array(kFields);
   aWriter.pack(aSnapshot.m_version.m_epoch.Value());
   aWriter.pack(aSnapshot.m_version.m_revision);
   WriteSize(aSnapshot.m_items, aWriter);
   for (const auto& [key, value] : aSnapshot.m_items) {
-    aWriter.pack_array(kItemFields);
+    const auto revision = aSnapshot.m_revisions.find(key);
+    const bool hasRevision = revision != aSnapshot.m_revisions.end();
+    aWriter.pack_array(hasRevision ? kItemFieldsWithRevision : kItemFields);
     aWriter.pack(key);
     aWriter.pack(value);
+    if (hasRevision) {
+      aWriter.pack(revision->second);
+    }
   }
 }
 
@@ -410,9 +438,12 @@
                    .m_revision = ReadUnsigned(fields[1], "revision") }
   };
   for (const PackedValue& entry : ReadArray(fields[2], "items")) {
-    const auto item = ReadArray(entry, "item", 2);
-    snapshot.m_items.emplace(ReadText(item[0], "key"),
-                             ReadText(item[1], "value"));
+    const auto item = ReadArray(entry, "item", kItemFields);
+    const std::string key = ReadText(item[0], "key");
+    snapshot.m_items.emplace(key, ReadText(item[1], "value"));
+    if (item.size() >= kItemFieldsWithRevision) {
+      snapshot.m_revisions.emplace(key, ReadUnsigned(item[2], "revision"));
+    }
   }
   return snapshot;
 }
--- a/rattanweir/process/fleet/fleet_view.h
+++ b/rattanweir/process/fleet/fleet_view.h
@@ -79,6 +79,9 @@
   // Latest version that the instance has of each topic that the platform
   // publishes.
   std::map<std::string, TopicVersion> m_publishedVersions;
+  // Missing for a topic whose items have unknown revisions, and in the records
+  // of earlier releases.
+  std::map<std::string, TopicFingerprint> m_publishedFingerprints;
   // True if the instance reads the platform's store and the store responds.
   bool m_readsStore = false;
   // What callers requested from the instance, by client account.
--- a/rattanweir/process/published/published_items.cc
+++ b/rattanweir/process/published/published_items.cc
@@ -1,6 +1,7 @@
 #include "rattanweir/process/published/published_items.h"
 
-#include <algorithm>
+#include <xxhash.h>
+
 #include <utility>
 
 namespace rattanweir {
@@ -21,21 +22,21 @@
 bool
 PublishedItems::Replace(const TopicId& aTopic,
                         TopicSnapshot aSnapshot,
-                        const TopicVersion& aAsOf,
                         RemovalReason aReason)
 {
   TopicSnapshot& current = m_topics[aTopic];
-  if (aAsOf < current.m_version) {
+  if (aSnapshot.m_version < current.m_version) {
     return false;
   }
-  const bool isRestored = current.m_version != TopicVersion() &&
-                          aAsOf.m_epoch != current.m_version.m_epoch;
+  const bool isRestored =
+    current.m_version != TopicVersion() &&
+    aSnapshot.m_version.m_epoch != current.m_version.m_epoch;
   if (isRestored) {
     aReason = RemovalReason::Lapsed;
   }
-  aSnapshot.m_version = std::max(aSnapshot.m_version, current.m_version);
   m_histories[aTopic] = { .m_baseRevision = aSnapshot.m_version.m_revision };
   const TopicSnapshot previous = std::exchange(current, std::move(aSnapshot));
+  UpdateFingerprint(aTopic);
   for (const auto& [key, value] : previous.m_items) {
     if (!current.m_items.contains(key)) {
       NotifyListener(
@@ -77,8 +78,10 @@
     history.m_changes.push_back(change);
     if (change.m_value) {
       current.m_items[change.m_key] = *change.m_value;
+      current.m_revisions[change.m_key] = change.m_revision;
     } else {
       current.m_items.erase(change.m_key);
+      current.m_revisions.erase(change.m_key);
     }
     NotifyListener(aTopic, change);
   }
@@ -86,6 +89,9 @@
     history.m_baseRevision = history.m_changes.front().m_revision;
     history.m_changes.pop_front();
   }
+  if (applied > 0) {
+    UpdateFingerprint(aTopic);
+  }
   return applied;
 }
 
@@ -105,6 +111,11 @@
       changes.push_back(change);
     }
   }
+  // A peer of an earlier release does not raise the version of an equal copy;
+  // without a snapshot it would ask for these changes again and again.
+  if (changes.empty() && aVersion < VersionOf(aTopic)) {
+    return std::nullopt;
+  }
   return changes;
 }
 
@@ -132,6 +143,49 @@
   return versions;
 }
 
+std::optional<TopicFingerprint>
+PublishedItems::FingerprintOf(const TopicId& aTopic) const
+{
+  const auto found = m_fingerprints.find(aTopic);
+  return found == m_fingerprints.end() ? std::nullopt
+                                       : std::optional(found->second);
+}
+
+bool
+PublishedItems::ShouldFetch(
+  const TopicId& aTopic,
+  const TopicVersion& aPeerVersion,
+  const std::optional<TopicFingerprint>& aPeerFingerprint)
+{
+  const TopicVersion known = VersionOf(aTopic);
+  if (aPeerVersion <= known) {
+    return false;
+  }
+  const bool isEqual = aPeerFingerprint &&
+                       aPeerFingerprint == FingerprintOf(aTopic) &&
+                       aPeerVersion.m_epoch == known.m_epoch;
+  if (isEqual) {
+    m_topics[aTopic].m_version = aPeerVersion;
+  }
+  return !isEqual;
+}
+
+void
+PublishedItems::UpdateFingerprint(const TopicId& aTopic)
+{
+  const TopicSnapshot& topic = m_topics[aTopic];
+  if (topic.m_revisions.size() != topic.m_items.size()) {
+    m_fingerprints.erase(aTopic);
+    return;
+  }
+  std::uint64_t hash = topic.m_items.size();
+  for (const auto& [key, revision] : topic.m_revisions) {
+    hash = XXH64(key.data(), key.size(), hash);
+    hash = XXH64(&revision, sizeof(revision), hash);
+  }
+  m_fingerprints[aTopic] = TopicFingerprint(hash);
+}
+
 void
 PublishedItems::NotifyListener(const TopicId& aTopic,
                                const ItemChange& aChange) const
--- a/rattanweir/process/published/published_items.h
+++ b/rattanweir/process/published/published_items.h
@@ -3,12 +3,16 @@
 //
 //   PublishedItems items;
 //   items.OnChange(topic, [](const ItemChange& aChange) { ... });
-//   items.Replace(topic, snapshot, asOf, RemovalReason::Published);
+//   items.Replace(topic, snapshot, RemovalReason::Published);
 //   items.Apply(topic, epoch, changes);
 //
 // Each instance reads the store itself; an instance that the store refuses to
-// serve applies a peer's copy if that copy is newer. A topic's version never
-// decreases. This class does not interpret item values; the listeners do.
+// serve applies a peer's copy if that copy is newer. A topic's version says up
+// to where the copy is complete: a snapshot from the store has the revision at
+// which it was taken, since its items do not show what was removed before. The
+// version never decreases. Copies with different versions may be equal, which
+// their fingerprints show. This class does not interpret item values; the
+// listeners do.
 //
 // Not thread-safe.
 
@@ -51,9 +55,11 @@
 // All items of a topic.
 struct TopicSnapshot
 {
-  // Version of the latest known change of an item of this topic.
   TopicVersion m_version;
   std::map<std::string, std::string> m_items;
+  // Revision of the latest change of each item. Empty in a copy that comes from
+  // a peer of an earlier release.
+  std::map<std::string, std::uint64_t> m_revisions;
 };
 
 class PublishedItems
@@ -64,14 +70,13 @@
   void OnChange(const TopicId& aTopic,
                 std::function<void(const ItemChange&)> aListener);
 
-  // Replaces all items of a topic by a snapshot taken at `aAsOf`. Ignores a
-  // snapshot that is older than the latest known change, and returns whether it
-  // was applied. `aReason` is passed to the listener for items that are not in
-  // the snapshot. Items that are not in the first snapshot of an epoch have
-  // lapsed: their owners may not have written them again yet.
+  // Replaces all items of a topic. Ignores a snapshot that is older than the
+  // topic's version, and returns whether it was applied. `aReason` is passed to
+  // the listener for items that are not in the snapshot. Items that are not in
+  // the first snapshot of an epoch have lapsed: their owners may not have
+  // written them again yet.
   bool Replace(const TopicId& aTopic,
                TopicSnapshot aSnapshot,
-               const TopicVersion& aAsOf,
                RemovalReason aReason);
 
   // Applies changes of an epoch in ascending order of revision. The changes
@@ -91,7 +96,8 @@
   const TopicSnapshot* Find(const TopicId& aTopic) const;
 
   // Returns the changes after that version, or nullopt if they are not all
-  // retained any more or the version is of another epoch.
+  // retained any more, if they do not lead to the topic's version or if the
+  // version is of another epoch.
   std::optional<std::vector<ItemChange>> ChangesSince(
     const TopicId& aTopic,
     const TopicVersion& aVersion) const;
@@ -99,6 +105,16 @@
   // Returns the version of each known topic.
   std::map<TopicId, TopicVersion> Versions() const;
 
+  // Returns nullopt for a topic that is not known yet, or whose items have
+  // unknown revisions.
+  std::optional<TopicFingerprint> FingerprintOf(const TopicId& aTopic) const;
+
+  // Returns whether a peer's copy is newer and has other items. If it is newer
+  // and has the same items, raises the topic's version to the peer's.
+  bool ShouldFetch(const TopicId& aTopic,
+                   const TopicVersion& aPeerVersion,
+                   const std::optional<TopicFingerprint>& aPeerFingerprint);
+
 private:
   // The latest changes of a topic, oldest first.
   struct History
@@ -108,10 +124,12 @@
     std::deque<ItemChange> m_changes;
   };
 
+  void UpdateFingerprint(const TopicId& aTopic);
   void NotifyListener(const TopicId& aTopic, const ItemChange& aChange) const;
 
   std::map<TopicId, TopicSnapshot> m_topics;
   std::map<TopicId, History> m_histories;
+  std::map<TopicId, TopicFingerprint> m_fingerprints;
   std::map<TopicId, std::function<void(const ItemChange&)>> m_listeners;
 };
 
--- a/rattanweir/process/published/topic_version.h
+++ b/rattanweir/process/published/topic_version.h
@@ -19,12 +19,16 @@
 // different epochs are not comparable.
 using StoreEpoch = Number<struct StoreEpochTag>;
 
+// Hash of the keys of a topic's items and of the revisions of their latest
+// changes. Copies of one epoch with equal fingerprints have the same items.
+using TopicFingerprint = Number<struct TopicFingerprintTag>;
+
 // A position in the history of a topic; a higher one is newer.
 struct TopicVersion
 {
   StoreEpoch m_epoch;
-  // Revision of a change. The store numbers the changes of all topics in one
-  // sequence.
+  // Revision up to which every change of the topic is contained, removals
+  // included. The store numbers the changes of all topics in one sequence.
   std::uint64_t m_revision = 0;
 
   friend auto operator<=>(const TopicVersion&, const TopicVersion&) = default;
--- a/testing/configuration_freshness/configuration_fleet.cc
+++ b/testing/configuration_freshness/configuration_fleet.cc
@@ -27,11 +27,12 @@
                                              GossipNetwork& aNetwork,
                                              const Endpoint& aStore,
                                              int aNumber,
+                                             Incarnation aIncarnation,
                                              milliseconds aChangeDeadline)
   : m_random(static_cast<std::uint64_t>(aNumber))
   , m_fleet({ .m_clock = SystemClock(),
               .m_self = { .m_id = InstanceId("i" + std::to_string(aNumber)),
-                          .m_incarnation = Incarnation(1),
+                          .m_incarnation = aIncarnation,
                           .m_region = RegionId("r"),
                           .m_zone = AvailabilityZoneId("r-a"),
                           .m_callerAddress = PeerAddress(100 + aNumber),
@@ -61,13 +62,20 @@
                     .m_metrics = m_metrics,
                     .m_changeDeadline = aChangeDeadline })
 {
-  aNetwork.m_gossips.emplace(PeerAddress(aNumber), &m_gossip);
+  aNetwork.m_gossips[PeerAddress(aNumber)] = &m_gossip;
   m_fleet.SetSeeds({ PeerAddress(1) });
   m_storeReader.Follow(TopicId(platform::kOperatorTopic));
   m_storeReader.Follow(TopicId(platform::kServersTopic));
   m_gossip.Start();
 }
 
+void
+ConfigurationInstance::Stop()
+{
+  m_storeReader.Stop();
+  m_gossip.Stop();
+}
+
 std::uint64_t
 ConfigurationInstance::VersionInForce() const
 {
@@ -81,9 +89,7 @@
   FleetMember& self = m_fleet.Self();
   self.m_readsStore = m_storeReader.IsStoreReachable();
   self.m_configVersion = SectionVersion(VersionInForce());
-  for (const auto& [topic, version] : m_published.Versions()) {
-    self.m_publishedVersions[topic.Value()] = version;
-  }
+  AdvertiseTopics(m_published, self);
 }
 
 ConfigurationFleet::ConfigurationFleet(
@@ -91,20 +97,44 @@
   const ConfigurationFleetOptions& aOptions)
   : m_store(aContext)
   , m_context(aContext)
+  , m_options(aOptions)
 {
-  for (int number = 1; number <= aOptions.m_instances; ++number) {
+  for (int index = 0; index < aOptions.m_instances; ++index) {
     m_instances.push_back(
-      std::make_unique<ConfigurationInstance>(aContext,
-                                              m_network,
-                                              m_store.Address(),
-                                              number,
-                                              aOptions.m_changeDeadline));
+      MakeInstance(static_cast<std::size_t>(index), Incarnation(1)));
     m_instances.back()->m_storeReader.SetReadingEnabled(
-      number <= aOptions.m_instances - aOptions.m_withoutStore);
+      index < aOptions.m_instances - aOptions.m_withoutStore);
   }
   asio::co_spawn(aContext, Tick(), asio::detached);
 }
 
+std::unique_ptr<ConfigurationInstance>
+ConfigurationFleet::MakeInstance(std::size_t aIndex, Incarnation aIncarnation)
+{
+  return std::make_unique<ConfigurationInstance>(m_context,
+                                                 m_network,
+                                                 m_store.Address(),
+                                                 static_cast<int>(aIndex) + 1,
+                                                 aIncarnation,
+                                                 m_options.m_changeDeadline);
+}
+
+void
+ConfigurationFleet::Kill(std::size_t aIndex)
+{
+  std::unique_ptr<ConfigurationInstance>& instance = m_instances[aIndex];
+  instance->Stop();
+  m_network.m_gossips.erase(instance->m_fleet.Self().m_peerAddress);
+}
+
+void
+ConfigurationFleet::Start(std::size_t aIndex)
+{
+  std::unique_ptr<ConfigurationInstance>& instance = m_instances[aIndex];
+  const Incarnation next(instance->m_fleet.Self().m_incarnation.Value() + 1);
+  m_killed.push_back(std::exchange(instance, MakeInstance(aIndex, next)));
+}
+
 Task<void>
 ConfigurationFleet::Tick()
 {
@@ -172,8 +202,7 @@
 {
   m_isStopped = true;
   for (const auto& instance : m_instances) {
-    instance->m_storeReader.Stop();
-    instance->m_gossip.Stop();
+    instance->Stop();
   }
 }
 
--- a/testing/configuration_freshness/configuration_fleet.h
+++ b/testing/configuration_freshness/configuration_fleet.h
@@ -34,8 +34,11 @@
                         GossipNetwork& aNetwork,
                         const Endpoint& aStore,
                         int aNumber,
+                        Incarnation aIncarnation,
                         std::chrono::milliseconds aChangeDeadline);
 
+  void Stop();
+
   std::uint64_t VersionInForce() const;
 
   RandomEngine m_random;
@@ -78,6 +81,13 @@
                             std::chrono::milliseconds aTime);
   Task<void> Sleep(std::chrono::milliseconds aDuration);
 
+  // Ends an instance without notice, by its index. Start follows before
+  // anything else is asked of the instance.
+  void Kill(std::size_t aIndex);
+  // Starts the killed instance again, in a later incarnation that knows
+  // nothing and reads the store.
+  void Start(std::size_t aIndex);
+
   // Ends all tasks of the instances.
   void Stop();
 
@@ -87,8 +97,13 @@
 
 private:
   Task<void> Tick();
+  std::unique_ptr<ConfigurationInstance> MakeInstance(std::size_t aIndex,
+                                                      Incarnation aIncarnation);
 
   asio::io_context& m_context;
+  ConfigurationFleetOptions m_options;
+  // Killed instances, which outlive their tasks.
+  std::vector<std::unique_ptr<ConfigurationInstance>> m_killed;
   bool m_isStopped = false;
 };
 
