A failed write leaves a response without length incomplete

They also got answers with statuses that HTTP does not have, and bodies in a transfer coding that was not decoded; a 101 was held until their deadline.

Cause: the write of the upload got the reset, which the system reports once. The reads that followed returned the part and an orderly end, which completes a response that only the end of the connection delimits. The status and the codings were not checked after parsing.

Change: after a failed write the end of the connection completes nothing; a response with a length or chunks stands by its own framing.

--- a/rattanweir/connection/http_client/http_client.cc
+++ b/rattanweir/connection/http_client/http_client.cc
@@ -167,11 +167,8 @@
 {
   ThrowIfEnded();
   HeadOutcome outcome = co_await m_stream->ReadHead();
-  if (outcome.m_isUnusable) {
-    Fail(ResultCode::AnswerIncomplete,
-         outcome.m_error
-           ? "invalid response: " + outcome.m_error.message()
-           : "the response has neither Content-Length nor chunked encoding");
+  if (!outcome.m_fault.empty()) {
+    Fail(ResultCode::AnswerIncomplete, "invalid response: " + outcome.m_fault);
   }
   if (outcome.m_error) {
     ThrowIfEnded();
--- a/rattanweir/connection/http_client/http_client.h
+++ b/rattanweir/connection/http_client/http_client.h
@@ -13,11 +13,13 @@
 //   refused the connection.
 // - BackendReset: the connection broke after a byte was sent and before the
 //   response head arrived.
-// - AnswerIncomplete: the response is malformed, its header exceeds the limit,
-//   its body is truncated, or it has neither a Content-Length nor chunked
-//   encoding, so that its end can't be distinguished from a broken connection.
-//   With m_acceptsCloseDelimitedResponses, an orderly close ends such a
-//   response.
+// - AnswerIncomplete: the response is malformed, its status is not one of 100
+//   to 599 or is 101, its header exceeds the limit, its body is truncated or
+//   has a transfer coding other than chunked, or it has neither a
+//   Content-Length nor chunked encoding, so that its end can't be distinguished
+//   from a broken connection. With m_acceptsCloseDelimitedResponses, an orderly
+//   close ends such a response, unless the request could not be written
+//   entirely.
 // - DeadlineExceeded and the reason of the cancel source.
 // HasRun() is Ran::No until the first byte was sent. It covers this exchange
 // only: code that retries a request combines the values of its attempts.
--- a/rattanweir/connection/http_client/internal/client_stream.cc
+++ b/rattanweir/connection/http_client/internal/client_stream.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/message.hpp>
@@ -16,6 +17,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -133,6 +135,30 @@
   return aStatus >= kFirst && aStatus < kEnd;
 }
 
+// The status codes of RFC 9110, section 15.
+bool
+IsStatusCode(unsigned aStatus)
+{
+  constexpr unsigned kFirst = 100;
+  constexpr unsigned kEnd = 600;
+  return aStatus >= kFirst && aStatus < kEnd;
+}
+
+// Returns whether a body, if there is one, has a transfer coding besides
+// `chunked`, which this class does not decode.
+bool
+HasOtherCoding(const ResponseParser& aParser)
+{
+  const auto codings =
+    aParser.get().equal_range(http::field::transfer_encoding);
+  for (auto field = codings.first; field != codings.second; ++field) {
+    if (!beast::iequals(field->value(), "chunked")) {
+      return true;
+    }
+  }
+  return std::distance(codings.first, codings.second) > 1;
+}
+
 HeaderFields
 FieldsOf(const ResponseParser& aParser)
 {
@@ -177,6 +203,9 @@
   bool m_isHead = false;
   // The server responded before it had read the entire request.
   bool m_isRequestTruncated = false;
+  // A write has taken the error of the connection; later reads return what had
+  // arrived and then end of stream.
+  bool m_hasWriteFailed = false;
   // Bytes may stay unacknowledged for longer.
   bool m_isTimeoutLifted = false;
 };
@@ -239,6 +268,7 @@
       written -= consumed;
     }
   }
+  m_state->m_hasWriteFailed = bool(outcome.m_error);
   co_return outcome;
 }
 
@@ -293,9 +323,16 @@
       *state.m_parser,
       asio::redirect_error(asio::use_awaitable, outcome.m_error));
   } while (!outcome.m_error &&
-           IsInformational(state.m_parser->get().result_int()));
+           IsInformational(state.m_parser->get().result_int()) &&
+           state.m_parser->get().result() != http::status::switching_protocols);
   if (outcome.m_error) {
-    outcome.m_isUnusable = !IsBrokenConnection(outcome.m_error);
+    if (!IsBrokenConnection(outcome.m_error)) {
+      outcome.m_fault = outcome.m_error.message();
+    }
+    co_return outcome;
+  }
+  outcome.m_fault = FaultOfHead();
+  if (!outcome.m_fault.empty()) {
     co_return outcome;
   }
   // A server that responds before it has read the body acknowledges that it has
@@ -305,8 +342,6 @@
     SetUnacknowledgedTimeout(state.m_socket.Get(), {});
   }
   const ResponseParser& parser = *state.m_parser;
-  outcome.m_isUnusable =
-    !parser.is_done() && parser.need_eof() && !state.m_acceptsCloseDelimited;
   outcome.m_head.m_isCloseDelimited = !parser.is_done() && parser.need_eof();
   outcome.m_head.m_status = parser.get().result_int();
   outcome.m_head.m_headers = FieldsOf(parser);
@@ -316,6 +351,31 @@
   co_return outcome;
 }
 
+std::string
+ClientStream::FaultOfHead() const
+{
+  const ResponseParser& parser = *m_state->m_parser;
+  const unsigned status = parser.get().result_int();
+  if (!IsStatusCode(status)) {
+    return "status " + std::to_string(status);
+  }
+  if (parser.get().result() == http::status::switching_protocols) {
+    return "a protocol switch that was not requested";
+  }
+  if (HasOtherCoding(parser)) {
+    return "a transfer coding other than chunked";
+  }
+  if (parser.is_done() || !parser.need_eof()) {
+    return {};
+  }
+  if (!m_state->m_acceptsCloseDelimited) {
+    return "neither Content-Length nor chunked encoding";
+  }
+  return m_state->m_hasWriteFailed
+           ? "no length, on a connection that broke as the request was written"
+           : "";
+}
+
 Task<ChunkOutcome>
 ClientStream::ReadChunk()
 {
@@ -353,7 +413,8 @@
 bool
 ClientStream::IsComplete() const
 {
-  return m_state->m_parser && m_state->m_parser->is_done();
+  return m_state->m_parser && m_state->m_parser->is_done() &&
+         !(m_state->m_parser->need_eof() && m_state->m_hasWriteFailed);
 }
 
 bool
--- a/rattanweir/connection/http_client/internal/client_stream.h
+++ b/rattanweir/connection/http_client/internal/client_stream.h
@@ -29,9 +29,9 @@
 struct HeadOutcome
 {
   ErrorCode m_error;
-  // The received bytes are not a valid response, or its end can't be
-  // determined.
-  bool m_isUnusable = false;
+  // Why the received bytes are not a valid response, or why its end can't be
+  // determined; empty otherwise.
+  std::string m_fault;
   ResponseHead m_head;
 };
 
@@ -61,7 +61,9 @@
   Task<HeadOutcome> ReadHead();
   Task<ChunkOutcome> ReadChunk();
 
-  // Whether the response was read completely.
+  // Whether the response was read completely. The end of the connection
+  // completes a response only if no write has failed: a reset is reported once,
+  // to the write or to a read.
   bool IsComplete() const;
 
   // Whether the connection can carry another request: the response was
@@ -73,6 +75,8 @@
 
 private:
   Task<bool> WaitUntilWritable();
+  // Returns why the head that was read is unusable, or an empty string.
+  std::string FaultOfHead() const;
 
   struct State;
   std::unique_ptr<State> m_state;
--- a/testing/gateway_chain/gateway_chain.cc
+++ b/testing/gateway_chain/gateway_chain.cc
@@ -146,14 +146,15 @@
 }
 
 Task<RawPeer>
-GatewayChain::Call(ServedBy aServedBy, std::string aTarget)
+GatewayChain::Call(ServedBy aServedBy, std::string aTarget, std::string aBody)
 {
   const GatewayNode& node =
     aServedBy == ServedBy::Entry ? *m_entry : *m_forwarder;
   RawPeer caller = co_await RawPeer::Connect(m_context, node.CallerAddress());
   std::string request = "POST " + aTarget +
                         " HTTP/1.1\r\nHost: a.example\r\nid: r1\r\n"
-                        "key: key-anna\r\nContent-Length: 0\r\n\r\n";
+                        "key: key-anna\r\nContent-Length: " +
+                        std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
   co_await caller.Write(std::move(request));
   co_return caller;
 }
--- a/testing/gateway_chain/gateway_chain.h
+++ b/testing/gateway_chain/gateway_chain.h
@@ -113,7 +113,9 @@
   GatewayChain();
 
   // Connects to the entry instance and sends a request.
-  Task<RawPeer> Call(ServedBy aServedBy, std::string aTarget);
+  Task<RawPeer> Call(ServedBy aServedBy,
+                     std::string aTarget,
+                     std::string aBody = "");
 
   // Accepts a connection as the backend server and reads the request.
   Task<RawPeer> AcceptRequest();
--- a/testing/raw_peer/raw_peer.cc
+++ b/testing/raw_peer/raw_peer.cc
@@ -85,6 +85,13 @@
   m_socket.close();
 }
 
+void
+RawPeer::WriteAndReset(const std::string& aText)
+{
+  asio::write(m_socket, asio::buffer(aText));
+  Reset();
+}
+
 void
 RawPeer::Close()
 {
--- a/testing/raw_peer/raw_peer.h
+++ b/testing/raw_peer/raw_peer.h
@@ -45,6 +45,8 @@
   // Writes the text and closes the connection at once: nothing else of this
   // thread runs in between.
   void WriteAndClose(const std::string& aText);
+  // The same with a TCP reset.
+  void WriteAndReset(const std::string& aText);
 
   // Close the connection gracefully, or with a TCP reset.
   void Close();
