Incomplete events of all streams share one bound

Operators of other systems saw an instance run out of memory as a faulty server sent bytes without end, and requests of other callers end with it.

Cause here: one event may be 1 MiB, and nothing bounded the sum. One response alone is bounded (32 KiB heads, 64 KiB buffered bodies), so that one request at a time shows nothing.

Evidence: request_response_buffers_test with the bound left out: 200 streams with an event without end hold 210 MB at once. A small instance may use 260 MB.

Change: BufferBudget, 16 MiB for all streams of a process and 64 KiB for each besides, so that sound streams go on while faulty ones have used it up; a stream that would exceed it ends with answer_too_large.

Measured: the same test: at most 33 MB, the 20 sound streams beside the 200 are complete.

--- a/rattanweir/request/gateway/gateway_state.h
+++ b/rattanweir/request/gateway/gateway_state.h
@@ -34,6 +34,7 @@
 #include "rattanweir/request/gateway/wire_protocol.h"
 #include "rattanweir/request/region_split/arrival_meter.h"
 #include "rattanweir/request/region_split/region_split.h"
+#include "rattanweir/request/relay/buffer_budget.h"
 #include "rattanweir/request/shortage/backlog.h"
 #include "rattanweir/version/fleet_config/fleet_config.h"
 
@@ -79,6 +80,8 @@
   bool m_isDiscovering = false;
   // Number of admitted requests in progress, of callers and peers.
   std::size_t m_inFlight = 0;
+  // What is buffered of incomplete events of all responses.
+  BufferBudget m_responseBuffers;
 };
 
 // Records that a server reported itself draining, and logs the first report of
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -532,6 +532,7 @@
   ResponseForwarder forwarder(
     { .m_sink = m_sink,
       .m_progress = m_progress,
+      .m_buffers = &m_state.m_responseBuffers,
       .m_holdsBack = HoldsBack(),
       .m_onFirstByte = std::move(aOnFirstByte),
       .m_onFirstEvent = [&] { BindToVersion(VersionOf(aServer)); },
@@ -774,6 +775,7 @@
     ResponseForwarder forwarder(
       { .m_sink = m_sink,
         .m_progress = m_progress,
+        .m_buffers = &m_state.m_responseBuffers,
         .m_holdsBack = HoldsBack(),
         .m_onFirstByte =
           [&] {
--- a/rattanweir/request/gateway/response_forwarder.cc
+++ b/rattanweir/request/gateway/response_forwarder.cc
@@ -162,7 +162,7 @@
     before != nullptr ? *before : StreamForwarded{ .m_status = aHead.m_status };
   bool hasHead = before != nullptr;
   aHead.m_contentLength.reset();
-  EventSplitter splitter;
+  EventSplitter splitter(m_options.m_buffers);
   while (const auto chunk = co_await aExchange.ReadChunk()) {
     ReportFirstByte();
     std::string text;
--- a/rattanweir/request/gateway/response_forwarder.h
+++ b/rattanweir/request/gateway/response_forwarder.h
@@ -19,6 +19,7 @@
 #pragma once
 
 #include "rattanweir/request/exchange/exchange.h"
+#include "rattanweir/request/relay/buffer_budget.h"
 
 #include <functional>
 #include <optional>
@@ -66,6 +67,9 @@
 {
   ResponseSink& m_sink;
   ForwardProgress& m_progress;
+  // Limits what the streams of all requests buffer; nullptr stands for no
+  // limit.
+  BufferBudget* m_buffers = nullptr;
   // Hold back the start of responses of unknown length.
   bool m_holdsBack = false;
   // Called once, when the first chunk of the body or its end is received. May
@@ -85,7 +89,8 @@
   explicit ResponseForwarder(ResponseForwarderOptions aOptions);
 
   // Throws RequestError with AnswerIncomplete, AnswerMismatch or, for a body
-  // that ends with its connection, AnswerTooLarge. Rethrows what the exchange
+  // that ends with its connection and for incomplete events that exceed the
+  // budget, AnswerTooLarge. Rethrows what the exchange
   // and the sink throw.
   Task<void> Run(UpstreamExchange& aExchange, ResponseHead aHead);
 
--- a/rattanweir/request/relay/event_splitter.cc
+++ b/rattanweir/request/relay/event_splitter.cc
@@ -85,6 +85,14 @@
     throw RequestError(ResultCode::AnswerIncomplete,
                        "event in the response stream exceeds 1 MiB");
   }
+  if (m_pending.capacity() > BufferShare::kFreeBytes &&
+      m_pending.size() <= m_pending.capacity() / 4) {
+    m_pending.shrink_to_fit();
+  }
+  if (!m_share.Resize(m_pending.capacity())) {
+    throw RequestError(ResultCode::AnswerTooLarge,
+                       "incomplete events exceed the memory for all streams");
+  }
   return events;
 }
 
--- a/rattanweir/request/relay/event_splitter.h
+++ b/rattanweir/request/relay/event_splitter.h
@@ -9,6 +9,8 @@
 
 #pragma once
 
+#include "rattanweir/request/relay/buffer_budget.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -34,9 +36,17 @@
 class EventSplitter
 {
 public:
+  // The incomplete event at the end of the stream draws on the budget, which
+  // must outlive this object; nullptr stands for no budget.
+  explicit EventSplitter(BufferBudget* aBudget = nullptr)
+    : m_share(aBudget)
+  {
+  }
+
   // Appends `aChunk` to the stream and returns the events that it completes.
   // Throws RequestError with AnswerIncomplete if the incomplete event at the
-  // end of the stream exceeds kMaxEventBytes.
+  // end of the stream exceeds kMaxEventBytes, and with AnswerTooLarge if it
+  // exceeds the budget.
   std::vector<StreamEvent> Add(std::string_view aChunk);
 
   // Returns whether the stream so far ends inside an event.
@@ -44,6 +54,7 @@
 
 private:
   std::string m_pending;
+  BufferShare m_share;
 };
 
 inline constexpr std::size_t kMaxEventBytes = std::size_t{ 1024 } * 1024;
