A refused connection is told to the peers of the region

Cause: only an instance with a refused connection knew that the process had ended. Instances that had no request for the server while it was down took the new process for the one before until its entry arrived.

Ruled out: two selections of senders; the limiter selects by the server's id.

Change: a refused connection is told at once to the peers of the region, which take the server for cold as well. Records have a field more, which earlier builds ignore. A response counts as that of the new process only if its request was sent after the refusal; the process before could end the cold time. A renewed entry keeps what is known of refusals.

packed_gossip_test: the test of records without their last fields knew the number of fields; it now leaves out the new field alone, and the last four.

--- a/programs/rattanweird/fleet_daemon.cc
+++ b/programs/rattanweird/fleet_daemon.cc
@@ -481,6 +481,7 @@
   self.m_maxRefusals = m_rooms.StatementsToAdvertise();
   self.m_refusedRooms = m_rooms.RefusalsToAdvertise();
   self.m_drainingServers = m_registry.DrainingToAdvertise();
+  self.m_refusingServers = m_registry.RefusalsToAdvertise();
   self.m_readsStore = m_storeReader.IsStoreReachable();
   AdvertiseTopics(m_published, self);
   const FleetConfigPtr config = m_config.InForce();
@@ -565,6 +566,20 @@
   }
 }
 
+// Applies which servers have refused connections to peers, and tells them at
+// once of those that have refused one to this instance.
+void
+FleetDaemon::ExchangeRefusals()
+{
+  MergeRefusalsOfPeers(m_state);
+  std::set<BackendServerId> refusing = m_registry.RefusalsToAdvertise();
+  const bool hasNews = !std::ranges::includes(m_announcedRefusals, refusing);
+  m_announcedRefusals = std::move(refusing);
+  if (hasNews) {
+    m_gossip.Announce();
+  }
+}
+
 // Records the servers that have reported themselves draining to peers.
 void
 FleetDaemon::ApplyPeerDraining()
@@ -694,6 +709,7 @@
   add("apply_limits", &FleetDaemon::ApplyPeerLimits);
   add("exchange_rooms", &FleetDaemon::ExchangeRooms);
   add("apply_draining", &FleetDaemon::ApplyPeerDraining);
+  add("exchange_refusals", &FleetDaemon::ExchangeRefusals);
   add("update_quarantine", &FleetDaemon::UpdateQuarantine);
   add("update_store_reading", &FleetDaemon::UpdateStoreReading);
   add("update_readiness", &FleetDaemon::UpdateReadiness);
--- a/programs/rattanweird/fleet_daemon.h
+++ b/programs/rattanweird/fleet_daemon.h
@@ -66,6 +66,7 @@
   void ApplyPeerUsages();
   void ApplyPeerLimits();
   void ApplyPeerDraining();
+  void ExchangeRefusals();
   void UpdateQuarantine();
   void UpdateStoreReading();
   void UpdateReadiness();
@@ -148,6 +149,7 @@
   std::map<TopicId, TopicVersion> m_announcedVersions;
   // The refusals by servers that were last announced to peers.
   std::map<BackendServerId, RefusedRoom> m_announcedRooms;
+  std::set<BackendServerId> m_announcedRefusals;
   bool m_isStopped = false;
 };
 
--- a/rattanweir/connection/gossip/gossip_messages.cc
+++ b/rattanweir/connection/gossip/gossip_messages.cc
@@ -203,6 +203,9 @@
   for (const BackendServerId& server : aRecord.m_drainingServers) {
     value["draining"].append(server.Value());
   }
+  for (const BackendServerId& server : aRecord.m_refusingServers) {
+    value["refusing"].append(server.Value());
+  }
   for (const PoolId& pool : aRecord.m_unreachablePools) {
     value["unreachable"].append(pool.Value());
   }
@@ -294,6 +297,9 @@
                                      RefusedRoomFromJson(rooms[server]));
     }
   }
+  for (std::string& server : GetStrings(aValue, "refusing")) {
+    aRecord.m_refusingServers.emplace(std::move(server));
+  }
   for (std::string& pool : GetStrings(aValue, "unreachable")) {
     aRecord.m_unreachablePools.emplace(std::move(pool));
   }
--- a/rattanweir/connection/gossip/gossip_test.cc
+++ b/rattanweir/connection/gossip/gossip_test.cc
@@ -218,6 +218,7 @@
   record.m_drainingServers = { BackendServerId("s@1"), BackendServerId("u@2") };
   record.m_membersToIntroduce = { InstanceId("j"), InstanceId("k") };
   record.m_unreachablePools = { PoolId("p"), PoolId("q") };
+  record.m_refusingServers = { BackendServerId("s@1"), BackendServerId("t@2") };
   record.m_maxRefusals = { { PoolId("p"), RequestRate(7.5) } };
   record.m_refusedRooms = { { BackendServerId("s@1"),
                               { .m_room = 5, .m_version = 2 } } };
@@ -242,6 +243,7 @@
   CHECK(records[0].m_drainingServers == record.m_drainingServers);
   CHECK(records[0].m_membersToIntroduce == record.m_membersToIntroduce);
   CHECK(records[0].m_unreachablePools == record.m_unreachablePools);
+  CHECK(records[0].m_refusingServers == record.m_refusingServers);
   CHECK(records[0].m_maxRefusals == record.m_maxRefusals);
   CHECK(records[0].m_refusedRooms == record.m_refusedRooms);
 }
--- a/rattanweir/connection/gossip/packed_gossip.cc
+++ b/rattanweir/connection/gossip/packed_gossip.cc
@@ -36,12 +36,14 @@
   FieldLimits,
   FieldDraining,
   FieldToIntroduce,
-  // Records of earlier releases end here.
+  // Records of releases before reach and room were told end here.
   FieldUnreachablePools,
   // [pool, refusals a second] each.
   FieldMaxRefusals,
   // [server, version, room] each.
   FieldRefusedRooms,
+  // Records of earlier releases end here.
+  FieldRefusingServers,
   FieldCount
 };
 
@@ -230,6 +232,7 @@
   WriteIds(record.m_membersToIntroduce, aWriter);
   WriteIds(record.m_unreachablePools, aWriter);
   WriteRooms(record, aWriter);
+  WriteIds(record.m_refusingServers, aWriter);
 }
 
 void
@@ -346,7 +349,7 @@
        ReadArray(aFields[FieldToIntroduce], "introduce")) {
     aRecord.m_membersToIntroduce.emplace_back(ReadText(member, "introduce"));
   }
-  if (aFields.size() < FieldCount) {
+  if (aFields.size() <= FieldRefusedRooms) {
     return;
   }
   for (const PackedValue& pool :
@@ -354,6 +357,13 @@
     aRecord.m_unreachablePools.emplace(ReadText(pool, "unreachable"));
   }
   ReadRooms(aFields, aRecord);
+  if (aFields.size() <= FieldRefusingServers) {
+    return;
+  }
+  for (const PackedValue& server :
+       ReadArray(aFields[FieldRefusingServers], "refusing")) {
+    aRecord.m_refusingServers.emplace(ReadText(server, "refusing"));
+  }
 }
 
 std::vector<BreakReport>
--- a/rattanweir/connection/gossip/packed_gossip_test.cc
+++ b/rattanweir/connection/gossip/packed_gossip_test.cc
@@ -331,32 +331,48 @@
   CHECK(metrics.Counter("rattanweir_control_json_calls_total") > 0);
 }
 
-TEST_CASE("a record of a release before the last field is understood")
+// Reads a record of which the last fields, which are empty, were left out.
+FleetMember
+ReadWithoutLastFields(const FleetMember& aRecord,
+                      std::size_t aFields,
+                      const std::string& aSize)
 {
   const View view;
-  const FleetMember record = MemberOf(1);
   std::vector<FleetMember> read;
   Transfer(
     [&](PackedWriter& aWriter) {
-      WriteRecords({ OutgoingRecord{ .m_record = record } }, aWriter);
+      WriteRecords({ OutgoingRecord{ .m_record = aRecord } }, aWriter);
     },
     [&](const PackedValue& aValue) {
       read = ReadRecords(aValue, view.m_fleet);
     },
-    [](std::string& aBytes) {
-      const std::string arrayOf14 = "\x9e";
-      const std::string arrayOf17("\xdc\x00\x11", 3);
+    [&](std::string& aBytes) {
+      const std::string arrayOf18("\xdc\x00\x12", 3);
       constexpr char kEmptyArray = '\x90';
-      for (int field = 0; field < 3; ++field) {
+      for (std::size_t field = 0; field < aFields; ++field) {
         REQUIRE(aBytes.back() == kEmptyArray);
         aBytes.pop_back();
       }
-      REQUIRE(aBytes.substr(1, 3) == arrayOf17);
-      aBytes.replace(1, 3, arrayOf14);
+      REQUIRE(aBytes.substr(1, 3) == arrayOf18);
+      aBytes.replace(1, 3, aSize);
     });
   REQUIRE(read.size() == 1);
-  CHECK(read[0].m_membersToIntroduce.size() == 2);
-  CHECK(read[0].m_unreachablePools.empty());
+  return read[0];
+}
+
+TEST_CASE("records of earlier releases, without the last fields, are "
+          "understood")
+{
+  const std::string arrayOf14 = "\x9e";
+  const FleetMember oldest = ReadWithoutLastFields(MemberOf(1), 4, arrayOf14);
+  CHECK(oldest.m_membersToIntroduce.size() == 2);
+  CHECK(oldest.m_unreachablePools.empty());
+  const std::string arrayOf17("\xdc\x00\x11", 3);
+  FleetMember record = MemberOf(1);
+  record.m_refusedRooms = { { BackendServerId("s@1"), { .m_room = 5 } } };
+  const FleetMember older = ReadWithoutLastFields(record, 1, arrayOf17);
+  CHECK(older.m_membersToIntroduce.size() == 2);
+  CHECK(older.m_refusedRooms == record.m_refusedRooms);
 }
 
 TEST_CASE("reach and room of servers are the same after packing and unpacking")
@@ -364,12 +380,14 @@
   const View view;
   FleetMember record = MemberOf(1);
   record.m_unreachablePools = { PoolId("p"), PoolId("q") };
+  record.m_refusingServers = { BackendServerId("s@1"), BackendServerId("t@2") };
   record.m_maxRefusals = { { PoolId("p"), RequestRate(7.5) } };
   record.m_refusedRooms = { { BackendServerId("s@1"),
                               { .m_room = 5, .m_version = 2 } } };
   const auto read =
     Transfer({ OutgoingRecord{ .m_record = record } }, view.m_fleet);
   CHECK(read.at(0).m_unreachablePools == record.m_unreachablePools);
+  CHECK(read.at(0).m_refusingServers == record.m_refusingServers);
   CHECK(read.at(0).m_maxRefusals == record.m_maxRefusals);
   CHECK(read.at(0).m_refusedRooms == record.m_refusedRooms);
 }
--- a/rattanweir/process/backend_registry/backend_registry.cc
+++ b/rattanweir/process/backend_registry/backend_registry.cc
@@ -47,18 +47,21 @@
                            .m_isEvacuated =
                              m_evacuatedZones.contains(aRecord.m_zone) };
   Entry& entry = m_servers[aRecord.m_id];
+  Entry next;
   if (entry.m_server.m_incarnation == server.m_incarnation) {
     // The same incarnation stays draining, and its cold time is not shortened.
     server.m_record.m_isDraining |= entry.m_server.m_record.m_isDraining;
     server.m_coldUntil =
       std::max(server.m_coldUntil, entry.m_server.m_coldUntil);
     server.m_hasRefused = entry.m_server.m_hasRefused;
+    next.m_coldBeforeRefusal = entry.m_coldBeforeRefusal;
+    next.m_refusedAt = entry.m_refusedAt;
+    next.m_wasRefusedHere = entry.m_wasRefusedHere;
   } else if (!entry.m_server.m_incarnation.IsEmpty()) {
     RememberRemoval(entry.m_server);
   }
   server.m_record.m_isDraining |= IsReportedDraining(server.m_incarnation);
   const auto removed = m_removed.find(server.m_incarnation);
-  std::optional<SteadyTime> confirmAt;
   if (removed != m_removed.end()) {
     server.m_record.m_isDraining |= removed->second.m_wasDraining;
   }
@@ -67,9 +70,11 @@
     server.m_record.m_startedAtMs < entry.m_server.m_record.m_startedAtMs;
   server.m_isUnconfirmed = isOutdated && aOrigin == RecordOrigin::Restored;
   if (server.m_isUnconfirmed) {
-    confirmAt = m_options.m_clock.SteadyNow() + m_options.m_confirmationTime;
+    next.m_confirmAt =
+      m_options.m_clock.SteadyNow() + m_options.m_confirmationTime;
   }
-  entry = { .m_server = std::move(server), .m_confirmAt = confirmAt };
+  next.m_server = std::move(server);
+  entry = std::move(next);
   return true;
 }
 
@@ -150,33 +155,103 @@
 BackendRegistry::RecordRefusedConnection(const BackendServerId& aIncarnation,
                                          std::chrono::nanoseconds aColdTime)
 {
-  if (Entry* entry = FindIncarnation(aIncarnation)) {
-    if (!std::exchange(entry->m_server.m_hasRefused, true)) {
-      entry->m_coldBeforeRefusal = entry->m_server.m_coldUntil;
+  Entry* entry = FindIncarnation(aIncarnation);
+  if (entry == nullptr) {
+    return;
+  }
+  // What a peer told of before needs no advertisement by this instance too.
+  if (!IsKnownToHaveEnded(*entry)) {
+    entry->m_wasRefusedHere = true;
+  }
+  RecordRefusal(*entry, aColdTime);
+}
+
+bool
+BackendRegistry::IsKnownToHaveEnded(const Entry& aEntry) const
+{
+  return aEntry.m_refusedAt &&
+         m_options.m_clock.SteadyNow() - *aEntry.m_refusedAt <
+           m_options.m_restartTime;
+}
+
+void
+BackendRegistry::RecordRefusal(Entry& aEntry,
+                               std::chrono::nanoseconds aColdTime)
+{
+  if (!IsKnownToHaveEnded(aEntry)) {
+    aEntry.m_refusedAt = m_options.m_clock.SteadyNow();
+  }
+  if (!std::exchange(aEntry.m_server.m_hasRefused, true)) {
+    aEntry.m_coldBeforeRefusal = aEntry.m_server.m_coldUntil;
+  }
+  MarkCold(aEntry.m_server.m_incarnation, m_options.m_restartTime + aColdTime);
+}
+
+std::set<BackendServerId>
+BackendRegistry::RefusalsToAdvertise() const
+{
+  const SteadyTime now = m_options.m_clock.SteadyNow();
+  std::set<BackendServerId> refusals;
+  for (const auto& [id, entry] : m_servers) {
+    if (entry.m_wasRefusedHere && IsKnownToHaveEnded(entry) &&
+        now - *entry.m_refusedAt >= m_options.m_refusalConfirmationTime) {
+      refusals.insert(entry.m_server.m_incarnation);
+    }
+  }
+  return refusals;
+}
+
+std::vector<BackendServerId>
+BackendRegistry::RecordRefusalsOfPeer(
+  const InstanceId& aPeer,
+  const std::set<BackendServerId>& aIncarnations,
+  const std::function<std::chrono::nanoseconds(const PoolId&)>& aColdTimeOfPool)
+{
+  const std::set<BackendServerId> before =
+    std::exchange(m_refusalsOfPeers[aPeer], aIncarnations);
+  if (aIncarnations.empty()) {
+    m_refusalsOfPeers.erase(aPeer);
+  }
+  std::vector<BackendServerId> news;
+  for (const BackendServerId& incarnation : aIncarnations) {
+    Entry* entry = FindIncarnation(incarnation);
+    if (before.contains(incarnation) || entry == nullptr ||
+        IsKnownToHaveEnded(*entry)) {
+      continue;
     }
-    MarkCold(aIncarnation, m_options.m_restartTime + aColdTime);
+    entry->m_wasRefusedHere = false;
+    RecordRefusal(*entry, aColdTimeOfPool(entry->m_server.m_record.m_pool));
+    news.push_back(incarnation);
   }
+  return news;
 }
 
 void
 BackendRegistry::ForgiveRefusals(const RegionId& aRegion)
 {
   for (auto& [id, entry] : m_servers) {
-    if (entry.m_server.m_region == aRegion &&
+    if (entry.m_server.m_region == aRegion && entry.m_wasRefusedHere &&
         std::exchange(entry.m_server.m_hasRefused, false)) {
       entry.m_server.m_coldUntil = entry.m_coldBeforeRefusal;
+      entry.m_refusedAt.reset();
+      entry.m_wasRefusedHere = false;
     }
   }
 }
 
 void
 BackendRegistry::RecordResponse(const BackendServerId& aIncarnation,
-                                std::chrono::nanoseconds aColdTime)
+                                std::chrono::nanoseconds aColdTime,
+                                SteadyTime aSentAt)
 {
   Entry* entry = FindIncarnation(aIncarnation);
-  if (entry != nullptr && std::exchange(entry->m_server.m_hasRefused, false)) {
-    entry->m_server.m_coldUntil = m_options.m_clock.SteadyNow() + aColdTime;
+  // The process before may have responded to what was sent before its end.
+  if (entry == nullptr || !entry->m_server.m_hasRefused ||
+      (entry->m_refusedAt && aSentAt < *entry->m_refusedAt)) {
+    return;
   }
+  entry->m_server.m_hasRefused = false;
+  entry->m_server.m_coldUntil = m_options.m_clock.SteadyNow() + aColdTime;
 }
 
 bool
--- a/rattanweir/process/backend_registry/backend_registry.h
+++ b/rattanweir/process/backend_registry/backend_registry.h
@@ -24,7 +24,9 @@
 // A server is cold for some time after its start, or after its evacuated zone
 // is restored; callers of this class limit the request rate to a cold server. A
 // server that has refused a connection counts as cold too, since it may start
-// again under its id before its new entry is known.
+// again under its id before its new entry is known. Instances tell the peers of
+// their region of refused connections: those that had no request for the server
+// while it was down would take the new process for the one before.
 //
 // Not thread-safe.
 
@@ -133,6 +135,10 @@
   // How long after its end the process of a server may be replaced by one with
   // the same id while no entry says so: until then the store removes the entry.
   std::chrono::nanoseconds m_restartTime{ std::chrono::seconds(4) };
+  // How long after a refused connection peers are told of it: the instance
+  // learns meanwhile whether it has lost its own links.
+  std::chrono::nanoseconds m_refusalConfirmationTime{ std::chrono::milliseconds(
+    100) };
   // How long removed incarnations are remembered, and those that were reported
   // draining.
   std::chrono::nanoseconds m_removalMemory{ std::chrono::minutes(30) };
@@ -175,15 +181,31 @@
   void RecordRefusedConnection(const BackendServerId& aIncarnation,
                                std::chrono::nanoseconds aColdTime);
 
-  // Records that the connections refused since their latest responses were not
-  // refused by the servers of this region, but for want of a path: the servers
-  // are as cold as they were before.
+  // Records that the connections refused to this instance since their latest
+  // responses were not refused by the servers of this region, but for want of a
+  // path: the servers are as cold as they were before.
   void ForgiveRefusals(const RegionId& aRegion);
 
-  // Records that the server responded. After a refused connection, it has just
-  // started and counts as cold for `aColdTime`.
+  // Returns the incarnations that have recently refused a connection to this
+  // instance, to be told to the peers of its region.
+  std::set<BackendServerId> RefusalsToAdvertise() const;
+
+  // Records which incarnations a peer of the region currently advertises as
+  // having refused a connection. Each counts when it is first listed, like a
+  // refused connection to this instance, unless this instance knows of it.
+  // Returns those that were news.
+  std::vector<BackendServerId> RecordRefusalsOfPeer(
+    const InstanceId& aPeer,
+    const std::set<BackendServerId>& aIncarnations,
+    const std::function<std::chrono::nanoseconds(const PoolId&)>&
+      aColdTimeOfPool);
+
+  // Records that the server responded to a request that was sent at `aSentAt`.
+  // If it refused a connection before, it has just started and counts as cold
+  // for `aColdTime`.
   void RecordResponse(const BackendServerId& aIncarnation,
-                      std::chrono::nanoseconds aColdTime);
+                      std::chrono::nanoseconds aColdTime,
+                      SteadyTime aSentAt);
 
   // Records that the server reported itself draining, to this instance or to a
   // peer. The incarnation need not be registered. Returns true if it was not
@@ -250,6 +272,11 @@
     std::optional<SteadyTime> m_removeAt;
     // Until when the server was cold before it refused a connection.
     SteadyTime m_coldBeforeRefusal;
+    // The first refused connection since the process ended, to this instance or
+    // to a peer.
+    std::optional<SteadyTime> m_refusedAt;
+    // It was refused to this instance, not to a peer.
+    bool m_wasRefusedHere = false;
     // Set if the server is unconfirmed.
     std::optional<SteadyTime> m_confirmAt;
   };
@@ -263,6 +290,9 @@
   using Entries = std::map<BackendServerId, Entry>;
 
   Entry* FindIncarnation(const BackendServerId& aIncarnation);
+  // Returns whether a refusal now is a further sign of a known end.
+  bool IsKnownToHaveEnded(const Entry& aEntry) const;
+  void RecordRefusal(Entry& aEntry, std::chrono::nanoseconds aColdTime);
   void RemoveEntry(Entries::iterator aEntry, RemovalReason aReason);
   void RememberRemoval(const RegisteredServer& aServer);
 
@@ -271,6 +301,8 @@
   std::map<BackendServerId, Removed> m_removed;
   // When each incarnation was first reported draining.
   std::map<BackendServerId, SteadyTime> m_reportedDraining;
+  // The refusals that each peer advertised last.
+  std::map<InstanceId, std::set<BackendServerId>> m_refusalsOfPeers;
   std::set<AvailabilityZoneId> m_evacuatedZones;
 };
 
--- a/rattanweir/process/backend_registry/backend_registry_test.cc
+++ b/rattanweir/process/backend_registry/backend_registry_test.cc
@@ -218,10 +218,87 @@
         fixture.m_clock.SteadyNow());
   CHECK(fixture.m_registry.Find(cold)->m_coldUntil == coldUntil);
   // The next response is not that of a server that has just started.
-  fixture.m_registry.RecordResponse(warm, seconds(3));
+  fixture.m_registry.RecordResponse(
+    warm, seconds(3), fixture.m_clock.SteadyNow());
   CHECK(fixture.m_registry.Find(warm)->m_coldUntil <=
         fixture.m_clock.SteadyNow());
 }
 
+constexpr auto kColdTimeOfPool = [](const PoolId&) {
+  return std::chrono::nanoseconds(seconds(3));
+};
+
+// Guards against FAILBACK: an instance that did not see a server end took its
+// new process for the one before.
+TEST_CASE("a refusal that a peer tells of makes a server cold, once for each "
+          "time that the peer lists it")
+{
+  Fixture fixture;
+  fixture.m_registry.Put(Fixture::Record("s"));
+  const BackendServerId server("s@1");
+  const InstanceId peer("p");
+  const auto isCold = [&] {
+    return fixture.m_registry.Find(server)->m_coldUntil >
+           fixture.m_clock.SteadyNow();
+  };
+  const auto tell = [&](const InstanceId& aPeer) {
+    return fixture.m_registry.RecordRefusalsOfPeer(
+      aPeer, { server, BackendServerId("gone@1") }, kColdTimeOfPool);
+  };
+  const SteadyTime before = fixture.m_clock.SteadyNow();
+  fixture.m_clock.Advance(milliseconds(100));
+  CHECK(tell(peer) == std::vector<BackendServerId>{ server });
+  CHECK(isCold());
+  // What a peer told is not told again.
+  fixture.m_clock.Advance(seconds(1));
+  CHECK(fixture.m_registry.RefusalsToAdvertise().empty());
+  fixture.m_registry.RecordRefusedConnection(server, seconds(3));
+  fixture.m_clock.Advance(seconds(1));
+  CHECK(fixture.m_registry.RefusalsToAdvertise().empty());
+  // A response to what was sent before the end is that of the process before.
+  fixture.m_registry.RecordResponse(server, seconds(3), before);
+  CHECK(fixture.m_registry.Find(server)->m_hasRefused);
+  fixture.m_registry.RecordResponse(
+    server, seconds(3), fixture.m_clock.SteadyNow());
+  CHECK(fixture.m_registry.Find(server)->m_coldUntil ==
+        fixture.m_clock.SteadyNow() + seconds(3));
+  // The records of peers stand for longer than the server is cold.
+  fixture.m_clock.Advance(seconds(5));
+  CHECK(tell(peer).empty());
+  CHECK_FALSE(isCold());
+  fixture.m_registry.RecordRefusalsOfPeer(peer, {}, kColdTimeOfPool);
+  CHECK(tell(peer).size() == 1);
+  CHECK(tell(InstanceId("q")).empty());
+  // The new entry says more than the guess.
+  ServerRecord next = Fixture::Record("s", 2);
+  next.m_coldFor = seconds(1);
+  fixture.m_registry.Put(next);
+  CHECK(fixture.m_registry.Find(BackendServerId("s@2"))->m_coldUntil ==
+        fixture.m_clock.SteadyNow() + seconds(1));
+  CHECK(tell(InstanceId("r")).empty());
+}
+
+TEST_CASE("a refused connection is advertised for a while, unless it was "
+          "refused for want of a path")
+{
+  Fixture fixture;
+  fixture.m_registry.Put(Fixture::Record("s"));
+  const std::set<BackendServerId> server = { BackendServerId("s@1") };
+  fixture.m_registry.RecordRefusedConnection(*server.begin(), seconds(3));
+  CHECK(fixture.m_registry.RefusalsToAdvertise().empty());
+  fixture.m_clock.Advance(milliseconds(100));
+  CHECK(fixture.m_registry.RefusalsToAdvertise() == server);
+  // Renewing the entry changes nothing.
+  fixture.m_registry.Put(Fixture::Record("s"));
+  CHECK(fixture.m_registry.RefusalsToAdvertise() == server);
+  fixture.m_clock.Advance(seconds(4));
+  CHECK(fixture.m_registry.RefusalsToAdvertise().empty());
+  fixture.m_registry.RecordRefusedConnection(*server.begin(), seconds(3));
+  fixture.m_clock.Advance(milliseconds(100));
+  CHECK(fixture.m_registry.RefusalsToAdvertise() == server);
+  fixture.m_registry.ForgiveRefusals(kRegion);
+  CHECK(fixture.m_registry.RefusalsToAdvertise().empty());
+}
+
 } // namespace
 } // namespace rattanweir
--- a/rattanweir/process/fleet/fleet_view.h
+++ b/rattanweir/process/fleet/fleet_view.h
@@ -90,6 +90,9 @@
   // What the instance knows of the limits that servers of its region have
   // named, by incarnation of the server.
   std::map<BackendServerId, NamedLimit> m_serverLimits;
+  // Incarnations of servers that have recently refused a connection to the
+  // instance: their processes have ended.
+  std::set<BackendServerId> m_refusingServers;
   // Incarnations of servers that have recently reported themselves draining, to
   // the instance or to a peer.
   std::set<BackendServerId> m_drainingServers;
--- a/rattanweir/request/gateway/request_dispatcher.cc
+++ b/rattanweir/request/gateway/request_dispatcher.cc
@@ -554,8 +554,8 @@
     return;
   }
   if (const Pool* pool = m_request.m_config->FindPool(m_request.m_pool)) {
-    m_state.m_registry.RecordResponse(aServer.m_incarnation,
-                                      pool->m_coldDuration);
+    m_state.m_registry.RecordResponse(
+      aServer.m_incarnation, pool->m_coldDuration, aSentAt);
   }
   m_state.m_quarantine.RecordResponse(aServer.m_incarnation, aSentAt);
   if (aInfo.m_isDraining) {
--- a/rattanweir/request/gateway/returning_server_fleet_test.cc
+++ b/rattanweir/request/gateway/returning_server_fleet_test.cc
@@ -5,7 +5,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cstdlib>
+#include <span>
 
 namespace rattanweir {
 namespace {
@@ -23,6 +25,19 @@
 constexpr double kMaxPerSecond = 1.5 * kRate + 3;
 // How often each instance has a request for the server.
 constexpr milliseconds kDemandInterval{ 300 };
+// Instances with demand in turns have requests at this interval, for a part of
+// each turn.
+constexpr milliseconds kDenseInterval{ 120 };
+constexpr milliseconds kTurn{ 3'000 };
+constexpr milliseconds kActivePart{ 1'200 };
+
+enum class Demand
+{
+  Steady,
+  // Some instances have no request while the server is down, and several right
+  // after its return.
+  InTurns,
+};
 
 struct Arrival
 {
@@ -42,10 +57,17 @@
   {
   }
 
+  void UpdateSelf()
+  {
+    m_fleet.Self().m_refusingServers = m_registry.RefusalsToAdvertise();
+  }
+
   BackendRegistry m_registry;
   BackendView m_backends;
   ServerRateLimiter m_limiter;
   SteadyTime m_lastDemandAt;
+  SteadyTime m_lastExchangeAt;
+  std::set<BackendServerId> m_announcedRefusals;
 };
 
 // A fleet before one server that ends and starts again under its id and
@@ -53,8 +75,10 @@
 class ReturningServerFleet
 {
 public:
-  explicit ReturningServerFleet(const SimulatedFleetOptions& aOptions)
+  explicit ReturningServerFleet(const SimulatedFleetOptions& aOptions,
+                                Demand aDemand = Demand::Steady)
     : m_fleet(aOptions)
+    , m_demand(aDemand)
   {
     m_pool.m_id = kPool;
     m_pool.m_coldRequestsPerSecond = kRate;
@@ -64,8 +88,8 @@
     });
     m_fleet.OnStep([this](std::size_t aIndex, SendingProcess& aProcess) {
       aProcess.m_registry.Tick();
-      if (aIndex % m_fleet.Regions() == 0 &&
-          m_fleet.Now() - aProcess.m_lastDemandAt >= kDemandInterval) {
+      ExchangeRefusals(aIndex, aProcess);
+      if (aIndex % m_fleet.Regions() == 0 && HasDemand(aIndex, aProcess)) {
         aProcess.m_lastDemandAt = m_fleet.Now();
         SendRequest(aIndex, aProcess);
       }
@@ -138,6 +162,49 @@
                     });
   }
 
+  bool HasDemand(std::size_t aIndex, const SendingProcess& aProcess) const
+  {
+    const auto sinceLast = m_fleet.Now() - aProcess.m_lastDemandAt;
+    if (m_demand == Demand::Steady) {
+      return sinceLast >= kDemandInterval;
+    }
+    const auto phase = milliseconds(aIndex * 397) % kTurn;
+    const auto inTurn = (m_fleet.Now().time_since_epoch() + phase) % kTurn;
+    return inTurn < kActivePart && sinceLast >= kDenseInterval;
+  }
+
+  // What the daemon does at intervals.
+  void ExchangeRefusals(std::size_t aIndex, SendingProcess& aProcess)
+  {
+    constexpr milliseconds kInterval{ 100 };
+    if (m_fleet.Now() - aProcess.m_lastExchangeAt < kInterval) {
+      return;
+    }
+    aProcess.m_lastExchangeAt = m_fleet.Now();
+    const RegionId& region = aProcess.m_fleet.Self().m_region;
+    for (const FleetMember* peer : aProcess.m_fleet.LivePeersIn(region)) {
+      aProcess.m_registry.RecordRefusalsOfPeer(
+        peer->m_id, peer->m_refusingServers, [](const PoolId&) {
+          return kColdTime;
+        });
+    }
+    std::set<BackendServerId> refusing =
+      aProcess.m_registry.RefusalsToAdvertise();
+    const bool hasNews =
+      !std::ranges::includes(aProcess.m_announcedRefusals, refusing);
+    aProcess.m_announcedRefusals = std::move(refusing);
+    if (!hasNews) {
+      return;
+    }
+    aProcess.UpdateSelf();
+    const FleetMember record = aProcess.m_fleet.AdvanceSelf();
+    for (const FleetMember* peer : aProcess.m_fleet.LivePeersIn(region)) {
+      m_fleet.Send(aIndex, peer->m_peerAddress, [record](SendingProcess& aTo) {
+        aTo.m_fleet.Merge(std::span(&record, 1), record.m_id);
+      });
+    }
+  }
+
   void SendRequest(std::size_t aIndex, SendingProcess& aProcess)
   {
     for (const RegisteredServer* known :
@@ -180,13 +247,13 @@
     m_fleet.AfterIn(
       aIndex,
       milliseconds(2),
-      [aIncarnation, isAccepted](SendingProcess& aProcess) {
+      [aIncarnation, aSentAt, isAccepted](SendingProcess& aProcess) {
         const AttemptOutcome outcome =
           isAccepted ? AttemptOutcome::Succeeded : AttemptOutcome::Unreachable;
         aProcess.m_backends.EndDispatch(aIncarnation,
                                         { .m_load = 1, .m_outcome = outcome });
         if (isAccepted) {
-          aProcess.m_registry.RecordResponse(aIncarnation, kColdTime);
+          aProcess.m_registry.RecordResponse(aIncarnation, kColdTime, aSentAt);
         } else {
           aProcess.m_registry.RecordRefusedConnection(aIncarnation, kColdTime);
         }
@@ -194,6 +261,7 @@
   }
 
   SimulatedFleet<SendingProcess> m_fleet;
+  Demand m_demand;
   Pool m_pool;
   ServerRecord m_record{ .m_id = kServer,
                          .m_startedAtMs = 0,
@@ -229,7 +297,8 @@
 
 // Runs the schedule with each fleet and each seed.
 void
-ForEachFleet(const std::function<void(ReturningServerFleet&)>& aSchedule)
+ForEachFleet(const std::function<void(ReturningServerFleet&)>& aSchedule,
+             Demand aDemand = Demand::Steady)
 {
   for (const std::size_t instances : { 8U, 65U, 86U, 370U }) {
     for (const ViewFaults& faults : kAllViewFaults) {
@@ -242,7 +311,8 @@
         for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed) {
           INFO("seed " << seed);
           ReturningServerFleet server(
-            { .m_instances = instances, .m_seed = seed, .m_faults = faults });
+            { .m_instances = instances, .m_seed = seed, .m_faults = faults },
+            aDemand);
           RunWarmServer(server);
           aSchedule(server);
         }
@@ -275,6 +345,31 @@
   });
 }
 
+// Guards against FAILBACK: instances that had no request for a server while it
+// was down took the new process for the one before.
+TEST_CASE("a server that starts again under its id is not flooded by instances "
+          "that did not see it end")
+{
+  ForEachFleet(
+    [](ReturningServerFleet& aServer) {
+      SimulatedFleet<SendingProcess>& fleet = aServer.Fleet();
+      for (const milliseconds downTime : { milliseconds(1'000),
+                                           milliseconds(1'200),
+                                           milliseconds(1'600),
+                                           milliseconds(4'000) }) {
+        aServer.EndServer();
+        fleet.RunFor(downTime);
+        aServer.StartServer(kColdTime);
+        fleet.RunFor(milliseconds(500));
+        aServer.Publish();
+        fleet.RunFor(seconds(12));
+      }
+      CHECK(static_cast<double>(aServer.MaxWhileCold()) <= kMaxPerSecond);
+      CHECK(aServer.ArrivedWhileCold() > 0);
+    },
+    Demand::InTurns);
+}
+
 TEST_CASE(
   "a cold server is not flooded after the store is restored from a copy "
   "with its earlier incarnation")
--- a/rattanweir/request/gateway/server_links.cc
+++ b/rattanweir/request/gateway/server_links.cc
@@ -110,6 +110,30 @@
   }
 }
 
+void
+MergeRefusalsOfPeers(GatewayState& aState)
+{
+  const FleetConfigPtr config = aState.m_config.InForce();
+  if (!config) {
+    return;
+  }
+  const auto coldTimeOf = [&](const PoolId& aPool) {
+    const Pool* pool = config->FindPool(aPool);
+    return pool == nullptr ? std::chrono::nanoseconds::zero()
+                           : std::chrono::nanoseconds(pool->m_coldDuration);
+  };
+  for (const FleetMember* peer :
+       aState.m_fleet.LivePeersIn(aState.m_fleet.Self().m_region)) {
+    for (const BackendServerId& server : aState.m_registry.RecordRefusalsOfPeer(
+           peer->m_id, peer->m_refusingServers, coldTimeOf)) {
+      aState.m_metrics.Count("rattanweir_server_refusals_from_peers_total");
+      Log(LogLevel::Info,
+          "server_refusal_from_peer",
+          { { "server", server.Value() }, { "peer", peer->m_id.Value() } });
+    }
+  }
+}
+
 std::vector<Endpoint>
 ServersToReach(const GatewayState& aState)
 {
--- a/rattanweir/request/gateway/server_links.h
+++ b/rattanweir/request/gateway/server_links.h
@@ -28,6 +28,11 @@
 void
 MergeRoomsOfPeers(GatewayState& aState);
 
+// Applies what the peers of this region say about servers that have refused a
+// connection to them, and logs what is news.
+void
+MergeRefusalsOfPeers(GatewayState& aState);
+
 // Returns the addresses of the servers that this instance sends requests to.
 std::vector<Endpoint>
 ServersToReach(const GatewayState& aState);
