A forwarded request is never a control message

Cause: the peer side told control messages from forwarded requests by the path alone, which is the caller's.

Ruled out: a way to the peer side from outside.

Change: a request that names the instance which forwarded it is served as a request.

--- a/rattanweir/request/gateway/gateway_handlers.cc
+++ b/rattanweir/request/gateway/gateway_handlers.cc
@@ -3,6 +3,7 @@
 #include "rattanweir/request/gateway/gateway_handlers.h"
 
 #include "rattanweir/process/logging/log.h"
+#include "rattanweir/request/exchange/header_fields.h"
 #include "rattanweir/request/gateway/gateway_admission.h"
 #include "rattanweir/request/gateway/request_dispatcher.h"
 
@@ -210,7 +211,10 @@
                            ResponseSink& aSink,
                            CancelSource& aCancel)
 {
-  if (aInbound.m_target == kControlPath) {
+  // The path of a forwarded request is its caller's, so it does not tell.
+  const bool isForwarded =
+    FindHeader(aInbound.m_headers, kHopFromField) != nullptr;
+  if (!isForwarded && aInbound.m_target == kControlPath) {
     std::string response = m_control(std::move(aInbound.m_body));
     ResponseHead head{ .m_status = 200,
                        .m_headers = { { "content-type", kJsonMediaType } },
--- a/rattanweir/request/gateway/gateway_test.cc
+++ b/rattanweir/request/gateway/gateway_test.cc
@@ -252,6 +252,26 @@
   CHECK(fixture.SentTo(kSouthPeer) == 0);
 }
 
+// Guards against ROUTE: a caller's request was taken for a control message, and
+// the fleet followed a configuration from the caller's address.
+TEST_CASE("a forwarded request is no control message, whatever its path")
+{
+  GatewayFixture fixture;
+  const GatewayTestRequest request{ .m_method = "POST",
+                                    .m_target = kControlPath };
+  const Outcome& control = fixture.SendPeerRequest(request, {});
+  CHECK(control.m_code == ResultCode::Ok);
+  const Outcome& forwarded = fixture.SendPeerRequest(request, kFromSouth);
+  CHECK(forwarded.m_code != ResultCode::Ok);
+  CHECK(forwarded.m_ran == Ran::No);
+  // Nor does a caller reach the peer's handler by naming the field itself.
+  GatewayTestRequest disguised{ .m_target = "/read/1" };
+  disguised.m_headers = { { kHopFromField, "south-1" } };
+  fixture.ScriptAll(SealedResponse("north"));
+  CHECK(fixture.SendRequest(disguised).m_body == "north");
+  CHECK(fixture.SentField(0, kHopFromField).empty());
+}
+
 TEST_CASE("a forwarded request is refused in a region that is not permitted")
 {
   GatewayFixture fixture;
