Gossip messages: topics in functions of their own; tests without temporary strings

No change in behaviour: connection_gossip_test, connection_http_client_test and testing_invalid_response_test pass as before.

--- a/rattanweir/connection/gossip/gossip_messages.cc
+++ b/rattanweir/connection/gossip/gossip_messages.cc
@@ -155,6 +155,19 @@
 
 // Field names are short because gossip messages account for most of the control
 // traffic between instances.
+void
+AddTopics(const FleetMember& aRecord, Json::Value& aValue)
+{
+  aValue["topics"] = Json::Value(Json::objectValue);
+  for (const auto& [topic, version] : aRecord.m_publishedVersions) {
+    aValue["topics"][topic] = Json::UInt64(version.m_revision);
+    aValue["epochs"][topic] = Json::UInt64(version.m_epoch.Value());
+  }
+  for (const auto& [topic, fingerprint] : aRecord.m_publishedFingerprints) {
+    aValue["fingerprints"][topic] = Json::UInt64(fingerprint.Value());
+  }
+}
+
 Json::Value
 RecordToJson(const FleetMember& aRecord)
 {
@@ -173,14 +186,7 @@
     value["peer"] = aRecord.m_peerAddress.ToString();
     value["capacity"] = aRecord.m_capacity;
   }
-  value["topics"] = Json::Value(Json::objectValue);
-  for (const auto& [topic, version] : aRecord.m_publishedVersions) {
-    value["topics"][topic] = Json::UInt64(version.m_revision);
-    value["epochs"][topic] = Json::UInt64(version.m_epoch.Value());
-  }
-  for (const auto& [topic, fingerprint] : aRecord.m_publishedFingerprints) {
-    value["fingerprints"][topic] = Json::UInt64(fingerprint.Value());
-  }
+  AddTopics(aRecord, value);
   value["usage"] = FormatUsages(aRecord.m_usages);
   value["delay_ms"] = Json::Value(Json::objectValue);
   for (const auto& [pool, report] : aRecord.m_pools) {
@@ -316,6 +322,29 @@
            .m_capacity = RequestRate(aValue[1].asDouble()) };
 }
 
+void
+ReadTopics(const Json::Value& aValue, FleetMember& aRecord)
+{
+  const Json::Value& topics = GetObject(aValue, "topics");
+  for (const std::string& topic : topics.getMemberNames()) {
+    const StoreEpoch epoch =
+      aValue.isMember("epochs")
+        ? StoreEpoch(GetUnsigned(GetObject(aValue, "epochs"), topic.c_str()))
+        : StoreEpoch();
+    aRecord.m_publishedVersions.emplace(
+      topic,
+      TopicVersion{ .m_epoch = epoch,
+                    .m_revision = GetUnsigned(topics, topic.c_str()) });
+  }
+  if (aValue.isMember("fingerprints")) {
+    const Json::Value& fingerprints = GetObject(aValue, "fingerprints");
+    for (const std::string& topic : fingerprints.getMemberNames()) {
+      aRecord.m_publishedFingerprints.emplace(
+        topic, GetUnsigned(fingerprints, topic.c_str()));
+    }
+  }
+}
+
 FleetMember
 RecordFromJson(const Json::Value& aValue)
 {
@@ -335,24 +364,7 @@
     record.m_peerAddress = GetEndpoint(aValue, "peer");
     record.m_capacity = GetDouble(aValue, "capacity");
   }
-  const Json::Value& topics = GetObject(aValue, "topics");
-  for (const std::string& topic : topics.getMemberNames()) {
-    const StoreEpoch epoch =
-      aValue.isMember("epochs")
-        ? StoreEpoch(GetUnsigned(GetObject(aValue, "epochs"), topic.c_str()))
-        : StoreEpoch();
-    record.m_publishedVersions.emplace(
-      topic,
-      TopicVersion{ .m_epoch = epoch,
-                    .m_revision = GetUnsigned(topics, topic.c_str()) });
-  }
-  if (aValue.isMember("fingerprints")) {
-    const Json::Value& fingerprints = GetObject(aValue, "fingerprints");
-    for (const std::string& topic : fingerprints.getMemberNames()) {
-      record.m_publishedFingerprints.emplace(
-        topic, GetUnsigned(fingerprints, topic.c_str()));
-    }
-  }
+  ReadTopics(aValue, record);
   record.m_usages = ParseUsages(GetString(aValue, "usage"));
   const Json::Value& delays = GetObject(aValue, "delay_ms");
   for (const std::string& pool : delays.getMemberNames()) {
--- a/rattanweir/connection/http_client/response_validity_test.cc
+++ b/rattanweir/connection/http_client/response_validity_test.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <optional>
+#include <utility>
 
 namespace rattanweir {
 namespace {
@@ -141,14 +142,19 @@
     "a\x7f: 1"s, "\xe9: 1"s,  ": 1"s,        "a"s,        "a: 1\x01"s,
     "a: \0"s,    "a: 1\x7f"s, "a: 1\rb: 2"s,
   };
+  const std::pair<std::string, std::string> places[] = {
+    { "HTTP/1.1 200 OK\r\n", "\r\nContent-Length: 2\r\n\r\nok" },
+    { "HTTP/1.1 103 Early Hints\r\n", "\r\n\r\n" + kCompleteResponse },
+    { kChunkedHead + "2\r\nok\r\n0\r\n", "\r\n\r\n" },
+  };
   for (const std::string& line : lines) {
     CAPTURE(line);
-    CheckInvalid(Read({ .m_response = "HTTP/1.1 200 OK\r\n" + line +
-                                      "\r\nContent-Length: 2\r\n\r\nok" }));
-    CheckInvalid(Read({ .m_response = "HTTP/1.1 103 Early Hints\r\n" + line +
-                                      "\r\n\r\n" + kCompleteResponse }));
-    CheckInvalid(Read(
-      { .m_response = kChunkedHead + "2\r\nok\r\n0\r\n" + line + "\r\n\r\n" }));
+    for (const auto& [before, after] : places) {
+      std::string response = before;
+      response += line;
+      response += after;
+      CheckInvalid(Read({ .m_response = response }));
+    }
   }
   CheckInvalid(Read({ .m_response = "HTTP/1.1 200 OK\r\n a: 1\r\n"
                                     "Content-Length: 2\r\n\r\nok" }));
--- a/testing/gateway_chain/invalid_response_test.cc
+++ b/testing/gateway_chain/invalid_response_test.cc
@@ -130,10 +130,10 @@
                                      ": 1"s,
                                      "a: 1\x01"s,
                                      "a: 1\rb: 2"s }) {
-      CheckFailure({ .m_servedBy = servedBy,
-                     .m_response = "HTTP/1.1 200 OK\r\n" + kSeal + line +
-                                   "\r\ncontent-length: 2\r\n\r\nok" },
-                   line);
+      std::string response = "HTTP/1.1 200 OK\r\n" + kSeal;
+      response += line;
+      response += "\r\ncontent-length: 2\r\n\r\nok";
+      CheckFailure({ .m_servedBy = servedBy, .m_response = response }, line);
     }
     CheckFailure({ .m_servedBy = servedBy,
                    .m_response = "HTTP/1.1 200 OK\r\n" + kSeal +
