--- a/rattanweir/connection/http_client/response_fuzz_test.cc
+++ b/rattanweir/connection/http_client/response_fuzz_test.cc
@@ -191,7 +191,7 @@
   return text == nullptr ? 4 : std::strtoull(text, nullptr, 10);
 }
 
-// Guards against MIXED: a part of a response, or what is no response, was
+// Guards against a part of a response, or what is no response, that was
 // presented as complete.
 TEST_CASE("a response is complete exactly if its server sent it entirely")
 {
--- a/rattanweir/connection/http_client/response_validity_test.cc
+++ b/rattanweir/connection/http_client/response_validity_test.cc
@@ -76,7 +76,7 @@
   CHECK(aReading.m_error->HasRun() == Ran::Maybe);
 }
 
-// Guards against MIXED: a status that HTTP does not have was passed on.
+// Guards against a status that HTTP does not have and that was passed on.
 TEST_CASE("a status outside of 100 to 599 is no response")
 {
   for (const char* status : { "000", "001", "099", "600", "999", "101" }) {
@@ -97,7 +97,7 @@
   }
 }
 
-// Guards against MIXED: an early answer that was reset was passed on as whole.
+// Guards against an early answer that was reset and passed on as whole.
 TEST_CASE("a reset while the request is written leaves a response without "
           "length incomplete")
 {
@@ -132,7 +132,7 @@
   CHECK(whole.m_body == "part");
 }
 
-// Guards against MIXED: a line that is no header field was passed on.
+// Guards against a line that is no header field and that was passed on.
 TEST_CASE("a header, an interim response or trailers with an invalid field are "
           "no response")
 {
@@ -165,7 +165,7 @@
   }
 }
 
-// Guards against MIXED: a body that was not the server's was passed on.
+// Guards against a body that was not the server's and that was passed on.
 TEST_CASE("a body whose length is ambiguous is no response")
 {
   const std::string fields[] = {
--- a/rattanweir/process/backend_registry/backend_registry_test.cc
+++ b/rattanweir/process/backend_registry/backend_registry_test.cc
@@ -228,7 +228,7 @@
   return std::chrono::nanoseconds(seconds(3));
 };
 
-// Guards against FAILBACK: an instance that did not see a server end took its
+// Guards against an instance that did not see a server end and took its
 // new process for the one before.
 TEST_CASE("a refusal that a peer tells of makes a server cold, once for each "
           "time that the peer lists it")
--- a/rattanweir/process/published/published_copies_test.cc
+++ b/rattanweir/process/published/published_copies_test.cc
@@ -248,7 +248,7 @@
   return text == nullptr ? 40 : std::strtoull(text, nullptr, 10);
 }
 
-// Guards against DRAIN: a copy vouched for removals that it had not seen.
+// Guards against a copy that vouched for removals which it had not seen.
 TEST_CASE("after any order of reads, restarts and exchanges each copy equals "
           "the store's contents at its version")
 {
--- a/rattanweir/request/gateway/gateway_test.cc
+++ b/rattanweir/request/gateway/gateway_test.cc
@@ -252,7 +252,7 @@
   CHECK(fixture.SentTo(kSouthPeer) == 0);
 }
 
-// Guards against ROUTE: a caller's request was taken for a control message, and
+// Guards against a caller's request that was taken for a control message:
 // the fleet followed a configuration from the caller's address.
 TEST_CASE("a forwarded request is no control message, whatever its path")
 {
--- a/rattanweir/request/gateway/response_buffers_test.cc
+++ b/rattanweir/request/gateway/response_buffers_test.cc
@@ -132,7 +132,7 @@
   }
 }
 
-// Guards against LOST: faulty servers that send events without end exhaust the
+// Guards against faulty servers that send events without end, exhaust the
 // memory of an instance, and end the requests of other callers with it.
 TEST_CASE("events without end use no more than a fixed amount of memory, and "
           "other streams go on")
--- a/rattanweir/request/gateway/returning_server_fleet_test.cc
+++ b/rattanweir/request/gateway/returning_server_fleet_test.cc
@@ -345,8 +345,8 @@
   });
 }
 
-// Guards against FAILBACK: instances that had no request for a server while it
-// was down took the new process for the one before.
+// Guards against instances that had no request for a server while it was down
+// and took the new process for the one before.
 TEST_CASE("a server that starts again under its id is not flooded by instances "
           "that did not see it end")
 {
--- a/testing/configuration_freshness/restarted_readers_test.cc
+++ b/testing/configuration_freshness/restarted_readers_test.cc
@@ -104,7 +104,7 @@
     milliseconds(700) },
 };
 
-// Guards against DRAIN: a removal was lost as the readers of the store restart.
+// Guards against a removal that was lost as the readers of the store restart.
 TEST_CASE("a removal while all readers of the store restart reaches every "
           "instance")
 {
@@ -122,7 +122,7 @@
   }
 }
 
-// Guards against DRAIN: a removal was lost with the history of the store.
+// Guards against a removal that was lost with the history of the store.
 TEST_CASE("a removal whose history the store has dropped reaches every "
           "instance")
 {
--- a/testing/gateway_chain/invalid_response_test.cc
+++ b/testing/gateway_chain/invalid_response_test.cc
@@ -49,7 +49,7 @@
   CHECK(chain.Server(aExchange.m_servedBy).IdleServerConnections() == 0);
 }
 
-// Guards against MIXED: a status that HTTP does not have reached the caller.
+// Guards against a status that HTTP does not have reaching the caller.
 TEST_CASE("a response with an invalid status is answered 502")
 {
   for (const ServedBy servedBy : { ServedBy::Entry, ServedBy::Peer }) {
@@ -67,7 +67,7 @@
   }
 }
 
-// Guards against MIXED: a part of an answer reached the caller as whole, since
+// Guards against a part of an answer reaching the caller as whole, since
 // the write of the upload had taken the reset of the connection.
 TEST_CASE("a response without length to an upload that was reset is answered "
           "502")
@@ -116,7 +116,7 @@
   }
 }
 
-// Guards against MIXED: a line that is no header field reached the caller.
+// Guards against a line that is no header field reaching the caller.
 TEST_CASE("a response with an invalid header field is answered 502")
 {
   using namespace std::string_literals;
