--- a/review/14/main.cc
+++ b/review/14/main.cc
@@ -1,8 +1,9 @@
-// Case 14: bookings with a chunked body on connections that were opened while
-// the gateway was starting.
+// Case 14: look-ups that cross to another region while the machine there learns
+// of new configurations a little later.
 
 #include "review/support-3/deployment.h"
 
+#include <algorithm>
 #include <atomic>
 #include <iostream>
 #include <map>
@@ -11,179 +12,98 @@
 namespace review {
 namespace {
 
-constexpr std::size_t kClients = 40;
-constexpr Milliseconds kLinkToStore{ 55 };
-constexpr Milliseconds kDeadline{ 3'000 };
-constexpr Milliseconds kBetweenBookings{ 1'000 };
-constexpr Milliseconds kBetweenClients{ 25 };
-// The processes are down for this long.
-constexpr Milliseconds kDown{ 1'000 };
-constexpr Milliseconds kBeforeTrouble{ 4'000 };
-// Machines are in touch `contactMs` after the disruption.
-constexpr Milliseconds kContact{ 5'000 };
-constexpr Milliseconds kAfterContact{ 4'000 };
-constexpr int kBookingBytes = 600;
-
 using Clock = std::chrono::steady_clock;
 
-struct Outcome
-{
-  int m_status = 0;
-  bool m_hasSeal = false;
-};
+// About the rate of one kind of request in the zone of a small deployment.
+constexpr std::size_t kClients = 30;
+constexpr Milliseconds kBetweenRequests{ 250 };
+constexpr Milliseconds kDeadline{ 3'000 };
+constexpr Milliseconds kBeforeChanges{ 7'000 };
+constexpr Milliseconds kCut{ 5'500 };
+constexpr unsigned kChanges = 12;
+constexpr Milliseconds kBetweenChanges{ 330 };
+constexpr Milliseconds kAfterChanges{ 2'000 };
 
-// What the clients saw of the machines in touch.
-struct Counts
+struct Day
 {
+  Record& m_record;
+  std::unique_ptr<Gateway> m_entry;
+  std::unique_ptr<Gateway> m_far;
+  std::atomic<bool> m_isOver = false;
   std::mutex m_mutex;
   std::map<int, unsigned> m_statuses;
   unsigned m_requests = 0;
-  // Requests that a machine in touch ended with a 3xx or 4xx of its own, other
-  // than 408, 421 and 429.
   unsigned m_denied = 0;
 };
 
-struct Day
+std::string
+ServiceName(unsigned aVersion)
 {
-  Record& m_record;
-  Counts m_counts;
-  std::vector<std::unique_ptr<Gateway>> m_gateways;
-  // No request is counted before this time.
-  std::atomic<Clock::rep> m_inTouchFrom = 0;
-  std::atomic<bool> m_isOver = false;
-
-  bool IsInTouch() const
-  {
-    const Clock::rep from = m_inTouchFrom;
-    return from != 0 && Clock::now().time_since_epoch().count() >= from;
-  }
-};
+  return "plassbok-" + std::to_string(aVersion);
+}
 
-// A client that keeps its connections: one to each machine.
-class Client
+// Returns the configuration that sends the route to the service of that
+// version. It still holds the service of the version before.
+std::string
+ConfigOf(unsigned aVersion)
 {
-public:
-  Client(Day& aDay, std::size_t aNumber)
-    : m_day(aDay)
-    , m_number(aNumber)
-  {
-    m_connections.resize(aDay.m_gateways.size());
-  }
-
-  void Run()
-  {
-    // The clients do not act at the same moments.
-    std::this_thread::sleep_for(kBetweenClients * m_number);
-    while (!m_day.m_isOver) {
-      LookUp();
-      std::this_thread::sleep_for(kBetweenBookings);
-      if (m_day.IsInTouch()) {
-        Book();
-      }
-    }
-  }
-
-private:
-  std::size_t Machine() const { return m_number % m_connections.size(); }
-
-  // Opens the connection if there is none. Tries again while the machine does
-  // not accept connections.
-  bool Connect()
-  {
-    constexpr Milliseconds kRetry{ 200 };
-    auto& connection = m_connections[Machine()];
-    if (connection && connection->IsClosed()) {
-      connection.reset();
-    }
-    while (!connection && !m_day.m_isOver) {
-      connection = Connection::Open(m_day.m_gateways[Machine()]->FrontPort());
-      if (!connection) {
-        std::this_thread::sleep_for(kRetry);
-      }
-    }
-    return connection.has_value();
-  }
-
-  // An idempotent look-up. The client keeps the connection whatever it gets.
-  void LookUp()
-  {
-    Send({ .m_method = "GET", .m_target = "/lookup/1" }, "look-up");
-  }
-
-  void Book()
-  {
-    Send({ .m_method = "POST",
-           .m_target = "/booking/1",
-           .m_body = std::string(kBookingBytes, 'a'),
-           .m_isChunked = true },
-         "booking");
-  }
-
-  void Send(Request aRequest, const std::string& aWhat)
-  {
-    if (!Connect()) {
-      return;
-    }
-    auto& connection = m_connections[Machine()];
-    const std::string id = NewRequestId();
-    aRequest.m_headers = { { "Host", kHost },
-                           { "Rattanweir-Request-Id", id },
-                           { "Rattanweir-Deadline-Ms",
-                             std::to_string(kDeadline.count()) } };
-    const bool isInTouch = m_day.IsInTouch();
-    std::optional<Message> answer;
-    if (connection->Send(FormatRequest(aRequest))) {
-      answer = connection->Read(kDeadline);
-    }
-    Outcome outcome;
-    if (answer) {
-      outcome = { .m_status = answer->Status(),
-                  .m_hasSeal =
-                    !answer->Header("Rattanweir-Response-Seal").empty() };
-    }
-    Count(aWhat + " " + id, outcome, isInTouch);
-    if (!answer || answer->Header("connection") == "close") {
-      connection.reset();
-    }
-  }
-
-  void Count(const std::string& aWhat,
-             const Outcome& aOutcome,
-             bool aIsInTouch) const
-  {
-    m_day.m_record.Write("client " + std::to_string(m_number) + " sent " +
-                         aWhat + " to " + m_day.m_gateways[Machine()]->Name() +
-                         ", got " + std::to_string(aOutcome.m_status) +
-                         (aOutcome.m_hasSeal ? " of a runner" : "") +
-                         (aIsInTouch ? "" : " (not counted)"));
-    if (!aIsInTouch) {
-      return;
-    }
-    const std::scoped_lock lock(m_day.m_counts.m_mutex);
-    const int status = aOutcome.m_status;
-    ++m_day.m_counts.m_requests;
-    ++m_day.m_counts.m_statuses[status];
-    const bool isDenial = status >= 300 && status < 500 && status != 408 &&
-                          status != 421 && status != 429;
-    m_day.m_counts.m_denied += isDenial && !aOutcome.m_hasSeal ? 1 : 0;
-  }
+  std::vector<std::string> services = { ServiceName(aVersion) };
+  if (aVersion > 1) {
+    services.push_back(ServiceName(aVersion - 1));
+  }
+  return FormatConfig(10 * aVersion,
+                      { { .m_prefix = "/lookup/",
+                          .m_kind = "idempotent",
+                          .m_service = ServiceName(aVersion) } },
+                      services);
+}
 
-  Day& m_day;
-  std::size_t m_number;
-  std::vector<std::optional<Connection>> m_connections;
-};
+void
+LookUp(Day& aDay, std::optional<Connection>& aConnection)
+{
+  const std::string id = NewRequestId();
+  const std::string text =
+    FormatRequest({ .m_method = "GET",
+                    .m_target = "/lookup/1",
+                    .m_headers = { { "Host", kHost },
+                                   { "Rattanweir-Request-Id", id },
+                                   { "Rattanweir-Deadline-Ms",
+                                     std::to_string(kDeadline.count()) } } });
+  if (aConnection && aConnection->IsClosed()) {
+    aConnection.reset();
+  }
+  if (!aConnection) {
+    aConnection = Connection::Open(aDay.m_entry->FrontPort());
+  }
+  std::optional<Message> answer;
+  if (aConnection && aConnection->Send(text)) {
+    answer = aConnection->Read(kDeadline);
+  }
+  const int status = answer ? answer->Status() : 0;
+  const bool isOfRunner =
+    answer && !answer->Header("Rattanweir-Response-Seal").empty();
+  aDay.m_record.Write("look-up " + id + " gets " + std::to_string(status) +
+                      (isOfRunner ? " of a runner" : ""));
+  if (!answer || answer->Header("connection") == "close") {
+    aConnection.reset();
+  }
+  const std::scoped_lock lock(aDay.m_mutex);
+  ++aDay.m_requests;
+  ++aDay.m_statuses[status];
+  const bool isDenial = status >= 300 && status < 500 && status != 408 &&
+                        status != 421 && status != 429;
+  aDay.m_denied += isDenial && !isOfRunner ? 1 : 0;
+}
 
-bool
-AreAllReady(const Day& aDay)
+void
+RunClient(Day& aDay, std::size_t aNumber)
 {
-  return WaitUntil(Milliseconds(20'000), [&] {
-    for (const auto& gateway : aDay.m_gateways) {
-      if (!gateway->IsReady()) {
-        return false;
-      }
-    }
-    return true;
-  });
+  std::this_thread::sleep_for(kBetweenRequests * aNumber / kClients);
+  std::optional<Connection> connection;
+  while (!aDay.m_isOver) {
+    LookUp(aDay, connection);
+    std::this_thread::sleep_for(kBetweenRequests);
+  }
 }
 
 int
@@ -192,22 +112,36 @@
   // DENIED: more than 5 + one in 500 of all requests.
   constexpr double kAllowed = 5;
   constexpr double kAllowedFraction = 1.0 / 500;
-  const std::scoped_lock lock(aDay.m_counts.m_mutex);
-  const Counts& counts = aDay.m_counts;
+  const std::scoped_lock lock(aDay.m_mutex);
   std::string statuses;
-  for (const auto& [status, count] : counts.m_statuses) {
+  for (const auto& [status, count] : aDay.m_statuses) {
     statuses += " " + std::to_string(status) + " x " + std::to_string(count);
   }
-  const double bound = kAllowed + kAllowedFraction * counts.m_requests;
-  const bool isBroken = counts.m_denied > bound;
+  const double bound = kAllowed + kAllowedFraction * aDay.m_requests;
+  const bool isBroken = aDay.m_denied > bound;
   const std::string verdict =
-    "requests to machines in touch " + std::to_string(counts.m_requests) +
-    ", denied " + std::to_string(counts.m_denied) + ", bound " +
-    std::to_string(bound) + ", answers:" + statuses +
+    "requests " + std::to_string(aDay.m_requests) + ", denied " +
+    std::to_string(aDay.m_denied) + ", bound " + std::to_string(bound) +
+    ", answers:" + statuses +
     (isBroken ? "; DENIED is broken" : "; DENIED holds");
   aDay.m_record.Write(verdict);
   std::cout << verdict << "\n";
-  return counts.m_requests == 0 ? kCouldNotRun : isBroken ? kBroken : kHeld;
+  return aDay.m_requests == 0 ? kCouldNotRun : isBroken ? kBroken : kHeld;
+}
+
+std::unique_ptr<Gateway>
+MakeGateway(Record& aRecord,
+            const std::string& aRegion,
+            std::uint16_t aGate,
+            const std::string& aScratch)
+{
+  return std::make_unique<Gateway>(
+    GatewayOptions{ .m_name = "front-" + aRegion + "-a-1",
+                    .m_zone = aRegion + "-a",
+                    .m_region = aRegion,
+                    .m_store = aGate,
+                    .m_folder = aScratch },
+    aRecord);
 }
 
 int
@@ -216,61 +150,52 @@
   // The stand-ins are leaked on purpose: their threads use them until the end.
   Record& record = *new Record(aFolder);
   Store& store = *new Store();
-  const std::uint16_t gate = store.AddGate({ .m_delay = kLinkToStore });
-  const Runner& runner =
-    *new Runner({ .m_service = "plassbok", .m_zone = "nordland-a" }, record);
-  store.Put("op/config",
-            FormatConfig(7,
-                         { { .m_prefix = "/lookup/",
-                             .m_kind = "idempotent",
-                             .m_service = "plassbok" },
-                           { .m_prefix = "/booking/",
-                             .m_kind = "non_idempotent",
-                             .m_service = "plassbok" } },
-                         { "plassbok" }));
-  store.Put(runner.Key(), runner.Entry());
-  Day day{ .m_record = record };
-  std::vector<std::uint16_t> seeds;
-  for (const char* number : { "1", "2" }) {
-    day.m_gateways.push_back(std::make_unique<Gateway>(
-      GatewayOptions{ .m_name = std::string("front-nordland-a-") + number,
-                      .m_zone = "nordland-a",
-                      .m_region = "nordland",
-                      .m_store = gate,
-                      .m_folder = aScratch },
-      record));
-    seeds.push_back(day.m_gateways.back()->ControlPort());
-  }
-  for (const auto& gateway : day.m_gateways) {
-    gateway->SetSeeds(seeds);
-    gateway->Start();
+  const std::uint16_t gate = store.AddGate({});
+  const std::uint16_t farGate = store.AddGate({});
+  store.Put("op/config", ConfigOf(1));
+  for (unsigned version = 1; version <= kChanges + 1; ++version) {
+    const Runner& runner = *new Runner(
+      { .m_service = ServiceName(version), .m_zone = "vestland-a" }, record);
+    store.Put(runner.Key(), runner.Entry());
   }
-  if (!AreAllReady(day)) {
+  Day day{ .m_record = record };
+  day.m_entry = MakeGateway(record, "ostland", gate, aScratch);
+  day.m_far = MakeGateway(record, "vestland", farGate, aScratch);
+  for (const auto& gateway : { &day.m_entry, &day.m_far }) {
+    (*gateway)->SetSeeds(
+      { day.m_entry->ControlPort(), day.m_far->ControlPort() });
+    (*gateway)->Start();
+  }
+  const bool isReady = WaitUntil(Milliseconds(20'000), [&] {
+    return day.m_entry->IsReady() && day.m_far->IsReady();
+  });
+  if (!isReady) {
     return kCouldNotRun;
   }
   std::vector<std::thread> clients;
   for (std::size_t number = 0; number < kClients; ++number) {
-    clients.emplace_back([&day, number] { Client(day, number).Run(); });
+    clients.emplace_back([&day, number] { RunClient(day, number); });
   }
-  std::this_thread::sleep_for(kBeforeTrouble);
+  std::this_thread::sleep_for(kBeforeChanges);
+  const auto cutEnd = Clock::now() + kCut;
   if (HasTrouble()) {
-    for (const auto& gateway : day.m_gateways) {
-      gateway->Kill();
-    }
-    std::this_thread::sleep_for(kDown);
-    for (const auto& gateway : day.m_gateways) {
-      gateway->Start();
-    }
-  }
-  const bool areBack = AreAllReady(day);
-  day.m_inTouchFrom =
-    (Clock::now() + kContact + kDown).time_since_epoch().count();
-  std::this_thread::sleep_for(kContact + kDown + kAfterContact);
+    record.Write("front-vestland-a-1 is cut off from the store");
+    store.SetCut(farGate, true);
+  }
+  for (unsigned version = 2; version <= kChanges + 1; ++version) {
+    std::this_thread::sleep_for(kBetweenChanges);
+    store.Put("op/config", ConfigOf(version));
+    record.Write("configuration " + std::to_string(10 * version) +
+                 " is acknowledged");
+  }
+  std::this_thread::sleep_until(cutEnd);
+  store.SetCut(farGate, false);
+  std::this_thread::sleep_for(kAfterChanges);
   day.m_isOver = true;
   for (std::thread& client : clients) {
     client.join();
   }
-  return areBack ? Judge(day) : kCouldNotRun;
+  return Judge(day);
 }
 
 } // namespace
--- a/review/support-3/deployment.cc
+++ b/review/support-3/deployment.cc
@@ -57,13 +57,17 @@
 
 std::string
 ItemJson(const std::string& aKey,
-         const std::string& aValue,
+         const std::optional<std::string>& aValue,
          std::uint64_t aRevision)
 {
   const std::string revision = std::to_string(aRevision);
-  return R"({"key":")" + aKey + R"(","value":")" + Base64(aValue) +
-         R"(","revision":)" + revision + R"(,"created":)" + revision +
-         R"(,"lease":0})";
+  const std::string start =
+    R"({"key":")" + aKey + R"(","revision":)" + revision;
+  if (!aValue) {
+    return start + R"(,"tombstone":true})";
+  }
+  return start + R"(,"value":")" + Base64(*aValue) + R"(","created":)" +
+         revision + R"(,"lease":0})";
 }
 
 Milliseconds
@@ -119,6 +123,21 @@
   m_changed.notify_all();
 }
 
+void
+Store::Remove(const std::string& aKey)
+{
+  const std::scoped_lock lock(m_mutex);
+  m_items[aKey] = { .m_revision = ++m_revision };
+  m_changed.notify_all();
+}
+
+void
+Store::CutWatchesAfter(Milliseconds aWait)
+{
+  const std::scoped_lock lock(m_mutex);
+  m_cutAfter = aWait;
+}
+
 void
 Store::Serve(const Gate& aGate, Connection& aConnection)
 {
@@ -126,18 +145,21 @@
   while (const auto request = aConnection.Read(kIdleTimeout)) {
     isSilent |= aGate.m_isCut;
     std::this_thread::sleep_for(aGate.m_options.m_delay + kStoreAnswerTime);
-    const std::string answer = Answer(request->m_second);
+    const std::optional<std::string> answer = Answer(request->m_second);
+    if (!answer) {
+      return;
+    }
     isSilent |= aGate.m_isCut;
     std::this_thread::sleep_for(aGate.m_options.m_delay);
     const std::string response =
-      FormatResponse(200, { { "Content-Type", "application/json" } }, answer);
+      FormatResponse(200, { { "Content-Type", "application/json" } }, *answer);
     if (!isSilent && !aConnection.Send(response)) {
       return;
     }
   }
 }
 
-std::string
+std::optional<std::string>
 Store::Answer(const std::string& aTarget)
 {
   const std::string prefix = QueryValue(aTarget, "prefix");
@@ -155,7 +177,7 @@
   const std::scoped_lock lock(m_mutex);
   std::string items;
   for (const auto& [key, item] : m_items) {
-    if (key.starts_with(aPrefix)) {
+    if (key.starts_with(aPrefix) && item.m_value) {
       items += (items.empty() ? "" : ",") +
                ItemJson(key, item.m_value, item.m_revision);
     }
@@ -164,7 +186,7 @@
          std::to_string(m_revision) + "}";
 }
 
-std::string
+std::optional<std::string>
 Store::Watch(const std::string& aPrefix,
              std::uint64_t aAfter,
              Milliseconds aWait)
@@ -172,7 +194,9 @@
   std::unique_lock lock(m_mutex);
   // Ordered by revision. Only the latest change of an item is kept.
   std::map<std::uint64_t, std::string> events;
-  m_changed.wait_for(lock, aWait, [&] {
+  const bool isCut = m_cutAfter && *m_cutAfter < aWait;
+  const Milliseconds wait = isCut ? *m_cutAfter : aWait;
+  m_changed.wait_for(lock, wait, [&] {
     for (const auto& [key, item] : m_items) {
       if (key.starts_with(aPrefix) && item.m_revision > aAfter) {
         events[item.m_revision] = ItemJson(key, item.m_value, item.m_revision);
@@ -180,6 +204,9 @@
     }
     return !events.empty();
   });
+  if (isCut && events.empty()) {
+    return std::nullopt;
+  }
   std::string text;
   for (const auto& [revision, event] : events) {
     text += (text.empty() ? "" : ",") + event;
@@ -229,14 +256,6 @@
   }
 }
 
-std::optional<std::size_t>
-Runner::BodyOfRun(const std::string& aRequestId)
-{
-  const std::scoped_lock lock(m_mutex);
-  const auto found = m_ran.find(aRequestId);
-  return found == m_ran.end() ? std::nullopt : std::optional(found->second);
-}
-
 void
 Runner::SetExtraShare(double aShare)
 {
@@ -256,8 +275,6 @@
 Runner::Answer(const Message& aRequest)
 {
   const std::string id = aRequest.Header("Rattanweir-Request-Id");
-  const std::size_t bodyBytes =
-    std::strtoul(aRequest.Header("Content-Length").c_str(), nullptr, 10);
   const Headers echo = { { "Rattanweir-Request-Id", id } };
   if (aRequest.Header("Rattanweir-Expect-Instance") != m_id) {
     return FormatResponse(421, { { "Rattanweir-Instance-Id", m_id } }, "");
@@ -272,12 +289,11 @@
     m_changed.wait(lock, [this] { return m_running < m_options.m_slots; });
     --m_waiting;
     ++m_running;
-    m_ran[id] = bodyBytes;
   }
   ++m_runs;
+  m_latestRun = m_record.Now();
   m_record.Write("runner " + m_id + " of " + m_options.m_service + " runs " +
-                 id + " with a body of " + std::to_string(bodyBytes) +
-                 " bytes");
+                 id);
   std::this_thread::sleep_for(m_options.m_work);
   {
     const std::scoped_lock lock(m_mutex);
--- a/review/support-3/deployment.h
+++ b/review/support-3/deployment.h
@@ -64,11 +64,17 @@
   void SetCut(std::uint16_t aGate, bool aIsCut);
 
   void Put(const std::string& aKey, const std::string& aValue);
+  void Remove(const std::string& aKey);
+
+  // From now on, a watch that has waited for this long without an event is cut:
+  // its connection is closed without an answer.
+  void CutWatchesAfter(Milliseconds aWait);
 
 private:
   struct Item
   {
-    std::string m_value;
+    // nullopt for an item that was removed.
+    std::optional<std::string> m_value;
     std::uint64_t m_revision = 0;
   };
   struct Gate
@@ -78,16 +84,18 @@
   };
 
   void Serve(const Gate& aGate, Connection& aConnection);
-  std::string Answer(const std::string& aTarget);
+  // Returns nullopt for a watch that is cut.
+  std::optional<std::string> Answer(const std::string& aTarget);
   std::string Range(const std::string& aPrefix);
-  std::string Watch(const std::string& aPrefix,
-                    std::uint64_t aAfter,
-                    Milliseconds aWait);
+  std::optional<std::string> Watch(const std::string& aPrefix,
+                                   std::uint64_t aAfter,
+                                   Milliseconds aWait);
 
   std::mutex m_mutex;
   std::condition_variable m_changed;
   std::map<std::string, Item> m_items;
   std::uint64_t m_revision = 100;
+  std::optional<Milliseconds> m_cutAfter;
   std::map<std::uint16_t, std::shared_ptr<Gate>> m_gates;
 };
 
@@ -119,6 +127,8 @@
   // Returns the length of the body of the request with this id, or nullopt if
   // it has not run one.
   std::optional<std::size_t> BodyOfRun(const std::string& aRequestId);
+  // Returns when the latest request that it has run arrived, by the record.
+  Milliseconds LatestRun() const { return m_latestRun; }
   unsigned Extras() const { return m_extras; }
   // While set, the runner sends extra responses after a share of its answers.
   void SetExtraShare(double aShare);
@@ -137,8 +147,7 @@
   unsigned m_running = 0;
   unsigned m_waiting = 0;
   std::atomic<unsigned> m_runs = 0;
-  // Length of the body by id.
-  std::map<std::string, std::size_t> m_ran;
+  std::atomic<Milliseconds> m_latestRun{ Milliseconds(0) };
   std::atomic<unsigned> m_extras = 0;
   double m_extraShare = 0;
   std::mt19937 m_random{ 61 };
--- a/review/support-3/http.cc
+++ b/review/support-3/http.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <cctype>
 #include <cstdlib>
 #include <memory>
@@ -288,9 +289,23 @@
 std::uint16_t
 FreePort()
 {
-  const auto [descriptor, port] = BindFreePort();
-  ::close(descriptor);
-  return port;
+  // Below the ports that the system gives to outgoing connections.
+  constexpr unsigned kFirst = 11'000;
+  constexpr unsigned kCount = 20'000;
+  constexpr unsigned kStep = 61;
+  static std::atomic<unsigned> next = static_cast<unsigned>(::getpid()) * kStep;
+  for (;;) {
+    const auto port = static_cast<std::uint16_t>(kFirst + next++ % kCount);
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = LoopbackAddress(port);
+    const bool isFree = ::bind(descriptor,
+                               reinterpret_cast<const sockaddr*>(&address),
+                               sizeof address) == 0;
+    ::close(descriptor);
+    if (isFree) {
+      return port;
+    }
+  }
 }
 
 std::string
--- a/review/support-3/http.h
+++ b/review/support-3/http.h
@@ -93,7 +93,7 @@
   std::uint16_t m_port = 0;
 };
 
-// Returns a port that was free a moment ago.
+// Returns a port that was free a moment ago, another one each time.
 std::uint16_t
 FreePort();
 
